--- /dev/null
+++ b/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd holds the command line, one command per file.
+package cmd
--- /dev/null
+++ b/core/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome holds the kinds, codes and typed failures that the system reports to callers.
+package outcome
