--- /dev/null
+++ b/core/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides at the node beside a backend server which calls run, wait or are refused.
+package admission
--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,221 @@
+package admission
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"godwitspindle/core/outcome"
+)
+
+const (
+	longestPause = 30 * time.Second      // a Retry-After above this is a fault of the backend server
+	leastAfter   = 50 * time.Millisecond // shortest suggested wait after an overload
+)
+
+// start refuses queued calls that cannot make their deadline and admits others while slots are free.
+func (g *Gate) start(now time.Time) []Decision {
+	var out []Decision
+	service := g.limit.service()
+	for i := 0; i < len(g.queue); {
+		d := g.queue[i].Deadline
+		if d.IsZero() || !now.Add(service).After(d) {
+			i++
+			continue
+		}
+		g.stats.Expired++
+		out = append(out, g.refuse(g.take(i).Call, outcome.Late, 0))
+	}
+	for len(g.running) < g.limit.value() && !now.Before(g.paused) {
+		i := g.next()
+		if i < 0 {
+			break
+		}
+		w := g.take(i)
+		out = append(out, g.admit(w.Request, now.Sub(w.arrived)))
+	}
+	return out
+}
+
+// next returns the queued call to start, or -1: the first in order, unless its caller already runs half of the slots and
+// a call of equal priority from a caller below that waits.
+func (g *Gate) next() int {
+	first := -1
+	half := max(1, g.limit.value()/2)
+	for i := range g.queue {
+		w := &g.queue[i]
+		if w.Suspect && g.suspects > 0 {
+			continue
+		}
+		if first >= 0 && w.Priority < g.queue[first].Priority {
+			break
+		}
+		if g.callers[w.Caller].running < half {
+			return i
+		}
+		if first < 0 {
+			first = i
+		}
+	}
+	return first
+}
+
+// blocked reports whether a queued call goes before the new one although a slot is free.
+func (g *Gate) blocked(r Request) bool {
+	for i := range g.queue {
+		if w := &g.queue[i]; (!w.Suspect || g.suspects == 0) && w.Priority >= r.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// crowded reports whether the caller holds half of slots and queue while another caller waits.
+func (g *Gate) crowded(caller string) bool {
+	u := g.callers[caller]
+	if u.running+u.queued < g.share() {
+		return false
+	}
+	return len(g.queue) > u.queued
+}
+
+func (g *Gate) share() int { return max(1, (g.limit.value()+g.depth)/2) }
+
+// victim returns the queued call that gives way to the new one, or -1. Late-tolerant calls go first, then low priority,
+// then the last in order. A call of equal rank gives way only when its caller holds more than half and the new one less.
+func (g *Gate) victim(r Request) int {
+	best := -1
+	rich := g.callers[r.Caller].running+g.callers[r.Caller].queued >= g.share()
+	for i := range g.queue {
+		w := &g.queue[i]
+		u := g.callers[w.Caller]
+		over := u.running+u.queued > g.share() && !rich && w.Caller != r.Caller
+		late := w.Late && !r.Late
+		yields := w.Priority < r.Priority || (w.Priority == r.Priority && (late || over))
+		if !yields {
+			continue
+		}
+		if best < 0 || weaker(w, &g.queue[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// weaker reports whether a, which is behind b in the queue, gives way before b.
+func weaker(a, b *waiting) bool {
+	if a.Late != b.Late {
+		return a.Late
+	}
+	return a.Priority <= b.Priority
+}
+
+// before is the order of the queue: priority, deadline (none is last), arrival.
+func before(a, b *waiting) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if !a.Deadline.Equal(b.Deadline) {
+		if a.Deadline.IsZero() || b.Deadline.IsZero() {
+			return b.Deadline.IsZero()
+		}
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.sequence < b.sequence
+}
+
+func (g *Gate) insert(w waiting) {
+	i := len(g.queue)
+	for i > 0 && before(&w, &g.queue[i-1]) {
+		i--
+	}
+	g.queue = slices.Insert(g.queue, i, w)
+	u := g.callers[w.Caller]
+	u.queued++
+	g.callers[w.Caller] = u
+}
+
+func (g *Gate) take(i int) waiting {
+	w := g.queue[i]
+	g.queue = slices.Delete(g.queue, i, i+1)
+	u := g.callers[w.Caller]
+	u.queued--
+	g.put(w.Caller, u)
+	return w
+}
+
+func (g *Gate) put(caller string, u use) {
+	if u == (use{}) {
+		delete(g.callers, caller)
+		return
+	}
+	g.callers[caller] = u
+}
+
+func (g *Gate) find(call string) int {
+	for i := range g.queue {
+		if g.queue[i].Call == call {
+			return i
+		}
+	}
+	return -1
+}
+
+// wait estimates when the call would start: the calls ahead of it leave at the rate of the limit by the service time.
+func (g *Gate) wait(now time.Time, w waiting, service time.Duration) time.Duration {
+	ahead := 0
+	for ahead < len(g.queue) && before(&g.queue[ahead], &w) {
+		ahead++
+	}
+	l := g.limit.value()
+	excess := max(len(g.running)-l, 0)
+	d := service * time.Duration(ahead+1+excess) / time.Duration(l)
+	return d + max(g.paused.Sub(now), 0)
+}
+
+func (g *Gate) admit(r Request, waited time.Duration) Decision {
+	g.running[r.Call] = run{caller: r.Caller, suspect: r.Suspect}
+	if r.Suspect {
+		g.suspects++
+	}
+	u := g.callers[r.Caller]
+	u.running++
+	g.callers[r.Caller] = u
+	g.stats.Admitted++
+	return Decision{Call: r.Call, Action: Admit, Wait: waited}
+}
+
+func (g *Gate) release(call string) bool {
+	r, ok := g.running[call]
+	if !ok {
+		return false
+	}
+	delete(g.running, call)
+	if r.suspect {
+		g.suspects--
+	}
+	u := g.callers[r.caller]
+	u.running--
+	g.put(r.caller, u)
+	return true
+}
+
+// refuse returns a refusal; the call has not run, so its kind is always notrun.
+func (g *Gate) refuse(call string, c outcome.Code, after time.Duration) Decision {
+	g.stats.Refused++
+	f := &outcome.Failure{Code: c, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Call: call, After: after}
+	switch c {
+	case outcome.Draining:
+		f.Detail = "The endpoint is leaving and takes no new calls."
+	case outcome.Late:
+		f.Status = http.StatusGatewayTimeout
+		f.Detail = "The call cannot be answered before its deadline."
+	case outcome.Overload:
+		f.After = max(after, leastAfter)
+		f.Detail = "Slots and queue of the endpoint are full."
+	default:
+		f.Status = http.StatusConflict
+		f.Detail = "A call with the same id is running or queued here."
+	}
+	return Decision{Call: call, Action: Refuse, Failure: f}
+}
--- /dev/null
+++ b/core/routing/score.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	otherDomain = 1.5 // penalty: a local endpoint takes half as many calls again before another failure domain is chosen
+	otherRegion = 4.0
+	coldPenalty = 4.0 // added to the factor 1 at the start of a slow start
+	slowStart   = 10 * time.Second
+	errorWeight = 8.0
+	onceWeight  = 24.0            // error weight for calls that cannot be repeated
+	hintWeight  = 0.5             // a reported load counts at most half of an own observation, and never lowers a score
+	hintMemory  = 2 * time.Second // age at which a hint counts half
+	hintLongest = 10 * time.Second
+)
+
+// score rates a member: own outstanding calls for each slot, times recent latency, errors, reported load, locality and
+// slow start. A latency that is not known, or that is old, is taken from the other candidate.
+func (p *Picker) score(m, other *member, c Class, domain string, now int64) float64 {
+	t := m.state
+	s := float64(t.outstanding.Load()+1) / float64(max(m.endpoint.Slots, 1))
+	fresh := fade(now-t.seen.Load(), memory)
+	s *= expected(m, other, fresh)
+	w := errorWeight
+	if c == Once {
+		w = onceWeight
+	}
+	s *= 1 + w*math.Float64frombits(t.errors.Load())*fresh
+	if at := t.hinted.Load(); at != 0 && now-at < int64(hintLongest) {
+		s *= 1 + hintWeight*math.Float64frombits(t.hint.Load())*fade(now-at, hintMemory)
+	}
+	if m.endpoint.Domain != domain {
+		if p.region != "" && m.endpoint.Region != p.region {
+			s *= otherRegion
+		} else {
+			s *= otherDomain
+		}
+	}
+	if since := t.since.Load(); since != 0 {
+		if left := 1 - float64(now-since)/float64(slowStart); left > 0 {
+			s *= 1 + coldPenalty*min(left, 1)
+		}
+	}
+	return s
+}
+
+func expected(m, other *member, fresh float64) float64 {
+	own := math.Float64frombits(m.state.latency.Load())
+	if other == nil {
+		return max(own, 1e-6)
+	}
+	theirs := math.Float64frombits(other.state.latency.Load())
+	if theirs == 0 {
+		if own == 0 {
+			return 1
+		}
+		return own
+	}
+	if own == 0 {
+		return theirs
+	}
+	if own > theirs {
+		return theirs + (own-theirs)*fresh
+	}
+	return own
+}
+
+// fade is 1 for a new observation, one half at the given age, and falls towards 0.
+func fade(age int64, half time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return 1 / (1 + float64(age)/float64(half))
+}
