--- /dev/null
+++ b/core/relay/tracker.go
@@ -0,0 +1,249 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"godwitspindle/core/wire"
+)
+
+// MaxLaggards is the number of laggards that a report names.
+const MaxLaggards = 16
+
+const (
+	leasePolls = 3 // a child that was silent for three poll intervals is forgotten
+	quietPolls = 2 // after two it is reported as unreachable, and a name heard through a relay no longer counts
+)
+
+// Tracker aggregates what a relay or a replica hears from the nodes below it; it is safe for concurrent use.
+type Tracker struct {
+	self string
+	poll time.Duration
+
+	mutex    sync.Mutex
+	children map[string]*child
+	names    map[string]*name
+	named    time.Time // when names were last reported
+	previous time.Time // the value of named before the last report, for Lost
+	last     []string
+}
+
+// child is a node that polls this one; a leaf has count 1.
+type child struct {
+	held     uint64
+	lowest   uint64
+	count    uint32
+	laggards []*wire.Laggard
+	heard    time.Time
+}
+
+// name is a node somewhere below, or this node's child.
+type name struct {
+	via   string // the child that named it
+	heard time.Time
+	fresh bool // heard since the last report that named it
+}
+
+// NewTracker returns a Tracker for the named node; poll is the poll interval of the profile.
+func NewTracker(self string, poll time.Duration) *Tracker {
+	return &Tracker{self: self, poll: poll, children: map[string]*child{}, names: map[string]*name{}}
+}
+
+// Heard records a poll of a child that holds the given version; report is nil for a node without nodes below it.
+func (t *Tracker) Heard(now time.Time, node string, held uint64, report *wire.Report) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	c := t.children[node]
+	if c == nil {
+		c = &child{}
+		t.children[node] = c
+	}
+	c.held, c.lowest, c.count, c.heard, c.laggards = held, held, 1, now, nil
+	t.mark(node, node, now)
+	if report == nil {
+		return
+	}
+	c.count = max(report.GetCount(), 1)
+	c.lowest = min(held, report.GetLowest())
+	c.laggards = report.GetLaggards()
+	for _, n := range report.GetAlive() {
+		if n == node || n == t.self {
+			continue
+		}
+		t.mark(n, node, now)
+		delete(t.children, n) // it moved below this child; its own report would count it twice
+	}
+}
+
+func (t *Tracker) mark(node, via string, now time.Time) {
+	n := t.names[node]
+	if n == nil {
+		n = &name{}
+		t.names[node] = n
+	}
+	n.via, n.heard, n.fresh = via, now, true
+}
+
+// Forget drops a child that is known to have moved or left.
+func (t *Tracker) Forget(node string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.children, node)
+	delete(t.names, node)
+}
+
+// Report returns the aggregate of this node and of the nodes below it; held must be the version that the same poll
+// reports. Names are in at most one report of each half poll interval.
+func (t *Tracker) Report(now time.Time, held uint64) *wire.Report {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.expire(now)
+	r := &wire.Report{Lowest: held, Count: 1}
+	for _, k := range sorted(t.children) {
+		c := t.children[k]
+		r.Lowest = min(r.Lowest, c.lowest)
+		r.Count += c.count
+		r.Laggards = append(r.Laggards, t.behind(now, k, c, held)...)
+	}
+	r.Laggards = worst(r.Laggards)
+	t.last = nil
+	if t.named.IsZero() || now.Sub(t.named) >= t.poll/2 {
+		t.previous, t.named = t.named, now
+		r.Alive = append(r.Alive, t.self)
+		for _, k := range sorted(t.names) {
+			if n := t.names[k]; n.fresh {
+				n.fresh = false
+				t.last = append(t.last, k)
+			}
+		}
+		r.Alive = append(r.Alive, t.last...)
+	}
+	return r
+}
+
+// Lost takes back the names of the last report, which did not reach the upstream.
+func (t *Tracker) Lost() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.last == nil {
+		return
+	}
+	for _, k := range t.last {
+		if n := t.names[k]; n != nil {
+			n.fresh = true
+		}
+	}
+	t.named, t.last = t.previous, nil
+}
+
+// behind returns the laggards at and below a child, seen from a node that holds the given version.
+func (t *Tracker) behind(now time.Time, node string, c *child, held uint64) []*wire.Laggard {
+	var out []*wire.Laggard
+	silent := now.Sub(c.heard)
+	self := false
+	for _, l := range c.laggards {
+		self = self || l.GetNode() == node
+		if l.GetVersion() < held || l.GetReason() != wire.Reason_REASON_STALE {
+			out = append(out, &wire.Laggard{Node: l.GetNode(), Version: l.GetVersion(), Reason: l.GetReason(), Heard: l.GetHeard() + silent.Milliseconds()})
+		}
+	}
+	if self || (c.held >= held && silent < quietPolls*t.poll) {
+		return out
+	}
+	reason := wire.Reason_REASON_STALE
+	if silent >= quietPolls*t.poll {
+		reason = wire.Reason_REASON_UNREACHABLE
+	}
+	return append(out, &wire.Laggard{Node: node, Version: c.held, Reason: reason, Heard: silent.Milliseconds()})
+}
+
+// Force returns on how many of the given nodes the version is in force, and who is behind. held is the version of this
+// node itself. A node counts only when it is proven: it was heard within two poll intervals, the child that named it
+// holds the version, and it is not among that child's laggards (all unnamed nodes are behind when the list is full).
+func (t *Tracker) Force(now time.Time, version, held uint64, nodes []string) (count int, behind []*wire.Laggard) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.expire(now)
+	for _, k := range nodes {
+		l := t.check(now, k, version, held)
+		if l == nil {
+			count++
+			continue
+		}
+		behind = append(behind, l)
+	}
+	return count, worst(behind)
+}
+
+// check returns nil when the version is proven to be in force on the node.
+func (t *Tracker) check(now time.Time, node string, version, held uint64) *wire.Laggard {
+	if node == t.self {
+		if held >= version {
+			return nil
+		}
+		return &wire.Laggard{Node: node, Version: held, Reason: wire.Reason_REASON_STALE}
+	}
+	n := t.names[node]
+	if n == nil {
+		return &wire.Laggard{Node: node, Reason: wire.Reason_REASON_UNREACHABLE, Heard: -1}
+	}
+	silent := now.Sub(n.heard)
+	l := &wire.Laggard{Node: node, Reason: wire.Reason_REASON_UNREACHABLE, Heard: silent.Milliseconds()}
+	c := t.children[n.via]
+	if c == nil || silent >= quietPolls*t.poll {
+		return l
+	}
+	l.Reason, l.Version = wire.Reason_REASON_STALE, c.lowest
+	for _, x := range c.laggards {
+		if x.GetNode() == node {
+			l.Reason, l.Version = x.GetReason(), x.GetVersion()
+		}
+	}
+	if l.Reason != wire.Reason_REASON_STALE {
+		return l
+	}
+	if c.lowest >= version || (node == n.via && c.held >= version) {
+		return nil
+	}
+	if c.held >= version && len(c.laggards) < MaxLaggards && (l.Version >= version || !listed(c.laggards, node)) {
+		return nil
+	}
+	return l
+}
+
+func listed(list []*wire.Laggard, node string) bool {
+	return slices.ContainsFunc(list, func(l *wire.Laggard) bool { return l.GetNode() == node })
+}
+
+// expire forgets children and names that were silent for a lease.
+func (t *Tracker) expire(now time.Time) {
+	for k, c := range t.children {
+		if now.Sub(c.heard) >= leasePolls*t.poll {
+			delete(t.children, k)
+		}
+	}
+	for k, n := range t.names {
+		if now.Sub(n.heard) >= leasePolls*t.poll {
+			delete(t.names, k)
+		}
+	}
+}
+
+// worst keeps the laggards that are furthest behind.
+func worst(list []*wire.Laggard) []*wire.Laggard {
+	slices.SortFunc(list, func(a, b *wire.Laggard) int {
+		return cmp.Or(cmp.Compare(a.GetVersion(), b.GetVersion()), cmp.Compare(a.GetNode(), b.GetNode()))
+	})
+	return list[:min(len(list), MaxLaggards)]
+}
+
+func sorted[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,131 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"godwitspindle/core/outcome"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a second run of work that may have run, against retries past a limit, and against paying for repicks.
+func TestDecide(t *testing.T) {
+	base := Attempt{Kind: outcome.Unknown, Code: outcome.Reset, Idempotent: true, Retries: 2, Share: 2, Now: start, Deadline: start.Add(time.Second)}
+	tests := []struct {
+		name   string
+		change func(a *Attempt)
+		want   Verdict
+	}{
+		{"idempotent", func(*Attempt) {}, Verdict{Retry, ReasonSafe}},
+		{"lost, idempotent", func(a *Attempt) { a.Kind = outcome.Lost }, Verdict{Retry, ReasonSafe}},
+		{"not idempotent", func(a *Attempt) { a.Idempotent = false }, Verdict{Stop, ReasonOnce}},
+		{"kind never seen, not idempotent", func(a *Attempt) { a.Idempotent, a.Kind = false, "new" }, Verdict{Stop, ReasonOnce}},
+		{"draining code without proof", func(a *Attempt) { a.Idempotent, a.Code = false, outcome.Draining }, Verdict{Stop, ReasonOnce}},
+		{"answered", func(a *Attempt) { a.Kind = outcome.None }, Verdict{Stop, ReasonAnswered}},
+		{"overload, not idempotent", func(a *Attempt) { a.Kind, a.Code, a.Idempotent = outcome.NotRun, outcome.Overload, false }, Verdict{Retry, ReasonNotRun}},
+		{"draining is free", func(a *Attempt) { a.Kind, a.Code, a.Share, a.Retries = outcome.NotRun, outcome.Draining, 0, 0 }, Verdict{Repick, ReasonMoved}},
+		{"repicks end", func(a *Attempt) { a.Kind, a.Code, a.Repicks = outcome.NotRun, outcome.Unreachable, 3 }, Verdict{Stop, ReasonRepicks}},
+		{"repick past deadline", func(a *Attempt) { a.Kind, a.Code, a.Now = outcome.NotRun, outcome.Draining, a.Deadline }, Verdict{Stop, ReasonDeadline}},
+		{"quarantined", func(a *Attempt) { a.Kind, a.Code = outcome.NotRun, outcome.Quarantined }, Verdict{Stop, ReasonFinal}},
+		{"late", func(a *Attempt) { a.Kind, a.Code = outcome.NotRun, outcome.Late }, Verdict{Stop, ReasonFinal}},
+		{"canceled", func(a *Attempt) { a.Code = outcome.Canceled }, Verdict{Stop, ReasonFinal}},
+		{"route's retries used", func(a *Attempt) { a.Used = 2 }, Verdict{Stop, ReasonRetries}},
+		{"no share", func(a *Attempt) { a.Share = 0 }, Verdict{Stop, ReasonShare}},
+		{"past deadline", func(a *Attempt) { a.Now = a.Deadline }, Verdict{Stop, ReasonDeadline}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			a := base
+			c.change(&a)
+			if got := Decide(a, NewBudget()); got != c.want {
+				t.Errorf("Decide: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against retries above 10% of recent calls, and against none at all when there are few calls.
+func TestBudget(t *testing.T) {
+	tests := []struct {
+		name    string
+		calls   int // in each of 10 seconds
+		want    int // retries granted of 2,000 asked for in the last second
+		elapsed time.Duration
+	}{
+		{"idle", 0, 3, 0},
+		{"few", 10, 10, 0},
+		{"many", 1000, 1000, 0},
+		{"calls are old", 1000, 3, 20 * time.Second},
+		{"clock before 1970", 0, 3, -100 * 365 * 24 * time.Hour},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBudget()
+			for s := range 10 {
+				for range c.calls {
+					b.Count(start.Add(time.Duration(s) * time.Second))
+				}
+			}
+			got := 0
+			for range 2000 {
+				if b.Take(start.Add(9*time.Second + c.elapsed)) {
+					got++
+				}
+			}
+			if got != c.want {
+				t.Errorf("retries granted: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against retries that multiply hop by hop: a 24-deep chain whose last hop always fails, with unlimited local
+// budgets. Without shares the last hop would be called (1+3)^24 times.
+func TestChainDoesNotMultiply(t *testing.T) {
+	attempts := 0
+	budget := NewBudget()
+	for range 10000 {
+		budget.Count(start)
+	}
+	var call func(depth, share int)
+	call = func(depth, share int) {
+		if depth == outcome.MaxDepth {
+			attempts++
+			return
+		}
+		for used := 0; ; used++ {
+			give, keep := Split(share)
+			call(depth+1, give)
+			a := Attempt{Kind: outcome.Unknown, Code: outcome.Reset, Idempotent: true, Retries: 3, Used: used, Share: keep, Now: start, Deadline: start.Add(time.Second)}
+			if Decide(a, budget).Action != Retry {
+				return
+			}
+			share = keep - 1
+		}
+	}
+	call(1, Initial(3))
+	if want := 1 + MaxShare; attempts > want || attempts < 2 {
+		t.Errorf("attempts at the last hop: got %d, want 2 to %d", attempts, want)
+	}
+	t.Logf("attempts at the last hop of %d: %d", outcome.MaxDepth, attempts)
+}
+
+func BenchmarkCount(b *testing.B) {
+	k := NewBudget()
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			k.Count(start)
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	k := NewBudget()
+	a := Attempt{Kind: outcome.Unknown, Code: outcome.Reset, Idempotent: true, Retries: 2, Share: 2, Now: start, Deadline: start.Add(time.Second)}
+	b.ReportAllocs()
+	for b.Loop() {
+		Decide(a, k)
+	}
+}
--- /dev/null
+++ b/core/routing/picker_test.go
@@ -0,0 +1,249 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"godwitspindle/core/config"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func service(n int, domains ...string) *config.Service {
+	s := &config.Service{Name: "ledger"}
+	for i := range n {
+		s.Endpoints = append(s.Endpoints, config.Endpoint{Service: "ledger", Name: fmt.Sprint(i), Domain: domains[i%len(domains)], Slots: 12})
+	}
+	return s
+}
+
+func picker(opts ...Option) *Picker {
+	r := rand.New(rand.NewPCG(1, 2))
+	return New(append([]Option{WithRandom(r.IntN), WithDomain("a")}, opts...)...)
+}
+
+// counts makes n decisions; each chosen endpoint is held for one call when hold is set.
+func counts(t *testing.T, p *Picker, c Call, n int, hold bool) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for range n {
+		d, err := p.Decide(c)
+		if err != nil {
+			t.Fatalf("Decide: %v", err)
+		}
+		out[d.Endpoint.Name]++
+		if hold {
+			p.Start(d.Endpoint.Key(), c.Now)
+		}
+	}
+	return out
+}
+
+func done(p *Picker, key string, n int, o Observation) {
+	for range n {
+		p.Start(key, start)
+		p.Done(key, o)
+	}
+}
+
+// Guards against each signal having no effect, or so much effect that it takes all traffic or too little.
+func TestShares(t *testing.T) {
+	ms := time.Millisecond
+	tests := []struct {
+		name      string
+		domains   []string
+		setup     func(p *Picker)
+		at        time.Duration
+		hold      bool
+		low, high int // calls of 1,000 to endpoint 0
+	}{
+		{"even", []string{"a"}, func(*Picker) {}, 0, false, 200, 300},
+		{"slow endpoint", []string{"a"}, func(p *Picker) {
+			done(p, "ledger/0", 20, Observation{Took: 40 * ms})
+			for _, k := range []string{"ledger/1", "ledger/2", "ledger/3"} {
+				done(p, k, 20, Observation{Took: 5 * ms})
+			}
+		}, 0, false, 0, 10},
+		{"lying idle report on a slow endpoint", []string{"a"}, func(p *Picker) {
+			done(p, "ledger/0", 20, Observation{Took: 40 * ms})
+			p.Hint("ledger/0", 0, start)
+			for _, k := range []string{"ledger/1", "ledger/2", "ledger/3"} {
+				done(p, k, 20, Observation{Took: 5 * ms})
+				p.Hint(k, 1, start)
+			}
+		}, 0, false, 0, 10},
+		{"idle report is no better than none", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", 0, start) }, 0, false, 200, 300},
+		{"negative report is no better than none", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", -9, start) }, 0, false, 200, 300},
+		{"fresh busy report", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", 1, start) }, 0, false, 0, 10},
+		{"stale busy report", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", 1, start) }, 11 * time.Second, false, 200, 300},
+		{"fast failures", []string{"a"}, func(p *Picker) { done(p, "ledger/0", 4, Observation{Took: ms, Failed: true}) }, 0, false, 0, 10},
+		{"other domain when idle", []string{"b", "a"}, func(*Picker) {}, 0, false, 0, 10},
+		{"other domain under load", []string{"b", "a"}, func(*Picker) {}, 0, true, 150, 245},
+		{"refusal says nothing about health", []string{"a"}, func(p *Picker) { done(p, "ledger/0", 9, Observation{NotRun: true}) }, 0, false, 200, 300},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p, s := picker(), service(4, c.domains...)
+			call := Call{Service: s, Now: start}
+			_, _ = p.Decide(call)
+			c.setup(p)
+			call.Now = start.Add(c.at)
+			if got := counts(t, p, call, 1000, c.hold)["0"]; got < c.low || got > c.high {
+				t.Errorf("calls to endpoint 0: got %d, want %d to %d", got, c.low, c.high)
+			}
+		})
+	}
+}
+
+// Guards against a slow endpoint that is never tried again after it has recovered.
+func TestSlowEndpointReturns(t *testing.T) {
+	p, s := picker(), service(2, "a")
+	_, _ = p.Decide(Call{Service: s, Now: start})
+	done(p, "ledger/0", 20, Observation{Took: 400 * time.Millisecond})
+	done(p, "ledger/1", 20, Observation{Took: 5 * time.Millisecond})
+	got := 0
+	for i := range 2000 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		d, _ := p.Decide(Call{Service: s, Now: now})
+		p.Start(d.Endpoint.Key(), now)
+		p.Start("ledger/1", now) // one call stays in flight at the fast endpoint for a while
+		p.Done("ledger/1", Observation{Took: 5 * time.Millisecond})
+		if d.Endpoint.Name == "0" {
+			got++
+			defer p.Done("ledger/0", Observation{Took: 5 * time.Millisecond})
+		}
+		if i%8 != 0 {
+			p.Done(d.Endpoint.Key(), Observation{Took: 5 * time.Millisecond})
+		}
+	}
+	if got == 0 {
+		t.Error("calls to the recovered endpoint: got 0, want some")
+	}
+}
+
+// Guards against calls to endpoints that were tried, drained or ejected, and against ejecting more than a third.
+func TestExclusion(t *testing.T) {
+	p, s := picker(), service(6, "a")
+	call := Call{Service: s, Now: start}
+	_, _ = p.Decide(call)
+	for i := range 6 {
+		done(p, fmt.Sprintf("ledger/%d", i), ejectFails, Observation{Failed: true})
+	}
+	got := counts(t, p, call, 600, false)
+	if len(got) != 4 {
+		t.Errorf("endpoints used after all failed: got %v, want 4 of 6 (cap of a third)", got)
+	}
+	if got[fmt.Sprint(0)] != 0 {
+		t.Errorf("ejected endpoint: got %d calls, want 0", got["0"])
+	}
+	p.Avoid("ledger/2", start.Add(time.Second), "draining")
+	call.Tried = []string{"ledger/3", "ledger/4"}
+	if got := counts(t, p, call, 100, false); got["5"] != 100 {
+		t.Errorf("with 2 ejected, 1 avoided, 2 tried: got %v, want only 5", got)
+	}
+	p.Avoid("ledger/5", start.Add(2*time.Second), "draining")
+	d, err := p.Decide(call)
+	if err != nil || d.Reason != ReasonResort {
+		t.Errorf("only ejected left: got %v %v, want reason %s", d.Reason, err, ReasonResort)
+	}
+	call.Tried = append(call.Tried, "ledger/0", "ledger/1")
+	var none *NoEndpointError
+	if _, err := p.Decide(call); !errors.As(err, &none) || none.After != time.Second || none.Avoided != 2 || none.Tried != 4 {
+		t.Errorf("nothing left: got %+v, want 2 avoided, 4 tried, after 1 s", err)
+	}
+	call.Now = start.Add(1500 * time.Millisecond)
+	if d, err := p.Decide(call); err != nil || d.Endpoint.Name != "2" {
+		t.Errorf("after expiry of the avoidance: got %v %v, want 2", d, err)
+	}
+}
+
+// Guards against a full share for a cold endpoint, and against marks that outlive the incarnation or the endpoint.
+func TestLifecycle(t *testing.T) {
+	p, s := picker(), service(4, "a")
+	_, _ = p.Decide(Call{Service: s, Now: start})
+	p.Avoid("ledger/0", start.Add(time.Hour), "draining")
+	next := service(5, "a")
+	next.Endpoints[0].Incarnation = 2
+	call := Call{Service: next, Now: start.Add(time.Second)}
+	if got := counts(t, p, call, 1000, true); got["0"] == 0 || got["0"] > 150 || got["4"] > 150 {
+		t.Errorf("cold endpoints 0 and 4: got %v, want some but under 150 each", got)
+	}
+	for i := range 5 {
+		for p.find(fmt.Sprintf("ledger/%d", i)).outstanding.Load() > 0 {
+			p.Done(fmt.Sprintf("ledger/%d", i), Observation{NotRun: true})
+		}
+	}
+	call.Now = start.Add(12 * time.Second)
+	if got := counts(t, p, call, 1000, false); got["4"] < 150 {
+		t.Errorf("warm endpoint 4: got %v, want at least 150", got)
+	}
+	p.Retain(func(k string) bool { return k != "ledger/4" })
+	if p.find("ledger/4") != nil || p.find("ledger/3") == nil {
+		t.Error("Retain: got wrong states, want only ledger/4 dropped")
+	}
+	p.Done("ledger/4", Observation{}) // a late Done must not panic
+}
+
+// Guards against too small or uneven subsets, and against subsets that change when an unrelated endpoint goes.
+func TestSubset(t *testing.T) {
+	s := service(200, "a", "b", "c")
+	used := map[string]int{}
+	for n := range 300 {
+		p := New(WithNode(fmt.Sprint("node", n)), WithDomain("a"), WithSubset(8))
+		chosen := p.choose(s)
+		if len(chosen) != 8 {
+			t.Fatalf("subset: got %d, want 8", len(chosen))
+		}
+		for _, i := range chosen {
+			used[s.Endpoints[i].Key()]++
+		}
+		if n > 0 {
+			continue
+		}
+		less := *s
+		less.Endpoints = less.Endpoints[:199]
+		same := 0
+		for _, i := range p.choose(&less) {
+			for _, j := range chosen {
+				if i == j {
+					same++
+				}
+			}
+		}
+		if same < 7 {
+			t.Errorf("subset after one removal: got %d the same, want at least 7", same)
+		}
+	}
+	for k, n := range used {
+		if n > 45 {
+			t.Errorf("%s: in %d of 300 subsets, want at most 45 (mean 12 to 18)", k, n)
+		}
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{5, 200} {
+		p, s := New(WithRandom(rand.IntN), WithDomain("a"), WithNode("n")), service(n, "a", "b", "c")
+		call := Call{Service: s, Now: start, Tried: []string{"ledger/1"}}
+		b.Run(fmt.Sprint("endpoints=", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = p.Decide(call)
+			}
+		})
+		b.Run(fmt.Sprint("parallel,endpoints=", n), func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(q *testing.PB) {
+				for q.Next() {
+					d, _ := p.Decide(call)
+					p.Start("ledger/3", start)
+					p.Done("ledger/3", Observation{Took: time.Millisecond})
+					_ = d
+				}
+			})
+		})
+	}
+}
