--- /dev/null
+++ b/io/platform/fields.go
@@ -0,0 +1,149 @@
+package platform
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// Bounds of settings.
+const (
+	minKeyBytes = 16               // shorter keys can be guessed
+	maxGrace    = 10 * time.Minute // a stop must end in a time that a rolling restart can wait for
+	maxSample   = 1_000_000
+)
+
+// Field describes one setting.
+type Field struct {
+	Path     string // such as "listen.caller"
+	Unit     string // type or unit of its value
+	Default  string // as written in a file; empty for none
+	Required bool
+	set      func(s *Settings, raw json.RawMessage) string // what is expected, or empty
+}
+
+// word is the form of names: one word that fits file names, keys and metrics labels.
+var word = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+const (
+	wordExpected    = "a name of lower-case letters, digits and hyphens, at most 63 characters"
+	addressExpected = `an IP address and port such as "10.0.0.1:7000"`
+	graceExpected   = `a time with its unit from "0s" to "10m", such as "30s"`
+)
+
+// Fields lists every setting in the order of the documentation.
+func Fields() []Field {
+	return []Field{
+		{Path: "name", Unit: "name", Required: true, set: name(func(s *Settings) *string { return &s.Name })},
+		{Path: "region", Unit: "name", Required: true, set: name(func(s *Settings) *string { return &s.Region })},
+		{Path: "domain", Unit: "name", Required: true, set: name(func(s *Settings) *string { return &s.Domain })},
+		{Path: "data", Unit: "folder", set: path(func(s *Settings) *string { return &s.Data })},
+		{Path: "replicas", Unit: "list of name and address", Required: true},
+		{Path: "listen.caller", Unit: "IP address and port", Required: true, set: address(func(s *Settings) *netip.AddrPort { return &s.Listen.Caller })},
+		{Path: "listen.local", Unit: "IP address and port", Default: "127.0.0.1:7001", set: address(func(s *Settings) *netip.AddrPort { return &s.Listen.Local })},
+		{Path: "listen.backend", Unit: "IP address and port", Default: "127.0.0.1:7002", set: address(func(s *Settings) *netip.AddrPort { return &s.Listen.Backend })},
+		{Path: "listen.peer", Unit: "IP address and port", Default: "127.0.0.1:7003", set: address(func(s *Settings) *netip.AddrPort { return &s.Listen.Peer })},
+		{Path: "listen.operator", Unit: "IP address and port", Default: "127.0.0.1:7004", set: address(func(s *Settings) *netip.AddrPort { return &s.Listen.Operator })},
+		{Path: "listen.metrics", Unit: "IP address and port", Default: "127.0.0.1:7005", set: address(func(s *Settings) *netip.AddrPort { return &s.Listen.Metrics })},
+		{Path: "key", Unit: `text, or {"file": PATH}`, set: setKey},
+		{Path: "tls.cert", Unit: "PEM file", set: path(func(s *Settings) *string { return &s.TLS.Cert })},
+		{Path: "tls.key", Unit: "PEM file", set: path(func(s *Settings) *string { return &s.TLS.Key })},
+		{Path: "tls.ca", Unit: "PEM file", set: path(func(s *Settings) *string { return &s.TLS.CA })},
+		{Path: "profile", Unit: `"fast" or "thrifty"`, Default: "fast", set: setProfile},
+		{Path: "log.level", Unit: `"debug", "info" or "error"`, Default: "info", set: setLevel},
+		{Path: "log.sample", Unit: "calls for one success line", Default: "1000", set: setSample},
+		{Path: "grace", Unit: "time with unit", Default: "30s", set: setGrace},
+	}
+}
+
+func name(at func(*Settings) *string) func(*Settings, json.RawMessage) string {
+	return func(s *Settings, raw json.RawMessage) string {
+		if json.Unmarshal(raw, at(s)) != nil || !word.MatchString(*at(s)) {
+			return wordExpected
+		}
+		return ""
+	}
+}
+
+func path(at func(*Settings) *string) func(*Settings, json.RawMessage) string {
+	return func(s *Settings, raw json.RawMessage) string {
+		if json.Unmarshal(raw, at(s)) != nil || *at(s) == "" {
+			return "a path as text"
+		}
+		*at(s) = s.resolve(*at(s))
+		return ""
+	}
+}
+
+func address(at func(*Settings) *netip.AddrPort) func(*Settings, json.RawMessage) string {
+	return func(s *Settings, raw json.RawMessage) string {
+		a, ok := parseAddress(raw)
+		if !ok {
+			return addressExpected
+		}
+		*at(s) = a
+		return ""
+	}
+}
+
+func setKey(s *Settings, raw json.RawMessage) string {
+	const expected = `at least 16 characters, or {"file": PATH} naming a file that holds them`
+	if json.Unmarshal(raw, &s.Key) != nil {
+		var from struct{ File string }
+		if json.Unmarshal(raw, &from) != nil || from.File == "" {
+			return expected
+		}
+		data, err := os.ReadFile(s.resolve(from.File))
+		if err != nil {
+			return "a readable key file"
+		}
+		s.Key = strings.TrimSpace(string(data))
+	}
+	if len(s.Key) < minKeyBytes || strings.ContainsAny(s.Key, " \t\r\n") {
+		return expected
+	}
+	return ""
+}
+
+func setProfile(s *Settings, raw json.RawMessage) string {
+	if json.Unmarshal(raw, &s.Profile) != nil || (s.Profile != Fast && s.Profile != Thrifty) {
+		return `"fast" or "thrifty"`
+	}
+	return ""
+}
+
+func setLevel(s *Settings, raw json.RawMessage) string {
+	var text string
+	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "error": slog.LevelError}
+	err := json.Unmarshal(raw, &text)
+	level, ok := levels[text]
+	if err != nil || !ok {
+		return `"debug", "info" or "error"`
+	}
+	s.Log.Level = level
+	return ""
+}
+
+func setSample(s *Settings, raw json.RawMessage) string {
+	if json.Unmarshal(raw, &s.Log.Sample) != nil || s.Log.Sample < 0 || s.Log.Sample > maxSample {
+		return "a whole number from 0 (no success lines) to 1000000"
+	}
+	return ""
+}
+
+func setGrace(s *Settings, raw json.RawMessage) string {
+	var text string
+	if json.Unmarshal(raw, &text) != nil {
+		return graceExpected
+	}
+	grace, err := time.ParseDuration(text)
+	if err != nil || grace < 0 || grace > maxGrace {
+		return graceExpected
+	}
+	s.Grace = grace
+	return ""
+}
--- /dev/null
+++ b/io/platform/server.go
@@ -0,0 +1,207 @@
+package platform
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Limits bounds what one listener accepts.
+type Limits struct {
+	Header      int           // bytes of a request's header
+	Body        int64         // bytes of a request's body; negative for no limit
+	Connections int           // open connections; more are closed at once
+	Streams     int           // concurrent HTTP/2 streams on one connection
+	HeaderTime  time.Duration // longest time to read a header
+	ReadTime    time.Duration // longest time to read a whole request; 0 for no limit
+	WriteTime   time.Duration // longest time to answer; 0 for no limit
+	IdleTime    time.Duration // longest time that a connection waits for a request
+}
+
+// DefaultLimits suits a listener with small requests.
+func DefaultLimits() Limits {
+	return Limits{
+		Header: 32 << 10, Body: 1 << 20, Connections: 256, Streams: 128,
+		HeaderTime: 5 * time.Second, ReadTime: 30 * time.Second, IdleTime: 60 * time.Second,
+	}
+}
+
+// ListenError reports a listener that could not be opened.
+type ListenError struct {
+	Name    string // setting, such as "listen.peer"
+	Address netip.AddrPort
+	Err     error
+}
+
+// Error names the setting to change.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("%s: cannot listen on %s: %v", e.Name, e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// Server is one listener with limits.
+type Server struct {
+	http     *http.Server
+	listener *countingListener
+	done     chan struct{}
+}
+
+type serverOptions struct {
+	name    string
+	handler http.Handler
+	limits  Limits
+	tls     *tls.Config
+	h2c     bool
+	log     logr.Logger
+	refused func()
+	context context.Context
+}
+
+// ServerOption changes one property of a Server.
+type ServerOption func(*serverOptions)
+
+// WithName names the listener in errors and logs, as its setting.
+func WithName(name string) ServerOption { return func(o *serverOptions) { o.name = name } }
+
+// WithLimits replaces DefaultLimits.
+func WithLimits(l Limits) ServerOption { return func(o *serverOptions) { o.limits = l } }
+
+// WithTLS serves TLS with HTTP/1.1 and HTTP/2; nil leaves the listener in cleartext.
+func WithTLS(c *tls.Config) ServerOption { return func(o *serverOptions) { o.tls = c } }
+
+// WithH2C accepts HTTP/2 in cleartext beside HTTP/1.1.
+func WithH2C() ServerOption { return func(o *serverOptions) { o.h2c = true } }
+
+// WithLogger sets the logger for failed connections.
+func WithLogger(l logr.Logger) ServerOption { return func(o *serverOptions) { o.log = l } }
+
+// WithRefused calls f for each connection that is closed over the limit.
+func WithRefused(f func()) ServerOption { return func(o *serverOptions) { o.refused = f } }
+
+// WithContext sets the context that requests inherit.
+func WithContext(ctx context.Context) ServerOption { return func(o *serverOptions) { o.context = ctx } }
+
+// NewServer listens on address and serves handler until Shutdown or Close.
+func NewServer(address netip.AddrPort, handler http.Handler, opts ...ServerOption) (*Server, error) {
+	o := serverOptions{name: "listen", handler: handler, limits: DefaultLimits(), log: logr.Discard(), refused: func() {}, context: context.Background()}
+	for _, f := range opts {
+		f(&o)
+	}
+	inner, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &ListenError{Name: o.name, Address: address, Err: err}
+	}
+	s := &Server{
+		http:     newHTTP(o),
+		listener: &countingListener{Listener: inner, limit: int64(o.limits.Connections), refused: o.refused},
+		done:     make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		err := s.serve()
+		if !errors.Is(err, http.ErrServerClosed) {
+			o.log.Error(err, "listener stopped", "listener", o.name, "address", address)
+		}
+	}()
+	return s, nil
+}
+
+func newHTTP(o serverOptions) *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(o.tls != nil)
+	p.SetUnencryptedHTTP2(o.h2c && o.tls == nil)
+	l := o.limits
+	return &http.Server{
+		Handler:           limitBody(l.Body, o.handler),
+		TLSConfig:         o.tls,
+		Protocols:         p,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: l.Streams, SendPingTimeout: 15 * time.Second, PingTimeout: 5 * time.Second},
+		MaxHeaderBytes:    l.Header,
+		ReadHeaderTimeout: l.HeaderTime,
+		ReadTimeout:       l.ReadTime,
+		WriteTimeout:      l.WriteTime,
+		IdleTimeout:       l.IdleTime,
+		ErrorLog:          log.New(lineWriter{o.log, o.name}, "", 0),
+		BaseContext:       func(net.Listener) context.Context { return o.context },
+	}
+}
+
+func (s *Server) serve() error {
+	if s.http.TLSConfig != nil {
+		return s.http.ServeTLS(s.listener, "", "")
+	}
+	return s.http.Serve(s.listener)
+}
+
+// Address returns the address that the server listens on, with the port chosen when it was 0.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int { return int(s.listener.open.Load()) }
+
+// Shutdown stops accepting and waits for requests in flight; when ctx ends first, they are cut and its error is returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		_ = s.http.Close()
+	}
+	<-s.done
+	if err != nil {
+		return fmt.Errorf("shutdown of %s: %w", s.Address(), err)
+	}
+	return nil
+}
+
+// Close cuts every connection and waits for the accept loop.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	<-s.done
+	if err != nil {
+		return fmt.Errorf("close of %s: %w", s.Address(), err)
+	}
+	return nil
+}
+
+// limitBody refuses a body that is declared too long and cuts one that turns out too long.
+func limitBody(limit int64, next http.Handler) http.Handler {
+	if limit < 0 {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > limit {
+			w.Header().Set("Content-Type", "application/problem+json")
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			_, _ = fmt.Fprintf(w, `{"title":"body too large","status":413,"code":"oversize","detail":"at most %d bytes are accepted"}`+"\n", limit)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// lineWriter passes net/http's own messages to the structured log; they stem from clients, so only debug shows them.
+type lineWriter struct {
+	log  logr.Logger
+	name string
+}
+
+// Write logs one message.
+func (w lineWriter) Write(p []byte) (int, error) {
+	w.log.V(1).Info("connection failed", "listener", w.name, "detail", string(p))
+	return len(p), nil
+}
+
