--- /dev/null
+++ b/cmd/history.go
@@ -0,0 +1,34 @@
+package cmd
+
+import (
+	"fmt"
+	"text/tabwriter"
+)
+
+// historyCommand lists accepted changes, newest last.
+type historyCommand struct {
+	Limit int `arg:"--limit" default:"20" help:"number of changes, up to 1000"`
+	Connection
+}
+
+func (c *historyCommand) run(s *session) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	h, err := client.History(s.ctx, c.Limit)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return s.print(h)
+	}
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "VERSION\tTIME\tAUTHOR\tPART\tDIFFERENCES\tREASON")
+	for _, a := range h.Changes {
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%s\n", a.Version, a.Time.Format(timeFormat), a.Author, a.Part, len(a.Differences), a.Reason)
+	}
+	_ = w.Flush()
+	return nil
+}
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -1,6 +1,18 @@
 package cmd
 
-import "io"
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-logr/logr"
+
+	"godwitspindle/core/wire"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/platform"
+)
 
 // Exit codes of every command.
 const (
@@ -12,9 +24,174 @@
 	ExitTimeout     = 5 // the wait ended before the change was in force
 )
 
+// Program holds what the commands call; a command whose function is nil says that it is not part of this build.
+type Program struct {
+	Node          func(ctx context.Context, s *platform.Settings, log logr.Logger) error
+	Demo          func(ctx context.Context, keep bool, stdout, stderr io.Writer) error
+	ParseRegister func(data []byte) (*wire.Register, error)
+	ParseRules    func(data []byte) (*wire.RuleSet, error)
+	Faults        func(err error) []*wire.Fault // of an error of the two functions above
+}
+
+// arguments is the command table.
+type arguments struct {
+	Node    *nodeCommand    `arg:"subcommand:node" help:"run a node"`
+	Apply   *applyCommand   `arg:"subcommand:apply" help:"propose a register or a rule set"`
+	Plan    *planCommand    `arg:"subcommand:plan" help:"show what apply would change"`
+	History *historyCommand `arg:"subcommand:history" help:"list accepted changes"`
+	Show    *showCommand    `arg:"subcommand:show" help:"print register and rules as files"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show versions, replicas and endpoints"`
+	Wait    *waitCommand    `arg:"subcommand:wait" help:"wait until a version is in force everywhere"`
+	Revert  *revertCommand  `arg:"subcommand:revert" help:"propose the content of an earlier version"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check settings, register and rules files"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a small mesh in one process on loopback"`
+}
+
+// Description opens the help text.
+func (arguments) Description() string {
+	return "godwitspindle distributes one agreed service-mesh configuration to every proxy and carries calls by it.\n"
+}
+
+// Epilogue closes the help text.
+func (arguments) Epilogue() string {
+	return "Exit codes: 0 done, 1 failed, 2 bad input or usage, 3 conflict, 4 not reachable, 5 timed out waiting."
+}
+
+// demoCommand runs Program.Demo.
+type demoCommand struct {
+	Keep bool `arg:"--keep" help:"leave the mesh running and print its addresses"`
+}
+
+// session is one run of a command.
+type session struct {
+	*Program
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// MissingPartError says that a command is not part of this build.
+type MissingPartError struct{ Command string }
+
+// Error names the command.
+func (e *MissingPartError) Error() string { return e.Command + " is not part of this build" }
+
+// InputError reports a flag or file that cannot be used.
+type InputError struct {
+	Name     string // flag or file
+	Expected string
+}
+
+// Error says what is expected.
+func (e *InputError) Error() string { return e.Name + ": expected " + e.Expected }
+
+// FaultsError reports every fault of checked files.
+type FaultsError struct{ Faults []platform.Fault }
+
+// Error lists the faults, one a line.
+func (e *FaultsError) Error() string { return (&platform.SettingsError{Faults: e.Faults}).Error() }
+
 // Run executes the command named by args and returns its exit code.
-func Run(args []string, stdout, stderr io.Writer) int {
-	_, _ = args, stdout
-	_, _ = io.WriteString(stderr, "no command is available\n")
-	return ExitUsage
+func (p *Program) Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "godwitspindle", IgnoreEnv: true, Out: stdout}, &a)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	err = parser.Parse(args)
+	if errors.Is(err, arg.ErrHelp) {
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return ExitDone
+	}
+	if err == nil && parser.Subcommand() == nil {
+		err = &InputError{Name: "command", Expected: "one of those that --help lists"}
+	}
+	if err != nil {
+		_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
+		_, _ = fmt.Fprintln(stderr, "error:", err)
+		return ExitUsage
+	}
+	s := &session{Program: p, ctx: ctx, stdout: stdout, stderr: stderr}
+	return s.exit(a.run(s))
+}
+
+func (a *arguments) run(s *session) error {
+	switch {
+	case a.Node != nil:
+		return a.Node.run(s)
+	case a.Apply != nil:
+		return a.Apply.run(s)
+	case a.Plan != nil:
+		return a.Plan.run(s)
+	case a.History != nil:
+		return a.History.run(s)
+	case a.Show != nil:
+		return a.Show.run(s)
+	case a.Status != nil:
+		return a.Status.run(s)
+	case a.Wait != nil:
+		return a.Wait.run(s)
+	case a.Revert != nil:
+		return a.Revert.run(s)
+	case a.Check != nil:
+		return a.Check.run(s)
+	}
+	if s.Demo == nil {
+		return &MissingPartError{Command: "demo"}
+	}
+	return s.Demo(s.ctx, a.Demo.Keep, s.stdout, s.stderr)
+}
+
+// exit prints an error with what to do next and returns its code.
+func (s *session) exit(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	p, isProblem := errors.AsType[*operator.Problem](err)
+	if !isProblem {
+		_, _ = fmt.Fprintln(s.stderr, err)
+		return code(err)
+	}
+	_, _ = fmt.Fprintf(s.stderr, "%s: %v\n", p.Code, err)
+	for _, f := range p.Faults {
+		_, _ = fmt.Fprintf(s.stderr, "  %s: expected %s\n", f.Field, f.Expected)
+	}
+	if p.Winner != nil {
+		_, _ = fmt.Fprintf(s.stderr, "  accepted %s\n", p.Winner.Time.Format(timeFormat))
+	}
+	if p.Next != "" {
+		_, _ = fmt.Fprintf(s.stderr, "next: %s\n", p.Next)
+	}
+	return problemCode(p)
+}
+
+func code(err error) int {
+	if _, ok := errors.AsType[*platform.SettingsError](err); ok {
+		return ExitUsage
+	}
+	if _, ok := errors.AsType[*FaultsError](err); ok {
+		return ExitUsage
+	}
+	if _, ok := errors.AsType[*InputError](err); ok {
+		return ExitUsage
+	}
+	if _, ok := errors.AsType[*operator.UnreachableError](err); ok {
+		return ExitUnreachable
+	}
+	return ExitFailed
+}
+
+func problemCode(p *operator.Problem) int {
+	switch p.Code {
+	case operator.CodeConflict, operator.CodeExpired:
+		return ExitConflict
+	case operator.CodeInvalid, operator.CodeReused, operator.CodeMissing, operator.CodeMalformed, operator.CodeOversize:
+		return ExitUsage
+	case operator.CodeTimeout:
+		return ExitTimeout
+	case operator.CodeUnavailable:
+		return ExitUnreachable
+	}
+	return ExitFailed
 }
--- a/io/platform/fields.go
+++ b/io/platform/fields.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"log/slog"
 	"net/netip"
@@ -93,8 +94,12 @@
 func setKey(s *Settings, raw json.RawMessage) string {
 	const expected = `at least 16 characters, or {"file": PATH} naming a file that holds them`
 	if json.Unmarshal(raw, &s.Key) != nil {
-		var from struct{ File string }
-		if json.Unmarshal(raw, &from) != nil || from.File == "" {
+		var from struct {
+			File string `json:"file"`
+		}
+		d := json.NewDecoder(bytes.NewReader(raw))
+		d.DisallowUnknownFields()
+		if d.Decode(&from) != nil || from.File == "" {
 			return expected
 		}
 		data, err := os.ReadFile(s.resolve(from.File))
--- a/io/platform/metrics.go
+++ b/io/platform/metrics.go
@@ -12,27 +12,27 @@
 type Metrics struct {
 	Registry *prometheus.Registry
 
-	Calls         *prometheus.CounterVec   // outcome, code, class
-	Added         prometheus.Histogram     // seconds added to a call by the mesh
-	Retries       *prometheus.CounterVec   // kind: retry, repick
-	Crossed       prometheus.Counter       // answers dropped because their call id did not match
-	Running       prometheus.Gauge         // calls admitted and running at this node's backend server
-	Queued        prometheus.Gauge         // calls waiting for a slot
-	Refusals      *prometheus.CounterVec   // code
-	Claims        *prometheus.CounterVec   // state
-	Quarantine    prometheus.Gauge         // fingerprints in quarantine
-	ControlBytes  *prometheus.CounterVec   // message, direction: sent, received
-	Convergence   prometheus.Histogram     // seconds from accepted to in force everywhere
-	Version       prometheus.Gauge         // snapshot version in force on this node
-	Age           prometheus.Gauge         // seconds since the last quorum confirmation; negative when never
-	Whole         prometheus.Counter       // full snapshots taken
-	Mismatches    prometheus.Counter       // digest mismatches
-	Commits       prometheus.Counter       // entries committed by the agreed log
-	Term          prometheus.Gauge         // current term
-	Leader        prometheus.Gauge         // 1 on the leader
-	Sync          prometheus.Histogram     // seconds of one fsync of the log
-	RefusedOpens  *prometheus.CounterVec   // listener: connections closed over the limit
-	OperatorCalls *prometheus.CounterVec   // path, status
+	Calls         *prometheus.CounterVec // outcome, code, class
+	Added         prometheus.Histogram   // seconds added to a call by the mesh
+	Retries       *prometheus.CounterVec // kind: retry, repick
+	Crossed       prometheus.Counter     // answers dropped because their call id did not match
+	Running       prometheus.Gauge       // calls admitted and running at this node's backend server
+	Queued        prometheus.Gauge       // calls waiting for a slot
+	Refusals      *prometheus.CounterVec // code
+	Claims        *prometheus.CounterVec // state
+	Quarantine    prometheus.Gauge       // fingerprints in quarantine
+	ControlBytes  *prometheus.CounterVec // message, direction: sent, received
+	Convergence   prometheus.Histogram   // seconds from accepted to in force everywhere
+	Version       prometheus.Gauge       // snapshot version in force on this node
+	Age           prometheus.Gauge       // seconds since the last quorum confirmation; negative when never
+	Whole         prometheus.Counter     // full snapshots taken
+	Mismatches    prometheus.Counter     // digest mismatches
+	Commits       prometheus.Counter     // entries committed by the agreed log
+	Term          prometheus.Gauge       // current term
+	Leader        prometheus.Gauge       // 1 on the leader
+	Sync          prometheus.Histogram   // seconds of one fsync of the log
+	RefusedOpens  *prometheus.CounterVec // listener: connections closed over the limit
+	OperatorCalls *prometheus.CounterVec // path, status
 }
 
 const space = "godwitspindle"
--- a/io/platform/read.go
+++ b/io/platform/read.go
@@ -17,10 +17,22 @@
 	faults   []Fault
 }
 
+// fault records the first fault of a field; a later one may only follow from it.
 func (r *reader) fault(field, expected string) {
+	if field != "" && r.faulty(field) {
+		return
+	}
 	r.faults = append(r.faults, Fault{File: r.file, Field: field, Expected: expected})
 }
 
+// faulty reports whether the field or a part of it has a fault.
+func (r *reader) faulty(field string) bool {
+	return slices.ContainsFunc(r.faults, func(f Fault) bool {
+		rest, ok := strings.CutPrefix(f.Field, field)
+		return f.Field == "" || ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+	})
+}
+
 // read sets every field that the file names and reports unknown, repeated, mistyped and missing ones.
 func (r *reader) read(data []byte) {
 	values := map[string]json.RawMessage{}
@@ -138,11 +150,11 @@
 	r.settings.Replicas = append(r.settings.Replicas, member)
 }
 
-// check reports faults between fields that are each valid.
+// check reports faults between fields; one that already has a fault gets no second.
 func (r *reader) check() {
 	s := r.settings
 	r.checkTLS()
-	guarded := s.Key != "" || s.TLS.Enabled()
+	guarded := s.Key != "" || s.TLS.Enabled() || r.faulty("key") || r.faulty("tls")
 	if !s.Listen.Peer.Addr().IsLoopback() && !guarded {
 		r.fault("listen.peer", "a loopback address, or the setting key or tls beside it")
 	}
--- a/io/platform/server.go
+++ b/io/platform/server.go
@@ -204,4 +204,3 @@
 	w.log.V(1).Info("connection failed", "listener", w.name, "detail", string(p))
 	return len(p), nil
 }
-
--- a/io/platform/settings.go
+++ b/io/platform/settings.go
@@ -145,9 +145,7 @@
 	s.File = file
 	r := &reader{file: file, settings: s}
 	r.read(data)
-	if len(r.faults) == 0 {
-		r.check()
-	}
+	r.check()
 	if len(r.faults) > 0 {
 		return nil, &SettingsError{Faults: r.faults}
 	}
--- a/main.go
+++ b/main.go
@@ -2,11 +2,13 @@
 package main
 
 import (
+	"context"
 	"os"
 
 	"godwitspindle/cmd"
 )
 
 func main() {
-	os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+	p := cmd.Program{}
+	os.Exit(p.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 }
