--- /dev/null
+++ b/core/agreement/follower.go
@@ -0,0 +1,102 @@
+package agreement
+
+import "time"
+
+// Takes in a message of the current term's leader.
+func (r *Replica) stepLeader(m Message) {
+	if r.role == Leader {
+		return
+	}
+	if r.role == Candidate || r.leader != m.From {
+		r.follow(m.Term, m.From)
+	}
+	r.heard = r.now
+	r.rearm()
+	switch m.Kind {
+	case Append:
+		r.stepAppend(m)
+	case Install:
+		r.stepInstall(m)
+	case Heartbeat:
+		r.commitTo(min(m.Commit, r.log.last()))
+		if m.Index > 0 {
+			if at := r.now.Add(-time.Duration(m.Index-1) * time.Microsecond); at.After(r.confirmed) {
+				r.confirmed = at
+			}
+		}
+		r.send(Message{Kind: HeartbeatAnswer, To: m.From, Term: r.state.Term, Context: m.Context})
+	}
+}
+
+func (r *Replica) commitTo(index uint64) {
+	r.commit = max(r.commit, index)
+}
+
+func (r *Replica) stepAppend(m Message) {
+	answer := Message{Kind: AppendAnswer, To: m.From, Term: r.state.Term}
+	if m.Index < r.commit {
+		answer.Index = r.commit
+		r.send(answer)
+		return
+	}
+	if t, ok := r.log.term(m.Index); !ok || t != m.LogTerm {
+		answer.Reject, answer.Index = true, m.Index
+		answer.Context, answer.LogTerm = r.hint(min(m.Index, r.log.last()), m.LogTerm)
+		r.send(answer)
+		return
+	}
+	for i, e := range m.Entries {
+		if t, ok := r.log.term(e.Index); ok && t == e.Term {
+			continue
+		}
+		if e.Index <= r.log.last() {
+			r.cut(e.Index)
+		}
+		if !r.adoptAll(m.Entries[i:]) {
+			return
+		}
+		break
+	}
+	answer.Index = m.Index + uint64(len(m.Entries))
+	r.commitTo(min(m.Commit, answer.Index))
+	r.send(answer)
+}
+
+func (r *Replica) adoptAll(entries []Entry) bool {
+	if r.role == Waiting {
+		r.role = Follower
+	}
+	for _, e := range entries {
+		if e.Index != r.log.last()+1 || r.adopt(e) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Finds the highest index up to i whose term is not above the given one, so that one answer skips a whole term.
+func (r *Replica) hint(i, term uint64) (index, at uint64) {
+	for {
+		t, ok := r.log.term(i)
+		if !ok || t <= term || i == 0 {
+			return i, t
+		}
+		i--
+	}
+}
+
+func (r *Replica) stepInstall(m Message) {
+	s := m.Snapshot
+	if s == nil {
+		return
+	}
+	t, ok := r.log.term(s.Index)
+	switch {
+	case s.Index <= r.commit:
+	case ok && t == s.Term:
+		r.commitTo(s.Index)
+	default:
+		r.reset(*s)
+	}
+	r.send(Message{Kind: AppendAnswer, To: m.From, Term: r.state.Term, Index: max(r.commit, s.Index)})
+}
--- /dev/null
+++ b/io/disk/file.go
@@ -0,0 +1,155 @@
+package disk
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+)
+
+const (
+	format   = "godwitspindle 1 "
+	fileMode = 0o600
+)
+
+// The seams through which all writes and syncs go.
+type seams struct {
+	write func(f *os.File, b []byte) (int, error)
+	sync  func(f *os.File) error
+}
+
+func realSeams() seams {
+	return seams{
+		write: func(f *os.File, b []byte) (int, error) { return f.Write(b) },
+		sync:  func(f *os.File) error { return f.Sync() },
+	}
+}
+
+// Replaces a one-record file atomically; kind is part of the format's name.
+func (s seams) replace(path, kind string, payload []byte) error {
+	next := path + ".new"
+	f, err := os.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return writeError(next, err)
+	}
+	defer func() { _ = f.Close() }()
+	b := appendRecord([]byte(format+kind+"\n"), payload)
+	if _, err := s.write(f, b); err != nil {
+		return writeError(next, err)
+	}
+	if err := s.sync(f); err != nil {
+		return &SyncError{Path: next, Err: err}
+	}
+	if err := os.Rename(next, path); err != nil {
+		return writeError(path, err)
+	}
+	return s.syncFolder(filepath.Dir(path))
+}
+
+func (s seams) syncFolder(folder string) error {
+	d, err := os.Open(folder)
+	if err != nil {
+		return &FileError{Operation: "open of", Path: folder, Err: err}
+	}
+	defer func() { _ = d.Close() }()
+	if err := s.sync(d); err != nil {
+		return &SyncError{Path: folder, Err: err}
+	}
+	return nil
+}
+
+// Reads a one-record file; a missing file is nil.
+func readFile(path, kind string) ([]byte, error) {
+	b, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, &FileError{Operation: "read of", Path: path, Err: err}
+	}
+	at, err := checkFormat(path, kind, b)
+	if err != nil {
+		return nil, err
+	}
+	p, next, f := readRecord(b, at)
+	if f != good || next != len(b) {
+		return nil, &DamagedError{Path: path, Offset: int64(at), Reason: "checksum or length"}
+	}
+	return p, nil
+}
+
+func checkFormat(path, kind string, b []byte) (int, error) {
+	want := format + kind + "\n"
+	if !strings.HasPrefix(string(b), want) {
+		return 0, &ForeignError{Path: path, Reason: "its first line is not \"" + strings.TrimSpace(want) + "\""}
+	}
+	return len(want), nil
+}
+
+func lock(folder string) (*os.File, error) {
+	path := filepath.Join(folder, "lock")
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, &FileError{Operation: "open of", Path: path, Err: err}
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, &LockedError{Folder: folder}
+		}
+		return nil, &FileError{Operation: "lock of", Path: path, Err: err}
+	}
+	return f, nil
+}
+
+// Loads the identity, or makes one with a random incarnation on the first start.
+func (s seams) identity(folder, name string) (string, error) {
+	path := filepath.Join(folder, "identity")
+	b, err := readFile(path, "identity")
+	if err != nil {
+		return "", err
+	}
+	if b != nil {
+		had, _, _ := strings.Cut(string(b), "/")
+		if name != "" && had != name {
+			return "", &ForeignError{Path: path, Reason: "the folder belongs to replica " + had}
+		}
+		return string(b), nil
+	}
+	for _, g := range []string{"log-*", "snap-*", "state"} {
+		if others, err := filepath.Glob(filepath.Join(folder, g)); err != nil || len(others) > 0 {
+			return "", &DamagedError{Path: path, Reason: "missing beside other files"}
+		}
+	}
+	var r [8]byte
+	if _, err := rand.Read(r[:]); err != nil {
+		return "", &FileError{Operation: "random for", Path: path, Err: err}
+	}
+	id := name + "/" + hex.EncodeToString(r[:])
+	return id, s.replace(path, "identity", []byte(id))
+}
+
+// SaveFloor makes the lowest version that this node may serve durable.
+func SaveFloor(folder string, version uint64) error {
+	return realSeams().replace(filepath.Join(folder, "floor"), "floor", binary.AppendUvarint(nil, version))
+}
+
+// LoadFloor returns the saved floor, 0 when there is none; it fails with *DamagedError or *ForeignError.
+func LoadFloor(folder string) (uint64, error) {
+	path := filepath.Join(folder, "floor")
+	b, err := readFile(path, "floor")
+	if err != nil || b == nil {
+		return 0, err
+	}
+	c := cursor{data: b}
+	v := c.number()
+	if c.bad || len(c.data) > 0 {
+		return 0, &DamagedError{Path: path, Reason: "not a number"}
+	}
+	return v, nil
+}
--- /dev/null
+++ b/io/disk/log.go
@@ -0,0 +1,241 @@
+package disk
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"godwitspindle/core/agreement"
+)
+
+const defaultSegment = 64 << 20 // bytes after which a new segment starts
+
+// Option sets up a Log.
+type Option func(l *Log)
+
+// WithName sets the replica's name, which the identity starts with.
+func WithName(name string) Option { return func(l *Log) { l.name = name } }
+
+// WithSegment sets the size in bytes after which a new segment starts.
+func WithSegment(size int64) Option { return func(l *Log) { l.segment = size } }
+
+// WithWrite replaces file writes, for fault injection.
+func WithWrite(f func(f *os.File, b []byte) (int, error)) Option {
+	return func(l *Log) { l.write = f }
+}
+
+// WithSync replaces file and folder syncs, for fault injection.
+func WithSync(f func(f *os.File) error) Option { return func(l *Log) { l.sync = f } }
+
+// Loaded is what a folder holds.
+type Loaded struct {
+	State    agreement.State
+	Snapshot agreement.Snapshot
+	Entries  []agreement.Entry // after the snapshot
+	Identity string            // NAME/INCARNATION
+}
+
+// Log is a replica's data folder; it is not safe for concurrent use.
+type Log struct {
+	seams
+	folder, name string
+	segment      int64
+	lock, active *os.File
+	size         int64  // of the active segment, in bytes
+	sequence     uint64 // of the active segment
+	loaded       Loaded
+	tail         []agreement.Entry // the log after the snapshot, shared with the protocol's entries
+	err          error             // first failure
+	closed       bool
+	buffer       []byte
+}
+
+// Open locks and reads a folder, which is made when missing; it fails with *DamagedError, *ForeignError, *FullError,
+// *SyncError, *LockedError or *FileError.
+func Open(folder string, opts ...Option) (*Log, error) {
+	l := &Log{seams: realSeams(), folder: folder, segment: defaultSegment}
+	for _, o := range opts {
+		o(l)
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, writeError(folder, err)
+	}
+	f, err := lock(folder)
+	if err != nil {
+		return nil, err
+	}
+	l.lock = f
+	if err := l.open(); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Log) open() error {
+	id, err := l.identity(l.folder, l.name)
+	if err != nil {
+		return err
+	}
+	l.loaded.Identity = id
+	if err := l.readState(); err != nil {
+		return err
+	}
+	if err := l.readSnapshot(); err != nil {
+		return err
+	}
+	return l.readSegments()
+}
+
+// Load returns what the folder held when it was opened.
+func (l *Log) Load() (Loaded, error) {
+	if err := l.usable(); err != nil {
+		return Loaded{}, err
+	}
+	return l.loaded, nil
+}
+
+func (l *Log) usable() error {
+	if l.err != nil || l.closed {
+		return &ClosedError{Err: l.err}
+	}
+	return nil
+}
+
+// Keeps the first failure: after it the files' content is uncertain, so nothing more may be written or acknowledged.
+func (l *Log) fail(err error) error {
+	if err != nil && l.err == nil {
+		l.err = err
+	}
+	return err
+}
+
+// Save makes state, snapshot and entries durable; the entries cost one fsync. It fails with *FullError, *SyncError,
+// *FileError or, after an earlier failure, *ClosedError.
+func (l *Log) Save(e agreement.Effects) error {
+	if err := l.usable(); err != nil {
+		return err
+	}
+	steps := []func() error{
+		func() error { return l.saveState(e.State) },
+		func() error { return l.saveReceived(e.Snapshot) },
+	}
+	if e.Snapshot != nil && e.Snapshot.Index == 1 {
+		// A founding term without its member set would leave a replica that can neither promise nor adopt.
+		slices.Reverse(steps)
+	}
+	for _, f := range steps {
+		if err := l.fail(f()); err != nil {
+			return err
+		}
+	}
+	if len(e.Entries) == 0 {
+		return nil
+	}
+	l.merge(e.Entries)
+	l.buffer = encodeEntries(l.buffer[:0], e.Entries)
+	return l.fail(l.append(l.buffer))
+}
+
+// Compact saves a snapshot of the state machine and drops the log up to it.
+func (l *Log) Compact(s agreement.Snapshot) error {
+	if err := l.usable(); err != nil {
+		return err
+	}
+	n, _ := slices.BinarySearchFunc(l.tail, s.Index+1, func(e agreement.Entry, i uint64) int {
+		return int(int64(e.Index) - int64(i))
+	})
+	return l.fail(l.saveSnapshot(s, slices.Clone(l.tail[n:])))
+}
+
+// Close releases the folder.
+func (l *Log) Close() error {
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	if l.active != nil {
+		_ = l.active.Close()
+	}
+	return l.lock.Close()
+}
+
+// Keeps the entries after the snapshot, with e replacing those from its first index on.
+func (l *Log) merge(e []agreement.Entry) {
+	if len(l.tail) > 0 {
+		first := l.tail[0].Index
+		keep := 0
+		if e[0].Index > first {
+			keep = min(int(e[0].Index-first), len(l.tail))
+		}
+		l.tail = l.tail[:keep]
+	}
+	l.tail = append(l.tail, e...)
+}
+
+func (l *Log) saveReceived(s *agreement.Snapshot) error {
+	if s == nil {
+		return nil
+	}
+	return l.saveSnapshot(*s, nil)
+}
+
+func (l *Log) saveState(s *agreement.State) error {
+	if s == nil {
+		return nil
+	}
+	return l.replace(filepath.Join(l.folder, "state"), "state", append(binary.AppendUvarint(nil, s.Term), s.Vote...))
+}
+
+func (l *Log) readState() error {
+	path := filepath.Join(l.folder, "state")
+	b, err := readFile(path, "state")
+	if err != nil || b == nil {
+		return err
+	}
+	c := cursor{data: b}
+	l.loaded.State.Term = c.number()
+	if c.bad {
+		return &DamagedError{Path: path, Reason: "not a state"}
+	}
+	l.loaded.State.Vote = string(c.data)
+	return nil
+}
+
+// Saves a snapshot, starts a segment with the entries that remain, and only then removes the older files.
+func (l *Log) saveSnapshot(s agreement.Snapshot, remain []agreement.Entry) error {
+	path := filepath.Join(l.folder, fmt.Sprintf("snap-%016x", s.Index))
+	if err := l.replace(path, "snap", encodeSnapshot(s)); err != nil {
+		return err
+	}
+	l.tail = remain
+	b := appendRecord(nil, encodeMark(s.Index, s.Term))
+	if len(remain) > 0 {
+		b = appendRecord(b, encodeEntries(nil, remain))
+	}
+	if err := l.roll(b); err != nil {
+		return err
+	}
+	return l.clean(path)
+}
+
+// Removes the segments and snapshots that the newest ones replace.
+func (l *Log) clean(snapshot string) error {
+	for _, g := range []string{"log-*", "snap-*"} {
+		names, err := filepath.Glob(filepath.Join(l.folder, g))
+		if err != nil {
+			return &FileError{Operation: "list of", Path: l.folder, Err: err}
+		}
+		for _, n := range names {
+			if n == snapshot || n == l.active.Name() {
+				continue
+			}
+			if err := os.Remove(n); err != nil {
+				return &FileError{Operation: "removal of", Path: n, Err: err}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/disk/record.go
@@ -0,0 +1,179 @@
+package disk
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"godwitspindle/core/agreement"
+)
+
+const (
+	headerSize  = 12  // bytes: length, payload checksum, header checksum
+	sectorSize  = 512 // bytes; the smallest unit that a disk writes as a whole
+	recordLimit = 1 << 30
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+func appendRecord(b, payload []byte) []byte {
+	var h [headerSize]byte
+	binary.LittleEndian.PutUint32(h[0:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(h[4:], crc32.Checksum(payload, table))
+	binary.LittleEndian.PutUint32(h[8:], crc32.Checksum(h[:8], table))
+	return append(append(b, h[:]...), payload...)
+}
+
+// What reading one record found.
+type finding uint8
+
+const (
+	good    finding = iota + 1
+	end             // no bytes remain
+	torn            // the tail was not written completely
+	damaged         // the bytes changed after they were written
+)
+
+// Reads the record at an offset of a whole file.
+func readRecord(file []byte, at int) (payload []byte, next int, f finding) {
+	rest := file[at:]
+	if len(rest) == 0 {
+		return nil, at, end
+	}
+	if len(rest) < headerSize {
+		return nil, at, torn
+	}
+	n := int(binary.LittleEndian.Uint32(rest))
+	if binary.LittleEndian.Uint32(rest[8:]) != crc32.Checksum(rest[:8], table) || n > recordLimit {
+		return nil, at, tail(file, at, min(at+headerSize, len(file)))
+	}
+	if n > len(rest)-headerSize {
+		return nil, at, torn
+	}
+	next = at + headerSize + n
+	payload = rest[headerSize : headerSize+n]
+	if binary.LittleEndian.Uint32(rest[4:]) == crc32.Checksum(payload, table) {
+		return payload, next, good
+	}
+	if next < len(file) {
+		return nil, at, damaged
+	}
+	return nil, at, tail(file, at, next)
+}
+
+// Tells an unwritten tail, in which a sector's part is still all zero, from damage.
+func tail(file []byte, from, to int) finding {
+	if to-from == headerSize && !zero(file[from:]) {
+		// A header across two sectors may be half written, but then all after it is unwritten too.
+		cut := (from/sectorSize + 1) * sectorSize
+		if cut >= to || !zero(file[cut:]) {
+			return damaged
+		}
+		return torn
+	}
+	for a := from; a < to; {
+		b := min((a/sectorSize+1)*sectorSize, to)
+		if b-a >= headerSize && zero(file[a:b]) {
+			return torn
+		}
+		a = b
+	}
+	return damaged
+}
+
+func zero(b []byte) bool {
+	for _, c := range b {
+		if c != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Types of payload in a log segment.
+const (
+	headType    = 'H' // format name, sequence number
+	markType    = 'M' // the log starts after a snapshot: index, term
+	entriesType = 'E'
+)
+
+func encodeMark(index, term uint64) []byte {
+	b := binary.AppendUvarint([]byte{markType}, index)
+	return binary.AppendUvarint(b, term)
+}
+
+func encodeEntries(b []byte, entries []agreement.Entry) []byte {
+	b = append(b, entriesType)
+	b = binary.AppendUvarint(b, uint64(len(entries)))
+	for _, e := range entries {
+		b = binary.AppendUvarint(b, e.Index)
+		b = binary.AppendUvarint(b, e.Term)
+		b = append(b, byte(e.Kind))
+		b = binary.AppendUvarint(b, uint64(len(e.Data)))
+		b = append(b, e.Data...)
+	}
+	return b
+}
+
+// A cursor over a payload; bad is set at the first malformed field.
+type cursor struct {
+	data []byte
+	bad  bool
+}
+
+func (c *cursor) number() uint64 {
+	v, n := binary.Uvarint(c.data)
+	if n <= 0 {
+		c.bad, c.data = true, nil
+		return 0
+	}
+	c.data = c.data[n:]
+	return v
+}
+
+func (c *cursor) bytes(n uint64) []byte {
+	if n > uint64(len(c.data)) {
+		c.bad, c.data = true, nil
+		return nil
+	}
+	b := c.data[:n:n]
+	c.data = c.data[n:]
+	return b
+}
+
+func decodeEntries(payload []byte) ([]agreement.Entry, bool) {
+	c := cursor{data: payload}
+	n := c.number()
+	if n > uint64(len(payload)) {
+		return nil, false
+	}
+	es := make([]agreement.Entry, 0, n)
+	for range n {
+		e := agreement.Entry{Index: c.number(), Term: c.number()}
+		if k := c.bytes(1); len(k) == 1 {
+			e.Kind = agreement.Kind(k[0])
+		}
+		e.Data = c.bytes(c.number())
+		es = append(es, e)
+	}
+	return es, !c.bad && len(c.data) == 0
+}
+
+func encodeSnapshot(s agreement.Snapshot) []byte {
+	b := binary.AppendUvarint(nil, s.Index)
+	b = binary.AppendUvarint(b, s.Term)
+	m := agreement.EncodeMembers(s.Members)
+	b = binary.AppendUvarint(b, uint64(len(m)))
+	b = append(b, m...)
+	return append(b, s.Data...)
+}
+
+func decodeSnapshot(payload []byte) (agreement.Snapshot, bool) {
+	c := cursor{data: payload}
+	s := agreement.Snapshot{Index: c.number(), Term: c.number()}
+	m, err := agreement.DecodeMembers(c.bytes(c.number()))
+	if c.bad || err != nil {
+		return agreement.Snapshot{}, false
+	}
+	s.Members, s.Data = m, c.data
+	return s, true
+}
--- /dev/null
+++ b/io/disk/segment.go
@@ -0,0 +1,244 @@
+package disk
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"godwitspindle/core/agreement"
+)
+
+func (l *Log) append(payload []byte) error {
+	if l.size >= l.segment {
+		if err := l.roll(nil); err != nil {
+			return err
+		}
+	}
+	return l.flush(appendRecord(nil, payload))
+}
+
+// Writes to the active segment and syncs it.
+func (l *Log) flush(b []byte) error {
+	if _, err := l.write(l.active, b); err != nil {
+		return writeError(l.active.Name(), err)
+	}
+	l.size += int64(len(b))
+	if err := l.sync(l.active); err != nil {
+		return &SyncError{Path: l.active.Name(), Err: err}
+	}
+	return nil
+}
+
+// Starts a new segment with the given records. It appears by a rename, so a segment always has its whole header.
+func (l *Log) roll(records []byte) error {
+	head := append([]byte{headType}, binary.AppendUvarint(nil, l.sequence+1)...)
+	b := append(appendRecord([]byte(format+"log\n"), head), records...)
+	path := filepath.Join(l.folder, fmt.Sprintf("log-%016x", l.sequence+1))
+	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return writeError(path, err)
+	}
+	if l.active != nil {
+		_ = l.active.Close()
+	}
+	l.active, l.size = f, 0
+	if err := l.flush(b); err != nil {
+		return err
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return writeError(path, err)
+	}
+	l.sequence++
+	if err := l.syncFolder(l.folder); err != nil {
+		return err
+	}
+	return l.reopen(path)
+}
+
+func (l *Log) reopen(path string) error {
+	_ = l.active.Close()
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return &FileError{Operation: "open of", Path: path, Err: err}
+	}
+	l.active = f
+	return nil
+}
+
+// Lists files PREFIX-NUMBER in order. Unfinished files are removed, and other names are refused.
+func (l *Log) list(prefix string) ([]string, error) {
+	names, err := filepath.Glob(filepath.Join(l.folder, prefix+"-*"))
+	if err != nil {
+		return nil, &FileError{Operation: "list of", Path: l.folder, Err: err}
+	}
+	var out []string
+	for _, n := range names {
+		if strings.HasSuffix(n, ".new") {
+			_ = os.Remove(n)
+			continue
+		}
+		if _, ok := number(n); !ok {
+			return nil, &ForeignError{Path: n, Reason: "its name is not " + prefix + "-NUMBER"}
+		}
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+func number(path string) (uint64, bool) {
+	_, s, _ := strings.Cut(filepath.Base(path), "-")
+	var n uint64
+	_, err := fmt.Sscanf(s, "%016x", &n)
+	return n, err == nil && s == fmt.Sprintf("%016x", n)
+}
+
+func (l *Log) readSnapshot() error {
+	names, err := l.list("snap")
+	if err != nil || len(names) == 0 {
+		return err
+	}
+	path := names[len(names)-1]
+	b, err := readFile(path, "snap")
+	if err != nil {
+		return err
+	}
+	s, ok := decodeSnapshot(b)
+	if n, _ := number(path); !ok || s.Index != n {
+		return &DamagedError{Path: path, Reason: "not the snapshot that the name says"}
+	}
+	l.loaded.Snapshot = s
+	return nil
+}
+
+// Replays the log.
+type replay struct {
+	base, term uint64 // the point before the first entry
+	entries    []agreement.Entry
+}
+
+// Moves the start of the log: entries after the point stay only if the log agrees with it.
+func (p *replay) mark(index, term uint64) {
+	n := index - p.base
+	switch {
+	case index < p.base:
+		return
+	case index == p.base && term == p.term:
+		return
+	case index > p.base && n <= uint64(len(p.entries)) && p.entries[n-1].Term == term:
+		p.entries = slices.Clone(p.entries[n:])
+	default:
+		p.entries = nil
+	}
+	p.base, p.term = index, term
+}
+
+func (p *replay) add(es []agreement.Entry) bool {
+	for _, e := range es {
+		if e.Index <= p.base || e.Index > p.base+uint64(len(p.entries))+1 {
+			return false
+		}
+		p.entries = append(p.entries[:e.Index-p.base-1], e)
+	}
+	return true
+}
+
+func (p *replay) apply(payload []byte) bool {
+	if len(payload) == 0 {
+		return false
+	}
+	switch payload[0] {
+	case headType:
+		return true
+	case markType:
+		c := cursor{data: payload[1:]}
+		i, t := c.number(), c.number()
+		if !c.bad {
+			p.mark(i, t)
+		}
+		return !c.bad
+	case entriesType:
+		es, ok := decodeEntries(payload[1:])
+		return ok && p.add(es)
+	}
+	return false
+}
+
+func (l *Log) readSegments() error {
+	names, err := l.list("log")
+	if err != nil {
+		return err
+	}
+	s := l.loaded.Snapshot
+	if len(names) == 0 {
+		if s.Index > 0 || l.loaded.State != (agreement.State{}) {
+			return &DamagedError{Path: l.folder, Reason: "the log segments are missing"}
+		}
+		return l.roll(appendRecord(nil, encodeMark(s.Index, s.Term)))
+	}
+	p := &replay{}
+	for i, n := range names {
+		had, _ := number(n)
+		if i > 0 && had != l.sequence+1 {
+			return &DamagedError{Path: n, Reason: "the segment before it is missing"}
+		}
+		l.sequence = had
+		if err := l.readSegment(n, i == len(names)-1, p); err != nil {
+			return err
+		}
+	}
+	if p.base > s.Index {
+		return &DamagedError{Path: l.folder, Reason: fmt.Sprintf("the snapshot at %d is missing", p.base)}
+	}
+	p.mark(s.Index, s.Term)
+	if l.loaded.State == (agreement.State{}) && (s.Index > 1 || len(p.entries) > 0) {
+		return &DamagedError{Path: filepath.Join(l.folder, "state"), Reason: "missing beside a log"}
+	}
+	l.loaded.Entries, l.tail = p.entries, slices.Clone(p.entries)
+	return nil
+}
+
+// Replays one segment. The last one becomes active, without its torn tail.
+func (l *Log) readSegment(path string, last bool, p *replay) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return &FileError{Operation: "read of", Path: path, Err: err}
+	}
+	at, err := checkFormat(path, "log", b)
+	if err != nil {
+		return err
+	}
+	for first := true; ; first = false {
+		payload, next, f := readRecord(b, at)
+		switch {
+		case f == good && p.apply(payload) && first == (payload[0] == headType):
+			at = next
+			continue
+		case f == end && !first:
+		case f == torn && last && !first:
+		default:
+			return &DamagedError{Path: path, Offset: int64(at), Reason: "checksum, length or order"}
+		}
+		break
+	}
+	if !last {
+		return nil
+	}
+	if at < len(b) {
+		if err := os.Truncate(path, int64(at)); err != nil {
+			return &FileError{Operation: "truncation of", Path: path, Err: err}
+		}
+	}
+	l.active, err = os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return &FileError{Operation: "open of", Path: path, Err: err}
+	}
+	l.size = int64(at)
+	if err := l.sync(l.active); err != nil {
+		return &SyncError{Path: path, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/replica/replica_test.go
@@ -0,0 +1,272 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/disk"
+)
+
+// A group of replicas with in-memory delivery and a counter as the state machine.
+type group struct {
+	t       testing.TB
+	mu      sync.Mutex
+	members map[string]*Replica
+	states  map[string]*atomic.Uint64
+	cut     map[string]bool
+	names   []string
+	opts    []Option
+	syncs   atomic.Int64
+}
+
+func newGroup(t testing.TB, names []string, opts ...Option) *group {
+	g := &group{t: t, members: map[string]*Replica{}, states: map[string]*atomic.Uint64{}, cut: map[string]bool{}, names: names, opts: opts}
+	for _, n := range names {
+		g.start(n, t.TempDir())
+	}
+	t.Cleanup(func() {
+		for _, r := range g.members {
+			_ = r.Close()
+		}
+	})
+	return g
+}
+
+func (g *group) start(name, folder string) *Replica {
+	state := &atomic.Uint64{}
+	opts := append([]Option{
+		WithFolder(folder), WithName(name), WithNames(g.names...), WithElection(200*time.Millisecond, 20*time.Millisecond),
+		WithSend(func(m agreement.Message) {
+			g.mu.Lock()
+			to := g.members[agreement.Name(m.To)]
+			drop := g.cut[name] || g.cut[agreement.Name(m.To)]
+			g.mu.Unlock()
+			if to != nil && !drop {
+				to.Step(m)
+			}
+		}),
+		WithApply(func(uint64, *wire.Command) *wire.Result {
+			return &wire.Result{Version: state.Add(1)}
+		}),
+		WithVersion(state.Load),
+		WithMarshal(func() ([]byte, error) { return binary.AppendUvarint(nil, state.Load()), nil }),
+		WithRestore(func(b []byte) error {
+			v, _ := binary.Uvarint(b)
+			state.Store(v)
+			return nil
+		}),
+		WithDisk(disk.WithSync(func(f *os.File) error {
+			g.syncs.Add(1)
+			return f.Sync()
+		})),
+	}, g.opts...)
+	r, err := New(opts...)
+	if err != nil {
+		g.t.Fatalf("New(%s): %v", name, err)
+	}
+	g.mu.Lock()
+	g.members[name], g.states[name] = r, state
+	g.mu.Unlock()
+	return r
+}
+
+func (g *group) isolate(name string, cut bool) {
+	g.mu.Lock()
+	g.cut[name] = cut
+	g.mu.Unlock()
+}
+
+// Waits until a condition holds.
+func (g *group) await(what string, ok func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	g.t.Fatalf("timed out: %s", what)
+}
+
+// Returns a leader that confirms a read.
+func (g *group) leader() *Replica {
+	g.t.Helper()
+	var found *Replica
+	g.await("leader", func() bool {
+		for _, r := range g.members {
+			ctx, stop := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			_, err := r.Read(ctx)
+			stop()
+			if err == nil {
+				found = r
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (g *group) propose(r *Replica, n int) uint64 {
+	g.t.Helper()
+	var v uint64
+	for range n {
+		a, err := r.Propose(context.Background(), &wire.Command{})
+		if err != nil {
+			g.t.Fatalf("Propose: %v", err)
+		}
+		v = a.GetVersion()
+	}
+	return v
+}
+
+var three = []string{"a", "b", "c"}
+
+// Guards against a proposal that is lost, doubled or answered before it is committed, and against reads that miss it.
+func TestProposeAndRead(t *testing.T) {
+	g := newGroup(t, three)
+	l := g.leader()
+	if got, want := g.propose(l, 20), uint64(20); got != want {
+		t.Fatalf("version: got %d, want %d", got, want)
+	}
+	if got, err := l.Read(t.Context()); got != 20 || err != nil {
+		t.Fatalf("Read: got %d, %v, want 20", got, err)
+	}
+	for n, r := range g.members {
+		g.await("apply on "+n, func() bool { return g.states[n].Load() == 20 && r.Confirmed() >= 0 })
+		if r == l {
+			continue
+		}
+		_, err := r.Propose(t.Context(), &wire.Command{})
+		var e *agreement.NotLeaderError
+		if !errors.As(err, &e) || e.Leader != l.ID() {
+			t.Fatalf("Propose on a follower: got %v, want a *NotLeaderError naming %s", err, l.ID())
+		}
+	}
+}
+
+// Guards against a leader behind a silent partition that goes on committing or confirming reads, and against a proposal
+// in doubt that is reported as refused.
+func TestSilentPartition(t *testing.T) {
+	g := newGroup(t, three)
+	old := g.leader()
+	g.propose(old, 3)
+	g.isolate(agreement.Name(old.ID()), true)
+	_, err := old.Propose(t.Context(), &wire.Command{})
+	var doubt *DoubtError
+	if !errors.As(err, &doubt) {
+		t.Fatalf("Propose behind the partition: got %v, want *DoubtError", err)
+	}
+	if _, err := old.Read(t.Context()); err == nil {
+		t.Fatal("Read behind the partition: got no error")
+	}
+	l := g.leader()
+	if l == old {
+		t.Fatal("leader: got the replica behind the partition")
+	}
+	g.propose(l, 3)
+	g.isolate(agreement.Name(old.ID()), false)
+	g.await("catch-up", func() bool { return g.states[agreement.Name(old.ID())].Load() == 6 })
+}
+
+// Guards against a lost disk that returns as a voter under its old identity, against a learner that counts before it has
+// caught up, and against the loss of a second replica right after the first was replaced, for each group size.
+func TestReplacementThenSecondLoss(t *testing.T) {
+	for _, names := range [][]string{three, {"a", "b", "c", "d", "e"}, {"a", "b", "c", "d", "e", "f", "g"}} {
+		t.Run(string(rune('0'+len(names))), func(t *testing.T) {
+			g := newGroup(t, names, WithCompaction(10, 1<<20))
+			l := g.leader()
+			g.propose(l, 25)
+			lost := names[0]
+			if agreement.Name(l.ID()) == lost {
+				lost = names[1]
+			}
+			old := g.members[lost].ID()
+			_ = g.members[lost].Close()
+			n := g.start(lost, t.TempDir())
+			if n.ID() == old {
+				t.Fatal("identity: got the old one on an empty folder")
+			}
+			time.Sleep(600 * time.Millisecond)
+			if got, want := n.Status().Role, agreement.Waiting; got != want {
+				t.Fatalf("role with an empty folder: got %v, want %v", got, want)
+			}
+			if err := l.Promote(t.Context(), n.ID()); err == nil {
+				t.Fatal("Promote of a stranger: got no error")
+			}
+			if err := l.AddLearner(t.Context(), n.ID()); err != nil {
+				t.Fatalf("AddLearner: %v", err)
+			}
+			g.await("promotion", func() bool { return l.Promote(t.Context(), n.ID()) == nil })
+			got := l.Status().Members
+			if len(got.Voters) != len(names) || got.Has(old) || !got.Has(n.ID()) {
+				t.Fatalf("members: got %v, want %s instead of %s", got, n.ID(), old)
+			}
+			_ = l.Close()
+			if g.propose(g.leader(), 1) < 26 {
+				t.Fatal("after the second loss: accepted commands are missing")
+			}
+		})
+	}
+}
+
+// Guards against a second founding by replicas that lost their disks at once, and against a lost majority that
+// goes on.
+func TestTwoLostDisks(t *testing.T) {
+	g := newGroup(t, three)
+	g.propose(g.leader(), 5)
+	for _, n := range []string{"a", "b"} {
+		_ = g.members[n].Close()
+		g.start(n, t.TempDir())
+	}
+	time.Sleep(time.Second)
+	for n, r := range g.members {
+		if s := r.Status(); s.Role == agreement.Leader || n != "c" && s.Role != agreement.Waiting {
+			t.Errorf("%s: got role %v with two of three disks lost", n, s.Role)
+		}
+	}
+	if got := g.states["c"].Load(); got != 5 {
+		t.Errorf("state of the remaining replica: got %d, want 5", got)
+	}
+}
+
+// Guards against a replica that goes on, or acknowledges, after its disk failed, and against state lost over restarts.
+func TestDiskFailureAndRestart(t *testing.T) {
+	var broken atomic.Pointer[string]
+	folder := t.TempDir()
+	g := newGroup(t, []string{"a"})
+	_ = g.members["a"].Close()
+	g.opts = []Option{WithCompaction(7, 1<<20), WithDisk(disk.WithSync(func(f *os.File) error {
+		if broken.Load() != nil {
+			return os.ErrInvalid
+		}
+		return f.Sync()
+	}))}
+	g.start("a", folder)
+	g.propose(g.leader(), 10)
+	fault := "sync"
+	broken.Store(&fault)
+	_, err := g.members["a"].Propose(t.Context(), &wire.Command{})
+	var doubt *DoubtError
+	var failed *disk.SyncError
+	if !errors.As(err, &doubt) {
+		t.Fatalf("Propose: got %v, want *DoubtError", err)
+	}
+	<-g.members["a"].Done()
+	if !errors.As(g.members["a"].Err(), &failed) {
+		t.Fatalf("Err: got %v, want *disk.SyncError", g.members["a"].Err())
+	}
+	broken.Store(nil)
+	g.start("a", folder)
+	g.leader()
+	if got := g.states["a"].Load(); got < 10 {
+		t.Fatalf("state after restart: got %d, want at least 10", got)
+	}
+}
