feat(path): request path packages hop, caller, backend and standin

First version of the inner call between nodes, the caller and local handler, the announce API with forwarding, and the stand-in backend server.

--- /dev/null
+++ b/core/outcome/problem.go
@@ -0,0 +1,100 @@
+package outcome
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers that carry a failure between nodes and to callers.
+const (
+	HeaderOutcome = "Mesh-Outcome" // Kind
+	HeaderCode    = "Mesh-Code"    // Code
+	HeaderAfter   = "Mesh-After"   // suggested wait in milliseconds
+	HeaderCall    = "Mesh-Call"    // call id
+)
+
+// maxDetailBytes bounds the sentence that is taken over from a peer's problem body.
+const maxDetailBytes = 1024
+
+// Problem is the RFC 9457 body of a failure.
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Call    string `json:"call,omitempty"`
+	Code    Code   `json:"code"`
+	Outcome Kind   `json:"outcome"`
+	After   int64  `json:"after,omitempty"` // milliseconds
+}
+
+// Problem returns the failure as an RFC 9457 body; the cause is left out.
+func (f *Failure) Problem() Problem {
+	s := f.status()
+	return Problem{
+		Type:    "urn:godwitspindle:" + string(f.Code),
+		Title:   http.StatusText(s),
+		Status:  s,
+		Detail:  f.Detail,
+		Call:    f.Call,
+		Code:    f.Code,
+		Outcome: f.Kind,
+		After:   f.After.Milliseconds(),
+	}
+}
+
+// Write sends the failure as a whole answer with its headers and problem body.
+func (f *Failure) Write(w http.ResponseWriter) {
+	body, err := json.Marshal(f.Problem())
+	if err != nil {
+		body = []byte("{}")
+	}
+	h := w.Header()
+	h.Set(HeaderOutcome, string(f.Kind))
+	h.Set(HeaderCode, string(f.Code))
+	if f.Call != "" {
+		h.Set(HeaderCall, f.Call)
+	}
+	if f.After > 0 {
+		h.Set(HeaderAfter, strconv.FormatInt(f.After.Milliseconds(), 10))
+		seconds := (f.After + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(f.status())
+	_, _ = w.Write(body)
+}
+
+// Parse reads a failure back from a response's status, headers and the start of its body.
+// It reports false for an answer that came from a backend server. An unrecognised kind is read as Unknown, which
+// claims the least.
+func Parse(status int, h http.Header, body []byte) (*Failure, bool) {
+	kind := Kind(h.Get(HeaderOutcome))
+	if kind == None {
+		return nil, false
+	}
+	if kind != NotRun && kind != Lost {
+		kind = Unknown
+	}
+	f := &Failure{Code: Code(h.Get(HeaderCode)), Kind: kind, Status: status, Call: h.Get(HeaderCall)}
+	ms, err := strconv.ParseInt(h.Get(HeaderAfter), 10, 32)
+	if err == nil && ms > 0 {
+		f.After = time.Duration(ms) * time.Millisecond
+	}
+	var p Problem
+	if json.Unmarshal(body, &p) == nil {
+		f.Detail = p.Detail[:min(len(p.Detail), maxDetailBytes)]
+	}
+	return f, true
+}
+
+func (f *Failure) status() int {
+	if f.Status < 400 || f.Status > 599 {
+		return http.StatusBadGateway
+	}
+	return f.Status
+}
--- /dev/null
+++ b/io/backend/announce.go
@@ -0,0 +1,197 @@
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"godwitspindle/core/outcome"
+)
+
+// Bounds of the announce API.
+const (
+	maxAnnounceBytes = 4 << 10
+	maxNameBytes     = 63
+	maxSlots         = 100_000
+	maxConnections   = 100_000
+	maxLoad          = 1000
+	// maxEndpoints bounds the memory that backend servers beside the node can take.
+	maxEndpoints = 256
+)
+
+// AnnounceError says which field of an announcement is wrong.
+type AnnounceError struct {
+	Field string
+	Want  string
+}
+
+// Error names the field and what is expected.
+func (e *AnnounceError) Error() string { return fmt.Sprintf("field %s: want %s", e.Field, e.Want) }
+
+// Lease answers an announcement.
+type Lease struct {
+	Lease string `json:"lease"` // duration after which the endpoint leaves unless it renews
+	Renew string `json:"renew"` // duration between renewals
+}
+
+// Departure is the body of a leave.
+type Departure struct {
+	Service  string `json:"service"`
+	Endpoint string `json:"endpoint"`
+}
+
+// Handler returns the announce API for the loopback listener.
+func (b *Backend) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /announce", b.serveAnnounce)
+	mux.HandleFunc("POST /leave", b.serveLeave)
+	return mux
+}
+
+func (b *Backend) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var a Announcement
+	if f := read(w, r, &a); f != nil {
+		f.Write(w)
+		return
+	}
+	if err := a.check(); err != nil {
+		refuse(err).Write(w)
+		return
+	}
+	if f := b.Announce(a); f != nil {
+		f.Write(w)
+		return
+	}
+	answer, err := json.Marshal(Lease{Lease: (missedRenews * b.renew).String(), Renew: b.renew.String()})
+	if err != nil {
+		refuse(err).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer)
+}
+
+func (b *Backend) serveLeave(w http.ResponseWriter, r *http.Request) {
+	var d Departure
+	if f := read(w, r, &d); f != nil {
+		f.Write(w)
+		return
+	}
+	a := Announcement{Service: d.Service, Endpoint: d.Endpoint}
+	b.leave(a.Key(), "announced")
+	w.WriteHeader(http.StatusNoContent) // also when it had left before, so that a resend succeeds
+}
+
+// Announce records an endpoint or its renewal.
+func (b *Backend) Announce(a Announcement) *outcome.Failure {
+	key, now := a.Key(), b.now()
+	b.mu.Lock()
+	if b.draining {
+		b.mu.Unlock()
+		return &outcome.Failure{Code: outcome.Draining, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Detail: "the node is leaving"}
+	}
+	e := b.endpoints[key]
+	if e == nil && len(b.endpoints) >= maxEndpoints && !b.forget() {
+		b.mu.Unlock()
+		return &outcome.Failure{Code: outcome.Oversize, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Detail: "too many endpoints on this node"}
+	}
+	news := e == nil || e.leaving || e.ann.differs(a)
+	var crash *Crash
+	var old *http.Transport
+	switch {
+	case e == nil:
+		e = &endpoint{key: key, transport: b.transport(a), running: map[*run]struct{}{}}
+		b.endpoints[key] = e
+	case e.ann.Address != a.Address || e.ann.Connections != a.Connections || e.ann.Incarnation != a.Incarnation:
+		crash = e.replaced(a.Incarnation, now)
+		old, e.transport = e.transport, b.transport(a)
+	default:
+		e.broken = nil // the same process is alive, so its connections broke for another reason
+	}
+	e.ann, e.renewed, e.leaving = a, now, false
+	b.mu.Unlock()
+	if old != nil {
+		old.CloseIdleConnections()
+	}
+	b.report(crash)
+	if news {
+		b.log.Info("endpoint announced", "endpoint", key, "address", a.Address.String(), "incarnation", a.Incarnation)
+		b.announced(a)
+	}
+	b.hint(key, a.Load, now)
+	return nil
+}
+
+// forget drops one endpoint that left and has no calls in flight.
+func (b *Backend) forget() bool {
+	for k, e := range b.endpoints {
+		if e.leaving && len(e.running) == 0 {
+			delete(b.endpoints, k)
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Announcement) check() error {
+	switch {
+	case !named(a.Service):
+		return &AnnounceError{Field: "service", Want: "a name of 1 to 63 letters, digits, dots, dashes or underscores"}
+	case !named(a.Endpoint):
+		return &AnnounceError{Field: "endpoint", Want: "a name of 1 to 63 letters, digits, dots, dashes or underscores"}
+	case !a.Address.Addr().Unmap().IsLoopback() || a.Address.Port() == 0:
+		return &AnnounceError{Field: "address", Want: "a loopback address with port"}
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return &AnnounceError{Field: "slots", Want: fmt.Sprintf("1 to %d", maxSlots)}
+	case a.Connections < 1 || a.Connections > maxConnections:
+		return &AnnounceError{Field: "connections", Want: fmt.Sprintf("1 to %d", maxConnections)}
+	case !(a.Load >= 0 && a.Load <= maxLoad):
+		return &AnnounceError{Field: "load", Want: fmt.Sprintf("0 to %d", maxLoad)}
+	}
+	return nil
+}
+
+// differs compares all but the load, which changes with each renewal.
+func (a *Announcement) differs(n Announcement) bool {
+	n.Load = a.Load
+	return *a != n
+}
+
+func named(s string) bool {
+	if s == "" || len(s) > maxNameBytes {
+		return false
+	}
+	for _, c := range []byte(s) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && c != '-' && c != '_' && c != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+// read decodes one strict JSON document from a loopback peer.
+func read(w http.ResponseWriter, r *http.Request, to any) *outcome.Failure {
+	if a, err := netip.ParseAddrPort(r.RemoteAddr); err != nil || !a.Addr().Unmap().IsLoopback() {
+		f := refuse(&AnnounceError{Field: "peer", Want: "a loopback address"})
+		f.Status = http.StatusForbidden
+		return f
+	}
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(to); err != nil {
+		return refuse(err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return refuse(&AnnounceError{Field: "body", Want: "one JSON document"})
+	}
+	return nil
+}
+
+func refuse(err error) *outcome.Failure {
+	return &outcome.Failure{
+		Code: outcome.Refused, Kind: outcome.NotRun, Status: http.StatusBadRequest, Detail: err.Error(), Err: err,
+	}
+}
--- /dev/null
+++ b/io/backend/forward.go
@@ -0,0 +1,253 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"godwitspindle/core/outcome"
+	"godwitspindle/io/hop"
+)
+
+// Headers that a backend server sees.
+const (
+	headerContext  = "Mesh-Context"
+	headerDeadline = "Mesh-Deadline" // remaining time in milliseconds
+)
+
+// statusCancelled is the customary status for a caller that went away.
+const statusCancelled = 499
+
+// Do admits a call and forwards it to its endpoint; it is a hop.Do. The call counts as in flight until its answer's body is
+// closed.
+func (b *Backend) Do(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
+	key := m.Service + "/" + m.Endpoint
+	if f := b.refusal(key, m.Call); f != nil {
+		return nil, b.refused(key, m, f)
+	}
+	unguard, f := b.guard(ctx, key, m)
+	if f != nil {
+		return nil, b.refused(key, m, f)
+	}
+	release, f := b.admit(ctx, key, m)
+	if f != nil {
+		unguard(Result{})
+		return nil, b.refused(key, m, f)
+	}
+	l := &flight{backend: b, begin: b.now(), release: release, unguard: unguard, meta: m}
+	if f := b.begin(key, l); f != nil {
+		release(Result{})
+		unguard(Result{})
+		return nil, b.refused(key, m, f)
+	}
+	return l.forward(ctx, r)
+}
+
+func (b *Backend) refused(key string, m hop.Meta, f *outcome.Failure) *outcome.Failure {
+	b.log.Info("call refused", "call", m.Call, "endpoint", key, "code", f.Code, "outcome", f.Kind, "reason", f.Detail)
+	return hop.AsFailure(f, m.Call)
+}
+
+// refusal checks that an endpoint takes new work.
+func (b *Backend) refusal(key, call string) *outcome.Failure {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closedTo(b.endpoints[key], call)
+}
+
+func (b *Backend) closedTo(e *endpoint, call string) *outcome.Failure {
+	f := &outcome.Failure{Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Call: call}
+	switch {
+	case b.draining:
+		f.Code, f.Detail = outcome.Draining, "the node is leaving"
+	case e == nil:
+		f.Code, f.Detail = outcome.NoEndpoint, "the endpoint is not on this node"
+	case e.leaving:
+		f.Code, f.Detail = outcome.Draining, "the endpoint is leaving"
+	default:
+		return nil
+	}
+	return f
+}
+
+// begin enters a call as in flight, unless the endpoint began to leave while the call waited for admission.
+func (b *Backend) begin(key string, l *flight) *outcome.Failure {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.endpoints[key]
+	if f := b.closedTo(e, l.meta.Call); f != nil {
+		return f
+	}
+	l.endpoint, l.transport, l.address = e, e.transport, e.ann.Address.String()
+	l.run = &run{print: l.meta.Print, process: e.crashes}
+	e.running[l.run] = struct{}{}
+	b.running++
+	return nil
+}
+
+// flight is one call in flight to a backend server.
+type flight struct {
+	backend   *Backend
+	endpoint  *endpoint
+	transport *http.Transport
+	address   string
+	run       *run
+	meta      hop.Meta
+	begin     time.Time
+	release   func(Result)
+	unguard   func(Result)
+	connected atomic.Bool
+	status    int
+	once      sync.Once
+}
+
+func (l *flight) forward(ctx context.Context, r *http.Request) (*http.Response, error) {
+	p, err := l.transport.RoundTrip(l.request(ctx, r))
+	if err != nil {
+		f := l.classify(ctx, err)
+		l.end(f.Kind != outcome.NotRun && ctx.Err() == nil, false)
+		return nil, l.backend.refused(l.endpoint.key, l.meta, f)
+	}
+	l.status = p.StatusCode
+	if p.StatusCode == http.StatusSwitchingProtocols {
+		_ = p.Body.Close()
+		l.end(false, false)
+		return nil, l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the backend server switched protocols unasked", nil)
+	}
+	hop.Clean(p.Header)
+	if after, ok := hop.Shed(p); ok {
+		l.backend.shed(l.endpoint.key, after)
+	}
+	if p.Body == http.NoBody {
+		l.end(false, true)
+		return p, nil
+	}
+	p.Body = &answerBody{ReadCloser: p.Body, flight: l, ctx: ctx}
+	return p, nil
+}
+
+func (l *flight) request(ctx context.Context, r *http.Request) *http.Request {
+	h := make(http.Header, len(r.Header)+3)
+	for k, v := range r.Header {
+		h[k] = v
+	}
+	h[outcome.HeaderCall] = []string{l.meta.Call}
+	if d, ok := ctx.Deadline(); ok {
+		h[headerDeadline] = []string{strconv.FormatInt(max(time.Until(d).Milliseconds(), 0), 10)}
+		if c := l.backend.context(l.meta, d); c != "" {
+			h[headerContext] = []string{c}
+		}
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { l.connected.Store(true) }}
+	out := &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Scheme: "http", Host: l.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
+		Host:          r.Host,
+		Header:        h,
+		Body:          once(r.Body),
+		ContentLength: r.ContentLength,
+		Trailer:       r.Trailer,
+	}
+	if len(r.Trailer) > 0 {
+		out.ContentLength = -1 // HTTP/1.1 sends trailers only with a chunked body
+	}
+	return out.WithContext(httptrace.WithClientTrace(ctx, trace))
+}
+
+// onceBody hides from net/http's Transport that a body is empty. The Transport sends a request again on its own when a
+// reused connection breaks and the request has no body and is a GET or has an Idempotency-Key; that would run a request
+// twice. It does not do so for a body of a type that it does not know.
+type onceBody struct{ io.Reader }
+
+// Close does nothing: the body belongs to the server that received it.
+func (onceBody) Close() error { return nil }
+
+type emptyReader struct{}
+
+// Read reports the end of the body.
+func (emptyReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+func once(body io.ReadCloser) io.ReadCloser {
+	if body == nil || body == http.NoBody {
+		return onceBody{emptyReader{}}
+	}
+	return onceBody{body}
+}
+
+func (l *flight) failure(code outcome.Code, kind outcome.Kind, status int, detail string, err error) *outcome.Failure {
+	return &outcome.Failure{Code: code, Kind: kind, Status: status, Detail: detail, Call: l.meta.Call, Err: err}
+}
+
+// classify turns a round trip's error into a failure: a request that got no connection did not run.
+func (l *flight) classify(ctx context.Context, err error) *outcome.Failure {
+	kind := outcome.Unknown
+	if !l.connected.Load() {
+		kind = outcome.NotRun
+	}
+	var d *DialError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return l.failure(outcome.Late, kind, http.StatusGatewayTimeout, "the deadline passed at the backend server", err)
+	case ctx.Err() != nil:
+		return l.failure(outcome.Canceled, kind, statusCancelled, "the caller went away", err)
+	case kind == outcome.NotRun || errors.As(err, &d):
+		return l.failure(outcome.Unreachable, kind, http.StatusServiceUnavailable, "no connection to the backend server could be made", err)
+	}
+	return l.failure(outcome.Reset, kind, http.StatusBadGateway, "the connection to the backend server broke", err)
+}
+
+// end takes the call out of flight once.
+func (l *flight) end(broken, whole bool) {
+	l.once.Do(func() {
+		b := l.backend
+		if broken {
+			b.broke(l.endpoint, l.run)
+		}
+		b.mu.Lock()
+		delete(l.endpoint.running, l.run)
+		b.running--
+		if b.running == 0 && b.idle != nil {
+			close(b.idle)
+			b.idle = nil
+		}
+		b.mu.Unlock()
+		refused := l.status == http.StatusServiceUnavailable
+		result := Result{Took: b.now().Sub(l.begin), Status: l.status, OK: whole && !refused, Broken: broken}
+		l.release(result)
+		l.unguard(result)
+	})
+}
+
+// answerBody ends the call when the answer has been read or given up.
+type answerBody struct {
+	io.ReadCloser
+	flight *flight
+	ctx    context.Context
+}
+
+// Read reads the answer and notes how it ended.
+func (a *answerBody) Read(p []byte) (int, error) {
+	n, err := a.ReadCloser.Read(p)
+	switch {
+	case err == nil:
+	case err == io.EOF:
+		a.flight.end(false, true)
+	default:
+		a.flight.end(a.ctx.Err() == nil, false)
+	}
+	return n, err
+}
+
+// Close gives the answer up if it was not read whole.
+func (a *answerBody) Close() error {
+	err := a.ReadCloser.Close()
+	a.flight.end(false, false)
+	return err
+}
--- /dev/null
+++ b/io/backend/seams.go
@@ -0,0 +1,94 @@
+package backend
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"godwitspindle/core/outcome"
+	"godwitspindle/io/hop"
+
+	"github.com/go-logr/logr"
+)
+
+// Announcement is what a backend server states about one of its endpoints.
+type Announcement struct {
+	Service     string         `json:"service"`
+	Endpoint    string         `json:"endpoint"`
+	Address     netip.AddrPort `json:"address"` // loopback, HTTP/1.1
+	Slots       int            `json:"slots"`
+	Connections int            `json:"connections"`
+	Load        float64        `json:"load"`                  // 0 idle to 1 full; above 1 overloaded
+	Incarnation uint64         `json:"incarnation,omitempty"` // changes with each process; 0 when not stated
+}
+
+// Key returns SERVICE/ENDPOINT.
+func (a *Announcement) Key() string { return a.Service + "/" + a.Endpoint }
+
+// Result is what a forwarded call showed.
+type Result struct {
+	Took   time.Duration // until the end of the answer
+	Status int           // 0 without an answer
+	OK     bool          // a whole answer that is no refusal
+	Broken bool          // the backend server's connection broke
+}
+
+// Crash reports that the process of a backend server died.
+type Crash struct {
+	Endpoint    string // SERVICE/ENDPOINT
+	Incarnation uint64 // of the process that died
+	Prints      []hop.Print
+	At          time.Time
+}
+
+// Option configures a Backend.
+type Option func(*Backend)
+
+// WithAnnounced sets the function that hears of a new or changed endpoint; it is not called for mere renewals.
+func WithAnnounced(f func(Announcement)) Option { return func(b *Backend) { b.announced = f } }
+
+// WithLeft sets the function that hears of an endpoint that left: announced, or not renewed.
+func WithLeft(f func(endpoint, reason string)) Option { return func(b *Backend) { b.left = f } }
+
+// WithHint sets the function that hears each reported load.
+func WithHint(f func(endpoint string, load float64, now time.Time)) Option {
+	return func(b *Backend) { b.hint = f }
+}
+
+// WithShed sets the function that hears a backend server's 503 with Retry-After.
+func WithShed(f func(endpoint string, after time.Duration)) Option {
+	return func(b *Backend) { b.shed = f }
+}
+
+// WithAdmit sets the admission, which may wait until ctx ends; release is called once for each admitted call.
+func WithAdmit(f func(ctx context.Context, endpoint string, m hop.Meta) (release func(Result), refused *outcome.Failure)) Option {
+	return func(b *Backend) { b.admit = f }
+}
+
+// WithGuard sets the quarantine check, asked before admission; done is called once for each call that passed it.
+func WithGuard(f func(ctx context.Context, endpoint string, m hop.Meta) (done func(Result), refused *outcome.Failure)) Option {
+	return func(b *Backend) { b.guard = f }
+}
+
+// WithCrashed sets the function that hears of crashes, once for each incarnation.
+func WithCrashed(f func(Crash)) Option { return func(b *Backend) { b.crashed = f } }
+
+// WithContext sets the value of Mesh-Context for a call; empty for none.
+func WithContext(f func(m hop.Meta, deadline time.Time) string) Option {
+	return func(b *Backend) { b.context = f }
+}
+
+// WithRenew sets the period after which endpoints renew (2 s); an endpoint that misses three leaves.
+func WithRenew(d time.Duration) Option { return func(b *Backend) { b.renew = d } }
+
+// WithLog sets the log.
+func WithLog(log logr.Logger) Option { return func(b *Backend) { b.log = log } }
+
+// WithNow sets the clock.
+func WithNow(f func() time.Time) Option { return func(b *Backend) { b.now = f } }
+
+// WithTransport replaces the constructor of an endpoint's transport.
+func WithTransport(f func(a Announcement) *http.Transport) Option {
+	return func(b *Backend) { b.transport = f }
+}
--- /dev/null
+++ b/io/caller/call.go
@@ -0,0 +1,213 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"godwitspindle/core/outcome"
+	"godwitspindle/io/hop"
+)
+
+// call is one request on its way.
+type call struct {
+	handler  *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	began    time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	match    Match
+	deadline time.Time
+	depth    int
+	budget   int
+	body     *body
+	key      string // idempotency key of a request that may run only once
+	meta     hop.Meta
+	out      *http.Request // what is sent, but for body and metadata
+
+	endpoint string // of the last attempt
+	reason   string // why it was picked
+	tried    []string
+	repicks  int
+	retries  int
+	doubt    bool // an earlier attempt may have run
+}
+
+func (c *call) fail(code outcome.Code, status int, detail string, err error) *outcome.Failure {
+	return &outcome.Failure{Code: code, Kind: outcome.NotRun, Status: status, Detail: detail, Call: c.id, Err: err}
+}
+
+// prepare checks the request and fills the call; nothing has run when it fails.
+func (c *call) prepare() *outcome.Failure {
+	passed := c.r.Header.Values(HeaderContext)
+	hop.Strip(c.r.Header)
+	if hop.IsUpgrade(c.r) {
+		return c.fail(outcome.Refused, http.StatusNotImplemented, "upgrades and tunnels are not supported", nil)
+	}
+	if f := c.route(); f != nil {
+		return f
+	}
+	if f := c.inherit(passed); f != nil {
+		return f
+	}
+	if f := c.readKey(); f != nil {
+		return f
+	}
+	if f := c.readBody(); f != nil {
+		return f
+	}
+	c.fill()
+	return nil
+}
+
+func (c *call) route() *outcome.Failure {
+	host := c.r.Host
+	if n, _, err := net.SplitHostPort(host); err == nil {
+		host = n
+	}
+	if dotted(c.r.URL.Path) || len(host) > maxHostBytes {
+		// A backend server might resolve dot segments to a path of another route.
+		return c.fail(outcome.NoRoute, http.StatusBadRequest, "the path has dot segments or the host is too long", nil)
+	}
+	m, f := c.handler.match(strings.ToLower(host), c.r.URL.Path, c.r.Method)
+	if f != nil {
+		return f
+	}
+	if m.Route == nil || m.Service == nil {
+		return c.fail(outcome.NoRoute, http.StatusNotFound, "no route matches", nil)
+	}
+	if m.Service.Internal && !c.handler.local {
+		return c.fail(outcome.Internal, http.StatusForbidden, "the service is not open to callers", nil)
+	}
+	c.match = m
+	return nil
+}
+
+// inherit takes depth, deadline and budget from the call that this one is made for.
+func (c *call) inherit(passed []string) *outcome.Failure {
+	route := c.match.Route
+	c.depth, c.deadline, c.budget = 1, c.began.Add(min(route.Deadline, hop.MaxDeadline)), route.Retries
+	if c.handler.local && len(passed) > 0 {
+		above, err := ParseContext(passed[0])
+		if err != nil || len(passed) > 1 {
+			return c.fail(outcome.Depth, http.StatusBadRequest, "the header Mesh-Context was altered", err)
+		}
+		c.depth, c.budget = above.Depth+1, min(c.budget, above.Budget)
+		if above.Deadline.Before(c.deadline) {
+			c.deadline = above.Deadline
+		}
+	}
+	if c.depth > outcome.MaxDepth {
+		return c.fail(outcome.Depth, http.StatusLoopDetected, fmt.Sprintf("the call chain is deeper than %d", outcome.MaxDepth), nil)
+	}
+	remaining := c.deadline.Sub(c.began)
+	if remaining < time.Millisecond {
+		return c.fail(outcome.Late, http.StatusGatewayTimeout, "no time is left", nil)
+	}
+	c.ctx, c.cancel = context.WithTimeout(c.r.Context(), remaining)
+	return nil
+}
+
+func (c *call) readKey() *outcome.Failure {
+	keys := c.r.Header.Values("Idempotency-Key")
+	if c.match.Route.Idempotent || len(keys) == 0 {
+		return nil
+	}
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
+		return c.fail(outcome.Oversize, http.StatusBadRequest, fmt.Sprintf("Idempotency-Key must be one value of 1 to %d bytes", maxKeyBytes), nil)
+	}
+	c.key = keys[0]
+	// The run goes on when its caller goes away, so that a resend finds the answer.
+	remaining := c.deadline.Sub(c.began)
+	c.cancel()
+	c.ctx, c.cancel = context.WithTimeout(context.WithoutCancel(c.r.Context()), remaining)
+	return nil
+}
+
+func (c *call) readBody() *outcome.Failure {
+	if c.r.ContentLength > c.handler.maxBody {
+		return c.fail(outcome.Oversize, http.StatusRequestEntityTooLarge, "the body is too large", nil)
+	}
+	if c.r.Body != nil && c.r.Body != http.NoBody {
+		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline) // a slow upload ends at the deadline
+		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, c.handler.maxBody)
+	}
+	b, err := readBody(c.r)
+	if err == nil {
+		c.body = b
+		return nil
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return c.fail(outcome.Oversize, http.StatusRequestEntityTooLarge, "the body is too large", err)
+	}
+	if !c.handler.now().Before(c.deadline) {
+		return c.fail(outcome.Late, http.StatusRequestTimeout, "the deadline passed while the body was read", err)
+	}
+	return c.fail(outcome.Canceled, http.StatusBadRequest, "the body broke off", err)
+}
+
+func (c *call) fill() {
+	route := c.match.Route
+	u := c.r.URL
+	identity := hop.Identity{Service: route.Service, Method: c.r.Method, Path: u.Path, Query: u.RawQuery, Key: c.key, Body: c.body.head}
+	c.meta = hop.Meta{
+		Call: c.id, Service: route.Service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
+		Priority: route.Priority, Caller: c.peer(), Print: identity.Print(),
+	}
+	c.out = &http.Request{Method: c.r.Method, URL: u, Host: c.r.Host, Header: hop.Outbound(c.r), Trailer: c.r.Trailer}
+}
+
+// peer returns the caller's IP address, by which the admission is kept fair.
+func (c *call) peer() string {
+	a, err := netip.ParseAddrPort(c.r.RemoteAddr)
+	if err != nil {
+		return ""
+	}
+	return a.Addr().Unmap().WithZone("").String()
+}
+
+// refuse answers with a failure.
+func (c *call) refuse(f *outcome.Failure) {
+	f = hop.AsFailure(f, c.id)
+	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
+		"outcome", f.Kind, "reason", f.Detail, "error", f.Err, "took", c.handler.now().Sub(c.began))
+	hop.Strip(c.w.Header())
+	f.Write(c.w)
+}
+
+func (c *call) succeeded(status int) {
+	if !c.handler.sample() {
+		return
+	}
+	c.handler.log.Info("request answered", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "status", status,
+		"reason", c.reason, "took", c.handler.now().Sub(c.began))
+}
+
+func (c *call) broken(err error) {
+	c.handler.log.Info("answer broke off", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "error", err.Error(),
+		"took", c.handler.now().Sub(c.began))
+}
+
+func (c *call) routeName() string {
+	if c.match.Route == nil {
+		return ""
+	}
+	return c.match.Route.Name
+}
+
+func dotted(path string) bool {
+	for part := range strings.SplitSeq(path, "/") {
+		if part == "." || part == ".." {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/hop/classify.go
@@ -0,0 +1,73 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"godwitspindle/core/outcome"
+)
+
+// refusedStream is the HTTP/2 code REFUSED_STREAM (RFC 9113 section 8.7: no application processing was done).
+const refusedStream = 7
+
+// net/http exports neither values nor types for these errors. TestCallFaults provokes them on real sockets, so that a
+// changed text is found; an unrecognised text only makes the outcome Unknown.
+const (
+	textGoAway      = "http2: Transport received Server's graceful shutdown GOAWAY" // stream above the last processed one
+	textUnusable    = "http2: client conn not usable"                               // before anything was sent
+	textUnopened    = "http2: client conn could not be established"                 // before anything was sent
+	statusRefused   = http.StatusServiceUnavailable
+	statusDeadline  = http.StatusGatewayTimeout
+	statusBroken    = http.StatusBadGateway
+	statusCancelled = 499 // customary for a caller that went away
+)
+
+// streamError has the shape that net/http's HTTP/2 stream error converts itself to in errors.As.
+type streamError struct {
+	StreamID uint32
+	Code     uint32
+	Cause    error
+}
+
+// Error is only needed for errors.As.
+func (e streamError) Error() string { return "stream error" }
+
+func failure(code outcome.Code, kind outcome.Kind, call, detail string, err error) *outcome.Failure {
+	status := statusRefused
+	switch {
+	case code == outcome.Late:
+		status = statusDeadline
+	case code == outcome.Canceled:
+		status = statusCancelled
+	case kind != outcome.NotRun:
+		status = statusBroken
+	}
+	return &outcome.Failure{Code: code, Kind: kind, Status: status, Detail: detail, Call: call, Err: err}
+}
+
+// classify turns a round trip's error into a failure.
+func classify(ctx context.Context, call string, err error) *outcome.Failure {
+	if unprocessed(err) {
+		return failure(outcome.Refused, outcome.NotRun, call, "the peer refused the stream", err)
+	}
+	switch ctx.Err() {
+	case nil:
+		return failure(outcome.Reset, outcome.Unknown, call, "the connection to the peer broke", err)
+	case context.DeadlineExceeded:
+		return failure(outcome.Late, outcome.Unknown, call, "the deadline passed during the call", err)
+	}
+	return failure(outcome.Canceled, outcome.Unknown, call, "the caller went away", err)
+}
+
+func unprocessed(err error) bool {
+	var s streamError
+	if errors.As(err, &s) {
+		return s.Code == refusedStream
+	}
+	switch err.Error() {
+	case textGoAway, textUnusable, textUnopened:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/io/hop/header.go
@@ -0,0 +1,85 @@
+package hop
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// via is added to forwarded messages, as RFC 9110 section 7.6.3 asks of a proxy.
+const via = "1.1 godwitspindle"
+
+// perConnection are the headers that concern one connection only (RFC 9110 section 7.6.1 and earlier practice).
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Authentication-Info",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings",
+}
+
+// Clean removes the headers that concern one connection only, those that Connection names, and all Mesh-* headers.
+func Clean(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, k := range perConnection {
+		delete(h, k)
+	}
+	Strip(h)
+}
+
+// Outbound returns the headers to forward for a received request: cleaned, with Via, and without Expect, which the
+// receiving listener has answered.
+func Outbound(r *http.Request) http.Header {
+	trailers := acceptsTrailers(r.Header["Te"])
+	h := r.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	Clean(h)
+	delete(h, "Expect")
+	if trailers {
+		h["Te"] = []string{"trailers"}
+	}
+	h["Via"] = append(h["Via"], via)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	return h
+}
+
+// IsUpgrade reports whether a request asks for another protocol on its connection.
+func IsUpgrade(r *http.Request) bool {
+	return r.Method == http.MethodConnect || r.Header.Get("Upgrade") != ""
+}
+
+func acceptsTrailers(lines []string) bool {
+	for _, line := range lines {
+		for part := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(textproto.TrimString(part), "trailers") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// defaultShed is taken for a Retry-After that is a date or cannot be read.
+const defaultShed = time.Second
+
+// Shed reports whether a backend server's answer says that it sheds load (503 with Retry-After), and for how long.
+func Shed(p *http.Response) (time.Duration, bool) {
+	value := p.Header.Get("Retry-After")
+	if p.StatusCode != http.StatusServiceUnavailable || value == "" {
+		return 0, false
+	}
+	seconds, err := strconv.Atoi(value)
+	if err != nil || seconds < 0 {
+		return defaultShed, true
+	}
+	return min(time.Duration(seconds)*time.Second, MaxDeadline), true
+}
--- /dev/null
+++ b/io/hop/print.go
@@ -0,0 +1,37 @@
+package hop
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxPrintBytes is how much of a body counts for its fingerprint.
+const MaxPrintBytes = 64 << 10
+
+// secondSeed makes the two halves of a fingerprint independent.
+const secondSeed = 0x9e3779b97f4a7c15
+
+// Identity holds what a fingerprint covers.
+type Identity struct {
+	Service, Method, Path, Query, Key string
+	Body                              []byte // the first MaxPrintBytes
+}
+
+// Print returns the fingerprint: two independently seeded 64-bit xxhash values of all fields, each with its length.
+func (i Identity) Print() (p Print) {
+	body := i.Body[:min(len(i.Body), MaxPrintBytes)]
+	for n, seed := range [2]uint64{0, secondSeed} {
+		var d xxhash.Digest
+		d.ResetWithSeed(seed)
+		for _, s := range [...]string{i.Service, i.Method, i.Path, i.Query, i.Key} {
+			var length [8]byte
+			binary.BigEndian.PutUint64(length[:], uint64(len(s)))
+			_, _ = d.Write(length[:])
+			_, _ = d.WriteString(s)
+		}
+		_, _ = d.Write(body)
+		binary.BigEndian.PutUint64(p[8*n:], d.Sum64())
+	}
+	return p
+}
--- /dev/null
+++ b/io/hop/server.go
@@ -0,0 +1,159 @@
+package hop
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"godwitspindle/core/outcome"
+)
+
+// Bounds of the server side.
+const (
+	defaultBodyBytes  = 16 << 20
+	readHeaderTimeout = 5 * time.Second
+	serverIdleTimeout = 2 * idleTimeout // longer than the client's, so that the client closes first
+)
+
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithServerKey sets the key that calls must show; an empty key admits all.
+func WithServerKey(key string) ServerOption {
+	return func(s *Server) { s.open, s.key = key == "", sha256.Sum256([]byte(key)) }
+}
+
+// WithDo sets the function that runs admitted calls.
+func WithDo(do Do) ServerOption { return func(s *Server) { s.do = do } }
+
+// WithNext sets the handler of requests that are not inner calls.
+func WithNext(next http.Handler) ServerOption { return func(s *Server) { s.next = next } }
+
+// WithMaxBody bounds request bodies in bytes.
+func WithMaxBody(n int64) ServerOption { return func(s *Server) { s.maxBody = n } }
+
+// Server is the http.Handler of the peer listener for inner calls.
+type Server struct {
+	key     [sha256.Size]byte
+	open    bool
+	maxBody int64
+	do      Do
+	next    http.Handler
+}
+
+// NewServer returns the handler.
+func NewServer(opts ...ServerOption) *Server {
+	s := &Server{open: true, maxBody: defaultBodyBytes, next: http.NotFoundHandler()}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// HTTPServer returns an http.Server for a handler of inner calls: HTTP/2 in cleartext and over TLS, with all bounds set.
+func HTTPServer(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP2(true)
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: peerBufferBytes,
+			MaxReceiveBufferPerStream:     streamBufferBytes,
+			SendPingTimeout:               pingInterval,
+			PingTimeout:                   pingTimeout,
+			WriteByteTimeout:              pingTimeout,
+		},
+	}
+}
+
+// ServeHTTP checks the key and the metadata and runs the call. Every answer echoes the call id.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	call := r.Header.Get(headerCall)
+	if call == "" {
+		s.next.ServeHTTP(w, r)
+		return
+	}
+	if f := s.check(r); f != nil {
+		f.Call = call
+		f.Write(w)
+		return
+	}
+	m, err := Decode(r.Header)
+	if err != nil {
+		f := failure(outcome.Refused, outcome.NotRun, call, "the call's metadata is not valid", err)
+		f.Status = http.StatusBadRequest
+		f.Write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), m.Remaining)
+	defer cancel()
+	Strip(r.Header)
+	p, err := s.do(ctx, m, s.inbound(w, r))
+	if err != nil {
+		AsFailure(err, call).Write(w)
+		return
+	}
+	w.Header()[headerCall] = []string{call}
+	if err := Copy(w, p); err != nil {
+		panic(http.ErrAbortHandler) // resets the stream, so that the peer sees a broken answer
+	}
+}
+
+// AsFailure returns err as the failure of a call; an error of another type is reported as Unknown.
+func AsFailure(err error, call string) *outcome.Failure {
+	var f *outcome.Failure
+	if !errors.As(err, &f) {
+		return failure(outcome.Reset, outcome.Unknown, call, "the call failed", err)
+	}
+	if f.Call != call {
+		n := *f
+		n.Call = call
+		f = &n
+	}
+	return f
+}
+
+func (s *Server) check(r *http.Request) *outcome.Failure {
+	if s.open {
+		return nil
+	}
+	// Hashes have equal length, so the comparison shows nothing about the key's length.
+	got := sha256.Sum256([]byte(r.Header.Get(headerKey)))
+	if subtle.ConstantTimeCompare(got[:], s.key[:]) == 1 {
+		return nil
+	}
+	return &outcome.Failure{
+		Code: outcome.Refused, Kind: outcome.NotRun, Status: http.StatusUnauthorized,
+		Detail: "the shared key does not match; check the setting key on both nodes",
+	}
+}
+
+func (s *Server) inbound(w http.ResponseWriter, r *http.Request) *http.Request {
+	body := r.Body
+	if r.ContentLength == 0 {
+		body = nil
+	}
+	if body != nil {
+		body = http.MaxBytesReader(w, body, s.maxBody)
+	}
+	return &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery},
+		Host:          r.Host,
+		Header:        r.Header,
+		Body:          body,
+		ContentLength: r.ContentLength,
+		Trailer:       r.Trailer,
+	}
+}
