--- a/cmd/run.go
+++ b/cmd/run.go
@@ -148,8 +148,10 @@
 	if err == nil {
 		return ExitDone
 	}
+	// An unreachable mesh wraps the problem of its last attempt, which is not the answer to the command.
+	_, unreachable := errors.AsType[*operator.UnreachableError](err)
 	p, isProblem := errors.AsType[*operator.Problem](err)
-	if !isProblem {
+	if unreachable || !isProblem {
 		_, _ = fmt.Fprintln(s.stderr, err)
 		return code(err)
 	}
--- /dev/null
+++ b/cmd/run_test.go
@@ -0,0 +1,160 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"godwitspindle/core/wire"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/platform"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+type badFile struct{}
+
+func (badFile) Error() string { return "bad" }
+
+// program parses every file as valid but one that holds "bad".
+func program() *Program {
+	check := func(data []byte) error {
+		if bytes.Contains(data, []byte("bad")) {
+			return badFile{}
+		}
+		return nil
+	}
+	return &Program{
+		Node:          func(context.Context, *platform.Settings, logr.Logger) error { return nil },
+		ParseRegister: func(data []byte) (*wire.Register, error) { return &wire.Register{}, check(data) },
+		ParseRules:    func(data []byte) (*wire.RuleSet, error) { return &wire.RuleSet{}, check(data) },
+		Faults: func(error) []*wire.Fault {
+			return []*wire.Fault{{Field: "routes[0].deadline", Expected: `a time from "1ms" to "5m"`}, {Field: "routes[1].service", Expected: "a name"}}
+		},
+	}
+}
+
+func mesh(t *testing.T) string {
+	t.Helper()
+	propose := func(_ context.Context, c *wire.Change) (*wire.Result, error) {
+		if c.GetBase() != 40 {
+			winner := &wire.Accepted{Version: 40, Author: "mira", Reason: "more slots", Time: 1_700_000_000_000}
+			return &wire.Result{Body: &wire.Result_Conflict{Conflict: &wire.Conflict{Winner: winner, Fields: []string{"service/counter.slots"}}}}, nil
+		}
+		a := &wire.Accepted{Version: 41, Id: c.GetId(), Author: c.GetAuthor(), Reason: c.GetReason(), Time: 1_700_000_000_000, Part: "rules/main", Differences: []*wire.Difference{
+			{Key: "route/buy", After: "POST /passes to counter"},
+			{Key: "route/old", Before: "GET /old to archive"},
+			{Key: "route/fare", Field: "deadline", Before: "2s", After: "1s"},
+			{Key: "route/fare", Field: "host", After: "fares"},
+		}}
+		return &wire.Result{Body: &wire.Result_Accepted{Accepted: a}}, nil
+	}
+	behind := []operator.Behind{{Node: "n7", Version: 39, Reason: "unreachable", Heard: operator.Duration(12 * time.Second)}}
+	s := httptest.NewServer(operator.New(
+		operator.WithPropose(propose), operator.WithPlan(propose),
+		operator.WithStatus(func(context.Context) (*operator.Status, error) {
+			return &operator.Status{
+				Node: "n1", Version: 40, Nodes: 12, Current: 11, Spread: -1, Age: operator.Duration(310 * time.Millisecond), Leader: "a",
+				Replicas: []operator.Member{{Name: "a", Role: "leader"}, {Name: "b", Role: "voter"}, {Name: "c", Role: "learner"}},
+				Behind:   behind, Services: []operator.Usage{{Name: "archive", Endpoints: 5, Slots: 60}, {Name: "counter", Endpoints: 3, Slots: 36}},
+			}, nil
+		}),
+		operator.WithHistory(func(ctx context.Context, _ int) ([]*wire.Accepted, error) {
+			r, err := propose(ctx, &wire.Change{Base: 40, Author: "jo", Reason: "faster fares"})
+			return []*wire.Accepted{r.GetAccepted()}, err
+		}),
+		operator.WithContent(func(context.Context, uint64) (uint64, *wire.Content, error) {
+			return 40, &wire.Content{Sets: []*wire.RuleSet{{Set: "main"}}}, nil
+		}),
+		operator.WithWait(func(ctx context.Context, version uint64, report func(operator.Progress)) error {
+			for range 2 {
+				report(operator.Progress{Version: version, Nodes: 12, Current: 11, Elapsed: operator.Duration(300 * time.Millisecond), Behind: behind})
+			}
+			if version > 41 {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			report(operator.Progress{Version: version, Nodes: 12, Current: 12, Elapsed: operator.Duration(420 * time.Millisecond), Done: true})
+			return nil
+		}),
+		operator.WithParsers(func([]byte) (*wire.Register, error) { return &wire.Register{}, nil }, func([]byte) (*wire.RuleSet, error) { return &wire.RuleSet{}, nil }, nil),
+	))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Guards against changed output, an exit code that differs from section 11, and a flag that is taken silently.
+func TestCommands(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, data string) string {
+		file := filepath.Join(folder, name)
+		if err := os.WriteFile(file, []byte(data), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	good, bad := write("good.json", "{}"), write("bad.json", `{"bad":1}`)
+	settings := write("settings.json", `{"name":"a","region":"munnar","domain":"lower","listen":{"caller":"127.0.0.1:80"},"replicas":[{"name":"r","address":"10.0.0.9:7003"}]}`)
+	at := mesh(t)
+	tests := []struct {
+		args string
+		want int
+	}{
+		{"--help", ExitDone},
+		{"apply --help", ExitDone},
+		{"", ExitUsage},
+		{"frobnicate", ExitUsage},
+		{"status --frob", ExitUsage},
+		{"status extra", ExitUsage},
+		{"status --at host:1", ExitUsage},
+		{"node", ExitUsage},
+		{"node " + settings, ExitDone},
+		{"node " + bad, ExitUsage},
+		{"demo", ExitFailed},
+		{"check", ExitUsage},
+		{"check " + settings, ExitDone},
+		{"check " + bad + " --register " + bad + " --rules missing.json", ExitUsage},
+		{"plan --at AT --rules " + good, ExitDone},
+		{"plan --at AT --json --rules " + good, ExitDone},
+		{"plan --at AT --rules " + bad, ExitUsage},
+		{"apply --at AT --rules " + good + " --register " + good, ExitUsage},
+		{"apply --at AT --rules " + good, ExitUsage},
+		{"apply --at AT --rules " + good + " --reason r --author jo --id i --wait", ExitDone},
+		{"apply --at AT --rules " + good + " --reason r --author jo --base 39", ExitConflict},
+		{"revert 12 --at AT --reason r --author jo --id i", ExitDone},
+		{"status --at AT", ExitDone},
+		{"status --at AT --json", ExitDone},
+		{"history --at AT", ExitDone},
+		{"show --at AT --rules main", ExitDone},
+		{"show --at AT --rules other", ExitUsage},
+		{"wait 41 --at AT", ExitDone},
+		{"wait 42 --at AT --timeout 50ms", ExitTimeout},
+		{"status --at 127.0.0.1:1", ExitUnreachable},
+	}
+	var out strings.Builder
+	for _, tt := range tests {
+		var stdout, stderr bytes.Buffer
+		got := program().Run(t.Context(), strings.Fields(strings.ReplaceAll(tt.args, "AT", at)), &stdout, &stderr)
+		if got != tt.want {
+			t.Errorf("%s: got exit code %d, want %d: %s", tt.args, got, tt.want, stderr.String())
+		}
+		fmt.Fprintf(&out, "$ godwitspindle %s\n%s%s", tt.args, stdout.String(), stderr.String())
+	}
+	text := strings.NewReplacer(folder+"/", "", at, "AT").Replace(out.String())
+	if *update {
+		_ = os.WriteFile("testdata/commands.txt", []byte(text), 0o600)
+	}
+	want, err := os.ReadFile("testdata/commands.txt")
+	if err != nil || text != string(want) {
+		t.Errorf("got:\n%s\nwant:\n%s", text, want)
+	}
+}
--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -8,8 +8,10 @@
 	"math"
 	"mime"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
 
 	"godwitspindle/core/wire"
 )
@@ -72,6 +74,10 @@
 	if len(c.ID) > maxIDBytes || len(c.Author) > maxTextBytes || len(c.Reason) > maxTextBytes {
 		return nil, malformed("expected an id of at most 128 bytes, and author and reason of at most 1000 each")
 	}
+	// Control characters would reach the terminals of everyone who reads the history.
+	if strings.ContainsFunc(c.ID+c.Author+c.Reason, unicode.IsControl) {
+		return nil, malformed("id, author and reason: expected one line without control characters")
+	}
 	return s.convert(c)
 }
 
--- a/io/operator/problem.go
+++ b/io/operator/problem.go
@@ -124,7 +124,9 @@
 		p.Title, p.Status, p.Next = "the id was used for another change", http.StatusConflict, "apply with a new id"
 	case CodeExpired:
 		p.Title, p.Status = "the base is older than the retained history", http.StatusConflict
-		p.Next = "plan again on the current version, and apply with a new id"
+		// The id may have been forgotten too, so a late resend cannot be told from a new change.
+		p.Outcome = Unknown
+		p.Next = "look for the id in history; if it is not there, plan again on the current version, and apply with a new id"
 	case CodeMissing:
 		p.Title, p.Status, p.Next = "version not retained", http.StatusNotFound, "choose a version that history lists"
 	default:
--- a/io/platform/read.go
+++ b/io/platform/read.go
@@ -54,9 +54,9 @@
 		delete(values, f.Path)
 		switch {
 		case !ok && f.Required:
-			r.fault(f.Path, "a value, as it has no default: "+f.Unit)
+			r.fault(f.Path, "a value ("+f.Unit+"), as it has no default")
 		case ok && bytes.Equal(raw, []byte("null")):
-			r.fault(f.Path, f.Unit+", or no such field")
+			r.fault(f.Path, f.Unit+", not null")
 		case ok && f.Path == "replicas":
 			r.replicas(raw)
 		case ok:
