--- a/io/platform/server_test.go
+++ b/io/platform/server_test.go
@@ -75,6 +75,37 @@
 	return string(got)
 }
 
+// Guards against a read time limit that ends a long poll or a long call whose request was read in time.
+func TestLongAnswer(t *testing.T) {
+	l := DefaultLimits()
+	l.HeaderTime, l.ReadTime = 50*time.Millisecond, 100*time.Millisecond
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusTeapot)
+		case <-time.After(300 * time.Millisecond):
+		}
+	})
+	s, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), slow, WithLimits(l), WithH2C())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	for _, h2 := range []bool{false, true} {
+		p := new(http.Protocols)
+		p.SetHTTP1(!h2)
+		p.SetUnencryptedHTTP2(h2)
+		client := &http.Client{Transport: &http.Transport{Protocols: p}}
+		for _, body := range []string{"", "x"} {
+			r, err := client.Post("http://"+s.Address().String(), "text/plain", strings.NewReader(body))
+			if err != nil || r.StatusCode != http.StatusOK {
+				t.Errorf("body %q, HTTP/2 %v: got %v %v, want 200", body, h2, r, err)
+			}
+		}
+	}
+}
+
 // Guards against connections over the limit being served or a closed one keeping its place.
 func TestConnections(t *testing.T) {
 	var refused atomic.Int32
--- a/io/platform/tls.go
+++ b/io/platform/tls.go
@@ -111,7 +111,8 @@
 	}
 }
 
-// Dial opens a mutual TLS connection with the current files; it fits http.Transport.DialTLSContext.
+// Dial opens a mutual TLS connection with the current files; it fits http.Transport.DialTLSContext, which speaks HTTP/2 only
+// when the transport's Protocols or ForceAttemptHTTP2 say so.
 func (t *TLS) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := tls.Dialer{NetDialer: &net.Dialer{Timeout: 5 * time.Second}, Config: t.Client()}
 	return d.DialContext(ctx, network, address)
