--- /dev/null
+++ b/core/config/members.go
@@ -0,0 +1,37 @@
+package config
+
+import (
+	"strings"
+
+	"godwitspindle/core/wire"
+)
+
+// Members returns the nodes and endpoints of the snapshot in key order; the messages must not be changed.
+func (s *Snapshot) Members() ([]*wire.Node, []*wire.Endpoint) {
+	var nodes []*wire.Node
+	var endpoints []*wire.Endpoint
+	for _, r := range s.records {
+		switch m := r.message.(type) {
+		case *wire.Node:
+			nodes = append(nodes, m)
+		case *wire.Endpoint:
+			endpoints = append(endpoints, m)
+		}
+	}
+	return nodes, endpoints
+}
+
+// Endpoint returns the usable endpoint with the key SERVICE/NAME; one that is drained or not agreed is not found.
+func (t *Table) Endpoint(key string) (*Endpoint, bool) {
+	service, name, _ := strings.Cut(key, "/")
+	s, ok := t.Service(service)
+	if !ok {
+		return nil, false
+	}
+	for i := range s.Endpoints {
+		if s.Endpoints[i].Name == name {
+			return &s.Endpoints[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/core/relay/below.go
@@ -0,0 +1,32 @@
+package relay
+
+import "time"
+
+// Children returns the number of nodes that poll this one.
+func (t *Tracker) Children() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.children)
+}
+
+// Lowest returns the lowest version that a node below holds.
+func (t *Tracker) Lowest() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	lowest := ^uint64(0)
+	for _, c := range t.children {
+		lowest = min(lowest, c.lowest)
+	}
+	return lowest
+}
+
+// Fresh returns a function that reports whether a node was heard within two poll intervals of now.
+func (t *Tracker) Fresh(now time.Time) func(name string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	fresh := make(map[string]bool, len(t.names))
+	for k, n := range t.names {
+		fresh[k] = now.Sub(n.heard) < quietPolls*t.poll
+	}
+	return func(name string) bool { return fresh[name] }
+}
--- a/core/relay/choice.go
+++ b/core/relay/choice.go
@@ -63,7 +63,7 @@
 	slices.SortFunc(near, spread)
 	slices.SortFunc(far, spread)
 	slices.SortFunc(replicas, spread)
-	if i := slices.IndexFunc(replicas, func(n Node) bool { return n.Name == leader }); relay && i > 0 {
+	if i := slices.IndexFunc(replicas, func(n Node) bool { return n.Name == leader }); (relay || self.Replica) && i > 0 {
 		l := replicas[i]
 		replicas = slices.Insert(slices.Delete(replicas, i, i+1), 0, l)
 	}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,16 @@
+// Package examples holds the registers and rules of two deployments.
+package examples
+
+import _ "embed" // for the files below
+
+// The asset registers and rules of Sahyadri Ropeway Passes and Karrakatta Cold Chain Compliance, in JSON.
+var (
+	//go:embed sahyadri-register.json
+	SahyadriRegister []byte
+	//go:embed sahyadri-rules.json
+	SahyadriRules []byte
+	//go:embed karrakatta-register.json
+	KarrakattaRegister []byte
+	//go:embed karrakatta-rules.json
+	KarrakattaRules []byte
+)
--- /dev/null
+++ b/io/host/announcer.go
@@ -0,0 +1,105 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwitspindle/core/config"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	announceTimeout = 5 * time.Second
+	announceSettle  = 2 * time.Second // time for an announcement to come back as a version before it is sent again
+)
+
+// announcer keeps the agreed set in step with what the node announces.
+type announcer struct {
+	current func() *rpc.AnnounceRequest
+	send    func(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error)
+	agreed  func() *config.Snapshot
+	failed  func(err error)
+	wake    chan struct{}
+	stop    context.CancelFunc
+	wait    sync.WaitGroup
+}
+
+func newAnnouncer(current func() *rpc.AnnounceRequest, send func(context.Context, *rpc.AnnounceRequest) (time.Duration, error), agreed func() *config.Snapshot, failed func(error)) *announcer {
+	ctx, stop := context.WithCancel(context.Background())
+	a := &announcer{current: current, send: send, agreed: agreed, failed: failed, wake: make(chan struct{}, 1), stop: stop}
+	a.wait.Go(func() { a.run(ctx) })
+	return a
+}
+
+// notify makes the announcer compare again now.
+func (a *announcer) notify() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *announcer) close() {
+	a.stop()
+	a.wait.Wait()
+}
+
+func (a *announcer) run(ctx context.Context) {
+	timer := time.NewTicker(announceSettle)
+	defer timer.Stop()
+	for {
+		r := a.current()
+		if differs(a.agreed(), r) {
+			a.announce(ctx, r)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+func (a *announcer) announce(ctx context.Context, r *rpc.AnnounceRequest) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	if _, err := a.send(ctx, r); err != nil && ctx.Err() == nil {
+		a.failed(err)
+	}
+}
+
+// differs reports whether the agreed set lacks something that the node announces or has something that it does not.
+func differs(s *config.Snapshot, r *rpc.AnnounceRequest) bool {
+	if !holds(s, r.GetNode()) {
+		return true
+	}
+	announced := map[string]bool{}
+	for _, e := range r.GetEndpoints() {
+		announced[config.KeyOf(e)] = true
+		_, known := s.Get("service/" + e.GetService())
+		if known && !holds(s, e) {
+			return true
+		}
+	}
+	_, endpoints := s.Members()
+	for _, e := range endpoints {
+		if e.GetNode() == r.GetNode().GetName() && !announced[config.KeyOf(e)] {
+			return true
+		}
+	}
+	return false
+}
+
+func holds(s *config.Snapshot, m proto.Message) bool {
+	e, ok := s.Get(config.KeyOf(m))
+	if !ok {
+		return false
+	}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	return err == nil && string(value) == string(e.Value)
+}
+
--- /dev/null
+++ b/io/host/calls.go
@@ -0,0 +1,200 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/outcome"
+	"godwitspindle/core/retry"
+	"godwitspindle/core/routing"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/caller"
+	"godwitspindle/io/hop"
+)
+
+const (
+	avoidDraining    = 5 * time.Second // a leave is agreed and distributed well within this
+	avoidUnreachable = time.Second
+)
+
+// match finds the route of a request in the version in force.
+func (h *Host) match(host, path, method string) (caller.Match, *outcome.Failure) {
+	if !h.holder.Serving() {
+		return caller.Match{}, &outcome.Failure{
+			Code: outcome.Unproven, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, After: time.Second,
+			Detail: "the node has not yet proved that its configuration is current",
+		}
+	}
+	t := h.holder.View().Table
+	r, ok := t.Match(host, path, method)
+	if !ok {
+		return caller.Match{}, nil
+	}
+	s, ok := t.Service(r.Service)
+	if !ok {
+		return caller.Match{}, nil
+	}
+	return caller.Match{Route: r, Service: s}, nil
+}
+
+// pick chooses an endpoint.
+func (h *Host) pick(p caller.Pick) (config.Endpoint, string, error) {
+	h.budget.Count(p.Now)
+	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now})
+	if err != nil {
+		return config.Endpoint{}, "", err
+	}
+	return *c.Endpoint, c.Reason, nil
+}
+
+// observe feeds the outcome of an attempt back to the choice of endpoints.
+func (h *Host) observe(endpoint string, o caller.Observation) {
+	f := o.Failure
+	if f == nil {
+		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable})
+		return
+	}
+	notRun := f.Kind == outcome.NotRun
+	unreachable := f.Code == outcome.Unreachable || f.Code == outcome.Refused
+	canceled := f.Code == outcome.Canceled
+	h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: unreachable || !notRun && !canceled, NotRun: notRun})
+	switch f.Code {
+	case outcome.Draining, outcome.NoEndpoint:
+		h.picker.Avoid(endpoint, o.At.Add(avoidDraining), string(f.Code))
+	case outcome.Unreachable:
+		h.picker.Avoid(endpoint, o.At.Add(avoidUnreachable), string(f.Code))
+	}
+}
+
+// send carries an attempt to its endpoint, past the inner hop when it is beside this node.
+func (h *Host) send(ctx context.Context, e config.Endpoint, m hop.Meta, r *http.Request) (*http.Response, error) {
+	if e.Node == h.settings.Name {
+		return h.backend.Do(ctx, m, r)
+	}
+	return h.hops.Call(ctx, e.Address, m, r)
+}
+
+// decide asks whether a failed attempt is sent again.
+func (h *Host) decide(a caller.Attempt) caller.Verdict {
+	v := retry.Decide(retry.Attempt{
+		Kind:       a.Failure.Kind,
+		Code:       a.Failure.Code,
+		Idempotent: a.Route.Idempotent,
+		Retries:    a.Route.Retries,
+		Used:       a.Retries,
+		Repicks:    a.Repicks,
+		Share:      a.Budget,
+		Now:        a.Now,
+		Deadline:   a.Deadline,
+	}, h.budget)
+	verdict := caller.Verdict{Again: v.Action != retry.Stop, Repick: v.Action == retry.Repick, Reason: v.Reason}
+	if v.Action == retry.Retry {
+		verdict.Wait = a.Failure.After
+		h.metrics.Retries.WithLabelValues("retry").Inc()
+	}
+	if v.Action == retry.Repick {
+		h.metrics.Retries.WithLabelValues("repick").Inc()
+	}
+	return verdict
+}
+
+func claimOf(kind wire.ClaimKind, c caller.Claim) *wire.Claim {
+	return &wire.Claim{
+		Kind:        kind,
+		Route:       c.Route,
+		Key:         c.Key,
+		Fingerprint: c.Print[:],
+		Owner:       c.Owner,
+		Deadline:    c.Deadline.UnixMilli(),
+	}
+}
+
+// claim makes an idempotency key's claim durable.
+func (h *Host) claim(ctx context.Context, c caller.Claim) (caller.ClaimAnswer, error) {
+	r, err := h.proposer.Claim(ctx, claimOf(wire.ClaimKind_CLAIM_KIND_ACQUIRE, c))
+	if err != nil {
+		h.metrics.Claims.WithLabelValues("unavailable").Inc()
+		return caller.ClaimAnswer{}, err
+	}
+	h.metrics.Claims.WithLabelValues(claimLabel(r.GetState())).Inc()
+	switch r.GetState() {
+	case wire.ClaimState_CLAIM_STATE_GRANTED:
+		return caller.ClaimAnswer{State: caller.Granted}, nil
+	case wire.ClaimState_CLAIM_STATE_RUNNING:
+		return caller.ClaimAnswer{State: caller.Running}, nil
+	case wire.ClaimState_CLAIM_STATE_DONE:
+		return caller.ClaimAnswer{State: caller.Done, Answer: answerOf(r.GetAnswer())}, nil
+	case wire.ClaimState_CLAIM_STATE_MISMATCH:
+		return caller.ClaimAnswer{State: caller.Conflict}, nil
+	case wire.ClaimState_CLAIM_STATE_UNKNOWN:
+		return caller.ClaimAnswer{State: caller.Doubt}, nil
+	}
+	return caller.ClaimAnswer{}, &ClaimError{State: r.GetState()}
+}
+
+// finish stores the outcome of a claimed request.
+func (h *Host) finish(ctx context.Context, c caller.Claim, a *caller.Answer) error {
+	w := claimOf(wire.ClaimKind_CLAIM_KIND_FINISH, c)
+	if a != nil {
+		w.Answer = &wire.Answer{Status: uint32(a.Status), Body: a.Body}
+		for k, v := range a.Header {
+			w.Answer.Headers = append(w.Answer.Headers, &wire.Header{Name: k, Values: v})
+		}
+	}
+	r, err := h.proposer.Claim(ctx, w)
+	if err != nil {
+		return err
+	}
+	if r.GetState() != wire.ClaimState_CLAIM_STATE_DONE {
+		return &ClaimError{State: r.GetState()}
+	}
+	return nil
+}
+
+// release gives a claim back whose request provably did not run.
+func (h *Host) release(ctx context.Context, c caller.Claim) error {
+	r, err := h.proposer.Claim(ctx, claimOf(wire.ClaimKind_CLAIM_KIND_RELEASE, c))
+	if err != nil {
+		return err
+	}
+	if r.GetState() != wire.ClaimState_CLAIM_STATE_RELEASED {
+		return &ClaimError{State: r.GetState()}
+	}
+	return nil
+}
+
+// ClaimError reports a claim operation that the agreed table refused.
+type ClaimError struct{ State wire.ClaimState }
+
+func (e *ClaimError) Error() string { return "claim refused: " + claimLabel(e.State) }
+
+func claimLabel(s wire.ClaimState) string {
+	switch s {
+	case wire.ClaimState_CLAIM_STATE_GRANTED:
+		return "granted"
+	case wire.ClaimState_CLAIM_STATE_RUNNING:
+		return "running"
+	case wire.ClaimState_CLAIM_STATE_DONE:
+		return "done"
+	case wire.ClaimState_CLAIM_STATE_MISMATCH:
+		return "mismatch"
+	case wire.ClaimState_CLAIM_STATE_UNKNOWN:
+		return "unknown"
+	case wire.ClaimState_CLAIM_STATE_RELEASED:
+		return "released"
+	}
+	return "refused"
+}
+
+func answerOf(a *wire.Answer) *caller.Answer {
+	if a == nil {
+		return nil
+	}
+	h := make(http.Header, len(a.GetHeaders()))
+	for _, k := range a.GetHeaders() {
+		h[k.GetName()] = k.GetValues()
+	}
+	return &caller.Answer{Status: int(a.GetStatus()), Header: h, Body: a.GetBody()}
+}
--- /dev/null
+++ b/io/host/control.go
@@ -0,0 +1,293 @@
+package host
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/config"
+	"godwitspindle/core/lease"
+	"godwitspindle/core/relay"
+	"godwitspindle/core/store"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/platform"
+	"godwitspindle/io/replica"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	dutyInterval   = 20 * time.Millisecond // how often the leader looks for staged membership and for acknowledgements
+	expiryInterval = time.Second
+	memberTimeout  = 3 * time.Second // one membership command
+	maxPending     = 256             // versions whose spread is being measured
+)
+
+// control is the control replica of a process with its leader's duties.
+type control struct {
+	name    string
+	replica *replica.Replica
+	holder  *peer.Holder
+	tracker *relay.Tracker
+	leases  *lease.Table
+	metrics *platform.Metrics
+	log     logr.Logger
+
+	mu    sync.Mutex // guards store
+	store *store.Store
+
+	applied chan struct{}
+	spreads spreads
+	leading bool
+	expiry  time.Time
+	stop    context.CancelFunc
+	wait    sync.WaitGroup
+}
+
+// newControl starts the control replica on the data folder.
+func newControl(s *platform.Settings, courier *peer.Courier, holder *peer.Holder, tracker *relay.Tracker, m *platform.Metrics, log logr.Logger) (*control, error) {
+	c := &control{
+		name:    s.Name,
+		holder:  holder,
+		tracker: tracker,
+		leases:  lease.New(lease.WithLease(leasePolls * pollOf(s.Profile))),
+		metrics: m,
+		log:     log,
+		store:   store.New(),
+		applied: make(chan struct{}, 1),
+	}
+	names := make([]string, 0, len(s.Replicas))
+	for _, r := range s.Replicas {
+		names = append(names, r.Name)
+	}
+	r, err := replica.New(
+		replica.WithFolder(s.Data),
+		replica.WithName(s.Name),
+		replica.WithNames(names...),
+		replica.WithSend(courier.Send),
+		replica.WithApply(c.apply),
+		replica.WithMarshal(c.marshal),
+		replica.WithRestore(c.restore),
+		replica.WithVersion(c.version),
+		replica.WithApplied(func(uint64) { c.signal() }),
+	)
+	if err != nil {
+		return nil, err
+	}
+	c.replica = r
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	c.wait.Go(func() { c.publish(ctx) })
+	c.wait.Go(func() { c.duties(ctx) })
+	return c, nil
+}
+
+// close stops the duties and the replica.
+func (c *control) close() error {
+	c.stop()
+	c.wait.Wait()
+	return c.replica.Close()
+}
+
+func (c *control) apply(index uint64, cmd *wire.Command) *wire.Result {
+	c.mu.Lock()
+	before := c.store.Snapshot().Version()
+	result := c.store.Apply(index, cmd)
+	after := c.store.Snapshot().Version()
+	c.mu.Unlock()
+	if m := cmd.GetMembership(); m != nil {
+		c.leases.Applied(time.Now(), m)
+	}
+	if after > before {
+		c.spreads.accepted(after, time.Now())
+	}
+	return result
+}
+
+func (c *control) marshal() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Marshal()
+}
+
+func (c *control) restore(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Restore(data)
+}
+
+func (c *control) version() uint64 { return c.snapshot().Version() }
+
+func (c *control) snapshot() *config.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Snapshot()
+}
+
+func (c *control) signal() {
+	select {
+	case c.applied <- struct{}{}:
+	default:
+	}
+}
+
+// publish offers the newest committed snapshot to the node's own holder, outside the replica's loop, since
+// compiling a table takes longer than a commit.
+func (c *control) publish(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.applied:
+			if err := c.holder.Offer(c.snapshot()); err != nil {
+				c.log.Error(err, "committed version not taken")
+			}
+		}
+	}
+}
+
+// duties runs what only the leader does: membership commands, lease expiry and the measurement of convergence.
+func (c *control) duties(ctx context.Context) {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.turn(ctx, now)
+		}
+	}
+}
+
+func (c *control) turn(ctx context.Context, now time.Time) {
+	st := c.replica.Status()
+	c.metrics.Term.Set(float64(st.Term))
+	if st.Role != agreement.Leader {
+		c.resign()
+		return
+	}
+	if !c.leading {
+		c.lead(now)
+	}
+	if now.Sub(c.expiry) >= expiryInterval {
+		c.expiry = now
+		for _, e := range c.leases.Expire(now) {
+			c.log.Info("lease expired", "node", e.Node, "endpoint", e.Endpoint, "silent", e.Silent.String())
+		}
+	}
+	if m := c.leases.Next(now); m != nil {
+		c.commit(ctx, m)
+	}
+	c.measure(now)
+}
+
+func (c *control) resign() {
+	if !c.leading {
+		return
+	}
+	c.leading = false
+	c.leases.Stop()
+	c.metrics.Leader.Set(0)
+	c.log.Info("leadership ended")
+}
+
+func (c *control) lead(now time.Time) {
+	c.leading = true
+	c.expiry = now
+	nodes, endpoints := c.snapshot().Members()
+	c.leases.Reset(now, nodes, endpoints)
+	c.spreads.reset()
+	c.metrics.Leader.Set(1)
+	c.log.Info("leadership began", "nodes", len(nodes), "endpoints", len(endpoints))
+}
+
+func (c *control) commit(ctx context.Context, m *wire.Membership) {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	_, err := c.replica.Propose(ctx, &wire.Command{Body: &wire.Command_Membership{Membership: m}})
+	if err != nil {
+		c.log.Info("membership not committed", "error", err.Error())
+		c.leases.Failed(time.Now(), m)
+		return
+	}
+	c.log.Info("membership committed", "joins", len(m.GetJoins()), "endpoints", len(m.GetEndpoints()), "leaves", len(m.GetLeaves()), "removed", len(m.GetRemoved()))
+}
+
+// measure notes when versions come into force everywhere.
+func (c *control) measure(now time.Time) {
+	for {
+		version, ok := c.spreads.oldest()
+		if !ok {
+			return
+		}
+		v := c.holder.View()
+		count, _ := c.tracker.Force(now, version, v.Snapshot.Version(), nodeNames(v.Table))
+		if count < len(v.Table.Nodes()) {
+			return
+		}
+		spread := c.spreads.done(version, now)
+		c.metrics.Convergence.Observe(spread.Seconds())
+		c.log.Info("in force everywhere", "version", version, "nodes", count, "spread", spread.String())
+	}
+}
+
+// announce stages what a node announces; only the leader takes it.
+func (c *control) announce(_ context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
+	st := c.replica.Status()
+	if st.Role != agreement.Leader {
+		return nil, &agreement.NotLeaderError{Leader: st.Leader}
+	}
+	staged := c.leases.Announce(time.Now(), r.GetNode(), r.GetEndpoints(), r.GetLeaving())
+	c.log.V(1).Info("announcement", "node", r.GetNode().GetName(), "endpoints", len(r.GetEndpoints()), "leaving", r.GetLeaving(), "staged", staged)
+	return &rpc.AnnounceResponse{Lease: c.leases.Lease().Milliseconds()}, nil
+}
+
+// status reports on how many nodes a version is in force; only the leader knows.
+func (c *control) status(_ context.Context, r *rpc.StatusRequest) (*rpc.StatusResponse, error) {
+	st := c.replica.Status()
+	if st.Role != agreement.Leader {
+		return nil, &agreement.NotLeaderError{Leader: st.Leader}
+	}
+	version := r.GetVersion()
+	if version == 0 {
+		version = c.version()
+	}
+	v := c.holder.View()
+	count, behind := c.tracker.Force(time.Now(), version, v.Snapshot.Version(), nodeNames(v.Table))
+	return &rpc.StatusResponse{
+		Version:  version,
+		Leader:   agreement.Name(st.Leader),
+		Voters:   st.Members.Voters,
+		Learners: st.Members.Learners,
+		Report:   &wire.Report{Count: uint32(count), Laggards: behind},
+		Spread:   c.spreads.of(version),
+	}, nil
+}
+
+// leader returns the name of the leading replica, or an empty string.
+func (c *control) leader() string { return agreement.Name(c.replica.Leader()) }
+
+func nodeNames(t *config.Table) []string {
+	names := make([]string, 0, len(t.Nodes()))
+	for _, n := range t.Nodes() {
+		names = append(names, n.Name)
+	}
+	return names
+}
+
+// replicaAddress maps a replica identity or name to its peer listener.
+func replicaAddress(s *platform.Settings) func(id string) (netip.AddrPort, bool) {
+	byName := map[string]netip.AddrPort{}
+	for _, r := range s.Replicas {
+		byName[r.Name] = r.Address
+	}
+	return func(id string) (netip.AddrPort, bool) {
+		a, ok := byName[agreement.Name(id)]
+		return a, ok
+	}
+}
--- /dev/null
+++ b/io/host/guard.go
@@ -0,0 +1,135 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"godwitspindle/core/outcome"
+	"godwitspindle/core/quarantine"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/backend"
+	"godwitspindle/io/hop"
+)
+
+// crashWindow is how long a call whose connection broke still counts as running, until the cause is known.
+const crashWindow = 10 * time.Second
+
+// guard keeps suspects apart on one endpoint and refuses what is in quarantine.
+type guard struct {
+	mu    sync.Mutex
+	local *quarantine.Local
+}
+
+func newGuard(endpoint string, view quarantine.View) *guard {
+	g := &guard{local: quarantine.NewLocal(endpoint)}
+	g.local.Update(view)
+	return g
+}
+
+func (g *guard) update(view quarantine.View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.local.Update(view)
+}
+
+func (g *guard) enter(m hop.Meta) *outcome.Failure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch g.local.Start(m.Call, m.Print[:], time.Now()) {
+	case quarantine.Quarantined:
+		return &outcome.Failure{
+			Code: outcome.Quarantined, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Call: m.Call,
+			Detail: "this request was running when backend servers crashed; it is refused for 10 minutes",
+		}
+	case quarantine.Wait:
+		return &outcome.Failure{
+			Code: outcome.Overload, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Call: m.Call,
+			Detail: "another request that may crash the backend server is running", After: time.Second,
+		}
+	case quarantine.Run:
+	}
+	return nil
+}
+
+// leave ends a call. One whose connection broke stays for a while, since a crash may be the cause.
+func (g *guard) leave(call string, r backend.Result) []*wire.Mark {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.Broken {
+		time.AfterFunc(crashWindow, func() { g.drop(call) })
+		return nil
+	}
+	if r.Status == 0 {
+		g.local.Drop(call)
+		return nil
+	}
+	return g.local.Done(call, time.Now())
+}
+
+func (g *guard) drop(call string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.local.Drop(call)
+}
+
+func (g *guard) crash(c backend.Crash) []*wire.Mark {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.local.Crash(c.Incarnation, c.At)
+}
+
+// marker commits marks in the background, so that no call waits for them.
+type marker struct {
+	propose func(ctx context.Context, c *wire.Command) (*wire.Result, error)
+	queue   chan []*wire.Mark
+	stop    context.CancelFunc
+	wait    sync.WaitGroup
+}
+
+const (
+	markQueue   = 256
+	markTimeout = 10 * time.Second
+)
+
+func newMarker(propose func(ctx context.Context, c *wire.Command) (*wire.Result, error)) *marker {
+	ctx, stop := context.WithCancel(context.Background())
+	m := &marker{propose: propose, queue: make(chan []*wire.Mark, markQueue), stop: stop}
+	m.wait.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case marks := <-m.queue:
+				m.commit(ctx, marks)
+			}
+		}
+	})
+	return m
+}
+
+func (m *marker) commit(ctx context.Context, marks []*wire.Mark) {
+	for range len(m.queue) {
+		marks = append(marks, <-m.queue...)
+	}
+	ctx, cancel := context.WithTimeout(ctx, markTimeout)
+	defer cancel()
+	_, _ = m.propose(ctx, &wire.Command{Body: &wire.Command_Marks{Marks: &wire.Marks{Marks: marks}}})
+}
+
+// add queues marks; when the queue is full they are lost, and the next crash makes them again.
+func (m *marker) add(marks []*wire.Mark) {
+	if len(marks) == 0 {
+		return
+	}
+	select {
+	case m.queue <- marks:
+	default:
+	}
+}
+
+func (m *marker) close() {
+	m.stop()
+	m.wait.Wait()
+}
--- /dev/null
+++ b/io/host/host.go
@@ -0,0 +1,282 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"godwitspindle/core/relay"
+	"godwitspindle/core/retry"
+	"godwitspindle/core/routing"
+	"godwitspindle/io/backend"
+	"godwitspindle/io/caller"
+	"godwitspindle/io/disk"
+	"godwitspindle/io/hop"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/platform"
+)
+
+const (
+	leaveTimeout = 2 * time.Second // to report the leave; the drain goes on without it
+	moveTime     = time.Second     // callers keep-alive connections are told to close for this long
+)
+
+// Host is one running process.
+type Host struct {
+	settings    *platform.Settings
+	log         logr.Logger
+	metrics     *platform.Metrics
+	incarnation uint64
+
+	clients  *peer.Clients
+	holder   *peer.Holder
+	follower *peer.Follower
+	feed     *peer.Feed
+	tracker  *relay.Tracker
+	upstream *upstream
+	proposer *peer.Proposer
+	courier  *peer.Courier
+	control  *control // nil without a control replica
+	announce *announcer
+	marker   *marker
+	floors   *peer.Rounds
+
+	picker  *routing.Picker
+	budget  *retry.Budget
+	hops    *hop.Client
+	backend *backend.Backend
+	callers *caller.Handler
+	locally *caller.Handler
+
+	peers   *platform.Server
+	servers []*platform.Server
+	bound   map[string]netip.AddrPort // by listener
+	tls     *platform.TLS
+	leaving atomic.Bool
+	// reported is the version for which the nodes below were last reported complete.
+	reported atomic.Uint64
+
+	mu     sync.Mutex
+	locals map[string]*local
+}
+
+// New starts a process with checked settings; Run waits for its end and Close ends it at once.
+func New(s *platform.Settings, log logr.Logger) (*Host, error) {
+	h := &Host{
+		settings:    s,
+		log:         log.WithValues("node", s.Name),
+		metrics:     platform.NewMetrics(),
+		incarnation: rand.Uint64() | 1,
+		tracker:     relay.NewTracker(s.Name, pollOf(s.Profile)),
+		upstream:    newUpstream(s),
+		budget:      retry.NewBudget(),
+		locals:      map[string]*local{},
+		bound:       map[string]netip.AddrPort{},
+	}
+	for _, start := range []func() error{h.startTransport, h.startHolder, h.startControl, h.startFeed, h.startCalls, h.startPeers, h.startFollower, h.startListeners} {
+		if err := start(); err != nil {
+			_ = h.Close()
+			return nil, err
+		}
+	}
+	h.log.Info("started", "peer", h.peers.Address().String(), "replica", s.IsReplica())
+	return h, nil
+}
+
+func (h *Host) startTransport() error {
+	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl)}
+	hopOptions := []hop.Option{hop.WithKey(h.settings.Key)}
+	if h.settings.TLS.Enabled() {
+		t, err := platform.NewTLS(h.settings.TLS, platform.WithTLSLogger(h.log))
+		if err != nil {
+			return err
+		}
+		h.tls = t
+		clientOptions = append(clientOptions, peer.WithClientTLS(t.Client()))
+		hopOptions = append(hopOptions, hop.WithTLS(t.Client()))
+	}
+	h.clients = peer.NewClients(clientOptions...)
+	h.hops = hop.New(hopOptions...)
+	h.proposer = peer.NewProposer(h.clients, h.upstream.replicas, h.log.WithName("proposer"))
+	h.marker = newMarker(h.proposer.Propose)
+	return nil
+}
+
+func (h *Host) startHolder() error {
+	options := []peer.HolderOption{peer.WithSwapped(h.swapped)}
+	if h.settings.Data != "" {
+		floor, err := disk.LoadFloor(h.settings.Data)
+		if err != nil {
+			return fmt.Errorf("load the floor: %w", err)
+		}
+		options = append(options, peer.WithSavedFloor(floor, func(v uint64) error { return disk.SaveFloor(h.settings.Data, v) }))
+	}
+	h.picker = routing.New(
+		routing.WithRandom(rand.IntN),
+		routing.WithDomain(h.settings.Domain),
+		routing.WithRegion(h.settings.Region),
+		routing.WithNode(h.settings.Name),
+	)
+	holder, err := peer.NewHolder(options...)
+	h.holder = holder
+	return err
+}
+
+func (h *Host) startControl() error {
+	if !h.settings.IsReplica() {
+		return nil
+	}
+	h.courier = peer.NewCourier(h.clients, replicaAddress(h.settings), h.log.WithName("courier"))
+	c, err := newControl(h.settings, h.courier, h.holder, h.tracker, h.metrics, h.log.WithName("control"))
+	if err != nil {
+		return fmt.Errorf("start the control replica: %w", err)
+	}
+	h.control = c
+	return nil
+}
+
+func (h *Host) startCalls() error {
+	h.backend = newBackend(h)
+	log := h.log.WithName("caller")
+	sampled := platform.NewSampled(log, h.settings.Log.Sample)
+	options := func(local bool) []caller.Option {
+		return []caller.Option{
+			caller.WithLocal(local),
+			caller.WithMatch(h.match),
+			caller.WithPick(h.pick),
+			caller.WithObserve(h.picker.Start, h.observe),
+			caller.WithSend(h.send),
+			caller.WithDecide(h.decide),
+			caller.WithClaim(h.claim, h.finish, h.release),
+			caller.WithLog(log, sampled.Next),
+			caller.WithLeaving(h.leaving.Load),
+		}
+	}
+	h.callers = caller.New(options(false)...)
+	h.locally = caller.New(options(true)...)
+	return nil
+}
+
+// swapped follows a new version in force; it must not wait.
+func (h *Host) swapped(v peer.View) {
+	h.metrics.Version.Set(float64(v.Snapshot.Version()))
+	h.upstream.update(v)
+	h.picker.Retain(func(key string) bool {
+		_, ok := v.Table.Endpoint(key)
+		return ok
+	})
+	go h.resize()
+	h.changed()
+}
+
+// changed makes the announcer compare what is agreed with what is announced.
+func (h *Host) changed() {
+	if h.announce != nil {
+		h.announce.notify()
+	}
+}
+
+func (h *Host) countControl(method string, sent, received int) {
+	h.metrics.ControlBytes.WithLabelValues(method, "sent").Add(float64(sent))
+	h.metrics.ControlBytes.WithLabelValues(method, "received").Add(float64(received))
+}
+
+// Metrics returns the collectors of the process.
+func (h *Host) Metrics() *platform.Metrics { return h.metrics }
+
+// Listen returns the bound addresses of all listeners; one that is not open is the zero value.
+func (h *Host) Listen() platform.Listen {
+	return platform.Listen{
+		Caller:   h.bound["caller"],
+		Local:    h.bound["local"],
+		Backend:  h.bound["backend"],
+		Peer:     h.bound["peer"],
+		Operator: h.bound["operator"],
+		Metrics:  h.bound["metrics"],
+	}
+}
+
+// View returns the version in force.
+func (h *Host) View() peer.View { return h.holder.View() }
+
+// Serving reports whether the node has proved its floor and takes calls.
+func (h *Host) Serving() bool { return h.holder.Serving() }
+
+// Leads reports whether the control replica of this process leads.
+func (h *Host) Leads() bool { return h.control != nil && h.control.leader() == h.settings.Name }
+
+// Run waits until ctx ends and then stops gracefully: no call in flight is cut within the setting grace. It
+// returns early with the error of a control replica that stopped.
+func (h *Host) Run(ctx context.Context) error {
+	var failed <-chan struct{}
+	if h.control != nil {
+		failed = h.control.replica.Done()
+	}
+	select {
+	case <-ctx.Done():
+		return h.Drain()
+	case <-failed:
+		err := h.control.replica.Err()
+		return errors.Join(fmt.Errorf("the control replica stopped: %w", err), h.Drain())
+	}
+}
+
+// Drain reports the leave, refuses new work, finishes calls in flight and closes the process.
+func (h *Host) Drain() error {
+	h.log.Info("draining", "grace", h.settings.Grace.String())
+	h.leaving.Store(true)
+	h.backend.Drain()
+	h.announce.close()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	if _, err := h.proposer.Announce(ctx, h.announcement(true)); err != nil {
+		h.log.Info("leave not reported; the lease will run out", "error", err.Error())
+	}
+	cancel()
+	time.Sleep(moveTime)
+	ctx, cancel = context.WithTimeout(context.Background(), h.settings.Grace)
+	defer cancel()
+	err := h.backend.Wait(ctx)
+	for _, s := range h.servers {
+		err = errors.Join(err, s.Shutdown(ctx))
+	}
+	err = errors.Join(err, h.callers.Close(), h.locally.Close())
+	if err != nil {
+		h.log.Error(err, "calls were cut at the end of the grace time")
+	}
+	return errors.Join(err, h.Close())
+}
+
+// Close ends the process at once; calls in flight are cut.
+func (h *Host) Close() error {
+	var errs []error
+	if h.announce != nil {
+		h.announce.close()
+	}
+	if h.follower != nil {
+		h.follower.Close()
+	}
+	for _, s := range h.servers {
+		errs = append(errs, s.Close())
+	}
+	if h.backend != nil {
+		errs = append(errs, h.backend.Close())
+	}
+	if h.control != nil {
+		errs = append(errs, h.control.close())
+	}
+	if h.courier != nil {
+		h.courier.Close()
+	}
+	h.marker.close()
+	h.proposer.Close()
+	errs = append(errs, h.hops.Close())
+	h.clients.Close()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/io/host/operators.go
@@ -0,0 +1,254 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	progressInterval = 50 * time.Millisecond
+	confirmTimeout   = 3 * time.Second // a read that must be current
+)
+
+// operators returns the handler of the operators' listener.
+func (h *Host) operators() *operator.Server {
+	return operator.New(
+		operator.WithKey(h.settings.Key),
+		operator.WithLogger(h.log.WithName("operator")),
+		operator.WithCounted(func(path string, status int) {
+			h.metrics.OperatorCalls.WithLabelValues(path, fmt.Sprint(status)).Inc()
+		}),
+		operator.WithPropose(h.change),
+		operator.WithPlan(h.plan),
+		operator.WithHistory(h.history),
+		operator.WithContent(h.content),
+		operator.WithStatus(h.status),
+		operator.WithWait(h.progress),
+		operator.WithParsers(config.ParseRegister, config.ParseRules, Faults),
+	)
+}
+
+// Faults lists the faults of an error of config.ParseRegister or config.ParseRules.
+func Faults(err error) []*wire.Fault {
+	var invalid *config.InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Wire()
+	}
+	return nil
+}
+
+func (h *Host) serverTLS() *tls.Config {
+	if h.tls == nil {
+		return nil
+	}
+	return h.tls.Server()
+}
+
+// change commits an operator's change through whichever replica leads.
+func (h *Host) change(ctx context.Context, c *wire.Change) (*wire.Result, error) {
+	r, err := h.proposer.Propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: c}})
+	if err != nil {
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
+	}
+	a := r.GetAccepted()
+	h.log.Info("change decided", "id", c.GetId(), "author", c.GetAuthor(), "accepted", a != nil, "version", r.GetVersion())
+	return r, nil
+}
+
+// confirmed waits until the store of this replica is current as of the call.
+func (h *Host) confirmed(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	version, err := h.current(ctx)
+	if err != nil {
+		return &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: err}
+	}
+	for h.control.version() < version {
+		if ctx.Err() != nil {
+			return &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: ctx.Err()}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return nil
+}
+
+func (h *Host) plan(ctx context.Context, c *wire.Change) (*wire.Result, error) {
+	if err := h.confirmed(ctx); err != nil {
+		return nil, err
+	}
+	h.control.mu.Lock()
+	defer h.control.mu.Unlock()
+	return h.control.store.Plan(c), nil
+}
+
+func (h *Host) history(ctx context.Context, limit int) ([]*wire.Accepted, error) {
+	if err := h.confirmed(ctx); err != nil {
+		return nil, err
+	}
+	h.control.mu.Lock()
+	defer h.control.mu.Unlock()
+	list := h.control.store.Changes()
+	return list[max(len(list)-limit, 0):], nil
+}
+
+func (h *Host) content(ctx context.Context, version uint64) (uint64, *wire.Content, error) {
+	if err := h.confirmed(ctx); err != nil {
+		return 0, nil, err
+	}
+	h.control.mu.Lock()
+	defer h.control.mu.Unlock()
+	list := h.control.store.Changes()
+	if version == 0 && len(list) == 0 {
+		return 0, &wire.Content{Register: &wire.Register{}}, nil
+	}
+	if version == 0 {
+		version = list[len(list)-1].GetVersion()
+	}
+	c, err := h.control.store.Content(version)
+	if err != nil {
+		return 0, nil, &operator.MissingError{Version: version}
+	}
+	return version, c, nil
+}
+
+// fleet asks the leader on how many nodes a version is in force; 0 asks about the newest.
+func (h *Host) fleet(ctx context.Context, version uint64) (*rpc.StatusResponse, error) {
+	request := &rpc.StatusRequest{Version: version}
+	if h.Leads() {
+		return h.control.status(ctx, request)
+	}
+	var last error = &peer.NoParentError{}
+	for _, a := range h.upstream.replicas() {
+		resp, err := h.clients.At(a).Status(ctx, connect.NewRequest(request))
+		if err == nil {
+			return resp.Msg, nil
+		}
+		last = err
+	}
+	return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: last}
+}
+
+// status describes the mesh; without a leader it says what this replica knows.
+func (h *Host) status(ctx context.Context) (*operator.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	v := h.holder.View()
+	st := &operator.Status{
+		Node:     h.settings.Name,
+		Version:  v.Snapshot.Version(),
+		Nodes:    len(v.Table.Nodes()),
+		Spread:   -1,
+		Age:      operator.Duration(h.age()),
+		Services: usages(v.Table),
+	}
+	f, err := h.fleet(ctx, 0)
+	if err != nil {
+		m := h.control.replica.Status().Members
+		st.Replicas = replicaList("", m.Voters, m.Learners)
+		return st, nil
+	}
+	st.Version = f.GetVersion()
+	st.Leader = f.GetLeader()
+	st.Current = int(f.GetReport().GetCount())
+	st.Behind = behind(f.GetReport())
+	st.Replicas = replicaList(f.GetLeader(), f.GetVoters(), f.GetLearners())
+	if f.GetSpread() >= 0 {
+		st.Spread = operator.Duration(time.Duration(f.GetSpread()) * time.Millisecond)
+	}
+	return st, nil
+}
+
+// progress reports until a version is in force on every node.
+func (h *Host) progress(ctx context.Context, version uint64, report func(operator.Progress)) error {
+	began := time.Now()
+	for {
+		p, err := h.step(ctx, version)
+		if err == nil {
+			if p.Elapsed < 0 {
+				p.Elapsed = operator.Duration(time.Since(began))
+			}
+			report(*p)
+			if p.Done {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(progressInterval):
+		}
+	}
+}
+
+func (h *Host) step(ctx context.Context, version uint64) (*operator.Progress, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	f, err := h.fleet(ctx, version)
+	if err != nil {
+		return nil, err
+	}
+	nodes := len(h.holder.View().Table.Nodes())
+	p := &operator.Progress{
+		Version: version,
+		Nodes:   nodes,
+		Current: int(f.GetReport().GetCount()),
+		Elapsed: -1,
+		Behind:  behind(f.GetReport()),
+	}
+	p.Done = h.holder.View().Snapshot.Version() >= version && p.Current >= nodes && nodes > 0
+	if f.GetSpread() >= 0 {
+		p.Elapsed = operator.Duration(time.Duration(f.GetSpread()) * time.Millisecond)
+	}
+	return p, nil
+}
+
+func behind(r *wire.Report) []operator.Behind {
+	list := make([]operator.Behind, 0, len(r.GetLaggards()))
+	for _, l := range r.GetLaggards() {
+		list = append(list, operator.Behind{
+			Node:    l.GetNode(),
+			Version: l.GetVersion(),
+			Reason:  reason(l.GetReason()),
+			Heard:   operator.Duration(time.Duration(l.GetHeard()) * time.Millisecond),
+		})
+	}
+	return list
+}
+
+func reason(r wire.Reason) string {
+	switch r {
+	case wire.Reason_REASON_REFUSED:
+		return "refused"
+	case wire.Reason_REASON_UNREACHABLE:
+		return "unreachable"
+	case wire.Reason_REASON_UNPROVEN:
+		return "unproven"
+	}
+	return "stale"
+}
+
+func replicaList(leader string, voters, learners []string) []operator.Member {
+	var list []operator.Member
+	for _, name := range replicaNames(voters) {
+		role := "voter"
+		if name == leader {
+			role = "leader"
+		}
+		list = append(list, operator.Member{Name: name, Role: role})
+	}
+	for _, name := range replicaNames(learners) {
+		list = append(list, operator.Member{Name: name, Role: "learner"})
+	}
+	return list
+}
--- /dev/null
+++ b/io/host/sync.go
@@ -0,0 +1,199 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/config"
+	"godwitspindle/core/relay"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/platform"
+	"godwitspindle/io/rpc"
+)
+
+func (h *Host) startFeed() error {
+	transfers := relayTransfers
+	if h.control != nil {
+		transfers = replicaTransfer
+	}
+	options := []peer.FeedOption{
+		peer.WithTransfers(transfers),
+		peer.WithAge(h.age),
+		peer.WithReport(h.heard),
+		peer.WithLeader(h.leader),
+	}
+	if h.control != nil {
+		options = append(options, peer.WithRedirect(h.redirect))
+	}
+	if h.settings.Profile == platform.Thrifty {
+		options = append(options, peer.WithCoalesce(thriftyCoalesce))
+	}
+	feed, err := peer.NewFeed(h.holder, options...)
+	h.feed = feed
+	h.floors = peer.NewRounds(h.readFloor)
+	return err
+}
+
+func (h *Host) startFollower() error {
+	f, err := peer.NewFollower(
+		h.holder, h.clients,
+		peer.WithIdentity(h.settings.Name, h.incarnation),
+		peer.WithFollowerDomain(h.settings.Domain),
+		peer.WithParents(h.parents),
+		peer.WithReports(h.report),
+		peer.WithLost(h.tracker.Lost),
+		peer.WithPoll(pollOf(h.settings.Profile)),
+		peer.WithMismatch(h.metrics.Mismatches.Inc),
+		peer.WithSynced(h.synced),
+		peer.WithFollowerLog(h.log.WithName("follower")),
+	)
+	if err != nil {
+		return err
+	}
+	h.follower = f
+	h.announce = newAnnouncer(
+		func() *rpc.AnnounceRequest { return h.announcement(false) },
+		h.proposer.Announce,
+		func() *config.Snapshot { return h.holder.View().Snapshot },
+		func(err error) { h.log.Info("not announced", "error", err.Error()) },
+	)
+	return nil
+}
+
+// parents returns the upstreams; the leader has none, since all others take from it.
+func (h *Host) parents() []netip.AddrPort {
+	if h.control != nil {
+		h.upstream.lead(h.control.leader(), h.holder.View())
+	}
+	if h.Leads() {
+		return nil
+	}
+	return h.upstream.order()
+}
+
+// leader returns the name of the leading replica as far as this node knows.
+func (h *Host) leader() string {
+	if h.control != nil {
+		return h.control.leader()
+	}
+	return h.upstream.known()
+}
+
+// age returns the time since the last quorum confirmation that this node knows of.
+func (h *Host) age() time.Duration {
+	if h.control != nil {
+		return h.control.replica.Confirmed()
+	}
+	if h.follower == nil {
+		return -1
+	}
+	return h.follower.Age()
+}
+
+// heard takes the report part of a Sync from a node below.
+func (h *Host) heard(r *rpc.SyncRequest) {
+	now := time.Now()
+	h.tracker.Heard(now, r.GetNode(), r.GetHeld(), r.GetReport())
+	if h.control != nil {
+		h.control.leases.Heard(now, r.GetNode(), r.GetReport().GetAlive())
+	}
+	if h.Leads() {
+		return
+	}
+	held := h.holder.View().Snapshot.Version()
+	if r.GetHeld() == held && h.follower != nil {
+		h.acknowledged(held)
+	}
+}
+
+// acknowledged sends the report upward as soon as every node below holds the version.
+func (h *Host) acknowledged(held uint64) {
+	if h.tracker.Lowest() < held || h.reported.Swap(held) == held {
+		return
+	}
+	h.follower.Nudge()
+}
+
+// report returns what goes upward with a Sync; a node with nobody below sends none, since its poll says it all.
+// Reports flow only from relays to replicas and from replicas to the leader: relays that help each other while the
+// source is out would otherwise pass the names of dead nodes around in a circle.
+func (h *Host) report(parent netip.AddrPort, held uint64) *wire.Report {
+	if h.tracker.Children() == 0 || !h.upstream.reportsTo(parent) {
+		return nil
+	}
+	return h.tracker.Report(time.Now(), held)
+}
+
+// synced follows an answered poll.
+func (h *Host) synced(r *rpc.SyncResponse, v peer.View) {
+	h.upstream.learn(r, v)
+	h.metrics.Age.Set(h.age().Seconds())
+}
+
+// redirect sends a node without a version to the relays of its failure domain, so that a herd that returns together
+// does not take all its snapshots from the replicas.
+func (h *Host) redirect(node, domain string) []string {
+	t := h.holder.View().Table
+	var list []string
+	for _, n := range relay.Relays(relayNodes(t, h.settings), domain, h.tracker.Fresh(time.Now())) {
+		if n.Name == node {
+			return nil
+		}
+		if !n.Replica {
+			list = append(list, n.Address.String())
+		}
+	}
+	return list
+}
+
+// readFloor reads a quorum-confirmed version: from this replica if it leads, else from the replicas in turn.
+func (h *Host) readFloor(ctx context.Context) (uint64, error) {
+	if h.control != nil {
+		return h.control.replica.Read(ctx)
+	}
+	return h.askFloor(ctx)
+}
+
+// current reads a quorum-confirmed version through whichever replica leads.
+func (h *Host) current(ctx context.Context) (uint64, error) {
+	if h.Leads() {
+		return h.floors.Do(ctx)
+	}
+	return h.askFloor(ctx)
+}
+
+// askFloor asks the replicas in turn, the leader first; only the leader answers.
+func (h *Host) askFloor(ctx context.Context) (uint64, error) {
+	var last error = &peer.NoParentError{}
+	for _, a := range h.upstream.replicas() {
+		resp, err := h.clients.At(a).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
+		if err == nil {
+			return resp.Msg.GetVersion(), nil
+		}
+		last = fmt.Errorf("read the floor from %s: %w", a, err)
+	}
+	return 0, last
+}
+
+// propose commits a command on this replica if it leads.
+func (h *Host) propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
+	return h.control.replica.Propose(ctx, c)
+}
+
+// peerServer returns the handlers of the inner protocol.
+func (h *Host) peerServer() *peer.Server {
+	s := &peer.Server{OnSync: h.feed.Sync, OnFloor: h.floors.Do}
+	if h.control != nil {
+		s.OnDeliver = func(m agreement.Message) { h.control.replica.Step(m) }
+		s.OnPropose = h.propose
+		s.OnAnnounce = h.control.announce
+		s.OnStatus = h.control.status
+	}
+	return s
+}
--- /dev/null
+++ b/io/host/upstream.go
@@ -0,0 +1,171 @@
+package host
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/relay"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/platform"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	fastPoll    = 5 * time.Second
+	thriftyPoll = 15 * time.Second
+	leasePolls  = 3 // a lease is this many poll intervals
+	// thriftyCoalesce is how long a relay may hold a version back so that one delta carries several.
+	thriftyCoalesce = 250 * time.Millisecond
+	relayTransfers  = 32 // whole snapshots in transfer at once
+	replicaTransfer = 16
+)
+
+func pollOf(p platform.Profile) time.Duration {
+	if p == platform.Thrifty {
+		return thriftyPoll
+	}
+	return fastPoll
+}
+
+// upstream knows from whom this node takes its configuration and to whom it sends proposals.
+type upstream struct {
+	settings *platform.Settings
+	mu       sync.Mutex
+	leader   string
+	relay    bool // of the failure domain, by the version in force
+	parents  []netip.AddrPort
+	redirect []netip.AddrPort // relays named by a replica while no version is held
+}
+
+func newUpstream(s *platform.Settings) *upstream {
+	u := &upstream{settings: s}
+	u.parents = u.replicasFrom("")
+	return u
+}
+
+// update recomputes the upstreams after a new version.
+func (u *upstream) update(v peer.View) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.redirect = nil
+	u.compute(v)
+}
+
+// learn takes the leader's name and redirects from an answer; it reports whether the leader changed.
+func (u *upstream) learn(r *rpc.SyncResponse, v peer.View) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, text := range r.GetRelays() {
+		a, err := netip.ParseAddrPort(text)
+		if err == nil {
+			u.redirect = append(u.redirect, a)
+		}
+	}
+	if r.GetLeader() == "" || r.GetLeader() == u.leader {
+		return false
+	}
+	u.leader = r.GetLeader()
+	u.compute(v)
+	return true
+}
+
+// lead sets the leader that the control replica of this process knows.
+func (u *upstream) lead(leader string, v peer.View) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if leader == "" || leader == u.leader {
+		return
+	}
+	u.leader = leader
+	u.compute(v)
+}
+
+func (u *upstream) compute(v peer.View) {
+	u.relay = isRelay(v.Table, u.settings)
+	self := relay.Node{Name: u.settings.Name, Domain: u.settings.Domain, Replica: u.settings.IsReplica()}
+	var addresses []netip.AddrPort
+	for _, n := range relay.Parents(self, relayNodes(v.Table, u.settings), u.leader, nil) {
+		addresses = append(addresses, n.Address)
+	}
+	u.parents = addresses
+}
+
+// known returns the leader's name, or an empty string.
+func (u *upstream) known() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leader
+}
+
+// reportsTo reports whether a parent stands above this node: the leader for a replica, any replica for a relay.
+func (u *upstream) reportsTo(parent netip.AddrPort) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, r := range u.settings.Replicas {
+		if r.Address == parent {
+			return !u.settings.IsReplica() || r.Name == u.leader
+		}
+	}
+	return !u.settings.IsReplica() && !u.relay
+}
+
+// order returns the upstreams in order of preference.
+func (u *upstream) order() []netip.AddrPort {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.redirect) > 0 {
+		return append(append([]netip.AddrPort{}, u.redirect...), u.parents...)
+	}
+	return u.parents
+}
+
+// replicas returns the peer listeners of the replicas, the leader first.
+func (u *upstream) replicas() []netip.AddrPort {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.replicasFrom(u.leader)
+}
+
+func (u *upstream) replicasFrom(leader string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, r := range u.settings.Replicas {
+		if r.Name == leader {
+			list = append([]netip.AddrPort{r.Address}, list...)
+			continue
+		}
+		list = append(list, r.Address)
+	}
+	return list
+}
+
+// relayNodes lists the agreed nodes and the replicas of the settings, which serve before they are agreed.
+func relayNodes(t *config.Table, s *platform.Settings) []relay.Node {
+	isReplica := map[string]bool{}
+	for _, r := range s.Replicas {
+		isReplica[r.Name] = true
+	}
+	var nodes []relay.Node
+	known := map[string]bool{}
+	for _, n := range t.Nodes() {
+		known[n.Name] = true
+		nodes = append(nodes, relay.Node{Name: n.Name, Domain: n.Domain, Address: n.Address, Replica: isReplica[n.Name]})
+	}
+	for _, r := range s.Replicas {
+		if !known[r.Name] {
+			nodes = append(nodes, relay.Node{Name: r.Name, Address: r.Address, Replica: true})
+		}
+	}
+	return nodes
+}
+
+// isRelay reports whether this node is a relay of its failure domain.
+func isRelay(t *config.Table, s *platform.Settings) bool {
+	for _, n := range relay.Relays(relayNodes(t, s), s.Domain, nil) {
+		if n.Name == s.Name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/peer/convert.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/wire"
+)
+
+// Encode converts an agreement message to its wire form.
+func Encode(m agreement.Message) *wire.LogMessage {
+	w := &wire.LogMessage{
+		Kind:    uint32(m.Kind),
+		From:    m.From,
+		To:      m.To,
+		Term:    m.Term,
+		Index:   m.Index,
+		Logterm: m.LogTerm,
+		Commit:  m.Commit,
+		Context: m.Context,
+		Reject:  m.Reject,
+	}
+	for _, e := range m.Entries {
+		w.Entries = append(w.Entries, &wire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
+	}
+	if s := m.Snapshot; s != nil {
+		w.Snapshot = &wire.LogSnapshot{
+			Index:   s.Index,
+			Term:    s.Term,
+			Members: &wire.Members{Voters: s.Members.Voters, Learners: s.Members.Learners},
+			Data:    s.Data,
+		}
+	}
+	return w
+}
+
+// Decode converts a wire message to an agreement message.
+func Decode(w *wire.LogMessage) agreement.Message {
+	m := agreement.Message{
+		Kind:    agreement.MessageKind(w.GetKind()),
+		From:    w.GetFrom(),
+		To:      w.GetTo(),
+		Term:    w.GetTerm(),
+		Index:   w.GetIndex(),
+		LogTerm: w.GetLogterm(),
+		Commit:  w.GetCommit(),
+		Context: w.GetContext(),
+		Reject:  w.GetReject(),
+	}
+	for _, e := range w.GetEntries() {
+		m.Entries = append(m.Entries, agreement.Entry{
+			Index: e.GetIndex(),
+			Term:  e.GetTerm(),
+			Kind:  agreement.Kind(e.GetKind()),
+			Data:  e.GetData(),
+		})
+	}
+	if s := w.GetSnapshot(); s != nil {
+		m.Snapshot = &agreement.Snapshot{
+			Index:   s.GetIndex(),
+			Term:    s.GetTerm(),
+			Members: agreement.Members{Voters: s.GetMembers().GetVoters(), Learners: s.GetMembers().GetLearners()},
+			Data:    s.GetData(),
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/io/peer/count.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"io"
+	"net/http"
+	"path"
+)
+
+// headerBytes estimates the framing and compressed headers of one call in each direction on a warm HTTP/2 connection.
+const headerBytes = 60
+
+// countingTransport reports the bytes of each call's bodies to observe.
+type countingTransport struct {
+	next    http.RoundTripper
+	observe Observe
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	method := path.Base(r.URL.Path)
+	sent := headerBytes + int(max(r.ContentLength, 0))
+	resp, err := t.next.RoundTrip(r)
+	if err != nil {
+		t.observe(method, sent, 0)
+		return nil, err
+	}
+	t.observe(method, sent, headerBytes)
+	resp.Body = &countingBody{ReadCloser: resp.Body, add: func(n int) { t.observe(method, 0, n) }}
+	return resp, nil
+}
+
+// countingBody reports the bytes read from a response body once it is closed.
+type countingBody struct {
+	io.ReadCloser
+	bytes int
+	add   func(n int)
+}
+
+// Read implements io.Reader.
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes += n
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *countingBody) Close() error {
+	if b.bytes > 0 {
+		b.add(b.bytes)
+		b.bytes = 0
+	}
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/io/peer/follower.go
@@ -0,0 +1,364 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
+	"github.com/klauspost/compress/zstd"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	backoffMin  = 100 * time.Millisecond
+	backoffMax  = 10 * time.Second
+	readTimeout = 3 * time.Second
+	syncSlack   = 3 * time.Second // on top of the poll interval before a Sync counts as failed
+	failedPause = 10 * time.Second
+	nudgePause  = 50 * time.Millisecond
+)
+
+// NoParentError reports that no upstream is known.
+type NoParentError struct{}
+
+func (*NoParentError) Error() string { return "no upstream is known; check the setting replicas" }
+
+// Follower keeps a holder at the newest version of its upstreams by long polls, and proves its floor.
+type Follower struct {
+	name        string
+	incarnation uint64
+	holder      *Holder
+	clients     *Clients
+	parents     func() []netip.AddrPort // in order of preference
+	report      func(parent netip.AddrPort, held uint64) *wire.Report
+	poll        time.Duration
+	log         logr.Logger
+	mismatch    func()
+	synced      func(r *rpc.SyncResponse, v View)
+	lost        func()
+	domain      string
+	decoder     *zstd.Decoder
+	nudges      chan struct{}
+	failed      map[netip.AddrPort]time.Time // used only by run
+	confirmed   atomic.Int64 // Unix nanoseconds of the last quorum confirmation; 0 for never
+	parent      atomic.Pointer[netip.AddrPort]
+	whole       atomic.Bool
+	stop        context.CancelFunc
+	wait        sync.WaitGroup
+}
+
+// FollowerOption configures a Follower.
+type FollowerOption func(*Follower)
+
+// WithIdentity sets the node name and the incarnation of the process.
+func WithIdentity(name string, incarnation uint64) FollowerOption {
+	return func(f *Follower) { f.name, f.incarnation = name, incarnation }
+}
+
+// WithParents sets the function that lists upstream addresses in order of preference.
+func WithParents(p func() []netip.AddrPort) FollowerOption {
+	return func(f *Follower) { f.parents = p }
+}
+
+// WithReports sets the function that gives the report sent to a parent with each poll, for the version that the poll holds.
+func WithReports(r func(parent netip.AddrPort, held uint64) *wire.Report) FollowerOption {
+	return func(f *Follower) { f.report = r }
+}
+
+// WithPoll sets the poll interval.
+func WithPoll(t time.Duration) FollowerOption { return func(f *Follower) { f.poll = t } }
+
+// WithMismatch sets a function that counts digest mismatches.
+func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
+
+// WithSynced sets a function called after each answered poll with the answer and the view in force.
+func WithSynced(s func(r *rpc.SyncResponse, v View)) FollowerOption {
+	return func(f *Follower) { f.synced = s }
+}
+
+// WithLost sets a function called when a report did not reach an upstream.
+func WithLost(l func()) FollowerOption { return func(f *Follower) { f.lost = l } }
+
+// WithFollowerDomain sets the failure domain, by which a replica names the relays to ask.
+func WithFollowerDomain(d string) FollowerOption { return func(f *Follower) { f.domain = d } }
+
+// WithFollowerLog sets the log.
+func WithFollowerLog(l logr.Logger) FollowerOption { return func(f *Follower) { f.log = l } }
+
+// NewFollower starts following; Close stops it.
+func NewFollower(holder *Holder, clients *Clients, opts ...FollowerOption) (*Follower, error) {
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxMessageBytes))
+	if err != nil {
+		return nil, fmt.Errorf("create the zstd decoder: %w", err)
+	}
+	f := &Follower{
+		holder:   holder,
+		clients:  clients,
+		parents:  func() []netip.AddrPort { return nil },
+		report:   func(netip.AddrPort, uint64) *wire.Report { return nil },
+		poll:     5 * time.Second,
+		log:      logr.Discard(),
+		mismatch: func() {},
+		synced:   func(*rpc.SyncResponse, View) {},
+		lost:     func() {},
+		decoder:  decoder,
+		nudges:   make(chan struct{}, 1),
+		failed:   map[netip.AddrPort]time.Time{},
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	f.wait.Go(func() { f.run(ctx) })
+	f.wait.Go(func() { f.push(ctx) })
+	if !holder.Proven() {
+		f.wait.Go(func() { f.prove(ctx) })
+	}
+	return f, nil
+}
+
+// Close stops following and waits for it.
+func (f *Follower) Close() {
+	f.stop()
+	f.wait.Wait()
+	f.decoder.Close()
+}
+
+// Age returns the time since the last quorum confirmation of the held version, or a negative value when there was none.
+func (f *Follower) Age() time.Duration {
+	at := f.confirmed.Load()
+	if at == 0 {
+		return -1
+	}
+	return time.Since(time.Unix(0, at))
+}
+
+// Parent returns the address of the upstream that answered last.
+func (f *Follower) Parent() (netip.AddrPort, bool) {
+	p := f.parent.Load()
+	if p == nil {
+		return netip.AddrPort{}, false
+	}
+	return *p, true
+}
+
+func (f *Follower) run(ctx context.Context) {
+	for attempt := 0; ctx.Err() == nil; {
+		err := f.pass(ctx)
+		if err == nil {
+			attempt = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		attempt++
+		delay := backoff(attempt)
+		f.log.Info("sync failed", "error", err.Error(), "attempt", attempt, "delay", delay.String())
+		sleep(ctx, delay)
+	}
+}
+
+// backoff returns a full-jitter delay for the given attempt, counted from 1.
+func backoff(attempt int) time.Duration {
+	top := min(backoffMin<<min(attempt, 10), backoffMax)
+	return rand.N(top) + time.Millisecond
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// pass polls the upstreams in order until one answers.
+func (f *Follower) pass(ctx context.Context) error {
+	parents := f.ordered()
+	if len(parents) == 0 {
+		sleep(ctx, backoffMin) // the leading replica takes versions from its own log
+		return nil
+	}
+	var last error
+	for _, p := range parents {
+		last = f.sync(ctx, p)
+		if last == nil {
+			delete(f.failed, p)
+			f.parent.Store(&p)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return last
+		}
+		f.failed[p] = time.Now()
+		f.lost()
+	}
+	return last
+}
+
+// ordered returns the upstreams in order of preference; those that failed recently come last, since a poll of a
+// silent one costs seconds.
+func (f *Follower) ordered() []netip.AddrPort {
+	var good, bad []netip.AddrPort
+	for _, p := range f.parents() {
+		at, failed := f.failed[p]
+		if failed && time.Since(at) < failedPause {
+			bad = append(bad, p)
+			continue
+		}
+		good = append(good, p)
+	}
+	return append(good, bad...)
+}
+
+// Nudge makes the follower send its report now, beside the long poll that may be in progress.
+func (f *Follower) Nudge() {
+	select {
+	case f.nudges <- struct{}{}:
+	default:
+	}
+}
+
+// push sends reports when nudged, at most one in a pause.
+func (f *Follower) push(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.nudges:
+		}
+		p := f.parent.Load()
+		if p == nil {
+			continue
+		}
+		if _, err := f.ask(ctx, *p, 0); err != nil {
+			f.log.V(1).Info("report not sent", "parent", p.String(), "error", err.Error())
+			f.lost()
+		}
+		sleep(ctx, nudgePause)
+	}
+}
+
+func (f *Follower) sync(ctx context.Context, parent netip.AddrPort) error {
+	wait := f.poll
+	if !f.holder.Proven() || f.holder.View().Snapshot.Version() == 0 {
+		wait = backoffMin
+	}
+	resp, err := f.ask(ctx, parent, wait)
+	if err != nil {
+		return err
+	}
+	if after := resp.GetAfter(); after > 0 {
+		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(backoffMin))
+		return nil
+	}
+	if err := f.apply(resp); err != nil {
+		return fmt.Errorf("apply from %s: %w", parent, err)
+	}
+	if age := resp.GetAge(); age >= 0 {
+		f.confirm(time.Now().Add(-time.Duration(age) * time.Millisecond))
+	}
+	f.synced(resp, f.holder.View())
+	return nil
+}
+
+// ask sends one Sync that may wait for a newer version.
+func (f *Follower) ask(ctx context.Context, parent netip.AddrPort, wait time.Duration) (*rpc.SyncResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+syncSlack)
+	defer cancel()
+	s := f.holder.View().Snapshot
+	req := &rpc.SyncRequest{
+		Node:        f.name,
+		Incarnation: f.incarnation,
+		Held:        s.Version(),
+		Digest:      s.Digest().Wire(),
+		Wait:        wait.Milliseconds(),
+		Report:      f.report(parent, s.Version()),
+		Whole:       f.whole.Load(),
+	}
+	if s.Version() == 0 {
+		req.Domain = f.domain
+	}
+	resp, err := f.clients.At(parent).Sync(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, fmt.Errorf("sync with %s: %w", parent, err)
+	}
+	return resp.Msg, nil
+}
+
+// confirm moves the confirmation time forward, never back.
+func (f *Follower) confirm(at time.Time) {
+	for {
+		old := f.confirmed.Load()
+		if at.UnixNano() <= old || f.confirmed.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+func (f *Follower) apply(resp *rpc.SyncResponse) error {
+	delta, err := Unpack(f.decoder, resp)
+	if err != nil {
+		return err
+	}
+	if delta == nil {
+		return nil
+	}
+	err = f.holder.Apply(delta)
+	var stale *config.StaleError
+	if errors.As(err, &stale) {
+		return nil // another upstream was faster; the held version is newer
+	}
+	var floor *FloorError
+	if errors.As(err, &floor) {
+		return err
+	}
+	if err != nil {
+		f.mismatch()
+		f.whole.Store(true)
+		return err
+	}
+	f.whole.Store(false)
+	f.log.Info("version in force", "version", f.holder.View().Snapshot.Version(), "entries", len(delta.GetEntries()), "whole", delta.GetWhole())
+	return nil
+}
+
+// prove asks the upstreams for the floor until one answers.
+func (f *Follower) prove(ctx context.Context) {
+	for attempt := 1; ctx.Err() == nil && !f.holder.Proven(); attempt++ {
+		for _, p := range f.parents() {
+			floor, err := f.readFloor(ctx, p)
+			if err == nil {
+				f.holder.Prove(floor)
+				f.confirm(time.Now())
+				f.log.Info("floor proven", "floor", floor)
+				return
+			}
+			f.log.V(1).Info("floor not proven", "parent", p.String(), "error", err.Error())
+		}
+		sleep(ctx, backoff(attempt))
+	}
+}
+
+func (f *Follower) readFloor(ctx context.Context, parent netip.AddrPort) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	resp, err := f.clients.At(parent).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
+	if err != nil {
+		return 0, fmt.Errorf("read the floor from %s: %w", parent, err)
+	}
+	return resp.Msg.GetVersion(), nil
+}
--- /dev/null
+++ b/io/peer/proposer.go
@@ -0,0 +1,197 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
+
+	"godwitspindle/core/wire"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	claimBatch   = 512 // claims in one RPC
+	claimRounds  = 4   // RPCs with claims in flight at once
+	resendDelay  = 50 * time.Millisecond
+	proposeLimit = 2 * time.Second // one try at one replica
+)
+
+// DoubtError reports a proposal that may or may not have been accepted.
+type DoubtError struct{ Err error }
+
+func (e *DoubtError) Error() string { return "no replica confirmed the proposal: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DoubtError) Unwrap() error { return e.Err }
+
+// Proposer sends commands to the replicas and batches concurrent claims.
+type Proposer struct {
+	clients  *Clients
+	replicas func() []netip.AddrPort // leader first
+	log      logr.Logger
+	claims   chan pendingClaim
+	ctx      context.Context
+	stop     context.CancelFunc
+	wait     sync.WaitGroup
+}
+
+type pendingClaim struct {
+	ctx    context.Context
+	claim  *wire.Claim
+	answer chan claimAnswer
+}
+
+type claimAnswer struct {
+	result *wire.ClaimResult
+	err    error
+}
+
+// NewProposer starts the claim batchers; Close stops them.
+func NewProposer(clients *Clients, replicas func() []netip.AddrPort, log logr.Logger) *Proposer {
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Proposer{
+		clients:  clients,
+		replicas: replicas,
+		log:      log,
+		claims:   make(chan pendingClaim, claimBatch),
+		ctx:      ctx,
+		stop:     stop,
+	}
+	for range claimRounds {
+		p.wait.Go(func() { p.batches() })
+	}
+	return p
+}
+
+// Close stops the batchers; claims in flight fail.
+func (p *Proposer) Close() {
+	p.stop()
+	p.wait.Wait()
+}
+
+// Propose resends c to the replicas in turn until one answers or ctx ends. Every command is safe to resend:
+// changes carry an id, claims an owner token, joins an incarnation and marks the incarnation of the crash.
+func (p *Proposer) Propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
+	var last error = &NoParentError{}
+	for ctx.Err() == nil {
+		for _, a := range p.replicas() {
+			result, err := p.try(ctx, a, c)
+			if err == nil {
+				return result, nil
+			}
+			last = err
+			p.log.V(1).Info("proposal not confirmed", "replica", a.String(), "error", err.Error())
+		}
+		sleep(ctx, resendDelay)
+	}
+	return nil, &DoubtError{Err: last}
+}
+
+func (p *Proposer) try(ctx context.Context, a netip.AddrPort, c *wire.Command) (*wire.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
+	defer cancel()
+	resp, err := p.clients.At(a).Propose(ctx, connect.NewRequest(&rpc.ProposeRequest{Command: c}))
+	if err != nil {
+		return nil, fmt.Errorf("propose to %s: %w", a, err)
+	}
+	return resp.Msg.GetResult(), nil
+}
+
+// Claim makes one claim operation durable and returns its result.
+func (p *Proposer) Claim(ctx context.Context, c *wire.Claim) (*wire.ClaimResult, error) {
+	pc := pendingClaim{ctx: ctx, claim: c, answer: make(chan claimAnswer, 1)}
+	select {
+	case p.claims <- pc:
+	case <-ctx.Done():
+		return nil, &DoubtError{Err: ctx.Err()}
+	case <-p.ctx.Done():
+		return nil, &DoubtError{Err: p.ctx.Err()}
+	}
+	select {
+	case a := <-pc.answer:
+		return a.result, a.err
+	case <-ctx.Done():
+		return nil, &DoubtError{Err: ctx.Err()}
+	}
+}
+
+// batches sends whatever claims have gathered while the previous RPC was in flight.
+func (p *Proposer) batches() {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case first := <-p.claims:
+			batch := []pendingClaim{first}
+			for len(batch) < claimBatch && len(p.claims) > 0 {
+				select {
+				case next := <-p.claims:
+					batch = append(batch, next)
+				default:
+				}
+			}
+			p.send(batch)
+		}
+	}
+}
+
+func (p *Proposer) send(batch []pendingClaim) {
+	claims := &wire.Claims{}
+	var until time.Time
+	for _, c := range batch {
+		claims.Claims = append(claims.Claims, c.claim)
+		if d, ok := c.ctx.Deadline(); ok && d.After(until) {
+			until = d
+		}
+	}
+	if until.IsZero() {
+		until = time.Now().Add(proposeLimit)
+	}
+	ctx, cancel := context.WithDeadline(p.ctx, until)
+	defer cancel()
+	result, err := p.Propose(ctx, &wire.Command{Body: &wire.Command_Claims{Claims: claims}})
+	results := result.GetClaims().GetResults()
+	if err == nil && len(results) != len(batch) {
+		err = &DoubtError{Err: errors.ErrUnsupported}
+	}
+	for i, c := range batch {
+		if err != nil {
+			c.answer <- claimAnswer{err: err}
+			continue
+		}
+		c.answer <- claimAnswer{result: results[i]}
+	}
+}
+
+// Announce tells the replicas about the node and its endpoints until one accepts or ctx ends.
+func (p *Proposer) Announce(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error) {
+	var last error = &NoParentError{}
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		for _, a := range p.replicas() {
+			lease, err := p.announce(ctx, a, r)
+			if err == nil {
+				return lease, nil
+			}
+			last = err
+			p.log.V(1).Info("announcement not accepted", "replica", a.String(), "error", err.Error())
+		}
+		sleep(ctx, min(backoff(attempt), time.Second))
+	}
+	return 0, last
+}
+
+func (p *Proposer) announce(ctx context.Context, a netip.AddrPort, r *rpc.AnnounceRequest) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
+	defer cancel()
+	resp, err := p.clients.At(a).Announce(ctx, connect.NewRequest(r))
+	if err != nil {
+		return 0, fmt.Errorf("announce to %s: %w", a, err)
+	}
+	return time.Duration(resp.Msg.GetLease()) * time.Millisecond, nil
+}
--- /dev/null
+++ b/io/peer/rounds.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"sync"
+)
+
+// Rounds shares one execution of a read among all callers that arrived before it started. A caller never
+// joins a round that is already running, since that round may predate what the caller must see.
+type Rounds struct {
+	read    func(ctx context.Context) (uint64, error)
+	mu      sync.Mutex
+	running bool
+	next    *round
+}
+
+type round struct {
+	done  chan struct{}
+	value uint64
+	err   error
+}
+
+// NewRounds returns a Rounds over read.
+func NewRounds(read func(ctx context.Context) (uint64, error)) *Rounds {
+	return &Rounds{read: read}
+}
+
+// Do returns the value of a round that starts after Do was called.
+func (r *Rounds) Do(ctx context.Context) (uint64, error) {
+	r.mu.Lock()
+	if r.next == nil {
+		r.next = &round{done: make(chan struct{})}
+	}
+	mine := r.next
+	if !r.running {
+		r.running = true
+		go r.run()
+	}
+	r.mu.Unlock()
+	select {
+	case <-mine.done:
+		return mine.value, mine.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// run executes rounds until nobody waits for another one.
+func (r *Rounds) run() {
+	for {
+		r.mu.Lock()
+		current := r.next
+		r.next = nil
+		if current == nil {
+			r.running = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		current.value, current.err = r.read(ctx)
+		cancel()
+		close(current.done)
+	}
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/rpc"
+)
+
+// NotReplicaError reports a request that only a replica can answer.
+type NotReplicaError struct{ Method string }
+
+func (e *NotReplicaError) Error() string { return e.Method + ": this node is not a replica" }
+
+// Server answers the inner protocol; each method is a function field, and one that is nil is refused.
+type Server struct {
+	OnDeliver  func(m agreement.Message)
+	OnSync     func(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse
+	OnFloor    func(ctx context.Context) (uint64, error)
+	OnPropose  func(ctx context.Context, c *wire.Command) (*wire.Result, error)
+	OnAnnounce func(ctx context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error)
+	OnStatus   func(ctx context.Context, r *rpc.StatusRequest) (*rpc.StatusResponse, error)
+}
+
+func unavailable(method string, err error) error {
+	return connect.NewError(connect.CodeUnavailable, fmt.Errorf("%s: %w", method, err))
+}
+
+func missing(method string) error {
+	return connect.NewError(connect.CodeFailedPrecondition, &NotReplicaError{Method: method})
+}
+
+// Deliver takes agreement messages.
+func (s *Server) Deliver(_ context.Context, r *connect.Request[rpc.DeliverRequest]) (*connect.Response[rpc.DeliverResponse], error) {
+	if s.OnDeliver == nil {
+		return nil, missing("deliver")
+	}
+	for _, m := range r.Msg.GetMessages() {
+		s.OnDeliver(Decode(m))
+	}
+	return connect.NewResponse(&rpc.DeliverResponse{}), nil
+}
+
+// Sync answers one long poll.
+func (s *Server) Sync(ctx context.Context, r *connect.Request[rpc.SyncRequest]) (*connect.Response[rpc.SyncResponse], error) {
+	if s.OnSync == nil {
+		return nil, missing("sync")
+	}
+	return connect.NewResponse(s.OnSync(ctx, r.Msg)), nil
+}
+
+// Floor answers with a quorum-confirmed version.
+func (s *Server) Floor(ctx context.Context, _ *connect.Request[rpc.FloorRequest]) (*connect.Response[rpc.FloorResponse], error) {
+	if s.OnFloor == nil {
+		return nil, missing("floor")
+	}
+	v, err := s.OnFloor(ctx)
+	if err != nil {
+		return nil, unavailable("floor", err)
+	}
+	return connect.NewResponse(&rpc.FloorResponse{Version: v}), nil
+}
+
+// Propose commits a command.
+func (s *Server) Propose(ctx context.Context, r *connect.Request[rpc.ProposeRequest]) (*connect.Response[rpc.ProposeResponse], error) {
+	if s.OnPropose == nil {
+		return nil, missing("propose")
+	}
+	result, err := s.OnPropose(ctx, r.Msg.GetCommand())
+	if err != nil {
+		return nil, unavailable("propose", err)
+	}
+	return connect.NewResponse(&rpc.ProposeResponse{Result: result}), nil
+}
+
+// Announce takes joins and leaves.
+func (s *Server) Announce(ctx context.Context, r *connect.Request[rpc.AnnounceRequest]) (*connect.Response[rpc.AnnounceResponse], error) {
+	if s.OnAnnounce == nil {
+		return nil, missing("announce")
+	}
+	resp, err := s.OnAnnounce(ctx, r.Msg)
+	if err != nil {
+		return nil, unavailable("announce", err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Status answers with the report of the fleet.
+func (s *Server) Status(ctx context.Context, r *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error) {
+	if s.OnStatus == nil {
+		return nil, missing("status")
+	}
+	resp, err := s.OnStatus(ctx, r.Msg)
+	if err != nil {
+		return nil, unavailable("status", err)
+	}
+	return connect.NewResponse(resp), nil
+}
--- a/main.go
+++ b/main.go
@@ -6,9 +6,18 @@
 	"os"
 
 	"godwitspindle/cmd"
+	"godwitspindle/core/config"
+	"godwitspindle/io/demo"
+	"godwitspindle/io/host"
 )
 
 func main() {
-	p := cmd.Program{}
+	p := cmd.Program{
+		Node:          host.RunNode,
+		Demo:          demo.Run,
+		ParseRegister: config.ParseRegister,
+		ParseRules:    config.ParseRules,
+		Faults:        host.Faults,
+	}
 	os.Exit(p.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 }
