feat(demo): the whole path runs: register, rule, claims, changed rule

Cause: relays waited for nodes that had moved to another relay, and a leader never renewed its own lease.

--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -44,6 +44,7 @@
 	via   string // the child that named it
 	heard time.Time
 	fresh bool // heard since the last report that named it
+	told  bool // named in a report since it came by this way
 }
 
 // NewTracker returns a Tracker for the named node; poll is the poll interval of the profile.
@@ -51,19 +52,21 @@
 	return &Tracker{self: self, poll: poll, children: map[string]*child{}, names: map[string]*name{}}
 }
 
-// Heard records a poll of a child that holds the given version; report is nil for a node without nodes below it.
-func (t *Tracker) Heard(now time.Time, node string, held uint64, report *wire.Report) {
+// Heard records a poll of a child that holds the given version and reports whether the child is new; report is nil for a
+// node without nodes below it.
+func (t *Tracker) Heard(now time.Time, node string, held uint64, report *wire.Report) (joined bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	c := t.children[node]
 	if c == nil {
 		c = &child{}
 		t.children[node] = c
+		joined = true
 	}
 	c.held, c.lowest, c.count, c.heard, c.laggards = held, held, 1, now, nil
 	t.mark(node, node, now)
 	if report == nil {
-		return
+		return joined
 	}
 	c.count = max(report.GetCount(), 1)
 	c.lowest = min(held, report.GetLowest())
@@ -75,6 +78,7 @@
 		t.mark(n, node, now)
 		delete(t.children, n) // it moved below this child; its own report would count it twice
 	}
+	return joined
 }
 
 func (t *Tracker) mark(node, via string, now time.Time) {
@@ -83,6 +87,9 @@
 		n = &name{}
 		t.names[node] = n
 	}
+	if n.via != via {
+		n.told = false
+	}
 	n.via, n.heard, n.fresh = via, now, true
 }
 
@@ -109,18 +116,27 @@
 	}
 	r.Laggards = worst(r.Laggards)
 	t.last = nil
-	if t.named.IsZero() || now.Sub(t.named) >= t.poll/2 {
-		t.previous, t.named = t.named, now
+	t.name(now, r)
+	return r
+}
+
+// name adds the names of nodes that were heard: all of them once in half a poll interval, and those that are new here at
+// once, since until then the upstream believes them to be elsewhere.
+func (t *Tracker) name(now time.Time, r *wire.Report) {
+	all := t.named.IsZero() || now.Sub(t.named) >= t.poll/2
+	t.previous = t.named
+	if all {
+		t.named = now
 		r.Alive = append(r.Alive, t.self)
-		for _, k := range sorted(t.names) {
-			if n := t.names[k]; n.fresh {
-				n.fresh = false
-				t.last = append(t.last, k)
-			}
+	}
+	for _, k := range sorted(t.names) {
+		n := t.names[k]
+		if n.fresh && (all || !n.told) {
+			n.fresh, n.told = false, true
+			t.last = append(t.last, k)
 		}
-		r.Alive = append(r.Alive, t.last...)
 	}
-	return r
+	r.Alive = append(r.Alive, t.last...)
 }
 
 // Lost takes back the names of the last report, which did not reach the upstream.
@@ -132,7 +148,7 @@
 	}
 	for _, k := range t.last {
 		if n := t.names[k]; n != nil {
-			n.fresh = true
+			n.fresh, n.told = true, false
 		}
 	}
 	t.named, t.last = t.previous, nil
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -71,7 +71,7 @@
 func Run(ctx context.Context, keep bool, stdout, stderr io.Writer) error {
 	ctx, stop := platform.Signals(ctx)
 	defer stop()
-	log := platform.NewLogger(stderr, slog.LevelError)
+	log := platform.NewLogger(stderr, slog.LevelDebug)
 	folder, err := os.MkdirTemp("", "godwitspindle-demo-")
 	if err != nil {
 		return fmt.Errorf("make the data folder: %w", err)
@@ -165,7 +165,7 @@
 				return err
 			}
 		}
-		if runs := s.runs(key); runs != 1 {
+		if runs := s.runs(quoted(key)); runs != 1 {
 			return &AnswerError{What: "purchase " + key, Got: fmt.Sprintf("%d runs", runs)}
 		}
 	}
@@ -173,6 +173,9 @@
 	return nil
 }
 
+// quoted writes a key as the structured string that the IETF draft of Idempotency-Key asks for.
+func quoted(key string) string { return `"` + key + `"` }
+
 func (s *show) runs(key string) int {
 	n := 0
 	for _, b := range s.mesh.Backends {
@@ -189,7 +192,7 @@
 	}
 	r.Header.Set(standin.HeaderID, body)
 	if key != "" {
-		r.Header.Set("Idempotency-Key", `"`+key+`"`)
+		r.Header.Set("Idempotency-Key", quoted(key))
 	}
 	p, err := s.http.Do(r)
 	if err != nil {
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -176,6 +176,7 @@
 	}
 	if now.Sub(c.expiry) >= expiryInterval {
 		c.expiry = now
+		c.leases.Heard(now, c.name, nil) // the leader has no relay that names it
 		for _, e := range c.leases.Expire(now) {
 			c.log.Info("lease expired", "node", e.Node, "endpoint", e.Endpoint, "silent", e.Silent.String())
 		}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -174,6 +174,7 @@
 	})
 	go h.resize()
 	h.changed()
+	time.AfterFunc(lateReport, h.reportLate)
 }
 
 // changed makes the announcer compare what is agreed with what is announced.
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -17,6 +17,9 @@
 	"godwitspindle/io/rpc"
 )
 
+// lateReport is how long after a version a relay reports even if nodes below it lag.
+const lateReport = 300 * time.Millisecond
+
 func (h *Host) startFeed() error {
 	transfers := relayTransfers
 	if h.control != nil {
@@ -98,16 +101,27 @@
 
 // heard takes the report part of a Sync from a node below.
 func (h *Host) heard(r *rpc.SyncRequest) {
+	if r.GetMoved() {
+		h.tracker.Forget(r.GetNode())
+		return
+	}
 	now := time.Now()
-	h.tracker.Heard(now, r.GetNode(), r.GetHeld(), r.GetReport())
+	joined := h.tracker.Heard(now, r.GetNode(), r.GetHeld(), r.GetReport())
 	if h.control != nil {
 		h.control.leases.Heard(now, r.GetNode(), r.GetReport().GetAlive())
 	}
 	if h.Leads() {
 		return
 	}
+	if h.follower == nil {
+		return
+	}
 	held := h.holder.View().Snapshot.Version()
-	if r.GetHeld() == held && h.follower != nil {
+	if joined {
+		h.follower.Nudge()
+		return
+	}
+	if r.GetHeld() == held {
 		h.acknowledged(held)
 	}
 }
@@ -120,6 +134,14 @@
 	h.follower.Nudge()
 }
 
+// reportLate tells the upstream who is behind when not all nodes below have taken a version in time.
+func (h *Host) reportLate() {
+	held := h.holder.View().Snapshot.Version()
+	if h.follower != nil && !h.Leads() && h.tracker.Children() > 0 && h.reported.Load() != held {
+		h.follower.Nudge()
+	}
+}
+
 // report returns what goes upward with a Sync; a node with nobody below sends none, since its poll says it all.
 // Reports flow only from relays to replicas and from replicas to the leader: relays that help each other while the
 // source is out would otherwise pass the names of dead nodes around in a circle.
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -88,6 +88,9 @@
 // Sync answers one long poll.
 func (d *Feed) Sync(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse {
 	d.report(r)
+	if r.GetMoved() {
+		return &rpc.SyncResponse{Age: -1}
+	}
 	if r.GetHeld() == 0 {
 		if relays := d.redirect(r.GetNode(), r.GetDomain()); len(relays) > 0 {
 			return &rpc.SyncResponse{Age: -1, Relays: relays, Leader: d.leader()}
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -26,6 +26,8 @@
 	syncSlack   = 3 * time.Second // on top of the poll interval before a Sync counts as failed
 	failedPause = 10 * time.Second
 	nudgePause  = 50 * time.Millisecond
+
+	farewellTimeout = time.Second
 )
 
 // NoParentError reports that no upstream is known.
@@ -197,7 +199,7 @@
 		last = f.sync(ctx, p)
 		if last == nil {
 			delete(f.failed, p)
-			f.parent.Store(&p)
+			f.settle(ctx, p)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -209,6 +211,18 @@
 	return last
 }
 
+// settle notes the upstream that answered and tells the one before, which would otherwise wait for reports from here.
+func (f *Follower) settle(ctx context.Context, p netip.AddrPort) {
+	old := f.parent.Swap(&p)
+	if old == nil || *old == p {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
+	defer cancel()
+	_, err := f.clients.At(*old).Sync(ctx, connect.NewRequest(&rpc.SyncRequest{Node: f.name, Incarnation: f.incarnation, Moved: true}))
+	f.log.Info("upstream changed", "from", old.String(), "to", p.String(), "told", err == nil)
+}
+
 // ordered returns the upstreams in order of preference; those that failed recently come last, since a poll of a
 // silent one costs seconds.
 func (f *Follower) ordered() []netip.AddrPort {
