feat(relay,lease): add relay choice, report aggregation and endpoint leases

Cause: distribution needs relays, paced reconnects and a leader that expires silent endpoints without mass expiry. Conclusion: each rule of the mass-expiry guard has a row in TestExpiryGuard.

--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,308 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwitspindle/core/wire"
+)
+
+const (
+	period = 15 * time.Second
+	pollOf = 5 * time.Second
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// table leads since start with n nodes, each with one endpoint of a service of the given size; relay reports all others.
+func table(n, size int) *Table {
+	t := New(WithLease(period))
+	nodes := []*wire.Node{{Name: "relay", Incarnation: 1}}
+	var endpoints []*wire.Endpoint
+	for i := range n {
+		name := fmt.Sprintf("n%03d", i)
+		nodes = append(nodes, &wire.Node{Name: name, Incarnation: 1})
+		endpoints = append(endpoints, &wire.Endpoint{Service: fmt.Sprintf("s%02d", i/size), Name: name, Node: name, Incarnation: 1})
+	}
+	t.Reset(start, nodes, endpoints)
+	return t
+}
+
+// beat lets the relay report at every poll from one time to another, naming all nodes but the silent ones.
+func beat(t *Table, from, to time.Duration, silent ...string) {
+	var alive []string
+	for k := range t.nodes {
+		if !slices.Contains(silent, k) {
+			alive = append(alive, k)
+		}
+	}
+	for at := from; at <= to; at += pollOf {
+		t.Heard(start.Add(at), "relay", alive)
+	}
+}
+
+// settle expires and applies until a time, as the leader does, and returns the endpoints that expired.
+func settle(t *Table, at time.Duration) (out []string) {
+	for _, e := range t.Expire(start.Add(at)) {
+		if e.Endpoint != "" {
+			out = append(out, e.Node)
+		}
+	}
+	if m := t.Next(start.Add(at)); m != nil {
+		t.Applied(start.Add(at), m)
+	}
+	return out
+}
+
+func number(n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("n%03d", i))
+	}
+	return out
+}
+
+// Guards against mass expiry; each row fails without the one rule that it names.
+func TestExpiryGuard(t *testing.T) {
+	for _, c := range guards {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.run(); len(got) != c.want {
+				t.Errorf("expired endpoints: got %d %v, want %d", len(got), got, c.want)
+			}
+		})
+	}
+}
+
+var guards = []struct {
+	name string
+	run  func() []string
+	want int
+}{
+	{"a silent node expires", func() []string {
+		k := table(10, 10)
+		beat(k, 0, period, "n000")
+		return settle(k, period)
+	}, 1},
+	{"not before a whole lease", func() []string {
+		k := table(10, 10)
+		beat(k, 0, period, "n000")
+		return settle(k, period-1)
+	}, 0},
+	{"new leadership gives a full period", func() []string {
+		k := table(10, 10)
+		beat(k, 0, period, "n000")
+		k.Reset(start.Add(period), []*wire.Node{{Name: "n000"}}, []*wire.Endpoint{{Service: "s00", Name: "n000", Node: "n000"}})
+		return settle(k, 2*period-1)
+	}, 0},
+	{"a lease that ran out before the leader had led for one", func() []string {
+		k := table(10, 10)
+		k.nodes["n000"].heard = start.Add(-time.Hour)
+		beat(k, 0, pollOf, "n000")
+		return settle(k, period-1)
+	}, 0},
+	{"silence of a relay is not silence of its nodes", func() []string {
+		k := table(20, 20)
+		beat(k, 0, pollOf)
+		out := settle(k, pollOf+period) // only the relay's own lease runs out, and it has no endpoint
+		return append(out, settle(k, pollOf+2*period-1)...)
+	}, 0},
+	{"nodes of a relay that left expire a lease later", func() []string {
+		k := table(20, 20)
+		beat(k, 0, pollOf)
+		settle(k, pollOf+period)
+		return settle(k, pollOf+2*period)
+	}, 2},
+	{"relay heard only shortly after the node", func() []string {
+		k := table(10, 10)
+		beat(k, 0, 0)
+		beat(k, pollOf, pollOf, "n000")
+		return settle(k, period)
+	}, 0},
+	{"at most a tenth in one lease", func() []string {
+		k := table(100, 100)
+		beat(k, 0, 2*period, number(40)...)
+		return append(settle(k, period), settle(k, 2*period-1)...)
+	}, 10},
+	{"another tenth in the next lease", func() []string {
+		k := table(100, 100)
+		beat(k, 0, 2*period, number(40)...)
+		return append(settle(k, period), settle(k, 2*period)...)
+	}, 10 + 9},
+	{"at least one", func() []string {
+		k := table(4, 4)
+		beat(k, 0, period, number(2)...)
+		return settle(k, period)
+	}, 1},
+	{"half of a service stays, also step by step", func() []string {
+		k := table(8, 8)
+		var out []string
+		for i := range 20 {
+			beat(k, time.Duration(i)*period, time.Duration(i+1)*period, number(8)...)
+			out = append(out, settle(k, time.Duration(i+1)*period)...)
+		}
+		return out
+	}, 4},
+	{"other services are not held back", func() []string {
+		k := table(40, 2)
+		beat(k, 0, period, number(6)...)
+		return settle(k, period)
+	}, 3},
+	{"the only endpoint of a service stays", func() []string {
+		k := table(1, 1)
+		beat(k, 0, period, "n000")
+		return settle(k, period)
+	}, 0},
+}
+
+func text(m *wire.Membership) string {
+	var out []string
+	for _, n := range m.GetJoins() {
+		out = append(out, "+"+n.GetName())
+	}
+	for _, e := range m.GetEndpoints() {
+		out = append(out, "+"+key(e))
+	}
+	for _, k := range m.GetLeaves() {
+		out = append(out, "-"+k)
+	}
+	for _, k := range m.GetRemoved() {
+		out = append(out, "-"+k)
+	}
+	return strings.Join(out, " ")
+}
+
+// Guards against lost, repeated, overtaken or guarded announcements.
+func TestAnnounce(t *testing.T) {
+	node := func(name string, i uint64) *wire.Node { return &wire.Node{Name: name, Incarnation: i} }
+	own := func(name string, incarnation uint64) []*wire.Endpoint {
+		return []*wire.Endpoint{{Service: "s00", Name: name, Node: name, Incarnation: incarnation}}
+	}
+	tests := []struct {
+		name string
+		run  func(k *Table)
+		want string
+	}{
+		{"known state", func(k *Table) { k.Announce(start, node("n000", 1), own("n000", 1), false) }, ""},
+		{"join", func(k *Table) { k.Announce(start, node("new", 1), own("new", 1), false) }, "+new +s00/new"},
+		{"join twice", func(k *Table) {
+			k.Announce(start, node("new", 1), own("new", 1), false)
+			k.Announce(start, node("new", 1), own("new", 1), false)
+		}, "+new +s00/new"},
+		{"restart", func(k *Table) { k.Announce(start, node("n000", 2), own("n000", 2), false) }, "+n000 +s00/n000"},
+		{"endpoint leaves", func(k *Table) { k.Announce(start, node("n000", 1), nil, false) }, "-s00/n000"},
+		{"endpoint leaves and is back within the window", func(k *Table) {
+			k.Announce(start, node("n000", 1), nil, false)
+			k.Announce(start, node("n000", 1), own("n000", 1), false)
+		}, ""},
+		{"leaves are taken without a guard", func(k *Table) {
+			for _, n := range number(4) {
+				k.Announce(start, node(n, 1), nil, true)
+			}
+		}, "-n000 -n001 -n002 -n003"},
+		{"leave of an older incarnation", func(k *Table) { k.Announce(start, node("n000", 9), nil, true) }, ""},
+		{"join that was overtaken by its leave", func(k *Table) {
+			k.Announce(start, node("n000", 1), nil, true)
+			k.Announce(start, node("n000", 1), own("n000", 1), false)
+		}, "-n000"},
+		{"join and leave within the window", func(k *Table) {
+			k.Announce(start, node("new", 1), own("new", 1), false)
+			k.Announce(start, node("new", 1), nil, true)
+		}, "-new"},
+		{"failed command is proposed again, newer announcement wins", func(k *Table) {
+			k.Announce(start, node("n000", 1), nil, true)
+			k.Announce(start, node("new", 1), own("new", 1), false)
+			m := k.Next(start)
+			k.Announce(start, node("new", 1), nil, true)
+			k.Failed(start, m)
+			k.flushed = time.Time{}
+		}, "-new -n000"},
+		{"announced again while its expiry is under way", func(k *Table) {
+			beat(k, 0, period, "n000")
+			k.Expire(start.Add(period))
+			k.Next(start)
+			k.Announce(start, node("n000", 1), own("n000", 1), false)
+			k.flushed = time.Time{}
+		}, "+n000 +s00/n000"},
+		{"endpoint back while its removal is under way", func(k *Table) {
+			k.Announce(start, node("n000", 1), nil, false)
+			k.Next(start)
+			k.Announce(start, node("n000", 1), own("n000", 1), false)
+			k.flushed = time.Time{}
+		}, "+n000 +s00/n000"},
+		{"endpoint leaves while its join is under way", func(k *Table) {
+			k.Announce(start, node("new", 1), own("new", 1), false)
+			k.Next(start)
+			k.Announce(start, node("new", 1), nil, false)
+			k.flushed = time.Time{}
+		}, "+new -s00/new"},
+		{"new incarnation leaves while its join is under way", func(k *Table) {
+			k.Announce(start, node("n000", 2), own("n000", 2), false)
+			k.Next(start)
+			k.Announce(start, node("n000", 2), nil, true)
+			k.flushed = time.Time{}
+		}, "-n000"},
+		{"not leading", func(k *Table) { k.Stop(); k.Announce(start, node("new", 1), own("new", 1), false) }, ""},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			k := table(4, 4)
+			c.run(k)
+			if got := text(k.Next(start.Add(period))); got != c.want {
+				t.Errorf("command: got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against more than one command in a window, and against a single leave that waits for one.
+func TestWindow(t *testing.T) {
+	k := table(40, 40)
+	commands, leaves := 0, 0
+	for i, n := range number(40) {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		k.Announce(now, &wire.Node{Name: n, Incarnation: 1}, nil, true)
+		m := k.Next(now)
+		if m == nil {
+			continue
+		}
+		commands++
+		leaves += len(m.GetLeaves())
+		if i == 0 && len(m.GetLeaves()) != 1 {
+			t.Errorf("first leave: got %v, want it sent at once", m)
+		}
+	}
+	if commands != 4 || leaves != 31 {
+		t.Errorf("in 390 ms: got %d commands with %d leaves, want 4 with 31", commands, leaves)
+	}
+	if m := k.Next(start.Add(time.Second)); len(m.GetLeaves()) != 9 {
+		t.Errorf("rest: got %d leaves, want 9", len(m.GetLeaves()))
+	}
+	if !k.Missing("gone", 1) || k.Missing("n000", 1) || !k.Missing("n000", 2) {
+		t.Error("Missing: got wrong answer, want true for an unknown node or incarnation only")
+	}
+}
+
+func BenchmarkTable(b *testing.B) {
+	b.Run("storm of 2100 announcements", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			k := table(0, 1)
+			for _, n := range number(2100) {
+				k.Announce(start, &wire.Node{Name: n, Incarnation: 1}, []*wire.Endpoint{{Service: "s", Name: n, Node: n}}, false)
+			}
+			b.ReportMetric(float64(proto.Size(k.Next(start))), "bytes")
+		}
+	})
+	b.Run("expire, a third of 2100 silent", func(b *testing.B) {
+		k := table(2100, 10)
+		beat(k, 0, period, number(700)...)
+		b.ReportAllocs()
+		for b.Loop() {
+			k.Expire(start.Add(period))
+		}
+	})
+}
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	pending   map[string]bool           // endpoint keys and node names whose expiry was proposed
 	expired   map[string]loss           // endpoints that expired and did not return
 	recent    []time.Time               // expiries of endpoints in the last lease
+	flights   map[string]*flight        // nodes with a command that Next returned and that is not applied yet
 
 	staged  wire.Membership
 	first   time.Time // first staged change; zero when nothing is staged
@@ -40,6 +42,13 @@
 	endpoints map[string]bool
 }
 
+// flight is what the commands under way say about a node; its next announcement is compared with that, too.
+type flight struct {
+	commands  int
+	joined    *wire.Node
+	endpoints map[string]bool
+}
+
 type departure struct {
 	incarnation uint64
 	at          time.Time
@@ -76,6 +85,7 @@
 	t.pending = map[string]bool{}
 	t.expired = map[string]loss{}
 	t.recent = nil
+	t.flights = map[string]*flight{}
 	t.staged = wire.Membership{}
 	t.first = time.Time{}
 }
@@ -112,6 +122,7 @@
 	if t.led.IsZero() {
 		return
 	}
+	t.land(m)
 	for _, k := range m.GetRemoved() {
 		t.drop(k)
 	}
@@ -133,6 +144,7 @@
 	if t.led.IsZero() {
 		return
 	}
+	t.land(m)
 	for _, n := range m.GetJoins() {
 		if !t.stagedNode(n.GetName()) {
 			t.staged.Joins = append(t.staged.Joins, n)
@@ -189,33 +201,64 @@
 	if t.led.IsZero() {
 		return false
 	}
-	held := t.nodes[n.GetName()]
 	if leaving {
-		if held != nil && held.record.GetIncarnation() != n.GetIncarnation() {
-			return false
-		}
-		t.left[n.GetName()] = departure{n.GetIncarnation(), now}
-		if held == nil && !t.stagedNode(n.GetName()) {
-			return false
-		}
-		t.unstage(n.GetName())
-		t.staged.Leaves = append(t.staged.Leaves, n.GetName())
-		t.touch(now)
-		return true
+		return t.depart(now, n)
 	}
 	if d, ok := t.left[n.GetName()]; ok && d.incarnation == n.GetIncarnation() {
 		return false
 	}
+	held := t.nodes[n.GetName()]
 	if held != nil {
 		held.heard = now
 	}
 	return t.stage(now, held, n, endpoints)
 }
 
+// depart stages a leave. That of a node which is not agreed is taken as well, since its join may be under way.
+func (t *Table) depart(now time.Time, n *wire.Node) bool {
+	k := n.GetName()
+	latest := t.latest(k)
+	if latest != nil && latest.GetIncarnation() != n.GetIncarnation() {
+		return false
+	}
+	if d, ok := t.left[k]; ok && d.incarnation == n.GetIncarnation() && t.nodes[k] == nil {
+		return false // resent
+	}
+	t.left[k] = departure{n.GetIncarnation(), now}
+	t.unstage(k)
+	t.staged.Leaves = append(t.staged.Leaves, k)
+	t.touch(now)
+	return true
+}
+
+// latest returns the newest join of a node: staged, under way, or agreed.
+func (t *Table) latest(name string) *wire.Node {
+	for _, n := range t.staged.Joins {
+		if n.GetName() == name {
+			return n
+		}
+	}
+	if f := t.flights[name]; f != nil && f.joined != nil {
+		return f.joined
+	}
+	if n := t.nodes[name]; n != nil {
+		return n.record
+	}
+	return nil
+}
+
 func (t *Table) stage(now time.Time, held *node, n *wire.Node, endpoints []*wire.Endpoint) bool {
 	t.unstage(n.GetName())
 	changed := false
-	if held == nil || !proto.Equal(held.record, n) || t.pending[n.GetName()] {
+	f := t.flights[n.GetName()]
+	known := map[string]bool{}
+	if f != nil {
+		maps.Copy(known, f.endpoints)
+	}
+	if held != nil {
+		maps.Copy(known, held.endpoints)
+	}
+	if held == nil || f != nil || !proto.Equal(held.record, n) || t.pending[n.GetName()] {
 		t.staged.Joins = append(t.staged.Joins, n)
 		changed = true
 	}
@@ -223,17 +266,15 @@
 	for _, e := range endpoints {
 		k := key(e)
 		kept[k] = true
-		if !proto.Equal(t.endpoints[k], e) || t.pending[k] {
+		if f != nil || !proto.Equal(t.endpoints[k], e) || t.pending[k] {
 			t.staged.Endpoints = append(t.staged.Endpoints, e)
 			changed = true
 		}
 	}
-	if held != nil {
-		for _, k := range sorted(held.endpoints) {
-			if !kept[k] {
-				t.staged.Removed = append(t.staged.Removed, k)
-				changed = true
-			}
+	for _, k := range sorted(known) {
+		if !kept[k] {
+			t.staged.Removed = append(t.staged.Removed, k)
+			changed = true
 		}
 	}
 	if changed {
@@ -257,5 +298,6 @@
 	if len(m.Joins)+len(m.Endpoints)+len(m.Leaves)+len(m.Removed) == 0 {
 		return nil
 	}
+	t.launch(m)
 	return m
 }
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,234 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"godwitspindle/core/wire"
+)
+
+const poll = 5 * time.Second
+
+var start = time.Unix(1_700_000_000, 0)
+
+func fleet() []Node {
+	var out []Node
+	for i := range 30 {
+		out = append(out, Node{Name: fmt.Sprintf("n%02d", i), Domain: string(rune('a' + i%3)), Replica: i < 3})
+	}
+	return out
+}
+
+func names(list []Node) string {
+	var out []string
+	for _, n := range list {
+		out = append(out, n.Name)
+	}
+	return strings.Join(out, " ")
+}
+
+// Guards against nodes that disagree about the relays, relays that change without cause, and orders of upstreams that send
+// every node to the source.
+func TestChoice(t *testing.T) {
+	all := fleet()
+	relays := Relays(all, "a", nil)
+	dead := func(n string) bool { return n != relays[0].Name }
+	next := Relays(all, "a", dead)
+	if len(relays) != 2 || relays[0].Replica || relays[1].Replica || len(next) != 2 || next[0] != relays[1] {
+		t.Fatalf("relays: got %s and without the first %s; want two that are no replicas, the second moving up", names(relays), names(next))
+	}
+	mixed := slices.Clone(all)
+	rand.New(rand.NewPCG(1, 2)).Shuffle(len(mixed), func(i, j int) { mixed[i], mixed[j] = mixed[j], mixed[i] })
+	if got := names(Relays(mixed, "a", nil)); got != names(relays) {
+		t.Errorf("relays in another order of nodes: got %s, want %s", got, names(relays))
+	}
+	if got := Relays(all[:3], "a", nil); len(got) != 1 || got[0].Name != "n00" {
+		t.Errorf("domain with only a replica: got %s, want n00", names(got))
+	}
+	tests := []struct {
+		name string
+		self Node
+		want []string // kinds of upstream in order
+	}{
+		{"relay", relays[0], []string{"n02", "replica", "replica", "far", "far", "far", "far", "near"}},
+		{"node", all[slices.IndexFunc(all, func(n Node) bool { return n.Domain == "a" && !n.Replica && n != relays[0] && n != relays[1] })], []string{"near", "near", "far", "far", "far", "far", "replica", "replica", "replica"}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			got := Parents(c.self, all, "n02", nil)
+			if len(got) != len(c.want) {
+				t.Fatalf("parents: got %s, want %v", names(got), c.want)
+			}
+			for i, n := range got {
+				kind := "far"
+				if n.Replica {
+					kind = "replica"
+				} else if n.Domain == "a" {
+					kind = "near"
+				}
+				if kind != c.want[i] && n.Name != c.want[i] {
+					t.Errorf("parent %d: got %s (%s), want %s", i, n.Name, kind, c.want[i])
+				}
+			}
+		})
+	}
+}
+
+// Guards against reconnect storms: waits without jitter or cap, more transfers than allowed, one retry time for all.
+func TestPace(t *testing.T) {
+	b := Backoff{Random: func(n int64) int64 { return n - 1 }}
+	var got []time.Duration
+	for range 9 {
+		got = append(got, b.Next(0))
+	}
+	if got[0] != 100*time.Millisecond || got[1] != 200*time.Millisecond || got[8] != 10*time.Second {
+		t.Errorf("largest waits: got %v, want 100 ms, 200 ms, ... 10 s", got)
+	}
+	b.Reset()
+	b.Random = func(int64) int64 { return 0 }
+	if w := b.Next(time.Second); w != time.Second {
+		t.Errorf("wait asked for by the server: got %v, want 1s", w)
+	}
+	k := NewBudget(2)
+	taken, last := 0, time.Duration(0)
+	for i := range 50 {
+		after, ok := k.Take(start)
+		if ok {
+			taken++
+			continue
+		}
+		if after <= last || after > 10*time.Second {
+			t.Fatalf("client %d: got retry after %v, want more than %v and at most 10 s", i, after, last)
+		}
+		last = after
+	}
+	if taken != 2 {
+		t.Errorf("concurrent transfers: got %d, want 2", taken)
+	}
+	k.Done(time.Second)
+	if _, ok := k.Take(start); !ok {
+		t.Error("transfer after one ended: got refused, want taken")
+	}
+}
+
+// Guards against counting a node twice or not at all when it moves, dies or lags, and against names sent too often.
+func TestTracker(t *testing.T) {
+	type row struct {
+		name     string
+		setup    func(k *Tracker)
+		at       time.Duration
+		lowest   uint64
+		count    uint32
+		laggards string // NODE:VERSION:REASON
+		alive    string
+	}
+	stale := &wire.Laggard{Node: "x", Version: 3, Reason: wire.Reason_REASON_REFUSED, Heard: 10}
+	leaves := func(k *Tracker) {
+		k.Heard(start, "x", 7, nil)
+		k.Heard(start, "y", 5, nil)
+	}
+	tests := []row{
+		{"alone", func(*Tracker) {}, 0, 7, 1, "", "r"},
+		{"leaves", leaves, 0, 5, 3, "y:5:STALE", "r x y"},
+		{"relay below", func(k *Tracker) {
+			k.Heard(start, "s", 7, &wire.Report{Lowest: 3, Count: 4, Laggards: []*wire.Laggard{stale}, Alive: []string{"s", "x", "z"}})
+		}, 0, 3, 5, "x:3:REFUSED", "r s x z"},
+		{"moved below a relay", func(k *Tracker) {
+			leaves(k)
+			k.Heard(start.Add(1), "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
+		}, 0, 7, 4, "", "r s x y"},
+		{"silent for two polls", leaves, 2 * poll, 5, 3, "y:5:UNREACHABLE x:7:UNREACHABLE", "r x y"},
+		{"silent for a lease", leaves, 3 * poll, 7, 1, "", "r"},
+		{"refused names itself once", func(k *Tracker) {
+			k.Heard(start, "x", 3, &wire.Report{Lowest: 3, Count: 1, Laggards: []*wire.Laggard{stale}})
+		}, 0, 3, 2, "x:3:REFUSED", "r x"},
+		{"names within half a poll", func(k *Tracker) { leaves(k); k.Report(start, 7) }, poll/2 - 1, 5, 3, "y:5:STALE", ""},
+		{"names heard again", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Heard(start.Add(1), "x", 7, nil) }, poll / 2, 5, 3, "y:5:STALE", "r x"},
+		{"names of a lost report", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Lost() }, 1, 5, 3, "y:5:STALE", "r x y"},
+		{"forgotten", func(k *Tracker) { leaves(k); k.Forget("y") }, 0, 7, 2, "", "r x"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			k := NewTracker("r", poll)
+			c.setup(k)
+			r := k.Report(start.Add(c.at), 7)
+			var behind []string
+			for _, l := range r.GetLaggards() {
+				behind = append(behind, fmt.Sprintf("%s:%d:%s", l.GetNode(), l.GetVersion(), strings.TrimPrefix(l.GetReason().String(), "REASON_")))
+			}
+			got := row{lowest: r.GetLowest(), count: r.GetCount(), laggards: strings.Join(behind, " "), alive: strings.Join(r.GetAlive(), " ")}
+			if got.lowest != c.lowest || got.count != c.count || got.laggards != c.laggards || got.alive != c.alive {
+				t.Errorf("report: got lowest %d, count %d, laggards %q, alive %q; want %d, %d, %q, %q", got.lowest, got.count, got.laggards, got.alive, c.lowest, c.count, c.laggards, c.alive)
+			}
+		})
+	}
+}
+
+// Guards against "in force on N of N" while a node is behind, silent, refusing, or hidden by a full list of laggards.
+func TestForce(t *testing.T) {
+	lag := func(node string, v uint64, r wire.Reason) *wire.Laggard {
+		return &wire.Laggard{Node: node, Version: v, Reason: r}
+	}
+	var full []*wire.Laggard
+	for i := range MaxLaggards {
+		full = append(full, lag(fmt.Sprint("q", i), 1, wire.Reason_REASON_STALE))
+	}
+	report := func(lowest uint64, l ...*wire.Laggard) *wire.Report {
+		return &wire.Report{Lowest: lowest, Count: 3, Laggards: l, Alive: []string{"s", "x", "y"}}
+	}
+	tests := []struct {
+		name  string
+		held  uint64 // of relay s
+		r     *wire.Report
+		at    time.Duration
+		count int // of r, s, x, y
+	}{
+		{"all", 7, report(7), 0, 4},
+		{"relay behind", 6, report(6), 0, 1},
+		{"one stale", 7, report(5, lag("x", 5, wire.Reason_REASON_STALE)), 0, 3},
+		{"one refused", 7, report(5, lag("x", 5, wire.Reason_REASON_REFUSED)), 0, 3},
+		{"unreachable below the relay", 7, report(7, lag("x", 7, wire.Reason_REASON_UNREACHABLE)), 0, 3},
+		{"full list hides others", 7, report(1, full...), 0, 2},
+		{"relay silent for two polls", 7, report(7), 2 * poll, 1},
+		{"relay ahead, laggard has the version", 9, report(7, lag("x", 7, wire.Reason_REASON_STALE), lag("y", 7, wire.Reason_REASON_STALE)), 0, 4},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			k := NewTracker("r", poll)
+			k.Heard(start, "s", c.held, c.r)
+			got, behind := k.Force(start.Add(c.at), 7, 7, []string{"r", "s", "x", "y"})
+			if got != c.count || len(behind) != 4-c.count {
+				t.Errorf("in force: got %d (behind %v), want %d", got, behind, c.count)
+			}
+		})
+	}
+	k := NewTracker("r", poll)
+	if got, behind := k.Force(start, 7, 7, []string{"r", "never"}); got != 1 || behind[0].GetNode() != "never" {
+		t.Errorf("node never heard: got %d in force, want 1", got)
+	}
+}
+
+func BenchmarkTracker(b *testing.B) {
+	k := NewTracker("r", poll)
+	list := make([]string, 175)
+	for i := range list {
+		list[i] = fmt.Sprint("node", i)
+		k.Heard(start, list[i], 7, nil)
+	}
+	b.Run("heard", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			k.Heard(start, "node1", 7, nil)
+		}
+	})
+	b.Run("report of 175", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			k.Report(start, 7)
+		}
+	})
+}
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -22,7 +22,7 @@
 func (p *Picker) score(m, other *member, c Class, domain string, now int64) float64 {
 	t := m.state
 	s := float64(t.outstanding.Load()+1) / float64(max(m.endpoint.Slots, 1))
-	fresh := fade(now-t.seen.Load(), memory)
+	fresh := recent(now - t.seen.Load())
 	s *= expected(m, other, fresh)
 	w := errorWeight
 	if c == Once {
@@ -68,6 +68,19 @@
 	return own
 }
 
+// recent weighs an own observation by its age: 1 when new, one half at memory, 0 from six times memory, so that an idle
+// service also tries an endpoint again that was slow once.
+func recent(age int64) float64 {
+	if age <= 0 {
+		return 1
+	}
+	x := float64(age) / float64(memory)
+	if x >= 6 {
+		return 0
+	}
+	return 1 / (1 + x*x)
+}
+
 // fade is 1 for a new observation, one half at the given age, and falls towards 0.
 func fade(age int64, half time.Duration) float64 {
 	if age <= 0 {
