--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -88,11 +88,10 @@
 	rich := g.callers[r.Caller].running+g.callers[r.Caller].queued >= g.share()
 	for i := range g.queue {
 		w := &g.queue[i]
-		u := g.callers[w.Caller]
-		over := u.running+u.queued > g.share() && !rich && w.Caller != r.Caller
-		late := w.Late && !r.Late
-		yields := w.Priority < r.Priority || (w.Priority == r.Priority && (late || over))
-		if !yields {
+		if w.Priority > r.Priority {
+			continue
+		}
+		if w.Priority == r.Priority && (!w.Late || r.Late) && (rich || w.Caller == r.Caller || !g.over(w.Caller)) {
 			continue
 		}
 		if best < 0 || weaker(w, &g.queue[best]) {
@@ -102,6 +101,11 @@
 	return best
 }
 
+func (g *Gate) over(caller string) bool {
+	u := g.callers[caller]
+	return u.running+u.queued > g.share()
+}
+
 // weaker reports whether a, which is behind b in the queue, gives way before b.
 func weaker(a, b *waiting) bool {
 	if a.Late != b.Late {
--- a/core/lease/expire.go
+++ b/core/lease/expire.go
@@ -35,11 +35,15 @@
 		return nil
 	}
 	t.prune(now)
+	silent := t.silent(now)
+	if len(silent) == 0 {
+		return nil
+	}
 	counts := t.tallies()
 	var out []Expiry
-	for _, k := range t.silent(now) {
+	for _, k := range silent {
 		n := t.nodes[k]
-		silent := now.Sub(n.heard)
+		quiet := now.Sub(n.heard)
 		remaining := 0
 		for _, e := range sorted(n.endpoints) {
 			if t.pending[e] {
@@ -49,15 +53,13 @@
 				remaining++
 				continue
 			}
-			t.lose(now, e)
-			out = append(out, Expiry{Node: k, Endpoint: e, Silent: silent})
+			t.lose(now, k, e)
+			out = append(out, Expiry{Node: k, Endpoint: e, Silent: quiet})
 		}
 		if remaining == 0 && !t.pending[k] {
-			t.unstage(k)
 			t.pending[k] = true
-			t.staged.Leaves = append(t.staged.Leaves, k)
-			t.touch(now)
-			out = append(out, Expiry{Node: k, Silent: silent})
+			t.change(k).leave = true
+			out = append(out, Expiry{Node: k, Silent: quiet})
 		}
 	}
 	return out
@@ -67,7 +69,7 @@
 func (t *Table) silent(now time.Time) []string {
 	var out []string
 	for k, n := range t.nodes {
-		if now.Sub(n.heard) >= t.lease && t.witnessed(n) && !t.stagedNode(k) {
+		if now.Sub(n.heard) >= t.lease && t.witnessed(n) && t.staged[k] == nil {
 			out = append(out, k)
 		}
 	}
@@ -124,12 +126,12 @@
 	return true
 }
 
-func (t *Table) lose(now time.Time, k string) {
+func (t *Table) lose(now time.Time, name, k string) {
 	t.pending[k] = true
 	t.expired[k] = loss{t.endpoints[k].GetService(), now}
 	t.recent = append(t.recent, now)
-	t.staged.Removed = append(t.staged.Removed, k)
-	t.touch(now)
+	c := t.change(name)
+	c.removed = append(c.removed, k)
 }
 
 func (t *Table) prune(now time.Time) {
@@ -196,3 +198,15 @@
 		}
 	}
 }
+
+func sorted(m map[string]bool) []string {
+	if len(m) == 0 {
+		return nil
+	}
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -217,7 +217,7 @@
 			k.Announce(start, node("new", 1), own("new", 1), false)
 			m := k.Next(start)
 			k.Announce(start, node("new", 1), nil, true)
-			k.Failed(start, m)
+			k.Failed(m)
 			k.flushed = time.Time{}
 		}, "-new -n000"},
 		{"announced again while its expiry is under way", func(k *Table) {
--- a/core/lease/stage.go
+++ b/core/lease/stage.go
@@ -1,32 +1,48 @@
 package lease
 
-import (
-	"slices"
-	"time"
+import "godwitspindle/core/wire"
 
-	"godwitspindle/core/wire"
-)
+// change is what one command says about a node.
+type change struct {
+	join      *wire.Node
+	endpoints []*wire.Endpoint
+	leave     bool
+	removed   []string
+}
+
+// change returns the staged change of a node, which is empty at first.
+func (t *Table) change(name string) *change {
+	c := t.staged[name]
+	if c == nil {
+		c = &change{}
+		t.staged[name] = c
+		t.order = append(t.order, name)
+	}
+	return c
+}
 
 // launch notes what a command says about each node until it is applied or has failed.
 func (t *Table) launch(m *wire.Membership) {
-	for k, e := range t.affected(m) {
+	parts := map[string]*change{}
+	for _, k := range t.split(m, parts) {
+		c := parts[k]
 		f := t.flights[k]
 		if f == nil {
 			f = &flight{endpoints: map[string]bool{}}
 			t.flights[k] = f
 		}
 		f.commands++
-		for _, c := range e {
-			f.endpoints[c] = true
+		if c.join != nil {
+			f.joined = c.join
+		}
+		for _, e := range c.endpoints {
+			f.endpoints[key(e)] = true
 		}
-	}
-	for _, n := range m.GetJoins() {
-		t.flights[n.GetName()].joined = n
 	}
 }
 
 func (t *Table) land(m *wire.Membership) {
-	for k := range t.affected(m) {
+	for _, k := range t.split(m, map[string]*change{}) {
 		f := t.flights[k]
 		if f == nil {
 			continue
@@ -38,62 +54,47 @@
 	}
 }
 
-// affected returns the nodes that a command touches, with the endpoints that it adds.
-func (t *Table) affected(m *wire.Membership) map[string][]string {
-	out := map[string][]string{}
+// split fills parts with what a command says about each node and returns the nodes in order.
+func (t *Table) split(m *wire.Membership, parts map[string]*change) (order []string) {
+	part := func(name string) *change {
+		c := parts[name]
+		if c == nil {
+			c = &change{}
+			parts[name] = c
+			order = append(order, name)
+		}
+		return c
+	}
 	for _, n := range m.GetJoins() {
-		out[n.GetName()] = nil
+		part(n.GetName()).join = n
+	}
+	for _, e := range m.GetEndpoints() {
+		c := part(e.GetNode())
+		c.endpoints = append(c.endpoints, e)
 	}
 	for _, k := range m.GetLeaves() {
-		out[k] = nil
+		part(k).leave = true
 	}
 	for _, k := range m.GetRemoved() {
-		if e := t.endpoints[k]; e != nil {
-			out[e.GetNode()] = out[e.GetNode()]
+		if owner := t.owner(k); owner != "" {
+			c := part(owner)
+			c.removed = append(c.removed, k)
 		}
 	}
-	for _, e := range m.GetEndpoints() {
-		out[e.GetNode()] = append(out[e.GetNode()], key(e))
-	}
-	return out
-}
-
-// unstage takes back what is staged for a node, since a newer announcement replaces it.
-func (t *Table) unstage(name string) {
-	s := &t.staged
-	s.Joins = slices.DeleteFunc(s.Joins, func(n *wire.Node) bool { return n.GetName() == name })
-	s.Endpoints = slices.DeleteFunc(s.Endpoints, func(e *wire.Endpoint) bool { return e.GetNode() == name })
-	s.Leaves = slices.DeleteFunc(s.Leaves, func(k string) bool { return k == name })
-	n, f := t.nodes[name], t.flights[name]
-	s.Removed = slices.DeleteFunc(s.Removed, func(k string) bool {
-		return (n != nil && n.endpoints[k]) || (f != nil && f.endpoints[k])
-	})
-}
-
-func (t *Table) stagedNode(name string) bool {
-	return slices.Contains(t.staged.Leaves, name) ||
-		slices.ContainsFunc(t.staged.Joins, func(n *wire.Node) bool { return n.GetName() == name }) ||
-		slices.ContainsFunc(t.staged.Endpoints, func(e *wire.Endpoint) bool { return e.GetNode() == name })
-}
-
-func (t *Table) stagedKey(k string) bool {
-	return slices.Contains(t.staged.Removed, k) ||
-		slices.ContainsFunc(t.staged.Endpoints, func(e *wire.Endpoint) bool { return key(e) == k })
+	return order
 }
 
-func (t *Table) touch(now time.Time) {
-	if t.first.IsZero() {
-		t.first = now
+// owner returns the node of an endpoint, agreed or under way; empty when it is gone already.
+func (t *Table) owner(k string) string {
+	if e := t.endpoints[k]; e != nil {
+		return e.GetNode()
+	}
+	for n, f := range t.flights {
+		if f.endpoints[k] {
+			return n
+		}
 	}
+	return ""
 }
 
 func key(e *wire.Endpoint) string { return e.GetService() + "/" + e.GetName() }
-
-func sorted(m map[string]bool) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -30,8 +30,8 @@
 	recent    []time.Time               // expiries of endpoints in the last lease
 	flights   map[string]*flight        // nodes with a command that Next returned and that is not applied yet
 
-	staged  wire.Membership
-	first   time.Time // first staged change; zero when nothing is staged
+	staged  map[string]*change // by node
+	order   []string           // nodes in the order in which they were staged; may hold some that were taken back
 	flushed time.Time
 }
 
@@ -86,8 +86,7 @@
 	t.expired = map[string]loss{}
 	t.recent = nil
 	t.flights = map[string]*flight{}
-	t.staged = wire.Membership{}
-	t.first = time.Time{}
+	t.staged, t.order = map[string]*change{}, nil
 }
 
 // Lease returns the length of a lease.
@@ -137,35 +136,20 @@
 	}
 }
 
-// Failed stages the changes of a command that was not accepted again, behind what was staged since.
-func (t *Table) Failed(now time.Time, m *wire.Membership) {
+// Failed stages the changes of a command that was not accepted again, except for nodes with newer ones.
+func (t *Table) Failed(m *wire.Membership) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.led.IsZero() {
 		return
 	}
-	t.land(m)
-	for _, n := range m.GetJoins() {
-		if !t.stagedNode(n.GetName()) {
-			t.staged.Joins = append(t.staged.Joins, n)
-		}
-	}
-	for _, e := range m.GetEndpoints() {
-		if !t.stagedNode(e.GetNode()) && !t.stagedKey(key(e)) {
-			t.staged.Endpoints = append(t.staged.Endpoints, e)
-		}
-	}
-	for _, k := range m.GetLeaves() {
-		if !t.stagedNode(k) {
-			t.staged.Leaves = append(t.staged.Leaves, k)
-		}
-	}
-	for _, k := range m.GetRemoved() {
-		if !t.stagedKey(k) {
-			t.staged.Removed = append(t.staged.Removed, k)
+	again := map[string]*change{}
+	for _, k := range t.split(m, again) {
+		if t.staged[k] == nil {
+			*t.change(k) = *again[k]
 		}
 	}
-	t.touch(now)
+	t.land(m)
 }
 
 // Heard renews the leases of the named nodes; relay is the node that named them, or the node itself when it polled directly.
@@ -211,7 +195,7 @@
 	if held != nil {
 		held.heard = now
 	}
-	return t.stage(now, held, n, endpoints)
+	return t.stage(held, n, endpoints)
 }
 
 // depart stages a leave. That of a node which is not agreed is taken as well, since its join may be under way.
@@ -225,18 +209,14 @@
 		return false // resent
 	}
 	t.left[k] = departure{n.GetIncarnation(), now}
-	t.unstage(k)
-	t.staged.Leaves = append(t.staged.Leaves, k)
-	t.touch(now)
+	*t.change(k) = change{leave: true}
 	return true
 }
 
 // latest returns the newest join of a node: staged, under way, or agreed.
 func (t *Table) latest(name string) *wire.Node {
-	for _, n := range t.staged.Joins {
-		if n.GetName() == name {
-			return n
-		}
+	if c := t.staged[name]; c != nil && c.join != nil {
+		return c.join
 	}
 	if f := t.flights[name]; f != nil && f.joined != nil {
 		return f.joined
@@ -247,9 +227,9 @@
 	return nil
 }
 
-func (t *Table) stage(now time.Time, held *node, n *wire.Node, endpoints []*wire.Endpoint) bool {
-	t.unstage(n.GetName())
-	changed := false
+func (t *Table) stage(held *node, n *wire.Node, endpoints []*wire.Endpoint) bool {
+	delete(t.staged, n.GetName()) // a newer announcement replaces the whole of an earlier one
+	var c change
 	f := t.flights[n.GetName()]
 	known := map[string]bool{}
 	if f != nil {
@@ -259,28 +239,21 @@
 		maps.Copy(known, held.endpoints)
 	}
 	if held == nil || f != nil || !proto.Equal(held.record, n) || t.pending[n.GetName()] {
-		t.staged.Joins = append(t.staged.Joins, n)
-		changed = true
+		c.join = n
 	}
-	kept := map[string]bool{}
 	for _, e := range endpoints {
 		k := key(e)
-		kept[k] = true
+		delete(known, k)
 		if f != nil || !proto.Equal(t.endpoints[k], e) || t.pending[k] {
-			t.staged.Endpoints = append(t.staged.Endpoints, e)
-			changed = true
-		}
-	}
-	for _, k := range sorted(known) {
-		if !kept[k] {
-			t.staged.Removed = append(t.staged.Removed, k)
-			changed = true
+			c.endpoints = append(c.endpoints, e)
 		}
 	}
-	if changed {
-		t.touch(now)
+	c.removed = sorted(known)
+	if c.join == nil && len(c.endpoints)+len(c.removed) == 0 {
+		return false
 	}
-	return changed
+	*t.change(n.GetName()) = c
+	return true
 }
 
 // Next returns the staged changes as one command, at most one in each window, or nil. The first change after a quiet
@@ -288,16 +261,31 @@
 func (t *Table) Next(now time.Time) *wire.Membership {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.first.IsZero() || now.Sub(t.flushed) < t.window {
+	if len(t.staged) == 0 {
+		t.order = t.order[:0]
 		return nil
 	}
-	m := &wire.Membership{Joins: t.staged.Joins, Endpoints: t.staged.Endpoints, Leaves: t.staged.Leaves, Removed: t.staged.Removed}
-	t.staged = wire.Membership{}
-	t.first = time.Time{}
-	t.flushed = now
-	if len(m.Joins)+len(m.Endpoints)+len(m.Leaves)+len(m.Removed) == 0 {
+	if now.Sub(t.flushed) < t.window {
 		return nil
 	}
+	m := &wire.Membership{}
+	for _, k := range t.order {
+		c := t.staged[k]
+		if c == nil {
+			continue
+		}
+		delete(t.staged, k)
+		if c.join != nil {
+			m.Joins = append(m.Joins, c.join)
+		}
+		if c.leave {
+			m.Leaves = append(m.Leaves, k)
+		}
+		m.Endpoints = append(m.Endpoints, c.endpoints...)
+		m.Removed = append(m.Removed, c.removed...)
+	}
+	t.order = t.order[:0]
+	t.flushed = now
 	t.launch(m)
 	return m
 }
--- a/core/routing/picker_test.go
+++ b/core/routing/picker_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -228,6 +229,39 @@
 	}
 }
 
+// Guards against data races and deadlocks between decisions, observations, new snapshots and dropped endpoints (run with
+// -race), and against outstanding calls that do not return to zero.
+func TestConcurrent(t *testing.T) {
+	p := New(WithDomain("a"))
+	var group sync.WaitGroup
+	for g := range 8 {
+		group.Go(func() {
+			s := service(6, "a", "b")
+			for i := range 500 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				d, err := p.Decide(Call{Service: s, Now: now})
+				if err != nil {
+					continue
+				}
+				k := d.Endpoint.Key()
+				p.Start(k, now)
+				p.Hint(k, 0.5, now)
+				p.Done(k, Observation{Took: time.Millisecond, Failed: i%3 == g%3})
+				if i%100 == 0 {
+					p.Avoid(k, now.Add(time.Millisecond), "draining")
+					p.Retain(func(key string) bool { return key != "ledger/5" })
+				}
+			}
+		})
+	}
+	group.Wait()
+	for i := range 5 {
+		if got := p.find(fmt.Sprint("ledger/", i)).outstanding.Load(); got != 0 {
+			t.Errorf("outstanding calls of %d: got %d, want 0", i, got)
+		}
+	}
+}
+
 func BenchmarkDecide(b *testing.B) {
 	for _, n := range []int{5, 200} {
 		p, s := New(WithRandom(rand.IntN), WithDomain("a"), WithNode("n")), service(n, "a", "b", "c")
