--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -68,96 +68,56 @@
 
 // Guards against mass expiry; each row fails without the one rule that it names.
 func TestExpiryGuard(t *testing.T) {
-	for _, c := range guards {
+	const p = period
+	again := func(k *Table) {
+		k.Reset(start.Add(p), []*wire.Node{{Name: "n000"}}, []*wire.Endpoint{{Service: "s00", Name: "n000", Node: "n000"}})
+	}
+	early := func(k *Table) { k.nodes["n000"].heard = start.Add(-time.Hour) }
+	missed := func(k *Table) { beat(k, pollOf, pollOf, "n000") }
+	var steps []time.Duration
+	for i := range 20 {
+		steps = append(steps, time.Duration(i+1)*p)
+	}
+	tests := []struct {
+		name                string
+		nodes, size, silent int
+		heard               time.Duration // the relay reports until then, without the silent nodes
+		setup               func(k *Table)
+		expire              []time.Duration
+		want                int // expired endpoints
+	}{
+		{"a silent node expires", 10, 10, 1, p, nil, []time.Duration{p}, 1},
+		{"not before a whole lease", 10, 10, 1, p, nil, []time.Duration{p - 1}, 0},
+		{"new leadership gives a full period", 10, 10, 1, p, again, []time.Duration{2*p - 1}, 0},
+		{"lease of an earlier leadership", 10, 10, 1, pollOf, early, []time.Duration{p - 1}, 0},
+		{"silence of a relay is not silence of its nodes", 20, 20, 0, pollOf, nil, []time.Duration{pollOf + p, pollOf + 2*p - 1}, 0},
+		{"nodes of a relay that left expire a lease later", 20, 20, 0, pollOf, nil, []time.Duration{pollOf + p, pollOf + 2*p}, 2},
+		{"relay heard only shortly after the node", 10, 10, 0, 0, missed, []time.Duration{p}, 0},
+		{"at most a tenth in one lease", 100, 100, 40, 2 * p, nil, []time.Duration{p, 2*p - 1}, 10},
+		{"another tenth in the next lease", 100, 100, 40, 2 * p, nil, []time.Duration{p, 2 * p}, 10 + 9},
+		{"at least one", 4, 4, 2, p, nil, []time.Duration{p}, 1},
+		{"half of a service stays, also step by step", 8, 8, 8, 20 * p, nil, steps, 4},
+		{"other services are not held back", 40, 2, 6, p, nil, []time.Duration{p}, 3},
+		{"the only endpoint of a service stays", 1, 1, 1, p, nil, []time.Duration{p}, 0},
+	}
+	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			if got := c.run(); len(got) != c.want {
+			k := table(c.nodes, c.size)
+			beat(k, 0, c.heard, number(c.silent)...)
+			if c.setup != nil {
+				c.setup(k)
+			}
+			var got []string
+			for _, at := range c.expire {
+				got = append(got, settle(k, at)...)
+			}
+			if len(got) != c.want {
 				t.Errorf("expired endpoints: got %d %v, want %d", len(got), got, c.want)
 			}
 		})
 	}
 }
 
-var guards = []struct {
-	name string
-	run  func() []string
-	want int
-}{
-	{"a silent node expires", func() []string {
-		k := table(10, 10)
-		beat(k, 0, period, "n000")
-		return settle(k, period)
-	}, 1},
-	{"not before a whole lease", func() []string {
-		k := table(10, 10)
-		beat(k, 0, period, "n000")
-		return settle(k, period-1)
-	}, 0},
-	{"new leadership gives a full period", func() []string {
-		k := table(10, 10)
-		beat(k, 0, period, "n000")
-		k.Reset(start.Add(period), []*wire.Node{{Name: "n000"}}, []*wire.Endpoint{{Service: "s00", Name: "n000", Node: "n000"}})
-		return settle(k, 2*period-1)
-	}, 0},
-	{"a lease that ran out before the leader had led for one", func() []string {
-		k := table(10, 10)
-		k.nodes["n000"].heard = start.Add(-time.Hour)
-		beat(k, 0, pollOf, "n000")
-		return settle(k, period-1)
-	}, 0},
-	{"silence of a relay is not silence of its nodes", func() []string {
-		k := table(20, 20)
-		beat(k, 0, pollOf)
-		out := settle(k, pollOf+period) // only the relay's own lease runs out, and it has no endpoint
-		return append(out, settle(k, pollOf+2*period-1)...)
-	}, 0},
-	{"nodes of a relay that left expire a lease later", func() []string {
-		k := table(20, 20)
-		beat(k, 0, pollOf)
-		settle(k, pollOf+period)
-		return settle(k, pollOf+2*period)
-	}, 2},
-	{"relay heard only shortly after the node", func() []string {
-		k := table(10, 10)
-		beat(k, 0, 0)
-		beat(k, pollOf, pollOf, "n000")
-		return settle(k, period)
-	}, 0},
-	{"at most a tenth in one lease", func() []string {
-		k := table(100, 100)
-		beat(k, 0, 2*period, number(40)...)
-		return append(settle(k, period), settle(k, 2*period-1)...)
-	}, 10},
-	{"another tenth in the next lease", func() []string {
-		k := table(100, 100)
-		beat(k, 0, 2*period, number(40)...)
-		return append(settle(k, period), settle(k, 2*period)...)
-	}, 10 + 9},
-	{"at least one", func() []string {
-		k := table(4, 4)
-		beat(k, 0, period, number(2)...)
-		return settle(k, period)
-	}, 1},
-	{"half of a service stays, also step by step", func() []string {
-		k := table(8, 8)
-		var out []string
-		for i := range 20 {
-			beat(k, time.Duration(i)*period, time.Duration(i+1)*period, number(8)...)
-			out = append(out, settle(k, time.Duration(i+1)*period)...)
-		}
-		return out
-	}, 4},
-	{"other services are not held back", func() []string {
-		k := table(40, 2)
-		beat(k, 0, period, number(6)...)
-		return settle(k, period)
-	}, 3},
-	{"the only endpoint of a service stays", func() []string {
-		k := table(1, 1)
-		beat(k, 0, period, "n000")
-		return settle(k, period)
-	}, 0},
-}
-
 func text(m *wire.Membership) string {
 	var out []string
 	for _, n := range m.GetJoins() {
--- a/core/routing/picker_test.go
+++ b/core/routing/picker_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -170,6 +171,7 @@
 	p, s := picker(), service(4, "a")
 	_, _ = p.Decide(Call{Service: s, Now: start})
 	p.Avoid("ledger/0", start.Add(time.Hour), "draining")
+	p.Retain(func(string) bool { return true }) // as at each new snapshot; endpoint 4 must still start cold
 	next := service(5, "a")
 	next.Endpoints[0].Incarnation = 2
 	call := Call{Service: next, Now: start.Add(time.Second)}
@@ -212,10 +214,8 @@
 		less.Endpoints = less.Endpoints[:199]
 		same := 0
 		for _, i := range p.choose(&less) {
-			for _, j := range chosen {
-				if i == j {
-					same++
-				}
+			if slices.Contains(chosen, i) {
+				same++
 			}
 		}
 		if same < 7 {
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -190,7 +191,8 @@
 	return t.reason, time.Unix(0, t.avoid.Load()), true
 }
 
-// Retain drops the state of endpoints for which keep is false; views are built again at the next decision.
+// Retain drops the state of endpoints for which keep is false. Views are built again at the next decision, but a service
+// with a retained endpoint stays known, so that its new endpoints start cold.
 func (p *Picker) Retain(keep func(key string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -204,7 +206,13 @@
 		}
 		s.mutex.Unlock()
 	}
-	p.views.Store(&map[string]*view{})
+	next := map[string]*view{}
+	for n, v := range *p.views.Load() {
+		if slices.ContainsFunc(v.members, func(m member) bool { return keep(m.key) }) {
+			next[n] = &view{members: v.members}
+		}
+	}
+	p.views.Store(&next)
 }
 
 func blend(a *atomic.Uint64, x float64) {
