--- a/core/routing/picker_test.go
+++ b/core/routing/picker_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -100,27 +102,31 @@
 
 // Guards against a slow endpoint that is never tried again after it has recovered.
 func TestSlowEndpointReturns(t *testing.T) {
-	p, s := picker(), service(2, "a")
-	_, _ = p.Decide(Call{Service: s, Now: start})
-	done(p, "ledger/0", 20, Observation{Took: 400 * time.Millisecond})
-	done(p, "ledger/1", 20, Observation{Took: 5 * time.Millisecond})
-	got := 0
-	for i := range 2000 {
-		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
-		d, _ := p.Decide(Call{Service: s, Now: now})
-		p.Start(d.Endpoint.Key(), now)
-		p.Start("ledger/1", now) // one call stays in flight at the fast endpoint for a while
-		p.Done("ledger/1", Observation{Took: 5 * time.Millisecond})
-		if d.Endpoint.Name == "0" {
-			got++
-			defer p.Done("ledger/0", Observation{Took: 5 * time.Millisecond})
-		}
-		if i%8 != 0 {
-			p.Done(d.Endpoint.Key(), Observation{Took: 5 * time.Millisecond})
-		}
+	tests := []struct {
+		name      string
+		busy      int // calls in flight at the fast endpoint
+		at        time.Duration
+		low, high int // calls of 1,000 to the slow endpoint
+	}{
+		{"still slow", 4, time.Second, 0, 0},
+		{"under load after 50 s", 4, 50 * time.Second, 1000, 1000},
+		{"idle after 50 s", 0, 50 * time.Second, 0, 0},
+		{"idle after 60 s", 0, time.Minute, 400, 600},
 	}
-	if got == 0 {
-		t.Error("calls to the recovered endpoint: got 0, want some")
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p, s := picker(), service(2, "a")
+			_, _ = p.Decide(Call{Service: s, Now: start})
+			done(p, "ledger/0", 20, Observation{Took: 400 * time.Millisecond})
+			done(p, "ledger/1", 20, Observation{Took: 5 * time.Millisecond})
+			for range c.busy {
+				p.Start("ledger/1", start)
+			}
+			got := counts(t, p, Call{Service: s, Now: start.Add(c.at)}, 1000, false)["0"]
+			if got < c.low || got > c.high {
+				t.Errorf("calls to the slow endpoint: got %d, want %d to %d", got, c.low, c.high)
+			}
+		})
 	}
 }
 
@@ -165,6 +171,7 @@
 	p, s := picker(), service(4, "a")
 	_, _ = p.Decide(Call{Service: s, Now: start})
 	p.Avoid("ledger/0", start.Add(time.Hour), "draining")
+	p.Retain(func(string) bool { return true }) // as at each new snapshot; endpoint 4 must still start cold
 	next := service(5, "a")
 	next.Endpoints[0].Incarnation = 2
 	call := Call{Service: next, Now: start.Add(time.Second)}
@@ -207,10 +214,8 @@
 		less.Endpoints = less.Endpoints[:199]
 		same := 0
 		for _, i := range p.choose(&less) {
-			for _, j := range chosen {
-				if i == j {
-					same++
-				}
+			if slices.Contains(chosen, i) {
+				same++
 			}
 		}
 		if same < 7 {
@@ -224,6 +229,39 @@
 	}
 }
 
+// Guards against data races and deadlocks between decisions, observations, new snapshots and dropped endpoints (run with
+// -race), and against outstanding calls that do not return to zero.
+func TestConcurrent(t *testing.T) {
+	p := New(WithDomain("a"))
+	var group sync.WaitGroup
+	for g := range 8 {
+		group.Go(func() {
+			s := service(6, "a", "b")
+			for i := range 500 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				d, err := p.Decide(Call{Service: s, Now: now})
+				if err != nil {
+					continue
+				}
+				k := d.Endpoint.Key()
+				p.Start(k, now)
+				p.Hint(k, 0.5, now)
+				p.Done(k, Observation{Took: time.Millisecond, Failed: i%3 == g%3})
+				if i%100 == 0 {
+					p.Avoid(k, now.Add(time.Millisecond), "draining")
+					p.Retain(func(key string) bool { return key != "ledger/5" })
+				}
+			}
+		})
+	}
+	group.Wait()
+	for i := range 5 {
+		if got := p.find(fmt.Sprint("ledger/", i)).outstanding.Load(); got != 0 {
+			t.Errorf("outstanding calls of %d: got %d, want 0", i, got)
+		}
+	}
+}
+
 func BenchmarkDecide(b *testing.B) {
 	for _, n := range []int{5, 200} {
 		p, s := New(WithRandom(rand.IntN), WithDomain("a"), WithNode("n")), service(n, "a", "b", "c")
