fix(peer): a moving node says farewell before it polls its new upstream

Cause: the farewell left after the first answer of the new upstream, up to a poll interval late, and the report of the old relay overtook it. Conclusion: one more race remains.

--- a/core/relay/below.go
+++ b/core/relay/below.go
@@ -30,3 +30,13 @@
 	}
 	return func(name string) bool { return fresh[name] }
 }
+
+// Retell makes the next report name every node that was heard lately, for an upstream that knows none of them.
+func (t *Tracker) Retell() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, n := range t.names {
+		n.fresh, n.told = true, false
+	}
+	t.named = time.Time{}
+}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -139,8 +139,17 @@
 		}, 0, 3, 5, "x:3:REFUSED", "r s x z"},
 		{"moved below a relay", func(k *Tracker) {
 			leaves(k)
+			k.Forget("y")
 			k.Heard(start.Add(1), "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
 		}, 0, 7, 4, "", "r s x y"},
+		{"named by a report that crossed its poll here", func(k *Tracker) {
+			k.Heard(start, "y", 5, nil)
+			k.Heard(start.Add(1), "s", 7, &wire.Report{Lowest: 7, Count: 1, Alive: []string{"s", "y"}})
+		}, 0, 5, 3, "y:5:STALE", "r s y"},
+		{"moved and its farewell was lost", func(k *Tracker) {
+			k.Heard(start, "y", 5, nil)
+			k.Heard(start.Add(2*poll), "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
+		}, 2 * poll, 7, 3, "", "r s y"},
 		{"silent for two polls", leaves, 2 * poll, 5, 3, "y:5:UNREACHABLE x:7:UNREACHABLE", "r x y"},
 		{"silent for a lease", leaves, 3 * poll, 7, 1, "", "r"},
 		{"refused names itself once", func(k *Tracker) {
--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -75,6 +75,9 @@
 		if n == node || n == t.self {
 			continue
 		}
+		if d := t.children[n]; d != nil && now.Sub(d.heard) < quietPolls*t.poll {
+			continue // it polls here now and would have said that it moves; the report is older than its move
+		}
 		t.mark(n, node, now)
 		delete(t.children, n) // it moved below this child; its own report would count it twice
 	}
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -213,7 +213,7 @@
 	_, err := c.replica.Propose(ctx, &wire.Command{Body: &wire.Command_Membership{Membership: m}})
 	if err != nil {
 		c.log.Info("membership not committed", "error", err.Error())
-		c.leases.Failed(time.Now(), m)
+		c.leases.Failed(m)
 		return
 	}
 	c.log.Info("membership committed", "joins", len(m.GetJoins()), "endpoints", len(m.GetEndpoints()), "leaves", len(m.GetLeaves()), "removed", len(m.GetRemoved()))
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -174,6 +174,9 @@
 	})
 	go h.resize()
 	h.changed()
+	if h.follower != nil {
+		h.acknowledged(v.Snapshot.Version()) // nodes below may have taken the version from elsewhere first
+	}
 	time.AfterFunc(lateReport, h.reportLate)
 }
 
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -51,6 +51,7 @@
 		peer.WithParents(h.parents),
 		peer.WithReports(h.report),
 		peer.WithLost(h.tracker.Lost),
+		peer.WithMoved(h.tracker.Retell),
 		peer.WithPoll(pollOf(h.settings.Profile)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithSynced(h.synced),
@@ -121,14 +122,14 @@
 		h.follower.Nudge()
 		return
 	}
-	if r.GetHeld() == held {
+	if r.GetHeld() >= held {
 		h.acknowledged(held)
 	}
 }
 
 // acknowledged sends the report upward as soon as every node below holds the version.
 func (h *Host) acknowledged(held uint64) {
-	if h.tracker.Lowest() < held || h.reported.Swap(held) == held {
+	if h.Leads() || h.tracker.Children() == 0 || h.tracker.Lowest() < held || h.reported.Swap(held) == held {
 		return
 	}
 	h.follower.Nudge()
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -28,6 +28,7 @@
 	nudgePause  = 50 * time.Millisecond
 
 	farewellTimeout = time.Second
+	floorPause      = time.Second // floor reads share rounds, so they may come often
 )
 
 // NoParentError reports that no upstream is known.
@@ -48,6 +49,7 @@
 	mismatch    func()
 	synced      func(r *rpc.SyncResponse, v View)
 	lost        func()
+	moved       func()
 	domain      string
 	decoder     *zstd.Decoder
 	nudges      chan struct{}
@@ -91,6 +93,9 @@
 // WithLost sets a function called when a report did not reach an upstream.
 func WithLost(l func()) FollowerOption { return func(f *Follower) { f.lost = l } }
 
+// WithMoved sets a function called before another upstream is polled, which knows nothing of earlier reports.
+func WithMoved(m func()) FollowerOption { return func(f *Follower) { f.moved = m } }
+
 // WithFollowerDomain sets the failure domain, by which a replica names the relays to ask.
 func WithFollowerDomain(d string) FollowerOption { return func(f *Follower) { f.domain = d } }
 
@@ -113,6 +118,7 @@
 		mismatch: func() {},
 		synced:   func(*rpc.SyncResponse, View) {},
 		lost:     func() {},
+		moved:    func() {},
 		decoder:  decoder,
 		nudges:   make(chan struct{}, 1),
 		failed:   map[netip.AddrPort]time.Time{},
@@ -196,10 +202,10 @@
 	}
 	var last error
 	for _, p := range parents {
+		f.settle(ctx, p)
 		last = f.sync(ctx, p)
 		if last == nil {
 			delete(f.failed, p)
-			f.settle(ctx, p)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -211,12 +217,17 @@
 	return last
 }
 
-// settle notes the upstream that answered and tells the one before, which would otherwise wait for reports from here.
+// settle notes the upstream that is polled next and tells the one before, which would otherwise wait for reports from
+// here. It waits for the answer, so that the farewell cannot overtake a later poll of the same upstream.
 func (f *Follower) settle(ctx context.Context, p netip.AddrPort) {
 	old := f.parent.Swap(&p)
 	if old == nil || *old == p {
 		return
 	}
+	f.moved()
+	if _, failed := f.failed[*old]; failed {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
 	defer cancel()
 	_, err := f.clients.At(*old).Sync(ctx, connect.NewRequest(&rpc.SyncRequest{Node: f.name, Incarnation: f.incarnation, Moved: true}))
@@ -363,7 +374,7 @@
 			}
 			f.log.V(1).Info("floor not proven", "parent", p.String(), "error", err.Error())
 		}
-		sleep(ctx, backoff(attempt))
+		sleep(ctx, min(backoff(attempt), floorPause))
 	}
 }
 
