test(path): contract tests with fault cases on real sockets

The tests provoke resets, refused streams, crossed answers, stalls, crashes and concurrent resends. They showed that a body broken before the first flush lost its head on the inner hop, so that a request that ran was reported as unknown instead of as a broken answer; Copy now flushes before it gives up.

--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -108,7 +108,7 @@
 		crash = e.replaced(a.Incarnation, now)
 		old, e.transport = e.transport, b.transport(a)
 	default:
-		e.broken = nil // the same process is alive, so its connections broke for another reason
+		e.alive(now)
 	}
 	e.ann, e.renewed, e.leaving = a, now, false
 	b.mu.Unlock()
--- a/io/backend/endpoint.go
+++ b/io/backend/endpoint.go
@@ -27,6 +27,9 @@
 	// crashDelay gives the other connections of a dead process time to break before its state is judged.
 	crashDelay = 20 * time.Millisecond
 	probeLimit = 250 * time.Millisecond
+	// aliveDelay is the age from which breaks are cleared by a renewal; the dying process may have sent a renewal that is
+	// handled shortly after.
+	aliveDelay = 100 * time.Millisecond
 )
 
 // endpoint is one announced endpoint; the Backend's mutex guards it.
@@ -38,6 +41,7 @@
 	transport *http.Transport
 	running   map[*run]struct{}
 	broken    []hop.Print // fingerprints of calls whose connections broke, until the cause is known
+	brokenAt  time.Time   // of the last one
 	probing   bool
 	crashes   uint64 // counts process replacements, so that a call is blamed only for the process it ran on
 }
@@ -116,6 +120,13 @@
 	return &Crash{Endpoint: e.key, Incarnation: e.ann.Incarnation, Prints: prints, At: now}
 }
 
+// alive notes a renewal by the same process: earlier breaks had another reason than its death.
+func (e *endpoint) alive(now time.Time) {
+	if now.Sub(e.brokenAt) > aliveDelay {
+		e.broken = nil
+	}
+}
+
 // broke records that a call's connection to the backend server broke, and starts one probe for all calls that break
 // together.
 func (b *Backend) broke(e *endpoint, r *run) {
@@ -127,6 +138,7 @@
 	if len(e.broken) < maxBroken {
 		e.broken = append(e.broken, r.print)
 	}
+	e.brokenAt = b.now()
 	if e.probing {
 		return
 	}
--- /dev/null
+++ b/io/caller/bench_test.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"godwitspindle/core/config"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// measure sends n calls from some workers at a steady rate or, with rate 0, as fast as they go. It returns latencies in
+// nanoseconds, the calls per second, and the processor time for each call.
+func measure(b *testing.B, url string, n, workers, rate int) (*hdr.Histogram, float64, time.Duration) {
+	b.Helper()
+	t := &http.Transport{MaxIdleConnsPerHost: workers, MaxConnsPerHost: workers, DialContext: (&net.Dialer{}).DialContext}
+	defer t.CloseIdleConnections()
+	all := hdr.New(1000, int64(10*time.Second), 3)
+	var mu sync.Mutex
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	begin, used := time.Now(), processor()
+	for range workers {
+		wg.Go(func() {
+			own := hdr.New(1000, int64(10*time.Second), 3)
+			for i := next.Add(1); i <= int64(n); i = next.Add(1) {
+				if rate > 0 {
+					time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+				}
+				start := time.Now()
+				if err := get(t, url); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = own.RecordValue(int64(time.Since(start)))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all.Merge(own)
+		})
+	}
+	wg.Wait()
+	return all, float64(n) / time.Since(begin).Seconds(), (processor() - used) / time.Duration(n)
+}
+
+func get(t *http.Transport, url string) error {
+	r, err := http.NewRequestWithContext(context.Background(), "GET", url+"/lookup", nil)
+	if err != nil {
+		return err
+	}
+	p, err := t.RoundTrip(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = p.Body.Close() }()
+	if _, err = io.Copy(io.Discard, p.Body); err == nil && p.StatusCode != 200 {
+		err = storeError{}
+	}
+	return err
+}
+
+// processor returns the processor time that the process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkForward compares calls over two hops with direct calls in the same run: at a steady rate, and as fast as four
+// workers go. The processor time of client, both nodes and server is counted, less that of a direct call.
+func BenchmarkForward(b *testing.B) {
+	for _, rate := range []int{2000, 8000, 0} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			m := newMesh(b, 1, config.Route{Name: "r", Service: "counter", Idempotent: true, Deadline: 2 * time.Second})
+			direct := "http://" + m.servers[0].Address().String()
+			n, workers := max(b.N, 4000), 16
+			if rate == 0 {
+				workers = 4
+			}
+			for _, url := range []string{direct, m.url} {
+				measure(b, url, 500, workers, 0) // connections and code paths are warm
+			}
+			var before, middle, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			b.ResetTimer()
+			d, dspeed, dused := measure(b, direct, n, workers, rate)
+			runtime.ReadMemStats(&middle)
+			f, fspeed, fused := measure(b, m.url, n, workers, rate)
+			runtime.ReadMemStats(&after)
+			b.StopTimer()
+			allocs := float64(after.Mallocs-middle.Mallocs) - float64(middle.Mallocs-before.Mallocs)
+			for _, q := range []float64{50, 99} {
+				b.ReportMetric(float64(f.ValueAtQuantile(q)-d.ValueAtQuantile(q))/1000, fmt.Sprintf("p%.0f-added-us", q))
+				b.ReportMetric(float64(d.ValueAtQuantile(q))/1000, fmt.Sprintf("p%.0f-direct-us", q))
+			}
+			b.ReportMetric(dspeed, "direct/s")
+			b.ReportMetric(fspeed, "forwarded/s")
+			b.ReportMetric(float64(time.Second)/float64(max(fused-dused, 1)), "calls/s/core")
+			b.ReportMetric(allocs/float64(n), "added-allocs/call")
+		})
+	}
+}
--- /dev/null
+++ b/io/caller/caller_test.go
@@ -0,0 +1,426 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/outcome"
+	"godwitspindle/io/backend"
+	"godwitspindle/io/hop"
+	"godwitspindle/io/standin"
+)
+
+// mesh is a caller's node and, behind a real HTTP/2 hop, nodes with one stand-in each.
+type mesh struct {
+	handler  *Handler
+	url      string
+	servers  []*standin.Server
+	backends []*backend.Backend
+	service  config.Service
+	claims   *claims
+	sent     atomic.Int64 // attempts handed to the hop
+}
+
+// claims is a claim store in memory; fail makes its functions fail.
+type claims struct {
+	mu                       sync.Mutex
+	fail, noRelease          bool
+	owner                    map[string]Claim
+	answer                   map[string]*Answer
+	finished                 map[string]bool
+	acquired, stored, undone int
+}
+
+type storeError struct{}
+
+func (storeError) Error() string { return "no majority" }
+
+func (s *claims) claim(_ context.Context, c Claim) (ClaimAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acquired++
+	if s.fail {
+		return ClaimAnswer{}, storeError{}
+	}
+	held, ok := s.owner[c.Key]
+	switch {
+	case !ok:
+		s.owner[c.Key] = c
+		return ClaimAnswer{State: Granted}, nil
+	case held.Print != c.Print:
+		return ClaimAnswer{State: Conflict}, nil
+	case s.finished[c.Key]:
+		return ClaimAnswer{State: Done, Answer: s.answer[c.Key]}, nil
+	case time.Now().After(held.Deadline):
+		return ClaimAnswer{State: Doubt}, nil
+	}
+	return ClaimAnswer{State: Running}, nil
+}
+
+func (s *claims) finish(_ context.Context, c Claim, a *Answer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stored++
+	s.answer[c.Key], s.finished[c.Key] = a, true
+	return nil
+}
+
+func (s *claims) release(_ context.Context, c Claim) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.noRelease {
+		return storeError{}
+	}
+	s.undone++
+	delete(s.owner, c.Key)
+	return nil
+}
+
+func newMesh(t testing.TB, nodes int, route config.Route, opts ...Option) *mesh {
+	t.Helper()
+	m := &mesh{claims: &claims{owner: map[string]Claim{}, answer: map[string]*Answer{}, finished: map[string]bool{}}}
+	m.service = config.Service{Name: route.Service}
+	client := hop.New()
+	t.Cleanup(func() { _ = client.Close() })
+	for i := range nodes {
+		m.add(t, route.Service, fmt.Sprint("e", i))
+	}
+	all := append([]Option{
+		WithMatch(func(_, path, _ string) (Match, *outcome.Failure) {
+			if path == "/none" {
+				return Match{}, nil
+			}
+			s := m.service
+			s.Internal = strings.HasPrefix(path, "/internal")
+			return Match{Route: &route, Service: &s}, nil
+		}),
+		WithPick(func(p Pick) (config.Endpoint, string, error) {
+			if len(p.Tried) >= len(m.service.Endpoints) {
+				return config.Endpoint{}, "", storeError{}
+			}
+			return m.service.Endpoints[len(p.Tried)], "next", nil
+		}),
+		WithSend(func(ctx context.Context, e config.Endpoint, meta hop.Meta, r *http.Request) (*http.Response, error) {
+			m.sent.Add(1)
+			return client.Call(ctx, e.Address, meta, r)
+		}),
+		// Always again: the handler itself must hold back what is never allowed.
+		WithDecide(func(a Attempt) Verdict {
+			return Verdict{Again: true, Repick: a.Failure.Kind == outcome.NotRun}
+		}),
+		WithClaim(m.claims.claim, m.claims.finish, m.claims.release),
+	}, opts...)
+	m.handler = New(all...)
+	s := httptest.NewServer(m.handler)
+	t.Cleanup(s.Close)
+	m.url = s.URL
+	return m
+}
+
+func (m *mesh) add(t testing.TB, service, name string) {
+	t.Helper()
+	b := backend.New(backend.WithContext(func(h hop.Meta, d time.Time) string {
+		return Context{Depth: h.Depth, Deadline: d, Budget: h.Budget}.String()
+	}))
+	api := httptest.NewServer(b.Handler())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := hop.HTTPServer(hop.NewServer(hop.WithDo(b.Do)))
+	go func() { _ = peer.Serve(l) }()
+	s, err := standin.New(standin.WithEndpoint(service, name), standin.WithNode(netip.MustParseAddrPort(api.Listener.Addr().String())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for len(b.Endpoints()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	t.Cleanup(func() {
+		_ = s.Close()
+		_ = peer.Close()
+		api.Close()
+		_ = b.Close()
+	})
+	m.servers, m.backends = append(m.servers, s), append(m.backends, b)
+	m.service.Endpoints = append(m.service.Endpoints, config.Endpoint{Service: service, Name: name, Address: l.Addr().(*net.TCPAddr).AddrPort()})
+}
+
+func (m *mesh) served() (n uint64) {
+	for _, s := range m.servers {
+		n += s.Served()
+	}
+	return n
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the request or of its body
+	tail   http.Header
+}
+
+func (m *mesh) do(method, path, body string, header ...string) reply {
+	r, _ := http.NewRequest(method, m.url+path, strings.NewReader(body))
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	p, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	return reply{p.StatusCode, p.Header, string(b), err, p.Trailer}
+}
+
+func read(idempotent bool) config.Route {
+	return config.Route{Name: "r", Service: "counter", Idempotent: idempotent, Deadline: 400 * time.Millisecond, Retries: 1, Priority: 5}
+}
+
+// TestFaults guards R4, R5 and R6 over two real hops: each fault of a backend server ends in a whole answer, a broken stream
+// or a typed failure, and the number of runs stays within what the class of the route allows.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		fault      string
+		body       string
+		outcome    outcome.Kind
+		status     int
+		broken     bool
+		runs       uint64
+	}{
+		{"answer", true, "", "hello", "", 200, false, 1},
+		{"streamed body", false, "", strings.Repeat("x", 300<<10), "", 200, false, 1},
+		{"trailer", true, standin.FaultTrailer, "", "", 200, false, 1},
+		{"forged mesh headers", true, standin.FaultMesh, "", "", 200, false, 1},
+		{"reset before the head", true, standin.FaultReset, "hello", "unknown", 502, false, 2},
+		{"reset before the head, once", false, standin.FaultReset, "hello", "unknown", 502, false, 1},
+		{"reset, streamed body", true, standin.FaultReset, strings.Repeat("x", 300<<10), "unknown", 502, false, 1},
+		{"reset after the head", true, standin.FaultHead, "", "", 200, true, 1},
+		{"reset in the body", true, standin.FaultTruncate, "", "", 200, true, 1},
+		{"stalled", true, standin.FaultStall, "", "unknown", 504, false, 1},
+		{"shed", true, standin.FaultShed, "", "unknown", 503, false, 0},
+		{"shed, once", false, standin.FaultShed, "", "", 503, false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMesh(t, 2, read(tt.idempotent))
+			got := m.do("POST", "/x?q=1", tt.body, standin.HeaderFault, tt.fault, standin.HeaderID, tt.name, "Mesh-Endpoint", "forged", "Mesh-Context", "forged")
+			if tt.broken {
+				if got.err == nil {
+					t.Fatalf("got a whole answer %+v, want a broken stream", got)
+				}
+				return
+			}
+			if got.err != nil || got.status != tt.status || got.header.Get("Mesh-Outcome") != string(tt.outcome) {
+				t.Fatalf("got %+v, want status %d, outcome %q", got, tt.status, tt.outcome)
+			}
+			if m.served() != tt.runs {
+				t.Errorf("got %d runs, want %d", m.served(), tt.runs)
+			}
+			if tt.status != 200 {
+				return
+			}
+			if got.header.Get(standin.HeaderID) != tt.name || got.header.Get(standin.HeaderSum) != standin.Sum([]byte(tt.body)) || got.body != "e0 POST /x?q=1\n" {
+				t.Errorf("got another request's answer: %+v", got)
+			}
+			if got.header.Get("Mesh-Call")+got.header.Get("X-Private") != "" {
+				t.Errorf("got internal headers %v", got.header)
+			}
+			if want := standin.Sum([]byte(got.body)); tt.fault == standin.FaultTrailer && got.tail.Get("X-Trailer") != want {
+				t.Errorf("got trailer %v, want %s", got.tail, want)
+			}
+		})
+	}
+}
+
+// TestRefusals guards that requests which must not be carried are refused as not run, before any attempt.
+func TestRefusals(t *testing.T) {
+	deep := Context{Depth: outcome.MaxDepth, Deadline: time.Now().Add(time.Minute)}.String()
+	past := Context{Depth: 1, Deadline: time.Now().Add(-time.Second)}.String()
+	tests := []struct {
+		name, path, key, value string
+		local                  bool
+		status                 int
+		code                   outcome.Code
+	}{
+		{"no route", "/none", "", "", false, 404, outcome.NoRoute},
+		{"internal service", "/internal", "", "", false, 403, outcome.Internal},
+		{"internal service, local", "/internal", "", "", true, 200, ""},
+		{"dot segments", "/a/%2e%2e/internal", "", "", false, 400, outcome.NoRoute},
+		{"upgrade", "/", "Upgrade", "websocket", false, 501, outcome.Refused},
+		{"depth", "/", HeaderContext, deep, true, 508, outcome.Depth},
+		{"depth from outside", "/", HeaderContext, deep, false, 200, ""},
+		{"deadline", "/", HeaderContext, past, true, 504, outcome.Late},
+		{"altered context", "/", HeaderContext, "1.x.2.3", true, 400, outcome.Depth},
+		{"long key", "/", "Idempotency-Key", strings.Repeat("k", 300), false, 400, outcome.Oversize},
+		{"large body", "/", "X-Body", "large", false, 413, outcome.Oversize},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMesh(t, 1, read(false), WithLocal(tt.local), WithMaxBody(100<<10))
+			body := ""
+			if tt.key == "X-Body" {
+				body = strings.Repeat("x", 101<<10)
+			}
+			got := m.do("POST", tt.path, body, tt.key+"X"[min(len(tt.key), 1):], tt.value)
+			if got.status != tt.status || got.header.Get("Mesh-Code") != string(tt.code) {
+				t.Fatalf("got %+v, want %d %s", got, tt.status, tt.code)
+			}
+			if tt.code != "" && (m.sent.Load() != 0 || got.header.Get("Mesh-Outcome") != "notrun" || got.header.Get("Content-Type") != "application/problem+json") {
+				t.Errorf("got %d attempts and %+v", m.sent.Load(), got)
+			}
+		})
+	}
+}
+
+// TestRepick guards that a refusal that is proven not run moves on to another endpoint even for a request that may run only
+// once, and that the reported outcome is not run only if no attempt may have run.
+func TestRepick(t *testing.T) {
+	m := newMesh(t, 2, read(false))
+	m.backends[0].Drain()
+	if got := m.do("POST", "/", "x"); got.status != 200 || m.servers[1].Served() != 1 {
+		t.Errorf("got %+v", got)
+	}
+	m.backends[1].Drain()
+	if got := m.do("POST", "/", "x"); got.header.Get("Mesh-Outcome") != "notrun" || got.header.Get("Mesh-Code") != "draining" {
+		t.Errorf("got %+v, want draining (notrun)", got)
+	}
+	m = newMesh(t, 2, read(true))
+	m.backends[1].Drain()
+	if got := m.do("POST", "/", "x", standin.HeaderFault, standin.FaultReset); got.header.Get("Mesh-Outcome") != "unknown" {
+		t.Errorf("got %+v, want unknown: the first attempt may have run", got)
+	}
+}
+
+// TestOnce guards R6 and R5 for keyed requests: one run whatever the caller resends, with the outcome told honestly.
+func TestOnce(t *testing.T) {
+	key := func(k string, more ...string) []string { return append([]string{"Idempotency-Key", k}, more...) }
+	m := newMesh(t, 2, read(false))
+	var wg sync.WaitGroup
+	answers := make([]reply, 8)
+	for i := range answers {
+		wg.Go(func() { answers[i] = m.do("POST", "/buy", "body", key("k", standin.HeaderDelay, "60ms")...) })
+	}
+	wg.Wait()
+	replays := 0
+	for _, a := range answers {
+		if a.status != 200 || a.body != answers[0].body || a.header.Get(standin.HeaderRuns) != "1" {
+			t.Errorf("got %+v, want the one answer", a)
+		}
+		replays += len(a.header["Mesh-Replay"])
+	}
+	if m.servers[0].Runs("k") != 1 || replays != len(answers)-1 {
+		t.Errorf("got %d runs and %d replays, want 1 and %d", m.servers[0].Runs("k"), replays, len(answers)-1)
+	}
+	tests := []struct {
+		name    string
+		key     string
+		body    string
+		header  []string
+		setup   func()
+		outcome outcome.Kind
+		code    outcome.Code
+		runs    int
+	}{
+		{"other content", "k", "other", nil, nil, outcome.NotRun, outcome.Mismatch, 1},
+		{"broken run", "b", "x", []string{standin.HeaderFault, standin.FaultReset}, nil, outcome.Unknown, outcome.Reset, 1},
+		{"resend of a broken run", "b", "x", nil, nil, outcome.Unknown, outcome.Claimed, 1},
+		{"truncated answer", "t", "x", []string{standin.HeaderFault, standin.FaultTruncate}, nil, outcome.Lost, outcome.Truncated, 1},
+		{"resend after a lost answer", "t", "x", nil, nil, outcome.Lost, outcome.Claimed, 1},
+		{"answer too large to keep", "l", "x", []string{standin.HeaderSize, "100000"}, nil, "", "", 1},
+		{"resend after a large answer", "l", "x", nil, nil, outcome.Lost, outcome.Claimed, 1},
+		{"no majority", "n", "x", nil, func() { m.claims.fail = true }, outcome.NotRun, outcome.NoKey, 0},
+		{"all draining", "d", "x", nil, func() {
+			m.claims.fail = false
+			m.backends[0].Drain()
+			m.backends[1].Drain()
+		}, outcome.NotRun, outcome.Draining, 0},
+		{"release fails", "f", "x", nil, func() { m.claims.noRelease = true }, outcome.Unknown, outcome.Draining, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.setup != nil {
+				m.claims.mu.Lock()
+				tt.setup()
+				m.claims.mu.Unlock()
+			}
+			got := m.do("POST", "/buy", tt.body, key(tt.key, tt.header...)...)
+			if got.err != nil || got.header.Get("Mesh-Outcome") != string(tt.outcome) || got.header.Get("Mesh-Code") != string(tt.code) {
+				t.Errorf("got %d %v %v, want %s (%s)", got.status, got.header, got.err, tt.code, tt.outcome)
+			}
+			if n := m.servers[0].Runs(tt.key) + m.servers[1].Runs(tt.key); n != tt.runs {
+				t.Errorf("got %d runs, want %d", n, tt.runs)
+			}
+			time.Sleep(5 * time.Millisecond) // for the outcome that is stored beside the answer
+		})
+	}
+	if err := m.handler.Close(); err != nil {
+		t.Error(err)
+	}
+	if _, held := m.claims.owner["d"]; held {
+		t.Error("not run was told before the claim was released")
+	}
+}
+
+// TestCallerGone guards that a keyed run whose caller went away ends and keeps its answer for the resend, and that a request
+// without key is cancelled at the backend server.
+func TestCallerGone(t *testing.T) {
+	m := newMesh(t, 1, read(false))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, "POST", m.url+"/buy", nil)
+	r.Header.Set("Idempotency-Key", "k")
+	r.Header.Set(standin.HeaderDelay, "120ms")
+	if _, err := http.DefaultTransport.RoundTrip(r); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v, want a timeout", err)
+	}
+	if got := m.do("POST", "/buy", "", "Idempotency-Key", "k"); got.status != 200 || got.header.Get("Mesh-Replay") != "1" || m.served() != 1 {
+		t.Errorf("got %+v after %d runs, want the kept answer", got, m.served())
+	}
+}
+
+// TestSlowReader guards that a caller that reads slowly gets its whole answer and does not hold up other calls on the same
+// connection between nodes.
+func TestSlowReader(t *testing.T) {
+	m := newMesh(t, 1, config.Route{Name: "r", Service: "counter", Idempotent: true, Deadline: 5 * time.Second})
+	r, _ := http.NewRequest("GET", m.url+"/big", nil)
+	r.Header.Set(standin.HeaderSize, fmt.Sprint(16<<20))
+	p, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		begin := time.Now()
+		if got := m.do("GET", "/", ""); got.status != 200 || time.Since(begin) > time.Second {
+			t.Fatalf("got %+v after %v beside a slow reader", got, time.Since(begin))
+		}
+	}
+	n, err := io.Copy(io.Discard, p.Body)
+	if n != 16<<20 || err != nil {
+		t.Errorf("got %d bytes, %v, want the whole answer", n, err)
+	}
+}
+
+// TestContextValue guards the form of Mesh-Context, which must survive the copy by a backend server.
+func TestContextValue(t *testing.T) {
+	want := Context{Depth: 3, Deadline: time.UnixMilli(1700000000123), Budget: 2}
+	if got, err := ParseContext(want.String()); err != nil || got != want {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+}
--- a/io/hop/copy.go
+++ b/io/hop/copy.go
@@ -88,6 +88,8 @@
 			return nil
 		}
 		if err != nil {
+			// What arrived is sent, so that the receiver sees a broken answer and not a missing one: the request ran.
+			_ = rc.Flush()
 			return &SourceError{Err: err}
 		}
 	}
--- /dev/null
+++ b/io/hop/hop_test.go
@@ -0,0 +1,350 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"godwitspindle/core/outcome"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"pgregory.net/rapid"
+)
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func serve(t *testing.T, h http.Handler) netip.AddrPort {
+	t.Helper()
+	l, a := listen(t)
+	s := HTTPServer(h)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return a
+}
+
+func request(method, path, body string) *http.Request {
+	u, _ := url.Parse(path)
+	r := &http.Request{Method: method, URL: u, Host: "example.test", Header: http.Header{}}
+	if body != "" {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	}
+	return r
+}
+
+func testMeta(call string) Meta {
+	return Meta{Call: call, Service: "counter", Endpoint: "a", Remaining: time.Second, Depth: 1, Priority: 5}
+}
+
+// rawPeer speaks HTTP/2 frames, so that it can refuse, reset and misplace streams. It calls answer for each request head.
+func rawPeer(t *testing.T, answer func(c net.Conn, f *http2.Framer, stream uint32, number int)) netip.AddrPort {
+	t.Helper()
+	l, a := listen(t)
+	var mu sync.Mutex
+	number := 0
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := io.ReadFull(c, make([]byte, len(http2.ClientPreface))); err != nil {
+					return
+				}
+				f := http2.NewFramer(c, c)
+				_ = f.WriteSettings()
+				for {
+					frame, err := f.ReadFrame()
+					if err != nil {
+						return
+					}
+					if h, ok := frame.(*http2.HeadersFrame); ok {
+						mu.Lock()
+						number++
+						n := number
+						mu.Unlock()
+						answer(c, f, h.StreamID, n)
+					}
+				}
+			}()
+		}
+	}()
+	return a
+}
+
+func head(f *http2.Framer, stream uint32, end bool, fields ...string) {
+	var b strings.Builder
+	e := hpack.NewEncoder(&b)
+	for i := 0; i < len(fields); i += 2 {
+		_ = e.WriteField(hpack.HeaderField{Name: fields[i], Value: fields[i+1]})
+	}
+	_ = f.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: []byte(b.String()), EndHeaders: true, EndStream: end})
+}
+
+// TestCallFaults guards R5: only what is proven unprocessed may be reported as not run, and a broken, late or crossed
+// answer never becomes a success. It also finds a change of the error texts that net/http gives.
+func TestCallFaults(t *testing.T) {
+	closed, refusing := listen(t)
+	_ = closed.Close()
+	reset := func(c net.Conn, _ *http2.Framer, _ uint32, _ int) {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	tests := []struct {
+		name   string
+		answer func(c net.Conn, f *http2.Framer, stream uint32, number int)
+		kind   outcome.Kind
+		code   outcome.Code
+		body   bool // the head arrives and the body breaks
+	}{
+		{"dial failure", nil, outcome.NotRun, outcome.Unreachable, false},
+		{"refused stream", func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+			_ = f.WriteRSTStream(n, http2.ErrCodeRefusedStream)
+		}, outcome.NotRun, outcome.Refused, false},
+		{"goaway before the stream", func(_ net.Conn, f *http2.Framer, n uint32, _ int) { _ = f.WriteGoAway(n-1, http2.ErrCodeNo, nil) }, outcome.NotRun, outcome.Refused, false},
+		{"goaway after the stream", func(c net.Conn, f *http2.Framer, n uint32, _ int) {
+			_ = f.WriteGoAway(n, http2.ErrCodeNo, nil)
+			_ = c.Close()
+		}, outcome.Unknown, outcome.Reset, false},
+		{"reset before the head", reset, outcome.Unknown, outcome.Reset, false},
+		{"stream reset by protocol error", func(_ net.Conn, f *http2.Framer, n uint32, _ int) { _ = f.WriteRSTStream(n, http2.ErrCodeProtocol) }, outcome.Unknown, outcome.Reset, false},
+		{"stream cancelled by the peer", func(_ net.Conn, f *http2.Framer, n uint32, _ int) { _ = f.WriteRSTStream(n, http2.ErrCodeCancel) }, outcome.Unknown, outcome.Reset, false},
+		{"stalled", func(net.Conn, *http2.Framer, uint32, int) {}, outcome.Unknown, outcome.Late, false},
+		{"answer of another call", func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+			head(f, n, true, ":status", "200", "mesh-call", "other")
+		}, outcome.Unknown, outcome.Reset, false},
+		{"answer of no call", func(_ net.Conn, f *http2.Framer, n uint32, _ int) { head(f, n, true, ":status", "200") }, outcome.Unknown, outcome.Reset, false},
+		{"refusal for another call", func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+			head(f, n, true, ":status", "503", "mesh-call", "other", "mesh-outcome", "notrun")
+		}, outcome.Unknown, outcome.Reset, false},
+		{"refusal", func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+			head(f, n, true, ":status", "503", "mesh-call", "c1", "mesh-outcome", "notrun", "mesh-code", "overload", "mesh-after", "250")
+		}, outcome.NotRun, outcome.Overload, false},
+		{"unknown kind of outcome", func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+			head(f, n, true, ":status", "503", "mesh-call", "c1", "mesh-outcome", "maybe", "mesh-code", "overload")
+		}, outcome.Unknown, outcome.Overload, false},
+		{"reset after the head", func(c net.Conn, f *http2.Framer, n uint32, _ int) {
+			head(f, n, false, ":status", "200", "mesh-call", "c1")
+			time.Sleep(20 * time.Millisecond)
+			reset(c, f, n, 0)
+		}, "", "", true},
+		{"stream reset in the body", func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+			head(f, n, false, ":status", "200", "mesh-call", "c1")
+			_ = f.WriteData(n, false, []byte("part"))
+			_ = f.WriteRSTStream(n, http2.ErrCodeInternal)
+		}, "", "", true},
+		{"body shorter than stated", func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+			head(f, n, false, ":status", "200", "mesh-call", "c1", "content-length", "10")
+			_ = f.WriteData(n, true, []byte("part"))
+		}, "", "", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var heads atomic.Int64
+			address := refusing
+			if tt.answer != nil {
+				address = rawPeer(t, func(c net.Conn, f *http2.Framer, n uint32, number int) {
+					heads.Store(int64(number))
+					tt.answer(c, f, n, number)
+				})
+			}
+			c := New()
+			defer func() { _ = c.Close() }()
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			p, err := c.Call(ctx, address, testMeta("c1"), request("GET", "/x", ""))
+			if tt.body {
+				if err != nil {
+					t.Fatalf("got %v, want a head", err)
+				}
+				if got, err := io.ReadAll(p.Body); err == nil {
+					t.Fatalf("got whole body %q, want an error", got)
+				}
+				return
+			}
+			var f *outcome.Failure
+			if !errors.As(err, &f) || f.Kind != tt.kind || f.Code != tt.code {
+				t.Fatalf("got %v, want %s (%s)", err, tt.code, tt.kind)
+			}
+			if _ = c.Close(); heads.Load() > 1 {
+				t.Errorf("got %d sendings, want at most 1", heads.Load())
+			}
+		})
+	}
+}
+
+// TestServer guards the checks of the peer listener, the passing of bodies, trailers, deadline and cancellation, and the
+// removal of metadata from what the backend side sees.
+func TestServer(t *testing.T) {
+	cancelled := make(chan error, 1)
+	do := func(ctx context.Context, m Meta, r *http.Request) (*http.Response, error) {
+		if d, ok := ctx.Deadline(); !ok || time.Until(d) > m.Remaining {
+			return nil, &MetaError{Header: "deadline"}
+		}
+		var body []byte
+		if r.Body != nil {
+			body, _ = io.ReadAll(r.Body)
+		}
+		for k := range r.Header {
+			if strings.HasPrefix(k, Prefix) {
+				return nil, &MetaError{Header: k}
+			}
+		}
+		switch r.URL.Path {
+		case "/stall":
+			<-ctx.Done()
+			cancelled <- ctx.Err()
+			return nil, failure(outcome.Canceled, outcome.Unknown, m.Call, "", nil)
+		case "/full":
+			f := failure(outcome.Overload, outcome.NotRun, "", "slots are full", nil)
+			f.After = 1500 * time.Millisecond
+			return nil, f
+		}
+		text := fmt.Sprintf("%s %s %s %s", r.Method, r.Host, r.URL.RequestURI(), body)
+		return &http.Response{
+			StatusCode: 201, ContentLength: -1, Header: http.Header{"Mesh-Outcome": {"notrun"}, "X-Up": {"1"}},
+			Trailer: http.Header{"X-Sum": {"7"}, "Mesh-Call": {"x"}}, Body: io.NopCloser(strings.NewReader(text)),
+		}, nil
+	}
+	address := serve(t, NewServer(WithDo(do), WithServerKey("secret")))
+	c := New(WithKey("secret"))
+	defer func() { _ = c.Close() }()
+
+	p, err := c.Call(context.Background(), address, testMeta("c1"), request("POST", "/a%2Fb?q=1", "hello"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(p.Body)
+	if want := "POST example.test /a%2Fb?q=1 hello"; string(got) != want || err != nil {
+		t.Errorf("got %q, %v, want %q", got, err, want)
+	}
+	if p.Trailer.Get("X-Sum") != "7" || p.Header.Get("X-Up") != "1" || p.Header.Get("Mesh-Outcome") != "" || p.StatusCode != 201 {
+		t.Errorf("got status %d, header %v, trailer %v", p.StatusCode, p.Header, p.Trailer)
+	}
+
+	var f *outcome.Failure
+	_, err = c.Call(context.Background(), address, testMeta("c2"), request("GET", "/full", ""))
+	if !errors.As(err, &f) || f.Kind != outcome.NotRun || f.Code != outcome.Overload || f.After != 1500*time.Millisecond || f.Detail != "slots are full" || f.Call != "c2" {
+		t.Errorf("got %#v", f)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err = c.Call(ctx, address, testMeta("c3"), request("GET", "/stall", ""))
+	if !errors.As(err, &f) || f.Code != outcome.Canceled || f.Kind != outcome.Unknown {
+		t.Errorf("got %v, want canceled (unknown)", err)
+	}
+	select {
+	case <-cancelled:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the cancellation was not passed on")
+	}
+	wrong := New(WithKey("other"))
+	defer func() { _ = wrong.Close() }()
+	_, err = wrong.Call(context.Background(), address, testMeta("c4"), request("GET", "/", ""))
+	if !errors.As(err, &f) || f.Kind != outcome.NotRun || f.Status != http.StatusUnauthorized {
+		t.Errorf("got %v, want a refusal of the key", err)
+	}
+	bad := testMeta("c5")
+	bad.Depth = outcome.MaxDepth + 1
+	_, err = c.Call(context.Background(), address, bad, request("GET", "/", ""))
+	if !errors.As(err, &f) || f.Kind != outcome.NotRun || f.Status != http.StatusBadRequest {
+		t.Errorf("got %v, want a refusal of the depth", err)
+	}
+}
+
+// TestPool guards the bounds on connections and peers, and that a peer that came back is reached again.
+func TestPool(t *testing.T) {
+	do := func(ctx context.Context, _ Meta, _ *http.Request) (*http.Response, error) {
+		time.Sleep(5 * time.Millisecond)
+		return &http.Response{StatusCode: 200, Header: http.Header{}, Body: http.NoBody}, ctx.Err()
+	}
+	var addresses []netip.AddrPort
+	for range 3 {
+		addresses = append(addresses, serve(t, NewServer(WithDo(do))))
+	}
+	c := New(WithPeers(2))
+	defer func() { _ = c.Close() }()
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			p, err := c.Call(context.Background(), addresses[i%2], testMeta(fmt.Sprint("c", i)), request("GET", "/", ""))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = p.Body.Close()
+		})
+	}
+	wg.Wait()
+	if got := c.Stats(); got.Dialed > 4 || got.Peers != 2 {
+		t.Errorf("got %d connections to %d peers, want at most 4 to 2", got.Dialed, got.Peers)
+	}
+	if _, err := c.Call(context.Background(), addresses[2], testMeta("c"), request("GET", "/", "")); err != nil {
+		t.Error(err)
+	}
+	if got := c.Stats(); got.Evicted != 1 || got.Peers != 2 {
+		t.Errorf("got %d evicted of %d peers, want 1 of 2", got.Evicted, got.Peers)
+	}
+}
+
+// TestMetaRoundTrip guards that metadata survives the hop and that a deadline never grows on the way.
+func TestMetaRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.StringMatching(`[!-~]{1,40}`)
+		want := Meta{
+			Call: name.Draw(t, "call"), Service: name.Draw(t, "service"), Endpoint: name.Draw(t, "endpoint"), Caller: name.Draw(t, "caller"),
+			Remaining: time.Duration(rapid.Int64Range(0, int64(MaxDeadline)).Draw(t, "remaining")),
+			Depth:     rapid.IntRange(1, outcome.MaxDepth).Draw(t, "depth"), Budget: rapid.IntRange(0, maxBudget).Draw(t, "budget"),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Late: rapid.Bool().Draw(t, "late"), Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
+			Print: Identity{Service: name.Draw(t, "print")}.Print(),
+		}
+		h := http.Header{}
+		want.Encode(h)
+		got, err := Decode(h)
+		want.Remaining = want.Remaining.Truncate(time.Millisecond)
+		if err != nil || got != want {
+			t.Fatalf("got %+v, %v, want %+v", got, err, want)
+		}
+		for k := range h {
+			n := h.Clone()
+			n[k] = []string{"\x01"}
+			if _, err := Decode(n); err == nil {
+				t.Fatalf("header %s with a control character was accepted", k)
+			}
+		}
+	})
+}
+
+// TestOutbound guards against forwarding headers that concern one connection, and Mesh-* headers in any spelling.
+func TestOutbound(t *testing.T) {
+	r := httptest.NewRequest("GET", "/", nil)
+	r.Header = http.Header{
+		"Connection": {"X-One, keep-alive", "x-two"}, "X-One": {"1"}, "X-Two": {"2"}, "X-Three": {"3"}, "Te": {"trailers, deflate"},
+		"Proxy-Authorization": {"p"}, "Upgrade": {"h2c"}, "Transfer-Encoding": {"chunked"}, "Mesh-Call": {"c"}, "mesh-key": {"k"}, "Expect": {"100-continue"},
+	}
+	got := fmt.Sprint(Outbound(r))
+	if want := "map[Te:[trailers] User-Agent:[] Via:[1.1 godwitspindle] X-Three:[3]]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- a/io/standin/announce.go
+++ b/io/standin/announce.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -37,6 +38,10 @@
 // Announce announces the server once. The error is an *AnnounceError.
 func (s *Server) Announce(ctx context.Context) error {
 	s.mu.Lock()
+	if s.server == nil {
+		s.mu.Unlock()
+		return &AnnounceError{Err: net.ErrClosed} // a dead process is silent
+	}
 	a := announcement{
 		Service: s.service, Endpoint: s.endpoint, Address: s.address, Slots: s.slots, Connections: s.connections,
 		Incarnation: s.incarnation,
