--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -112,6 +112,8 @@
 		return c.fail(outcome.Late, http.StatusGatewayTimeout, "no time is left", nil)
 	}
 	c.ctx, c.cancel = context.WithTimeout(c.r.Context(), remaining)
+	// A caller that does not read its answer holds resources only up to its deadline.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeMargin))
 	return nil
 }
 
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -123,7 +123,9 @@
 		WithClaim(m.claims.claim, m.claims.finish, m.claims.release),
 	}, opts...)
 	m.handler = New(all...)
-	s := httptest.NewServer(m.handler)
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = HTTPServer(m.handler)
+	s.Start()
 	t.Cleanup(s.Close)
 	m.url = s.URL
 	return m
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -283,6 +284,32 @@
 	}
 }
 
+// TestTLS guards that the hop uses HTTP/2 over TLS when it is set, and refuses a peer with an unknown certificate.
+func TestTLS(t *testing.T) {
+	proto := make(chan string, 1)
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = HTTPServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		proto <- r.Proto
+		w.Header().Set(headerCall, r.Header.Get(headerCall))
+	}))
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	address := netip.MustParseAddrPort(s.Listener.Addr().String())
+	c := New(WithTLS(s.Client().Transport.(*http.Transport).TLSClientConfig))
+	defer func() { _ = c.Close() }()
+	p, err := c.Call(context.Background(), address, testMeta("c"), request("GET", "/", ""))
+	if err != nil || p.StatusCode != 200 || <-proto != "HTTP/2.0" {
+		t.Fatalf("got %v, %v, want an answer over HTTP/2", p, err)
+	}
+	foreign := New(WithTLS(&tls.Config{MinVersion: tls.VersionTLS12}))
+	defer func() { _ = foreign.Close() }()
+	var f *outcome.Failure
+	if _, err := foreign.Call(context.Background(), address, testMeta("c"), request("GET", "/", "")); !errors.As(err, &f) || f.Code != outcome.Unreachable {
+		t.Errorf("got %v, want unreachable", err)
+	}
+}
+
 // TestPool guards the bounds on connections and peers, and that a peer that came back is reached again.
 func TestPool(t *testing.T) {
 	do := func(ctx context.Context, _ Meta, _ *http.Request) (*http.Response, error) {
