--- a/core/config/table.go
+++ b/core/config/table.go
@@ -35,17 +35,20 @@
 	limits  map[string][]*wire.Limit // by service
 	ordered []*wire.Limit            // by name, so that faults have a fixed order
 	drains  []*wire.Drain
+	counts  map[string]int // endpoints by service, to size their slices
 }
 
 // NewTable checks a snapshot as a whole and builds its table; *InvalidError lists what does not fit together.
 //
 // Entries are decoded once when they enter a snapshot, so a build only links them: its cost is one pass over the entries.
 func NewTable(s *Snapshot) (*Table, error) {
-	b := &builder{limits: make(map[string][]*wire.Limit), Table: &Table{
+	nodes := s.count(kindNode)
+	b := &builder{limits: make(map[string][]*wire.Limit), counts: make(map[string]int), Table: &Table{
 		version:  s.version,
 		routes:   make(map[string]map[string][]*Route),
 		services: make(map[string]*Service),
-		byName:   make(map[string]int),
+		nodes:    make([]Node, 0, nodes),
+		byName:   make(map[string]int, nodes),
 		suspects: make(map[string]*wire.Suspect),
 	}}
 	// Nodes, services and rules are linked to by endpoints and routes, so they are read first.
@@ -93,6 +96,8 @@
 			Region:      m.GetRegion(),
 			Incarnation: m.GetIncarnation(),
 		})
+	case *wire.Endpoint:
+		b.counts[m.GetService()]++
 	case *wire.Limit:
 		b.limits[m.GetService()] = append(b.limits[m.GetService()], m)
 		b.ordered = append(b.ordered, m)
@@ -174,6 +179,9 @@
 		e.Slots = lower(e.Slots, int(l.GetSlots()))
 		e.Connections = lower(e.Connections, int(l.GetConnections()))
 	}
+	if service.Endpoints == nil {
+		service.Endpoints = make([]Endpoint, 0, b.counts[service.Name])
+	}
 	service.Endpoints = append(service.Endpoints, e)
 }
 
