fix(store): bound the memory and cost of kept contents

Each kept version held a map of its entries and every change rescanned the whole history for its size. History now keeps only registers and rule sets, and rescans only when an upper bound of their size passes 8 MiB. Faults of one answer are bounded to 1,000 and too many rules are refused before they are compared with each other.

--- a/core/config/errors.go
+++ b/core/config/errors.go
@@ -61,10 +61,16 @@
 	return fmt.Sprintf("digest of version %d is %v, announced %v", e.Version, e.Got, e.Want)
 }
 
+// maxFaults bounds the answer to a hostile or generated file.
+const maxFaults = 1000
+
 // faults collects what is wrong with an input.
 type faults struct{ list []Fault }
 
 func (f *faults) add(field, expected string, args ...any) {
+	if len(f.list) >= maxFaults {
+		return
+	}
 	if len(args) > 0 {
 		expected = fmt.Sprintf(expected, args...)
 	}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -104,6 +104,11 @@
 	if len(sets) > MaxSets {
 		f.add("rules", "at most %d sets", MaxSets)
 	}
+	if crowded(sets) {
+		// The checks below compare rules with each other, so too many are refused before.
+		f.add("rules", "at most %d routes, limits and drains each", MaxRules)
+		return
+	}
 	found := make(names)
 	routes, limits, drains := make(names), make(names), make(names)
 	overlaps := make(map[string][]*wire.Route)
@@ -134,11 +139,16 @@
 			checkDrain(f, key, d)
 		}
 	}
-	for _, n := range []names{routes, limits, drains} {
-		if len(n) > MaxRules {
-			f.add("rules", "at most %d routes, limits and drains each", MaxRules)
-		}
+}
+
+func crowded(sets []*wire.RuleSet) bool {
+	routes, limits, drains := 0, 0, 0
+	for _, s := range sets {
+		routes += len(s.GetRoutes())
+		limits += len(s.GetLimits())
+		drains += len(s.GetDrains())
 	}
+	return max(routes, limits, drains) > MaxRules
 }
 
 func checkRoute(f *faults, key string, r *wire.Route) {
--- a/core/store/change.go
+++ b/core/store/change.go
@@ -67,8 +67,7 @@
 	*dirty = append(*dirty, changedKeys(s.content, p.content, s.members)...)
 	a := s.accepted(index, c, p)
 	s.content = p.content
-	s.history = append(s.history, &record{accepted: a, content: p.content})
-	s.trimHistory()
+	s.keep(&record{accepted: a, content: p.content.bare()})
 	r := &answered{id: c.GetId(), sum: sum(c), accepted: a}
 	s.ids[r.id] = r
 	s.order = append(s.order, r)
@@ -137,6 +136,7 @@
 	if base == nil {
 		base = s.content
 	}
+	base = base.full()
 	winner := s.history[len(s.history)-1].accepted
 	var theirs []*wire.Difference
 	for _, r := range s.history[at:] {
@@ -171,8 +171,8 @@
 	case *wire.Change_Revert:
 		p.part = fmt.Sprintf("revert/%d", b.Revert)
 		for _, r := range s.history {
-			if r.accepted.GetVersion() == b.Revert {
-				p.content = r.content
+			if r.accepted.GetVersion() == b.Revert && r.content != nil {
+				p.content = r.content.full()
 			}
 		}
 		if p.content == nil {
@@ -223,43 +223,3 @@
 	hash := sha256.Sum256(data)
 	return string(hash[:])
 }
-
-// trimHistory bounds the number of changes and the bytes of their content; the newest content is always kept.
-func (s *Store) trimHistory() {
-	if over := len(s.history) - MaxHistory; over > 0 {
-		s.forgotten = s.history[over-1].accepted.GetVersion()
-		s.history = append([]*record(nil), s.history[over:]...)
-	}
-	seen := make(map[proto.Message]bool)
-	size := 0
-	for i := len(s.history) - 1; i >= 0 && s.history[i].content != nil; i-- {
-		for _, m := range s.history[i].content.parts() {
-			if !seen[m] {
-				seen[m] = true
-				size += proto.Size(m)
-			}
-		}
-		if size > MaxContent && i < len(s.history)-1 {
-			s.history[i].content = nil
-		}
-	}
-}
-
-// parts returns the register and the rule sets, which versions share.
-func (c *content) parts() []proto.Message {
-	list := []proto.Message{c.register}
-	for _, r := range c.sets {
-		list = append(list, r)
-	}
-	return list
-}
-
-func (s *Store) expireIDs() {
-	cut := 0
-	before := s.time - IDRetention.Milliseconds()
-	for len(s.order)-cut > MinIDs && (s.order[cut].accepted.GetTime() < before || len(s.order)-cut > MaxIDs) {
-		delete(s.ids, s.order[cut].id)
-		cut++
-	}
-	s.order = s.order[cut:]
-}
--- a/core/store/content.go
+++ b/core/store/content.go
@@ -42,8 +42,28 @@
 	return c
 }
 
+// bare returns the content without its entries, which would take about 50 KB for each kept version of the design size.
+func (c *content) bare() *content { return &content{register: c.register, sets: c.sets} }
+
+// full returns the content with its entries.
+func (c *content) full() *content {
+	if c.entries != nil {
+		return c
+	}
+	return newContent(c.register, c.sets)
+}
+
 func (c *content) wire() *wire.Content { return &wire.Content{Register: c.register, Sets: c.sets} }
 
+// parts returns the register and the rule sets, which versions share.
+func (c *content) parts() []proto.Message {
+	list := []proto.Message{c.register}
+	for _, r := range c.sets {
+		list = append(list, r)
+	}
+	return list
+}
+
 // withRules returns content with one set replaced; an empty set is removed.
 func (c *content) withRules(r *wire.RuleSet) *content {
 	sets := slices.Clone(c.sets)
--- a/core/store/state.go
+++ b/core/store/state.go
@@ -145,6 +145,7 @@
 		return &StateError{Err: err}
 	}
 	n.claims = s.claims
+	n.kept = MaxContent + 1 // not known; the next change counts
 	*s = *n
 	return nil
 }
@@ -167,7 +168,7 @@
 		r.Fail("content expected")
 		return
 	}
-	s.content = contents[0]
+	s.content = contents[0].full()
 	byVersion := make(map[uint64]*wire.Accepted)
 	for _, c := range contents[1:] {
 		a := new(wire.Accepted)
@@ -209,7 +210,7 @@
 	if count == 0 {
 		return nil
 	}
-	return newContent(register, sets)
+	return &content{register: register, sets: sets}
 }
 
 func (m *members) marshal() ([]byte, error) {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -15,7 +15,7 @@
 // Bounds of the state. All replicas must use the same.
 const (
 	MaxHistory  = 1000           // accepted changes
-	MaxContent  = 32 << 20       // bytes of distinct registers and rule sets kept for revert
+	MaxContent  = 8 << 20        // bytes of distinct registers and rule sets kept for revert
 	IDRetention = 24 * time.Hour // of change ids by state time; the newest MinIDs are kept longer
 	MinIDs      = 1000
 	MaxIDs      = 4096   // forgetting an id early is safe: its base is below a known change, so a resend is a conflict
@@ -39,6 +39,7 @@
 	snapshot   *config.Snapshot
 	content    *content
 	history    []*record // oldest first
+	kept       int       // at least the bytes of content in the history
 	forgotten  uint64    // version of the newest change that left the history
 	ids        map[string]*answered
 	order      []*answered // oldest first
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -152,6 +152,39 @@
 	}
 }
 
+// Guards against history that outgrows its bytes, a newest content that is dropped, and replicas that drop other contents
+// after a restore.
+func TestContentBound(t *testing.T) {
+	s := New()
+	s.Apply(1, changed(change("1", 0, register("a"))))
+	twin := restore(t, s)
+	for i := uint64(2); i < 16; i++ {
+		set := &wire.RuleSet{Set: "main"}
+		for r := range 900 {
+			path := fmt.Sprintf("/%d/%d/%s", i, r, strings.Repeat("x", 1000))
+			set.Routes = append(set.Routes, &wire.Route{Name: fmt.Sprint("r", r), Service: "a", Path: path, Deadline: 1})
+		}
+		c := changed(change(fmt.Sprint(i), i-1, set))
+		s.Apply(i, c)
+		twin.Apply(i, c)
+		if i%5 == 0 { // before, at and after the bound
+			twin = restore(t, twin)
+		}
+	}
+	for version, want := range map[uint64]bool{1: false, 5: false, 13: true, 15: true} {
+		_, err := s.Content(version)
+		_, other := twin.Content(version)
+		if got := err == nil; got != want || (other == nil) != want {
+			t.Errorf("content of %d: got %v and %v after restores, want %v", version, err, other, want)
+		}
+	}
+	got := outcome(s.Apply(16, changed(change("16", 15, uint64(3)))))
+	again := outcome(twin.Apply(16, changed(change("16", 15, uint64(3)))))
+	if got != "missing revert" || again != got || len(s.Changes()) != 15 {
+		t.Errorf("got %s and %s with %d changes, want missing revert and 15", got, again, len(s.Changes()))
+	}
+}
+
 // Guards against endpoints without their service or node in a snapshot (R2), and against late messages of replaced processes.
 func TestMembership(t *testing.T) {
 	node := func(name string, incarnation uint64) *wire.Node {
