--- a/io/platform/listener.go
+++ b/io/platform/listener.go
@@ -26,8 +26,8 @@
 			return &countedConn{Conn: c, release: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
 		}
 		l.open.Add(-1)
+		l.refused() // before the close, so that the count is not behind what the client sees
 		_ = c.Close()
-		l.refused()
 	}
 }
 
