fix(agreement): let a voter whose removal is not committed campaign; tests for core and disk

The random schedules found a group without a leader: a leader that had removed itself stopped before the only other voter got the entry, so the only log that could win belonged to a replica that did not campaign.

--- /dev/null
+++ b/core/agreement/agreement_test.go
@@ -0,0 +1,278 @@
+package agreement
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against committed entries that are lost or changed, two leaders in one term and stale reads, under random
+// delivery, loss, duplication, crashes, partitions, compaction and membership changes.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 3, 4, 5}).Draw(t, "n")
+		c := newCluster(t, n, rapid.Int64().Draw(t, "seed"))
+		c.run(4 * time.Second)
+		steps := rapid.IntRange(50, 400).Draw(t, "steps")
+		for i := range steps {
+			id := rapid.SampledFrom(c.ids()).Draw(t, "id")
+			c.disturb(id, uint64(i), rapid.IntRange(0, 15).Draw(t, "step"))
+		}
+		clear(c.blocked)
+		for _, id := range c.ids() {
+			if c.members[id] == nil {
+				c.start(id)
+			}
+		}
+		c.run(10 * time.Second)
+		had := len(c.committed)
+		if l := c.leader(); l == "" || c.propose(l, "last") != nil {
+			t.Fatalf("after the faults ended: got no leader that takes a proposal")
+		}
+		c.run(time.Second)
+		if len(c.committed) <= had {
+			t.Fatal("after the faults ended: got no commit")
+		}
+	})
+}
+
+func (c *cluster) disturb(id string, i uint64, step int) {
+	r := c.members[id]
+	if r == nil {
+		c.start(id)
+		return
+	}
+	switch step {
+	case 0:
+		delete(c.members, id)
+	case 1, 2, 3:
+		_ = c.propose(id, fmt.Sprint(i))
+	case 4:
+		c.read(id, i)
+	case 5:
+		name := Name(id)
+		c.block(name, c.random.Intn(2) == 0, c.random.Intn(2) == 0)
+	case 6:
+		c.block(Name(id), false, false)
+	case 7:
+		if s, ok := r.Point(r.Status().Applied); ok && s.Index > c.stores[id].snapshot.Index {
+			st := c.stores[id]
+			st.entries = st.entries[s.Index-st.snapshot.Index:]
+			st.snapshot = s
+			r.Compact(s.Index)
+		}
+	case 8:
+		m := r.Status().Members
+		other := c.ids()[c.random.Intn(len(c.stores))]
+		switch {
+		case slices.Contains(m.Voters, other):
+			m = m.Without(other)
+		default:
+			m = m.With(other, !slices.Contains(m.Learners, other))
+		}
+		_ = c.change(id, m)
+	case 9:
+		if len(c.network) > 0 {
+			c.network = append(c.network, c.network[c.random.Intn(len(c.network))])
+		}
+	case 10, 11:
+		c.tick(time.Duration(c.random.Intn(800)) * time.Millisecond)
+	default:
+		for n := c.random.Intn(20); n > 0 && len(c.network) > 0; n-- {
+			c.deliver(c.random.Intn(len(c.network)))
+		}
+	}
+}
+
+// Faults by name, each with the number of commands that must be committed at the end.
+var faults = map[string]struct {
+	fault func(c *cluster, l, f, g string)
+	want  int
+}{
+	"leader lost before commit": {func(c *cluster, l, _, _ string) {
+		c.block(Name(l), true, true)
+		_ = c.propose(l, "x")
+		c.run(5 * time.Second)
+		c.block(Name(l), false, false)
+	}, 0},
+	"leader lost after commit": {func(c *cluster, l, _, _ string) {
+		_ = c.propose(l, "x")
+		c.run(200 * time.Millisecond)
+		delete(c.members, l)
+	}, 1},
+	"crash of all": {func(c *cluster, l, f, g string) {
+		_ = c.propose(l, "x")
+		c.run(200 * time.Millisecond)
+		for _, id := range []string{l, f, g} {
+			c.start(id)
+		}
+	}, 1},
+	"leader hears nothing": {func(c *cluster, l, _, _ string) {
+		c.block(Name(l), false, true)
+		_ = c.propose(l, "x")
+		c.run(3 * time.Second)
+		if c.members[l].Status().Role == Leader {
+			c.t.Error("a leader that hears no answers goes on leading")
+		}
+		c.block(Name(l), false, false)
+	}, 1},
+	"stale leader": {func(c *cluster, l, _, _ string) {
+		c.block(Name(l), true, true)
+		_ = c.propose(l, "x")
+		c.read(l, 7)
+		c.run(5 * time.Second)
+		_ = c.propose(c.leader(), "y")
+		c.run(time.Second)
+		if c.done[7] || c.leader() == l {
+			c.t.Error("a leader behind a partition confirmed a read")
+		}
+		c.block(Name(l), false, false)
+	}, 1},
+	"returning follower does not disturb": {func(c *cluster, l, f, _ string) {
+		c.block(Name(f), true, true)
+		c.run(20 * time.Second)
+		term := c.members[l].Status().Term
+		c.block(Name(f), false, false)
+		c.run(3 * time.Second)
+		if got := c.members[l].Status().Term; got != term || c.leader() != l {
+			c.t.Errorf("term: got %d under %s, want %d under %s", got, c.leader(), term, l)
+		}
+	}, 0},
+	"lost disk returns": {func(c *cluster, l, f, _ string) {
+		id := c.replace(f)
+		c.run(5 * time.Second)
+		m := c.members[l].Status().Members
+		if got := c.members[id].Status().Role; got != Waiting || m.Has(id) {
+			c.t.Errorf("role: got %v, want waiting", got)
+		}
+		_ = c.propose(l, "x")
+	}, 1},
+}
+
+// Guards against the named faults one by one: each case starts with three founded replicas and a settled leader, and
+// ends with the number of commands that must be committed on every running replica.
+func TestFaults(t *testing.T) {
+	for name, k := range faults {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3, 1)
+			c.run(4 * time.Second)
+			l := c.leader()
+			others := slices.DeleteFunc(c.ids(), func(s string) bool { return s == l })
+			k.fault(c, l, others[0], others[1])
+			c.run(5 * time.Second)
+			got := 0
+			for _, e := range c.committed {
+				if e.Kind == Command {
+					got++
+				}
+			}
+			if got != k.want {
+				t.Errorf("committed commands: got %d, want %d", got, k.want)
+			}
+			for id, r := range c.members {
+				if s := r.Status(); s.Role != Waiting && s.Commit != c.top {
+					t.Errorf("%s: got commit %d, want %d", id, s.Commit, c.top)
+				}
+			}
+		})
+	}
+}
+
+// Starts a name anew without its disk and returns the new identity.
+func (c *cluster) replace(id string) string {
+	delete(c.members, id)
+	delete(c.stores, id)
+	id = Name(id) + "/2"
+	c.stores[id] = &store{}
+	c.start(id)
+	return id
+}
+
+// Guards against a founder that lost its disk and founds a second group, whatever it had done before the loss.
+func TestFounding(t *testing.T) {
+	for delivered := range 12 {
+		t.Run(fmt.Sprint(delivered), func(t *testing.T) {
+			c := newCluster(t, 3, int64(delivered))
+			c.tick(100 * time.Millisecond)
+			for range delivered {
+				if len(c.network) == 0 {
+					c.tick(100 * time.Millisecond)
+				}
+				if len(c.network) > 0 {
+					c.deliver(0)
+				}
+			}
+			late := slices.Clone(c.network)
+			c.replace("a/1")
+			c.run(3 * time.Second)
+			c.network = append(c.network, late...)
+			c.run(8 * time.Second)
+			sets := map[string]bool{}
+			for _, r := range c.members {
+				if s := r.Status(); s.Role != Waiting {
+					sets[fmt.Sprint(s.Members.Voters)] = true
+				}
+			}
+			if len(sets) > 1 {
+				t.Fatalf("founded member sets: got %v, want at most one", sets)
+			}
+		})
+	}
+}
+
+// Guards against membership changes that could lose a majority or a committed entry.
+func TestMembersRefusals(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.run(4 * time.Second)
+	l := c.leader()
+	m := c.members[l].Status().Members
+	cases := map[string]struct {
+		to   Members
+		want string
+	}{
+		"two voters":  {Members{Voters: []string{l}}, "agreement: membership change refused: more than one voter would change"},
+		"no voters":   {Members{}, "agreement: membership change refused: no voter would remain"},
+		"stranger":    {m.With("z/1", false), "agreement: membership change refused: z/1 must be a learner first"},
+		"not learner": {Members{Voters: []string{"b", "a"}}, "agreement: membership change refused: lists must be sorted and without duplicates"},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := c.change(l, k.to)
+			var e *MembersError
+			if !errors.As(err, &e) || err.Error() != k.want {
+				t.Errorf("got %v, want %s", err, k.want)
+			}
+		})
+	}
+	if err := c.change(l, m.With("z/1", true)); err != nil {
+		t.Fatalf("add a learner: %v", err)
+	}
+	c.run(time.Second)
+	var lag *LagError
+	if err := c.change(l, m.With("z/1", false)); !errors.As(err, &lag) {
+		t.Errorf("promote a learner that never answered: got %v, want *LagError", err)
+	}
+}
+
+// Guards against a group that stops for good: a leader that removed itself stops before it could tell the only other
+// voter, so that its own log is the only one that can win.
+func TestRemovedLeaderStops(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.run(4 * time.Second)
+	l := c.leader()
+	c.block(Name(l), true, true)
+	if err := c.change(l, c.members[l].Status().Members.Without(l)); err != nil {
+		t.Fatalf("remove: %v", err)
+	}
+	c.run(100 * time.Millisecond)
+	c.block(Name(l), false, false)
+	c.start(l)
+	c.run(10 * time.Second)
+	if got := c.leader(); got == "" || got == l {
+		t.Fatalf("leader: got %q, want the remaining voter", got)
+	}
+}
--- /dev/null
+++ b/core/agreement/cluster_test.go
@@ -0,0 +1,208 @@
+package agreement
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A replica's durable state, kept by the test as a driver would.
+type store struct {
+	state    State
+	snapshot Snapshot
+	entries  []Entry
+}
+
+func (s *store) save(e Effects) {
+	if e.State != nil {
+		s.state = *e.State
+	}
+	if e.Snapshot != nil {
+		s.snapshot, s.entries = *e.Snapshot, nil
+	}
+	if len(e.Entries) > 0 {
+		n := e.Entries[0].Index - s.snapshot.Index - 1
+		s.entries = append(slices.Clone(s.entries[:n]), e.Entries...)
+	}
+}
+
+// A group of replicas under one clock; it checks the protocol's invariants while it delivers messages.
+type cluster struct {
+	t         rapid.TB
+	now       time.Time
+	random    *rand.Rand
+	members   map[string]*Replica // running
+	stores    map[string]*store
+	network   []Message
+	blocked   map[[2]string]bool
+	committed []Entry // by index - 2, as first seen
+	leaders   map[uint64]string
+	reads     map[uint64]uint64 // context to the highest index committed anywhere at the time of the call
+	done      map[uint64]bool   // contexts that were confirmed
+	top       uint64
+}
+
+func newCluster(t rapid.TB, n int, seed int64) *cluster {
+	c := &cluster{
+		t: t, now: time.Unix(0, 0), random: rand.New(rand.NewSource(seed)), members: map[string]*Replica{},
+		stores: map[string]*store{}, blocked: map[[2]string]bool{}, leaders: map[uint64]string{}, reads: map[uint64]uint64{},
+		done: map[uint64]bool{}, top: 1,
+	}
+	for i := range n {
+		c.stores[fmt.Sprintf("%c/1", 'a'+i)] = &store{}
+	}
+	for _, id := range c.ids() {
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) ids() []string {
+	var ids []string
+	for id := range c.stores {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Starts or restarts a replica from its durable state.
+func (c *cluster) start(id string) {
+	var names []string
+	for _, i := range c.ids() {
+		names = append(names, Name(i))
+	}
+	s := c.stores[id]
+	r, err := New(WithID(id), WithFounders(slices.Compact(names)...), WithLog(s.state, s.snapshot, s.entries),
+		WithRandom(func(d time.Duration) time.Duration { return time.Duration(c.random.Int63n(int64(d))) }))
+	if err != nil {
+		c.t.Fatalf("New(%s): %v", id, err)
+	}
+	c.members[id] = r
+}
+
+// Carries out one replica's effects as a driver would.
+func (c *cluster) settle(id string) {
+	r := c.members[id]
+	for r != nil {
+		e := r.Effects()
+		if e.Empty() {
+			break
+		}
+		c.stores[id].save(e)
+		c.network = append(c.network, e.Messages...)
+		if n := len(e.Entries); n > 0 {
+			r.Persisted(e.Entries[n-1].Index, e.Entries[n-1].Term)
+		}
+		c.check(id, r, e)
+	}
+}
+
+// Checks that committed entries never change, that each term has one leader, and that reads are not stale.
+func (c *cluster) check(id string, r *Replica, e Effects) {
+	for _, n := range e.Committed {
+		i := int(n.Index - 2)
+		if i > len(c.committed) {
+			c.t.Fatalf("%s: committed %d before all entries below it", id, n.Index)
+		}
+		if i == len(c.committed) {
+			c.committed = append(c.committed, n)
+		}
+		if got, want := n, c.committed[i]; got.Term != want.Term || string(got.Data) != string(want.Data) {
+			c.t.Fatalf("%s: committed entry %d: got %+v, want %+v", id, n.Index, got, want)
+		}
+		c.top = max(c.top, n.Index)
+	}
+	for _, d := range e.Reads {
+		if d.Index < c.reads[d.Context] {
+			c.t.Fatalf("%s: read %d: got index %d, want at least %d", id, d.Context, d.Index, c.reads[d.Context])
+		}
+		c.done[d.Context] = true
+	}
+	if s := r.Status(); s.Role == Leader {
+		if had := c.leaders[s.Term]; had != "" && had != id {
+			c.t.Fatalf("term %d: got leaders %s and %s", s.Term, had, id)
+		}
+		c.leaders[s.Term] = id
+	}
+}
+
+// Delivers the message at a position.
+func (c *cluster) deliver(i int) {
+	m := c.network[i]
+	c.network = slices.Delete(c.network, i, i+1)
+	if c.blocked[[2]string{Name(m.From), Name(m.To)}] {
+		return
+	}
+	for _, id := range c.ids() {
+		if r := c.members[id]; r != nil && Name(id) == Name(m.To) {
+			if m.Snapshot != nil && m.Kind == Install {
+				s := *m.Snapshot
+				s.Data = []byte("state")
+				m.Snapshot = &s
+			}
+			r.Step(c.now, m)
+			c.settle(id)
+		}
+	}
+}
+
+// Advances time by whole ticks and delivers everything in order.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.tick(50 * time.Millisecond)
+		for n := 0; len(c.network) > 0 && n < 10_000; n++ {
+			c.deliver(0)
+		}
+	}
+}
+
+func (c *cluster) tick(d time.Duration) {
+	c.now = c.now.Add(d)
+	for _, id := range c.ids() {
+		if r := c.members[id]; r != nil {
+			r.Tick(c.now)
+			c.settle(id)
+		}
+	}
+}
+
+// Returns the leader of the highest term.
+func (c *cluster) leader() string {
+	best, term := "", uint64(0)
+	for _, id := range c.ids() {
+		if r := c.members[id]; r != nil && r.Status().Role == Leader && r.Status().Term > term {
+			best, term = id, r.Status().Term
+		}
+	}
+	return best
+}
+
+func (c *cluster) propose(id, data string) error {
+	_, _, err := c.members[id].Propose(c.now, Command, [][]byte{[]byte(data)})
+	c.settle(id)
+	return err
+}
+
+func (c *cluster) read(id string, context uint64) {
+	c.reads[context] = c.top
+	_ = c.members[id].Read(c.now, context)
+	c.settle(id)
+}
+
+func (c *cluster) change(id string, m Members) error {
+	_, _, err := c.members[id].Propose(c.now, MembersChange, [][]byte{EncodeMembers(m)})
+	c.settle(id)
+	return err
+}
+
+// Blocks both ways, or only the ways from or to a name.
+func (c *cluster) block(name string, from, to bool) {
+	for _, id := range c.ids() {
+		c.blocked[[2]string{name, Name(id)}] = from
+		c.blocked[[2]string{Name(id), name}] = to
+	}
+}
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -172,6 +172,20 @@
 
 func (r *Replica) voter() bool { return slices.Contains(r.members().Voters, r.id) }
 
+// Reports whether the replica may campaign. A voter whose removal is not known to be committed still may: only its log
+// may hold that entry, and then no other replica could win.
+func (r *Replica) eligible() bool {
+	for i := len(r.config) - 1; i >= 0; i-- {
+		if slices.Contains(r.config[i].members.Voters, r.id) {
+			return true
+		}
+		if r.config[i].index <= r.commit {
+			return false
+		}
+	}
+	return false
+}
+
 // Tick advances time: campaigns, heartbeats, check-quorum and founding messages.
 func (r *Replica) Tick(now time.Time) {
 	r.advance(now)
@@ -182,7 +196,7 @@
 		r.tickFounder()
 	case !now.Before(r.deadline):
 		r.rearm()
-		if r.voter() {
+		if r.eligible() {
 			r.campaign(true)
 		}
 	default:
--- /dev/null
+++ b/io/disk/disk_test.go
@@ -0,0 +1,286 @@
+package disk
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"syscall"
+	"testing"
+
+	"godwitspindle/core/agreement"
+)
+
+func entry(i, term uint64, data string) agreement.Entry {
+	return agreement.Entry{Index: i, Term: term, Kind: agreement.Command, Data: []byte(data)}
+}
+
+var founding = agreement.Snapshot{Index: 1, Term: 1, Members: agreement.Members{Voters: []string{"a/1"}}}
+
+// The saves of a small log: founding, entries, an overwritten tail.
+func saves() []agreement.Effects {
+	return []agreement.Effects{
+		{State: &agreement.State{Term: 1}, Snapshot: &founding},
+		{State: &agreement.State{Term: 2, Vote: "a/1"}, Entries: []agreement.Entry{entry(2, 2, "x"), entry(3, 2, "y"), entry(4, 2, "z")}},
+		{State: &agreement.State{Term: 3}, Entries: []agreement.Entry{entry(3, 3, "new"), entry(4, 3, "")}},
+		{Entries: []agreement.Entry{entry(5, 3, "last")}},
+	}
+}
+
+func write(t *testing.T, folder string, opts ...Option) {
+	t.Helper()
+	l, err := Open(folder, append([]Option{WithName("a")}, opts...)...)
+	if err != nil {
+		t.Fatalf("Open: %v", err)
+	}
+	for _, e := range saves() {
+		if err := l.Save(e); err != nil {
+			t.Fatalf("Save: %v", err)
+		}
+	}
+	_ = l.Close()
+}
+
+func load(folder string) (Loaded, error) {
+	l, err := Open(folder, WithName("a"))
+	if err != nil {
+		return Loaded{}, err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Load()
+}
+
+func terms(es []agreement.Entry) []uint64 {
+	var ts []uint64
+	for _, e := range es {
+		ts = append(ts, e.Term)
+	}
+	return ts
+}
+
+// Guards against state that is lost or changed over a restart, with many segments, and after compaction.
+func TestReload(t *testing.T) {
+	for name, opts := range map[string][]Option{"one segment": nil, "many segments": {WithSegment(1)}} {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			write(t, folder, opts...)
+			got, err := load(folder)
+			if want := []uint64{2, 3, 3, 3}; err != nil || !reflect.DeepEqual(terms(got.Entries), want) {
+				t.Fatalf("terms: got %v, %v, want %v", terms(got.Entries), err, want)
+			}
+			if want := (agreement.State{Term: 3}); got.State != want {
+				t.Errorf("state: got %v, want %v", got.State, want)
+			}
+			l, err := Open(folder, opts...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := Open(folder); !errors.As(err, new(*LockedError)) {
+				t.Errorf("second Open: got %v, want *LockedError", err)
+			}
+			if err := l.Compact(agreement.Snapshot{Index: 4, Term: 3, Members: founding.Members, Data: []byte("s")}); err != nil {
+				t.Fatal(err)
+			}
+			_ = l.Close()
+			again, err := load(folder)
+			if err != nil || len(again.Entries) != 1 || string(again.Snapshot.Data) != "s" || again.Identity != got.Identity {
+				t.Errorf("after Compact: got %+v, %v, want the snapshot, entry 5 and the same identity", again, err)
+			}
+		})
+	}
+}
+
+func only(t *testing.T, folder, pattern string) string {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(folder, pattern))
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no %s in %s", pattern, folder)
+	}
+	return names[len(names)-1]
+}
+
+// Guards against acknowledged entries that are dropped silently: a log that is cut or zeroed at any byte of its last
+// record loses that record only; a changed byte anywhere, or a cut of anything older, is refused or changes nothing.
+func TestDamageAtEveryByte(t *testing.T) {
+	base := t.TempDir()
+	write(t, base)
+	whole, err := os.ReadFile(only(t, base, "log-*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := len(whole) - len(appendRecord(nil, encodeEntries(nil, saves()[3].Entries)))
+	full, short := []uint64{2, 3, 3, 3}, []uint64{2, 3, 3}
+	for at := range whole {
+		for name, c := range map[string]struct {
+			bytes []byte
+			want  []uint64 // nil for *DamagedError or *ForeignError
+		}{
+			"flip": {bytes.Join([][]byte{whole[:at], {whole[at] ^ 0x41}, whole[at+1:]}, nil), nil},
+			"cut":  {whole[:at], short},
+			"zero": {append(bytes.Clone(whole), make([]byte, at)...), full},
+		} {
+			if name == "cut" && at < last {
+				continue // a file system that loses synced bytes cannot be told from a torn write
+			}
+			folder := t.TempDir()
+			if err := os.CopyFS(folder, os.DirFS(base)); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(only(t, folder, "log-*"), c.bytes, fileMode); err != nil {
+				t.Fatal(err)
+			}
+			got, err := load(folder)
+			if c.want == nil {
+				if !errors.As(err, new(*DamagedError)) && !errors.As(err, new(*ForeignError)) {
+					t.Fatalf("%s at %d: got %v, want *DamagedError or *ForeignError", name, at, err)
+				}
+				continue
+			}
+			if err != nil || !reflect.DeepEqual(terms(got.Entries), c.want) {
+				t.Fatalf("%s at %d: got %v, %v, want %v", name, at, terms(got.Entries), err, c.want)
+			}
+		}
+	}
+}
+
+// Guards against a torn write of several sectors that is taken for damage, so that a power loss would stop a replica.
+func TestTornSectors(t *testing.T) {
+	folder := t.TempDir()
+	write(t, folder)
+	path := only(t, folder, "log-*")
+	b, _ := os.ReadFile(path)
+	n := len(b)
+	b = appendRecord(b, encodeEntries(nil, []agreement.Entry{entry(6, 3, string(bytes.Repeat([]byte("x"), 2000)))}))
+	clear(b[n+600 : n+1700]) // the last sector was written, those before it were not
+	if err := os.WriteFile(path, b, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := load(folder); err != nil || len(got.Entries) != 4 {
+		t.Fatalf("got %d entries, %v, want 4", len(got.Entries), err)
+	}
+}
+
+// Guards against missing or foreign files that are taken for an empty or valid folder.
+func TestMissingAndForeign(t *testing.T) {
+	for _, pattern := range []string{"identity", "state", "snap-*", "log-*"} {
+		for name, change := range map[string]func(path string) error{
+			"missing": os.Remove,
+			"foreign": func(path string) error { return os.WriteFile(path, []byte("other program\n"), fileMode) },
+		} {
+			t.Run(pattern+" "+name, func(t *testing.T) {
+				folder := t.TempDir()
+				write(t, folder)
+				if err := change(only(t, folder, pattern)); err != nil {
+					t.Fatal(err)
+				}
+				_, err := load(folder)
+				if name == "missing" && !errors.As(err, new(*DamagedError)) {
+					t.Errorf("got %v, want *DamagedError", err)
+				}
+				if name == "foreign" && !errors.As(err, new(*ForeignError)) {
+					t.Errorf("got %v, want *ForeignError", err)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a log that goes on, or acknowledges, after a full disk or a failed sync at any of its operations, and
+// against a folder that cannot be opened after such a stop.
+func TestFaultAtEveryOperation(t *testing.T) {
+	for name, c := range map[string]struct {
+		write, sync error
+		want        any
+	}{
+		"full": {write: syscall.ENOSPC, want: new(*FullError)},
+		"sync": {sync: syscall.EIO, want: new(*SyncError)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for after := 0; ; after++ {
+				folder, left := t.TempDir(), after
+				fails := func(err error) error {
+					if err != nil {
+						left--
+					}
+					if left < 0 {
+						return err
+					}
+					return nil
+				}
+				l, err := Open(folder, WithName("a"), WithWrite(func(f *os.File, b []byte) (int, error) {
+					if err := fails(c.write); err != nil {
+						n, _ := f.Write(b[:len(b)/2])
+						return n, err
+					}
+					return f.Write(b)
+				}), WithSync(func(*os.File) error { return fails(c.sync) }))
+				acknowledged := 0
+				for _, e := range saves() {
+					if err == nil {
+						if err = l.Save(e); err == nil {
+							acknowledged++
+						}
+					}
+				}
+				if l != nil {
+					if err != nil && !errors.As(l.Save(saves()[1]), new(*ClosedError)) {
+						t.Fatalf("fault %d: Save after a failure: want *ClosedError", after)
+					}
+					_ = l.Close()
+				}
+				if err == nil {
+					return
+				}
+				if !errors.As(err, c.want) {
+					t.Fatalf("fault %d: got %v, want %T", after, err, c.want)
+				}
+				got, err := load(folder)
+				if err != nil || len(got.Entries) < []int{0, 0, 3, 3, 4}[acknowledged] {
+					t.Fatalf("fault %d: reload after %d saves: got %d entries, %v", after, acknowledged, len(got.Entries), err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a floor that is lost, or guessed when damaged.
+func TestFloor(t *testing.T) {
+	folder := t.TempDir()
+	if got, err := LoadFloor(folder); got != 0 || err != nil {
+		t.Fatalf("no floor: got %d, %v, want 0", got, err)
+	}
+	if err := SaveFloor(folder, 300); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := LoadFloor(folder); got != 300 || err != nil {
+		t.Fatalf("floor: got %d, %v, want 300", got, err)
+	}
+	path := filepath.Join(folder, "floor")
+	b, _ := os.ReadFile(path)
+	b[len(b)-1] ^= 1
+	_ = os.WriteFile(path, b, fileMode)
+	if _, err := LoadFloor(folder); !errors.As(err, new(*DamagedError)) {
+		t.Fatalf("damaged floor: got %v, want *DamagedError", err)
+	}
+}
+
+// Guards against a record reader or decoder that panics, reads past the end or accepts bytes that no writer made.
+func FuzzReadRecord(f *testing.F) {
+	good := appendRecord(nil, encodeEntries(nil, saves()[1].Entries))
+	f.Add(good)
+	f.Add(good[:len(good)-1])
+	f.Add(append(bytes.Clone(good), make([]byte, 600)...))
+	f.Add(appendRecord(nil, encodeSnapshot(founding)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, next, found := readRecord(b, 0)
+		if found == 0 || next > len(b) {
+			t.Fatalf("got finding %d, next %d of %d", found, next, len(b))
+		}
+		if found == 1 && !bytes.Equal(appendRecord(nil, p), b[:next]) {
+			t.Fatal("a record differs from what its writer makes")
+		}
+		_ = (&replay{}).apply(b)
+		_, _ = decodeSnapshot(b)
+	})
+}
