--- a/core/agreement/agreement_test.go
+++ b/core/agreement/agreement_test.go
@@ -194,22 +194,23 @@
 
 // Guards against a founder that lost its disk and founds a second group, whatever it had done before the loss.
 func TestFounding(t *testing.T) {
-	for delivered := range 12 {
-		t.Run(fmt.Sprint(delivered), func(t *testing.T) {
-			c := newCluster(t, 3, int64(delivered))
-			c.tick(100 * time.Millisecond)
-			for range delivered {
+	for i := range 600 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			c := newCluster(t, 3, int64(i))
+			for range i % 12 {
 				if len(c.network) == 0 {
 					c.tick(100 * time.Millisecond)
 				}
+				c.deliver(0)
+			}
+			c.tick(100 * time.Millisecond)
+			c.replace("a/1")
+			for n := 0; n < 30; n++ {
+				c.tick(20 * time.Millisecond)
 				if len(c.network) > 0 {
-					c.deliver(0)
+					c.deliver(c.random.Intn(len(c.network)))
 				}
 			}
-			late := slices.Clone(c.network)
-			c.replace("a/1")
-			c.run(3 * time.Second)
-			c.network = append(c.network, late...)
 			c.run(8 * time.Second)
 			sets := map[string]bool{}
 			for _, r := range c.members {
