--- a/io/backend/endpoint.go
+++ b/io/backend/endpoint.go
@@ -1,24 +1,14 @@
 package backend
 
 import (
-	"context"
 	"errors"
-	"fmt"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 
 	"godwitspindle/io/hop"
 )
 
-// Bounds of the connections to backend servers.
-const (
-	dialTimeout    = time.Second // a full accept queue on loopback drops SYNs; the first resend comes after 1 s
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 64 << 10
-)
-
 // maxBroken bounds the memory for a backend server that keeps breaking connections without dying.
 const maxBroken = 1024
 
@@ -27,19 +17,23 @@
 	// crashDelay gives the other connections of a dead process time to break before its state is judged.
 	crashDelay = 20 * time.Millisecond
 	probeLimit = 250 * time.Millisecond
+	// aliveDelay is the age from which breaks are cleared by a renewal; the dying process may have sent a renewal that is
+	// handled shortly after.
+	aliveDelay = 100 * time.Millisecond
 )
 
 // endpoint is one announced endpoint; the Backend's mutex guards it.
 type endpoint struct {
-	key       string
-	ann       Announcement
-	renewed   time.Time
-	leaving   bool
-	transport *http.Transport
-	running   map[*run]struct{}
-	broken    []hop.Print // fingerprints of calls whose connections broke, until the cause is known
-	probing   bool
-	crashes   uint64 // counts process replacements, so that a call is blamed only for the process it ran on
+	key      string
+	ann      Announcement
+	renewed  time.Time
+	leaving  bool
+	pool     *pool
+	running  map[*run]struct{}
+	broken   []hop.Print // fingerprints of calls whose connections broke, until the cause is known
+	brokenAt time.Time   // of the last one
+	probing  bool
+	crashes  uint64 // counts process replacements, so that a call is blamed only for the process it ran on
 }
 
 // run is one call that was handed to the backend server.
@@ -48,38 +42,6 @@
 	process uint64 // endpoint.crashes when it began
 }
 
-// DialError says that no connection to a backend server was made, so the request did not run.
-type DialError struct{ Err error }
-
-// Error gives the cause.
-func (e *DialError) Error() string { return fmt.Sprintf("backend server: %v", e.Err) }
-
-// Unwrap returns the cause.
-func (e *DialError) Unwrap() error { return e.Err }
-
-// newTransport returns a transport bounded to the endpoint's connections.
-func newTransport(a Announcement) *http.Transport {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		Protocols: &protocols,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, &DialError{Err: err}
-			}
-			return c, nil
-		},
-		DisableCompression:     true,
-		MaxConnsPerHost:        a.Connections,
-		MaxIdleConns:           a.Connections,
-		MaxIdleConnsPerHost:    a.Connections,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-}
-
 // replaced returns the crash that a new incarnation shows if calls broke on the process before it. Calls that still run
 // reached the new process before it announced itself, so they are not blamed.
 func (e *endpoint) replaced(incarnation uint64, now time.Time) *Crash {
@@ -116,6 +78,13 @@
 	return &Crash{Endpoint: e.key, Incarnation: e.ann.Incarnation, Prints: prints, At: now}
 }
 
+// alive notes a renewal by the same process: earlier breaks had another reason than its death.
+func (e *endpoint) alive(now time.Time) {
+	if now.Sub(e.brokenAt) > aliveDelay {
+		e.broken = nil
+	}
+}
+
 // broke records that a call's connection to the backend server broke, and starts one probe for all calls that break
 // together.
 func (b *Backend) broke(e *endpoint, r *run) {
@@ -127,6 +96,7 @@
 	if len(e.broken) < maxBroken {
 		e.broken = append(e.broken, r.print)
 	}
+	e.brokenAt = b.now()
 	if e.probing {
 		return
 	}
