--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -71,7 +71,7 @@
 func Run(ctx context.Context, keep bool, stdout, stderr io.Writer) error {
 	ctx, stop := platform.Signals(ctx)
 	defer stop()
-	log := platform.NewLogger(stderr, slog.LevelDebug)
+	log := platform.NewLogger(stderr, slog.LevelError)
 	folder, err := os.MkdirTemp("", "godwitspindle-demo-")
 	if err != nil {
 		return fmt.Errorf("make the data folder: %w", err)
--- a/io/host/announcer.go
+++ b/io/host/announcer.go
@@ -102,4 +102,3 @@
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	return err == nil && string(value) == string(e.Value)
 }
-
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	packMinBytes  = 512 // smaller deltas do not shrink enough to pay for the zstd frame
-	maxWait       = 60 * time.Second
+	packMinBytes = 512 // smaller deltas do not shrink enough to pay for the zstd frame
+	maxWait      = 60 * time.Second
 	// transferRate is what one whole snapshot is assumed to take on a thin link, since the end of a transfer is not seen.
 	transferRate = 1 << 20 // bytes per second
 )
@@ -70,14 +70,14 @@
 		return nil, fmt.Errorf("create the zstd encoder: %w", err)
 	}
 	d := &Feed{
-		holder:  holder,
-		age:     func() time.Duration { return -1 },
-		report:  func(*rpc.SyncRequest) {},
+		holder:   holder,
+		age:      func() time.Duration { return -1 },
+		report:   func(*rpc.SyncRequest) {},
 		budget:   relay.NewBudget(32),
 		leader:   func() string { return "" },
 		redirect: func(string, string) []string { return nil },
-		encoder: encoder,
-		packed:  map[uint64]*rpc.SyncResponse{},
+		encoder:  encoder,
+		packed:   map[uint64]*rpc.SyncResponse{},
 	}
 	for _, o := range opts {
 		o(d)
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -20,12 +20,12 @@
 )
 
 const (
-	backoffMin  = 100 * time.Millisecond
-	backoffMax  = 10 * time.Second
-	readTimeout = 3 * time.Second
-	syncSlack   = 3 * time.Second // on top of the poll interval before a Sync counts as failed
-	failedPause = 10 * time.Second
-	nudgePause  = 50 * time.Millisecond
+	backoffLeast = 100 * time.Millisecond
+	backoffMost  = 10 * time.Second
+	readTimeout  = 3 * time.Second
+	syncSlack    = 3 * time.Second // on top of the poll interval before a Sync counts as failed
+	failedPause  = 10 * time.Second
+	nudgePause   = 50 * time.Millisecond
 
 	farewellTimeout = time.Second
 	floorPause      = time.Second // floor reads share rounds, so they may come often
@@ -54,7 +54,7 @@
 	decoder     *zstd.Decoder
 	nudges      chan struct{}
 	failed      map[netip.AddrPort]time.Time // used only by run
-	confirmed   atomic.Int64 // Unix nanoseconds of the last quorum confirmation; 0 for never
+	confirmed   atomic.Int64                 // Unix nanoseconds of the last quorum confirmation; 0 for never
 	parent      atomic.Pointer[netip.AddrPort]
 	whole       atomic.Bool
 	stop        context.CancelFunc
@@ -180,7 +180,7 @@
 
 // backoff returns a full-jitter delay for the given attempt, counted from 1.
 func backoff(attempt int) time.Duration {
-	top := min(backoffMin<<min(attempt, 10), backoffMax)
+	top := min(backoffLeast<<min(attempt, 10), backoffMost)
 	return rand.N(top) + time.Millisecond
 }
 
@@ -197,7 +197,7 @@
 func (f *Follower) pass(ctx context.Context) error {
 	parents := f.ordered()
 	if len(parents) == 0 {
-		sleep(ctx, backoffMin) // the leading replica takes versions from its own log
+		sleep(ctx, backoffLeast) // the leading replica takes versions from its own log
 		return nil
 	}
 	var last error
@@ -280,14 +280,14 @@
 func (f *Follower) sync(ctx context.Context, parent netip.AddrPort) error {
 	wait := f.poll
 	if !f.holder.Proven() || f.holder.View().Snapshot.Version() == 0 {
-		wait = backoffMin
+		wait = backoffLeast
 	}
 	resp, err := f.ask(ctx, parent, wait)
 	if err != nil {
 		return err
 	}
 	if after := resp.GetAfter(); after > 0 {
-		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(backoffMin))
+		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(backoffLeast))
 		return nil
 	}
 	if err := f.apply(resp); err != nil {
