--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -44,8 +44,7 @@
 }
 
 func (h *Host) startFollower() error {
-	f, err := peer.NewFollower(
-		h.holder, h.clients,
+	options := []peer.FollowerOption{
 		peer.WithIdentity(h.settings.Name, h.incarnation),
 		peer.WithFollowerDomain(h.settings.Domain),
 		peer.WithParents(h.parents),
@@ -56,7 +55,11 @@
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithSynced(h.synced),
 		peer.WithFollowerLog(h.log.WithName("follower")),
-	)
+	}
+	if h.control != nil {
+		options = append(options, peer.WithFloor(h.current))
+	}
+	f, err := peer.NewFollower(h.holder, h.clients, options...)
 	if err != nil {
 		return err
 	}
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -50,6 +50,7 @@
 	synced      func(r *rpc.SyncResponse, v View)
 	lost        func()
 	moved       func()
+	floor       func(ctx context.Context) (uint64, error)
 	domain      string
 	decoder     *zstd.Decoder
 	nudges      chan struct{}
@@ -96,6 +97,11 @@
 // WithMoved sets a function called before another upstream is polled, which knows nothing of earlier reports.
 func WithMoved(m func()) FollowerOption { return func(f *Follower) { f.moved = m } }
 
+// WithFloor replaces how a quorum-confirmed version is read; without it the upstreams are asked in order.
+func WithFloor(read func(ctx context.Context) (uint64, error)) FollowerOption {
+	return func(f *Follower) { f.floor = read }
+}
+
 // WithFollowerDomain sets the failure domain, by which a replica names the relays to ask.
 func WithFollowerDomain(d string) FollowerOption { return func(f *Follower) { f.domain = d } }
 
@@ -123,6 +129,7 @@
 		nudges:   make(chan struct{}, 1),
 		failed:   map[netip.AddrPort]time.Time{},
 	}
+	f.floor = f.askFloor
 	for _, o := range opts {
 		o(f)
 	}
@@ -361,23 +368,34 @@
 	return nil
 }
 
-// prove asks the upstreams for the floor until one answers.
+// prove reads the floor until that succeeds.
 func (f *Follower) prove(ctx context.Context) {
 	for attempt := 1; ctx.Err() == nil && !f.holder.Proven(); attempt++ {
-		for _, p := range f.parents() {
-			floor, err := f.readFloor(ctx, p)
-			if err == nil {
-				f.holder.Prove(floor)
-				f.confirm(time.Now())
-				f.log.Info("floor proven", "floor", floor)
-				return
-			}
-			f.log.V(1).Info("floor not proven", "parent", p.String(), "error", err.Error())
+		floor, err := f.floor(ctx)
+		if err == nil {
+			f.holder.Prove(floor)
+			f.confirm(time.Now())
+			f.log.Info("floor proven", "floor", floor)
+			return
 		}
+		f.log.V(1).Info("floor not proven", "error", err.Error())
 		sleep(ctx, min(backoff(attempt), floorPause))
 	}
 }
 
+// askFloor asks the upstreams in order for a quorum-confirmed version.
+func (f *Follower) askFloor(ctx context.Context) (uint64, error) {
+	var last error = &NoParentError{}
+	for _, p := range f.parents() {
+		floor, err := f.readFloor(ctx, p)
+		if err == nil {
+			return floor, nil
+		}
+		last = err
+	}
+	return 0, last
+}
+
 func (f *Follower) readFloor(ctx context.Context, parent netip.AddrPort) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/io/peer/holder.go
+++ b/io/peer/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"godwitspindle/core/config"
@@ -30,6 +31,7 @@
 	mu      sync.Mutex // serializes swaps
 	floor   uint64
 	proven  bool
+	serving atomic.Bool // read on every call, so it must not wait for a swap
 	state   sync.RWMutex
 	view    View
 	changed chan struct{}
@@ -38,9 +40,11 @@
 // HolderOption configures a Holder.
 type HolderOption func(*Holder)
 
-// WithSavedFloor sets the floor read from disk and the function that makes a new floor durable before a swap.
+// WithSavedFloor sets the floor read from disk, 0 for none, and the function that makes a new floor durable before a swap.
+// Without a saved floor the disk may be new because the old one was lost, so the floor has to be proved as on a node
+// without a disk.
 func WithSavedFloor(floor uint64, save func(version uint64) error) HolderOption {
-	return func(h *Holder) { h.floor, h.save, h.proven = floor, save, true }
+	return func(h *Holder) { h.floor, h.save, h.proven = floor, save, floor > 0 }
 }
 
 // WithSwapped sets a function that is called after each swap, in order.
@@ -74,9 +78,7 @@
 
 // Serving reports whether the held version is proven to be at or above every version held before.
 func (h *Holder) Serving() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.proven && h.View().Snapshot.Version() >= h.floor
+	return h.serving.Load()
 }
 
 // Proven reports whether the floor is known.
@@ -92,6 +94,7 @@
 	defer h.mu.Unlock()
 	h.proven = true
 	h.floor = max(h.floor, floor)
+	h.serving.Store(h.View().Snapshot.Version() >= h.floor)
 }
 
 // Apply leads the held snapshot by a delta and swaps the result in.
@@ -133,6 +136,7 @@
 	close(h.changed)
 	h.changed = make(chan struct{})
 	h.state.Unlock()
+	h.serving.Store(h.proven)
 	h.swapped(v)
 	return nil
 }
