fix(caller): split the share of retries before each attempt

Each attempt took the whole remaining budget along, so retries multiplied over the hops. With 3 retries a chain of 24 hops that always fails made 1001 attempts at its deepest endpoint (limited by the budget of the node); core/retry.Split keeps it at 4, 95 in all (go test -run TestDeepChain -v ./io/caller).

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -7,6 +7,7 @@
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/retry"
 	"godwitspindle/io/hop"
 )
 
@@ -93,7 +94,8 @@
 	h := c.handler
 	begin := h.now()
 	m := c.meta
-	m.Endpoint, m.Remaining, m.Budget = e.Name, c.deadline.Sub(begin), max(c.budget, 0)
+	m.Endpoint, m.Remaining = e.Name, c.deadline.Sub(begin)
+	m.Budget, c.budget = retry.Split(c.budget)
 	r := *c.out
 	r.Body, r.ContentLength = c.body.attempt(c.r.ContentLength)
 	h.start(c.endpoint, begin)
@@ -102,6 +104,9 @@
 	o.Took = o.At.Sub(begin)
 	if err != nil {
 		o.Failure = hop.AsFailure(err, c.id)
+		if o.Failure.Kind == outcome.NotRun {
+			c.budget += m.Budget // nothing below can have used it
+		}
 		h.done(c.endpoint, o)
 		return nil, o.Failure
 	}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/retry"
 	"godwitspindle/io/hop"
 )
 
@@ -26,7 +27,7 @@
 	match    Match
 	deadline time.Time
 	depth    int
-	budget   int
+	budget   int // retries left to this node; what attempts took along is no longer in it
 	body     *body
 	key      string // idempotency key of a request that may run only once
 	meta     hop.Meta
@@ -93,7 +94,7 @@
 // inherit takes depth, deadline and budget from the call that this one is made for.
 func (c *call) inherit(passed []string) *outcome.Failure {
 	route := c.match.Route
-	c.depth, c.deadline, c.budget = 1, c.began.Add(min(route.Deadline, hop.MaxDeadline)), route.Retries
+	c.depth, c.deadline, c.budget = 1, c.began.Add(min(route.Deadline, hop.MaxDeadline)), retry.Initial(route.Retries)
 	if c.handler.local && len(passed) > 0 {
 		above, err := ParseContext(passed[0])
 		if err != nil || len(passed) > 1 {
