fix(host): listeners keep the bounds of io/hop and io/caller beside the limits of io/platform

platform.WithServer starts from a configured http.Server; limits that are 0 leave its bounds. Write deadlines, HTTP/2 buffers and pings of the request path were lost in the assembled process.

--- a/io/host/host.go
+++ b/io/host/host.go
@@ -149,6 +149,7 @@
 	options := func(local bool) []caller.Option {
 		return []caller.Option{
 			caller.WithLocal(local),
+			caller.WithMaxBody(callBytes),
 			caller.WithMatch(h.match),
 			caller.WithPick(h.pick),
 			caller.WithObserve(h.picker.Start, h.observe),
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"time"
 
 	"godwitspindle/core/agreement"
 	"godwitspindle/core/config"
+	"godwitspindle/io/caller"
 	"godwitspindle/io/hop"
 	"godwitspindle/io/operator"
 	"godwitspindle/io/peer"
@@ -16,13 +16,10 @@
 )
 
 const (
-	callBytes      = 16 << 20 // request body
-	peerBytes      = 64 << 20 // a log snapshot
-	callerConns    = 4096
-	peerConns      = 8192 // every node may connect to a replica when relays are lost
-	peerStreams    = 1000
-	headerTime     = 5 * time.Second
-	callerIdleTime = 60 * time.Second
+	callBytes   = 16 << 20 // request body
+	peerBytes   = 64 << 20 // a log snapshot
+	callerConns = 4096
+	peerConns   = 8192 // every node may connect to a replica when relays are lost
 )
 
 // startPeers opens the peer listener, which carries both the inner protocol and inner calls.
@@ -31,9 +28,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, peer.Authorize(h.settings.Key, handler))
 	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.backend.Do), hop.WithNext(mux), hop.WithMaxBody(callBytes))
-	s, err := h.listen("listen.peer", h.settings.Listen.Peer, calls, platform.Limits{
-		Header: 64 << 10, Body: peerBytes, Connections: peerConns, Streams: peerStreams, HeaderTime: headerTime, IdleTime: 3 * time.Minute,
-	}, platform.WithH2C(), platform.WithTLS(h.serverTLS()))
+	s, err := h.listen("listen.peer", h.settings.Listen.Peer, calls, platform.Limits{Body: peerBytes, Connections: peerConns},
+		platform.WithServer(hop.HTTPServer(calls)), platform.WithH2C(), platform.WithTLS(h.serverTLS()))
 	h.peers = s
 	return err
 }
@@ -41,20 +37,21 @@
 // startListeners opens all other listeners.
 func (h *Host) startListeners() error {
 	l := h.settings.Listen
-	calls := platform.Limits{Header: 64 << 10, Body: callBytes, Connections: callerConns, Streams: 250, HeaderTime: headerTime, IdleTime: callerIdleTime}
+	calls := platform.Limits{Body: -1, Connections: callerConns} // the handler bounds bodies by itself
 	list := []struct {
 		name    string
 		address netip.AddrPort
 		handler http.Handler
 		limits  platform.Limits
+		base    *http.Server
 	}{
-		{"listen.caller", l.Caller, h.callers, calls},
-		{"listen.local", l.Local, h.locally, calls},
-		{"listen.backend", l.Backend, h.backend.Handler(), platform.DefaultLimits()},
-		{"listen.metrics", l.Metrics, h.metrics.Handler(), platform.DefaultLimits()},
+		{"listen.caller", l.Caller, h.callers, calls, caller.HTTPServer(h.callers)},
+		{"listen.local", l.Local, h.locally, calls, caller.HTTPServer(h.locally)},
+		{"listen.backend", l.Backend, h.backend.Handler(), platform.DefaultLimits(), nil},
+		{"listen.metrics", l.Metrics, h.metrics.Handler(), platform.DefaultLimits(), nil},
 	}
 	for _, e := range list {
-		if _, err := h.listen(e.name, e.address, e.handler, e.limits); err != nil {
+		if _, err := h.listen(e.name, e.address, e.handler, e.limits, platform.WithServer(e.base)); err != nil {
 			return err
 		}
 	}
--- a/io/platform/server.go
+++ b/io/platform/server.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -57,6 +58,7 @@
 }
 
 type serverOptions struct {
+	base    *http.Server
 	name    string
 	handler http.Handler
 	limits  Limits
@@ -82,6 +84,10 @@
 // WithH2C accepts HTTP/2 in cleartext beside HTTP/1.1.
 func WithH2C() ServerOption { return func(o *serverOptions) { o.h2c = true } }
 
+// WithServer starts from the bounds of a configured server, whose handler and protocols are not used. Limits that are 0 leave
+// its bounds; others replace them.
+func WithServer(base *http.Server) ServerOption { return func(o *serverOptions) { o.base = base } }
+
 // WithLogger sets the logger for failed connections.
 func WithLogger(l logr.Logger) ServerOption { return func(o *serverOptions) { o.log = l } }
 
@@ -121,20 +127,23 @@
 	p.SetHTTP1(true)
 	p.SetHTTP2(o.tls != nil)
 	p.SetUnencryptedHTTP2(o.h2c && o.tls == nil)
-	l := o.limits
-	return &http.Server{
-		Handler:           limitBody(l.Body, o.handler),
-		TLSConfig:         o.tls,
-		Protocols:         p,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: l.Streams, SendPingTimeout: 15 * time.Second, PingTimeout: 5 * time.Second},
-		MaxHeaderBytes:    l.Header,
-		ReadHeaderTimeout: l.HeaderTime,
-		ReadTimeout:       l.ReadTime,
-		WriteTimeout:      l.WriteTime,
-		IdleTimeout:       l.IdleTime,
-		ErrorLog:          log.New(lineWriter{o.log, o.name}, "", 0),
-		BaseContext:       func(net.Listener) context.Context { return o.context },
+	s, l := o.base, o.limits
+	if s == nil {
+		s = &http.Server{}
+	}
+	if s.HTTP2 == nil {
+		s.HTTP2 = &http.HTTP2Config{SendPingTimeout: 15 * time.Second, PingTimeout: 5 * time.Second}
 	}
+	s.Handler, s.TLSConfig, s.Protocols = limitBody(l.Body, o.handler), o.tls, p
+	s.HTTP2.MaxConcurrentStreams = cmp.Or(l.Streams, s.HTTP2.MaxConcurrentStreams)
+	s.MaxHeaderBytes = cmp.Or(l.Header, s.MaxHeaderBytes)
+	s.ReadHeaderTimeout = cmp.Or(l.HeaderTime, s.ReadHeaderTimeout)
+	s.ReadTimeout = cmp.Or(l.ReadTime, s.ReadTimeout)
+	s.WriteTimeout = cmp.Or(l.WriteTime, s.WriteTimeout)
+	s.IdleTimeout = cmp.Or(l.IdleTime, s.IdleTimeout)
+	s.ErrorLog = log.New(lineWriter{o.log, o.name}, "", 0)
+	s.BaseContext = func(net.Listener) context.Context { return o.context }
+	return s
 }
 
 func (s *Server) serve() error {
--- a/io/platform/server_test.go
+++ b/io/platform/server_test.go
@@ -13,9 +13,11 @@
 	"math/big"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -230,3 +232,22 @@
 		}
 	}
 }
+
+// TestBase guards that a listener keeps the bounds of the configured server that it starts from, besides its own limits.
+func TestBase(t *testing.T) {
+	base := &http.Server{
+		MaxHeaderBytes: 7, ReadTimeout: time.Second, WriteTimeout: 2 * time.Second, IdleTimeout: 3 * time.Second,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: 5, WriteByteTimeout: 4 * time.Second, SendPingTimeout: 6 * time.Second},
+	}
+	s := newHTTP(serverOptions{base: base, handler: http.NotFoundHandler(), limits: Limits{Body: 9, IdleTime: time.Minute}})
+	got := []any{s.MaxHeaderBytes, s.ReadTimeout, s.WriteTimeout, s.IdleTimeout, *s.HTTP2}
+	want := []any{7, time.Second, 2 * time.Second, time.Minute, http.HTTP2Config{MaxConcurrentStreams: 5, WriteByteTimeout: 4 * time.Second, SendPingTimeout: 6 * time.Second}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	w := httptest.NewRecorder()
+	s.Handler.ServeHTTP(w, httptest.NewRequest("POST", "/", strings.NewReader("0123456789")))
+	if w.Code != http.StatusRequestEntityTooLarge {
+		t.Errorf("body over the limit: got status %d, want 413", w.Code)
+	}
+}
