perf(host): collect garbage less often on nodes without a replica

GOGC=400 with a memory limit of 28 MiB: 431 -> 383 us of processor time added to a call at 2,000 calls/s (go test -run '^$' -bench Path/rate=2000 ./io/demo with and without the two variables, one run each; client, two nodes and backend server share the process).

--- a/io/host/node.go
+++ b/io/host/node.go
@@ -2,17 +2,36 @@
 
 import (
 	"context"
+	"os"
+	"runtime/debug"
 
 	"github.com/go-logr/logr"
 
 	"godwitspindle/io/platform"
 )
 
+// Garbage collection of a node. With Go's defaults a node's small heap is collected dozens of times a second under load.
+const (
+	collectPercent = 400
+	memoryBytes    = 28 << 20 // of Go's memory; a node is allowed 32 MB
+)
+
 // RunNode runs one process with the given settings until ctx ends, and then stops it gracefully.
 func RunNode(ctx context.Context, s *platform.Settings, log logr.Logger) error {
+	tune(s.IsReplica())
 	h, err := New(s, log)
 	if err != nil {
 		return err
 	}
 	return h.Run(ctx)
 }
+
+// tune sets the garbage collection unless the environment does. A replica holds the log and gets no limit, since a heap above
+// the limit would be collected without end.
+func tune(replica bool) {
+	if os.Getenv("GOGC") != "" || os.Getenv("GOMEMLIMIT") != "" || replica {
+		return
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(memoryBytes)
+}
