fix(tls): follow renewed files in inner calls and between nodes

io/hop and io/peer open connections with platform.TLS.Dial, which reads the current files, in place of a configuration that was fixed at the start. The operators' client spoke HTTP/1.1 on connections that had agreed on HTTP/2; it now speaks HTTP/2.

--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -45,6 +45,7 @@
 	profile platform.Profile
 	latency time.Duration
 	slots   int
+	tls     func(name string) platform.Files
 }
 
 // WithProfile sets the distribution profile of all nodes.
@@ -56,6 +57,11 @@
 // WithSlots sets the slots of each backend server.
 func WithSlots(n int) Option { return func(o *meshOptions) { o.slots = n } }
 
+// WithTLS sets the TLS files of each node by its name; peer and operator listeners then demand mutual TLS.
+func WithTLS(files func(name string) platform.Files) Option {
+	return func(o *meshOptions) { o.tls = files }
+}
+
 // New starts nodes and backend servers; data folders are made below folder.
 func New(folder string, places []Place, log logr.Logger, opts ...Option) (*Mesh, error) {
 	o := meshOptions{profile: platform.Fast, latency: time.Millisecond, slots: 12}
@@ -63,7 +69,7 @@
 		f(&o)
 	}
 	m := &Mesh{places: places, folder: folder, log: log, Hosts: make([]*host.Host, len(places)), Backends: make([]*standin.Server, len(places))}
-	if err := m.plan(o.profile); err != nil {
+	if err := m.plan(o); err != nil {
 		return nil, err
 	}
 	errs := make([]error, len(places))
@@ -85,7 +91,7 @@
 }
 
 // plan makes the settings of all nodes.
-func (m *Mesh) plan(profile platform.Profile) error {
+func (m *Mesh) plan(o meshOptions) error {
 	var replicas []platform.Replica
 	for _, p := range m.places {
 		if !p.Replica {
@@ -99,7 +105,10 @@
 	}
 	for _, p := range m.places {
 		s := platform.Default()
-		s.Name, s.Region, s.Domain, s.Replicas, s.Profile = p.Name, p.Region, p.Domain, replicas, profile
+		s.Name, s.Region, s.Domain, s.Replicas, s.Profile = p.Name, p.Region, p.Domain, replicas, o.profile
+		if o.tls != nil {
+			s.TLS = o.tls(p.Name)
+		}
 		s.Log.Sample = 0
 		any := loopback(0)
 		s.Listen = platform.Listen{Caller: any, Local: any, Backend: any, Peer: any, Operator: any, Metrics: any}
@@ -161,15 +170,15 @@
 	return nil
 }
 
-// Operators returns a client of the operators' listeners.
-func (m *Mesh) Operators() *operator.Client {
+// Operators returns a client of the operators' listeners; more sets how it connects.
+func (m *Mesh) Operators(more ...operator.ClientOption) *operator.Client {
 	var list []netip.AddrPort
 	for _, h := range m.Hosts {
 		if h != nil && h.Listen().Operator.IsValid() {
 			list = append(list, h.Listen().Operator)
 		}
 	}
-	return operator.NewClient(operator.WithAddresses(list...))
+	return operator.NewClient(append(more, operator.WithAddresses(list...))...)
 }
 
 // Await polls until ready reports true for every running node or ctx ends.
--- a/io/demo/path_test.go
+++ b/io/demo/path_test.go
@@ -28,20 +28,20 @@
 )
 
 // newPair returns two nodes as io/host assembles them: the first takes callers, the second has a backend server.
-func newPair(t testing.TB) *Mesh {
+func newPair(t testing.TB, operators []operator.ClientOption, opts ...Option) *Mesh {
 	t.Helper()
 	places := []Place{
 		{Name: "entry", Region: "munnar", Domain: "lower", Replica: true},
 		{Name: "desk", Region: "munnar", Domain: "lower", Service: "counter"},
 	}
-	m, err := New(t.TempDir(), places, logr.Discard(), WithLatency(0), WithSlots(64))
+	m, err := New(t.TempDir(), places, logr.Discard(), append(opts, WithLatency(0), WithSlots(64))...)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = m.Close() })
 	ctx, cancel := context.WithTimeout(context.Background(), startTime)
 	defer cancel()
-	s := &show{out: io.Discard, mesh: m, ops: m.Operators()}
+	s := &show{out: io.Discard, mesh: m, ops: m.Operators(operators...)}
 	defer s.ops.Close()
 	for _, err := range []error{
 		s.start(ctx),
@@ -117,7 +117,7 @@
 // BenchmarkPath compares calls through two assembled nodes with direct calls in the same run. Processor time and memory are
 // those of client, nodes and backend server, less those of direct calls.
 func BenchmarkPath(b *testing.B) {
-	m := newPair(b)
+	m := newPair(b, nil)
 	forwarded, direct := m.Hosts[0].Listen().Caller, m.Backends[1].Address()
 	load(b, forwarded, 500, 1000)
 	for _, rate := range []int{500, 2000} {
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -38,8 +38,10 @@
 // WithKey sets the key shared by all nodes.
 func WithKey(key string) Option { return func(c *Client) { c.key = key } }
 
-// WithTLS makes the client use HTTP/2 over TLS.
-func WithTLS(config *tls.Config) Option { return func(c *Client) { c.tls = config } }
+// WithDialTLS makes the client use HTTP/2 over TLS connections that dial opens, as platform.TLS offers it; dial must offer h2.
+func WithDialTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dialTLS = dial }
+}
 
 // WithConnections bounds the connections to each peer.
 func WithConnections(n int) Option { return func(c *Client) { c.connections = n } }
@@ -56,7 +58,7 @@
 // Client sends calls to peers over a bounded pool of HTTP/2 connections.
 type Client struct {
 	key         string
-	tls         *tls.Config
+	dialTLS     func(ctx context.Context, network, address string) (net.Conn, error) // nil for cleartext
 	scheme      string
 	connections int
 	limit       int
@@ -92,15 +94,14 @@
 		o(c)
 	}
 	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(c.tls == nil)
-	protocols.SetHTTP2(c.tls != nil)
-	if c.tls != nil {
+	protocols.SetUnencryptedHTTP2(c.dialTLS == nil)
+	protocols.SetHTTP2(c.dialTLS != nil)
+	if c.dialTLS != nil {
 		c.scheme = "https"
 	}
 	c.transport = &http.Transport{
 		Protocols:              &protocols,
-		TLSClientConfig:        c.tls,
-		TLSHandshakeTimeout:    c.dialTimeout,
+		DialTLSContext:         c.dialTLS,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -296,13 +296,17 @@
 	s.StartTLS()
 	defer s.Close()
 	address := netip.MustParseAddrPort(s.Listener.Addr().String())
-	c := New(WithTLS(s.Client().Transport.(*http.Transport).TLSClientConfig))
+	dial := func(config *tls.Config) Option {
+		config.NextProtos = []string{"h2"}
+		return WithDialTLS((&tls.Dialer{Config: config}).DialContext)
+	}
+	c := New(dial(s.Client().Transport.(*http.Transport).TLSClientConfig.Clone()))
 	defer func() { _ = c.Close() }()
 	p, err := c.Call(context.Background(), address, testMeta("c"), request("GET", "/", ""))
 	if err != nil || p.StatusCode != 200 || <-proto != "HTTP/2.0" {
 		t.Fatalf("got %v, %v, want an answer over HTTP/2", p, err)
 	}
-	foreign := New(WithTLS(&tls.Config{MinVersion: tls.VersionTLS12}))
+	foreign := New(dial(&tls.Config{MinVersion: tls.VersionTLS12}))
 	defer func() { _ = foreign.Close() }()
 	var f *outcome.Failure
 	if _, err := foreign.Call(context.Background(), address, testMeta("c"), request("GET", "/", "")); !errors.As(err, &f) || f.Code != outcome.Unreachable {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -99,8 +99,8 @@
 			return err
 		}
 		h.tls = t
-		clientOptions = append(clientOptions, peer.WithClientTLS(t.Client()))
-		hopOptions = append(hopOptions, hop.WithTLS(t.Client()))
+		clientOptions = append(clientOptions, peer.WithClientDialTLS(t.Dial))
+		hopOptions = append(hopOptions, hop.WithDialTLS(t.Dial))
 	}
 	h.clients = peer.NewClients(clientOptions...)
 	h.hops = hop.New(hopOptions...)
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -87,7 +87,7 @@
 func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
 	return func(c *Client) {
 		c.scheme = "https"
-		c.http.Transport = &http.Transport{DialTLSContext: dial, MaxIdleConnsPerHost: 1}
+		c.http.Transport = &http.Transport{DialTLSContext: dial, MaxIdleConnsPerHost: 1, ForceAttemptHTTP2: true}
 	}
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -1,7 +1,7 @@
 package peer
 
 import (
-	"crypto/tls"
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -41,14 +41,11 @@
 // WithClientKey sets the shared key sent with each call.
 func WithClientKey(key string) ClientsOption { return func(c *Clients) { c.key = key } }
 
-// WithClientTLS sets the TLS configuration; without one calls use cleartext HTTP/2.
-func WithClientTLS(t *tls.Config) ClientsOption {
+// WithClientDialTLS opens TLS connections with dial, as platform.TLS offers it; without one calls use cleartext HTTP/2.
+func WithClientDialTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientsOption {
 	return func(c *Clients) {
-		if t == nil {
-			return
-		}
 		c.scheme = "https"
-		c.transport.TLSClientConfig = t
+		c.transport.DialTLSContext = dial
 		c.transport.Protocols.SetHTTP2(true)
 		c.transport.Protocols.SetUnencryptedHTTP2(false)
 	}
