feat(metrics): set every collector; log each decision of a call once

Calls by outcome, code and class, added seconds, queue, quarantine, whole transfers, applied commands, fsync seconds and crossed answers had no source. The node beside the backend server notes on its answer how long the backend server took (Mesh-Took between nodes, removed before the caller), so that added seconds leave that out. One failed call gave a line in io/backend and two in io/caller; a failed attempt now has a line only when it is repeated, the end of the request has one, and a node logs a refusal only for calls of other nodes. A backend server's own refusal is always logged. took has a unit.

--- a/core/config/table.go
+++ b/core/config/table.go
@@ -281,6 +281,17 @@
 	return t.nodes[i], true
 }
 
+// Quarantined returns the number of request fingerprints in quarantine at now.
+func (t *Table) Quarantined(now time.Time) int {
+	n := 0
+	for _, s := range t.suspects {
+		if s.GetQuarantined() && s.GetUntil() > now.UnixMilli() {
+			n++
+		}
+	}
+	return n
+}
+
 // Suspect returns the agreed mark of a request fingerprint; the message must not be modified.
 func (t *Table) Suspect(fingerprint []byte) (*wire.Suspect, bool) {
 	s, ok := t.suspects[string(fingerprint)]
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -26,31 +26,26 @@
 func (b *Backend) Do(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	key := m.Service + "/" + m.Endpoint
 	if f := b.refusal(key, m.Call); f != nil {
-		return nil, b.refused(key, m, f)
+		return nil, f
 	}
 	unguard, f := b.guard(ctx, key, m)
 	if f != nil {
-		return nil, b.refused(key, m, f)
+		return nil, hop.AsFailure(f, m.Call)
 	}
 	release, f := b.admit(ctx, key, m)
 	if f != nil {
 		unguard(Result{})
-		return nil, b.refused(key, m, f)
+		return nil, hop.AsFailure(f, m.Call)
 	}
 	l := &flight{backend: b, begin: b.now(), release: release, unguard: unguard, meta: m}
 	if f := b.begin(key, l); f != nil {
 		release(Result{})
 		unguard(Result{})
-		return nil, b.refused(key, m, f)
+		return nil, f
 	}
 	return l.forward(ctx, r)
 }
 
-func (b *Backend) refused(key string, m hop.Meta, f *outcome.Failure) *outcome.Failure {
-	b.log.Info("call refused", "call", m.Call, "endpoint", key, "code", f.Code, "outcome", f.Kind, "reason", f.Detail)
-	return hop.AsFailure(f, m.Call)
-}
-
 // refusal checks that an endpoint takes new work.
 func (b *Backend) refusal(key, call string) *outcome.Failure {
 	b.mu.Lock()
@@ -109,7 +104,7 @@
 	if err != nil {
 		f := l.classify(ctx, err, false)
 		l.end(false, false)
-		return nil, l.backend.refused(l.endpoint.key, l.meta, f)
+		return nil, f
 	}
 	x, p, err := c.start(ctx, l.request(ctx, r))
 	l.exchange, l.answer = x, p
@@ -117,7 +112,7 @@
 		// Nothing is written after start returned an error, so what the wire noted is final.
 		f := l.classify(ctx, err, c.wire.wrote.Load())
 		l.end(f.Kind != outcome.NotRun && ctx.Err() == nil, false)
-		return nil, l.backend.refused(l.endpoint.key, l.meta, f)
+		return nil, f
 	}
 	l.status = p.StatusCode
 	if p.StatusCode == http.StatusSwitchingProtocols {
@@ -125,6 +120,7 @@
 		return nil, l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the backend server switched protocols unasked", nil)
 	}
 	hop.Clean(p.Header)
+	hop.SetTook(p, l.backend.now().Sub(l.begin))
 	if after, ok := hop.Shed(p); ok {
 		l.backend.shed(l.endpoint.key, after)
 	}
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -42,8 +42,9 @@
 		if f == nil {
 			return p, nil
 		}
-		v := c.verdict(f)
+		v := c.judge(f)
 		if !v.Again && p != nil {
+			c.shed = true
 			return p, nil // the backend server's own refusal is the answer
 		}
 		if p != nil {
@@ -111,6 +112,10 @@
 		return nil, o.Failure
 	}
 	o.Status = p.StatusCode
+	c.added = -1
+	if took, ok := hop.Took(p); ok {
+		c.added = max(o.At.Sub(c.began)-took, 0)
+	}
 	h.done(c.endpoint, o)
 	after, shed := hop.Shed(p)
 	if !shed || !c.match.Route.Idempotent {
@@ -122,9 +127,9 @@
 	}
 }
 
-// verdict asks for the retry decision, within what is always forbidden: a second run of a request that may run only once, and
+// judge asks for the retry decision, within what is always forbidden: a second run of a request that may run only once, and
 // a second sending of a body that is partly used up.
-func (c *call) verdict(f *outcome.Failure) Verdict {
+func (c *call) judge(f *outcome.Failure) Verdict {
 	whole := c.body.whole()
 	v := c.handler.decide(Attempt{
 		Route: c.match.Route, Failure: f, Endpoint: c.endpoint, Repicks: c.repicks, Retries: c.retries, Budget: c.budget,
@@ -139,8 +144,11 @@
 		c.retries++
 		c.budget--
 	}
-	c.handler.log.Info("attempt failed", "call", c.id, "route", c.match.Route.Name, "endpoint", c.endpoint, "code", f.Code,
-		"outcome", f.Kind, "again", v.Again, "repick", v.Repick, "reason", v.Reason, "error", f.Err)
+	c.verdict = v.Reason
+	if v.Again { // the last failure is logged with the request
+		c.handler.log.Info("attempt failed, trying again", "call", c.id, "route", c.match.Route.Name, "endpoint", c.endpoint, "code", f.Code,
+			"outcome", f.Kind, "repick", v.Repick, "reason", c.verdict, "detail", f.Detail, "error", cause(f))
+	}
 	return v
 }
 
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -35,6 +35,9 @@
 
 	endpoint string // of the last attempt
 	reason   string // why it was picked
+	verdict  string // why the last failed attempt was or was not repeated
+	added    time.Duration
+	shed     bool // the answer is the backend server's refusal
 	tried    []string
 	repicks  int
 	retries  int
@@ -181,22 +184,36 @@
 func (c *call) refuse(f *outcome.Failure) {
 	f = hop.AsFailure(f, c.id)
 	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
-		"outcome", f.Kind, "reason", f.Detail, "error", f.Err, "took", c.handler.now().Sub(c.began))
+		"outcome", f.Kind, "reason", f.Detail, "retry", c.verdict, "error", cause(f), "took", c.took())
+	c.handler.finished(Finished{Route: c.match.Route, Code: f.Code, Kind: f.Kind, Added: -1})
 	hop.Strip(c.w.Header())
 	f.Write(c.w)
 }
 
 func (c *call) succeeded(status int) {
-	if !c.handler.sample() {
+	c.handler.finished(Finished{Route: c.match.Route, Added: c.added})
+	if !c.shed && !c.handler.sample() {
 		return
 	}
 	c.handler.log.Info("request answered", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "status", status,
-		"reason", c.reason, "took", c.handler.now().Sub(c.began))
+		"reason", c.reason, "retry", c.verdict, "took", c.took())
 }
 
 func (c *call) broken(err error) {
 	c.handler.log.Info("answer broke off", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "error", err.Error(),
-		"took", c.handler.now().Sub(c.began))
+		"reason", c.reason, "took", c.took())
+	c.handler.finished(Finished{Route: c.match.Route, Code: outcome.Truncated, Kind: outcome.Lost, Added: -1})
+}
+
+// took returns the time since the request began, with its unit.
+func (c *call) took() string { return c.handler.now().Sub(c.began).String() }
+
+// cause returns the text of the cause for the log line; a nil error would be logged as null.
+func cause(f *outcome.Failure) string {
+	if f.Err == nil {
+		return ""
+	}
+	return f.Err.Error()
 }
 
 func (c *call) routeName() string {
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -26,17 +26,18 @@
 
 // Handler is the http.Handler of the caller listener or of the local listener.
 type Handler struct {
-	local   bool
-	maxBody int64
-	match   func(host, path, method string) (Match, *outcome.Failure)
-	pick    func(Pick) (config.Endpoint, string, error)
-	start   func(string, time.Time)
-	done    func(string, Observation)
-	send    func(context.Context, config.Endpoint, hop.Meta, *http.Request) (*http.Response, error)
-	decide  func(Attempt) Verdict
-	claim   func(context.Context, Claim) (ClaimAnswer, error)
-	finish  func(context.Context, Claim, *Answer) error
-	release func(context.Context, Claim) error
+	local    bool
+	maxBody  int64
+	match    func(host, path, method string) (Match, *outcome.Failure)
+	pick     func(Pick) (config.Endpoint, string, error)
+	start    func(string, time.Time)
+	done     func(string, Observation)
+	finished func(Finished)
+	send     func(context.Context, config.Endpoint, hop.Meta, *http.Request) (*http.Response, error)
+	decide   func(Attempt) Verdict
+	claim    func(context.Context, Claim) (ClaimAnswer, error)
+	finish   func(context.Context, Claim, *Answer) error
+	release  func(context.Context, Claim) error
 
 	identify func() string
 	leaving  func() bool
@@ -55,6 +56,7 @@
 		maxBody:  defaultBodyBytes,
 		start:    func(string, time.Time) {},
 		done:     func(string, Observation) {},
+		finished: func(Finished) {},
 		decide:   func(Attempt) Verdict { return Verdict{} },
 		identify: identifier(),
 		leaving:  func() bool { return false },
--- a/io/caller/once.go
+++ b/io/caller/once.go
@@ -80,7 +80,7 @@
 		c.refuse(f)
 		return
 	}
-	c.reason = "replay"
+	c.reason, c.added = "replay", -1
 	h := c.w.Header()
 	for k, v := range a.Header {
 		h[k] = v
--- a/io/caller/seams.go
+++ b/io/caller/seams.go
@@ -34,6 +34,14 @@
 	At      time.Time
 }
 
+// Finished is a request that was answered.
+type Finished struct {
+	Route *config.Route // nil when none matched
+	Code  outcome.Code  // empty when the backend server answered
+	Kind  outcome.Kind  // outcome.None when the backend server answered
+	Added time.Duration // time until the head of the answer that the backend server did not take; negative when not known
+}
+
 // Attempt describes a failed attempt to the retry decision.
 type Attempt struct {
 	Route    *config.Route
@@ -111,6 +119,9 @@
 	return func(h *Handler) { h.start, h.done = start, done }
 }
 
+// WithFinished sets the function that sees the outcome of each request.
+func WithFinished(f func(Finished)) Option { return func(h *Handler) { h.finished = f } }
+
 // WithSend sets the function that carries an attempt to its endpoint. An error is an *outcome.Failure.
 func WithSend(f func(ctx context.Context, e config.Endpoint, m hop.Meta, r *http.Request) (*http.Response, error)) Option {
 	return func(h *Handler) { h.send = f }
--- a/io/demo/path_test.go
+++ b/io/demo/path_test.go
@@ -34,7 +34,7 @@
 		{Name: "entry", Region: "munnar", Domain: "lower", Replica: true},
 		{Name: "desk", Region: "munnar", Domain: "lower", Service: "counter"},
 	}
-	m, err := New(t.TempDir(), places, logr.Discard(), append(opts, WithLatency(0), WithSlots(64))...)
+	m, err := New(t.TempDir(), places, logr.Discard(), append([]Option{WithLatency(0), WithSlots(64)}, opts...)...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -52,6 +52,9 @@
 // WithDialTimeout bounds the time for a new connection.
 func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
 
+// WithCrossed sets a function called for each answer that is dropped because it names another call.
+func WithCrossed(f func()) Option { return func(c *Client) { c.crossed = f } }
+
 // WithNow sets the clock.
 func WithNow(now func() time.Time) Option { return func(c *Client) { c.now = now } }
 
@@ -65,6 +68,7 @@
 	dialTimeout time.Duration
 	now         func() time.Time
 	transport   *http.Transport
+	crossed     func()
 
 	mu     sync.Mutex
 	peers  map[netip.AddrPort]*peer
@@ -88,7 +92,7 @@
 func New(opts ...Option) *Client {
 	c := &Client{
 		scheme: "http", connections: defaultConnections, limit: defaultPeers, dialTimeout: defaultDial, now: time.Now,
-		peers: map[netip.AddrPort]*peer{},
+		peers: map[netip.AddrPort]*peer{}, crossed: func() {},
 	}
 	for _, o := range opts {
 		o(c)
@@ -134,12 +138,17 @@
 	if got := p.Header[headerCall]; len(got) != 1 || got[0] != m.Call {
 		_ = p.Body.Close()
 		c.mismatched.Add(1)
+		c.crossed()
 		return nil, c.count(failure(outcome.Reset, outcome.Unknown, m.Call, "the answer named another call", nil))
 	}
 	if p.Header.Get(outcome.HeaderOutcome) != "" {
 		return nil, c.count(c.refusal(p, m.Call))
 	}
+	took, noted := p.Header[headerTook]
 	Strip(p.Header)
+	if noted {
+		p.Header[headerTook] = took
+	}
 	return p, nil
 }
 
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -86,6 +86,21 @@
 	return min(time.Duration(seconds)*time.Second, MaxDeadline), true
 }
 
+// SetTook notes on an answer how long the backend server took until its head.
+func SetTook(p *http.Response, d time.Duration) {
+	p.Header[headerTook] = []string{strconv.FormatInt(d.Microseconds(), 10)}
+}
+
+// Took returns what SetTook noted; it reports false without a note.
+func Took(p *http.Response) (time.Duration, bool) {
+	values := p.Header[headerTook]
+	if len(values) != 1 {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(values[0], 10, 32)
+	return time.Duration(n) * time.Microsecond, err == nil
+}
+
 // blank is copied for each forwarded request; net/http has no way to make a request with a context in one step.
 var blank http.Request
 
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -19,6 +19,7 @@
 	headerCall = outcome.HeaderCall
 	headerKey  = "Mesh-Key"
 	headerMeta = "Mesh-Meta"
+	headerTook = "Mesh-Took" // of an answer: what the backend server took, in microseconds
 )
 
 // Form of Mesh-Meta: the version and the other fields, separated by one space and in the order of the field constants; only
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -14,6 +14,7 @@
 	"godwitspindle/core/relay"
 	"godwitspindle/core/store"
 	"godwitspindle/core/wire"
+	"godwitspindle/io/disk"
 	"godwitspindle/io/peer"
 	"godwitspindle/io/platform"
 	"godwitspindle/io/replica"
@@ -68,6 +69,7 @@
 		replica.WithFolder(s.Data),
 		replica.WithName(s.Name),
 		replica.WithNames(names...),
+		replica.WithDisk(disk.WithSync(timed(m.Sync.Observe))),
 		replica.WithSend(courier.Send),
 		replica.WithApply(c.apply),
 		replica.WithMarshal(c.marshal),
@@ -94,6 +96,7 @@
 }
 
 func (c *control) apply(index uint64, cmd *wire.Command) *wire.Result {
+	c.metrics.Commits.Inc()
 	c.mu.Lock()
 	before := c.store.Snapshot().Version()
 	result := c.store.Apply(index, cmd)
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -103,6 +103,13 @@
 	t.gate.Resume()
 }
 
+// queued returns the number of calls that wait.
+func (t *turnstile) queued() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.waiting)
+}
+
 func (t *turnstile) tick() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -92,7 +92,7 @@
 
 func (h *Host) startTransport() error {
 	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl)}
-	hopOptions := []hop.Option{hop.WithKey(h.settings.Key)}
+	hopOptions := []hop.Option{hop.WithKey(h.settings.Key), hop.WithCrossed(h.metrics.Crossed.Inc)}
 	if h.settings.TLS.Enabled() {
 		t, err := platform.NewTLS(h.settings.TLS, platform.WithTLSLogger(h.log))
 		if err != nil {
@@ -153,6 +153,7 @@
 			caller.WithMatch(h.match),
 			caller.WithPick(h.pick),
 			caller.WithObserve(h.picker.Start, h.observe),
+			caller.WithFinished(h.finished),
 			caller.WithSend(h.send),
 			caller.WithDecide(h.decide),
 			caller.WithClaim(h.claim, h.finish, h.release),
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -27,7 +27,7 @@
 	path, handler := rpcconnect.NewMeshHandler(h.peerServer())
 	mux := http.NewServeMux()
 	mux.Handle(path, peer.Authorize(h.settings.Key, handler))
-	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.backend.Do), hop.WithNext(mux), hop.WithMaxBody(callBytes))
+	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.inner), hop.WithNext(mux), hop.WithMaxBody(callBytes))
 	s, err := h.listen("listen.peer", h.settings.Listen.Peer, calls, platform.Limits{Body: peerBytes, Connections: peerConns},
 		platform.WithServer(hop.HTTPServer(calls)), platform.WithH2C(), platform.WithTLS(h.serverTLS()))
 	h.peers = s
@@ -48,7 +48,7 @@
 		{"listen.caller", l.Caller, h.callers, calls, caller.HTTPServer(h.callers)},
 		{"listen.local", l.Local, h.locally, calls, caller.HTTPServer(h.locally)},
 		{"listen.backend", l.Backend, h.backend.Handler(), platform.DefaultLimits(), nil},
-		{"listen.metrics", l.Metrics, h.metrics.Handler(), platform.DefaultLimits(), nil},
+		{"listen.metrics", l.Metrics, h.scraped(), platform.DefaultLimits(), nil},
 	}
 	for _, e := range list {
 		if _, err := h.listen(e.name, e.address, e.handler, e.limits, platform.WithServer(e.base)); err != nil {
--- /dev/null
+++ b/io/host/metrics.go
@@ -0,0 +1,85 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/routing"
+	"godwitspindle/io/caller"
+	"godwitspindle/io/hop"
+)
+
+// finished counts the outcome of a call at the node that took it from its caller.
+func (h *Host) finished(f caller.Finished) {
+	h.metrics.Calls.WithLabelValues(string(f.Kind), string(f.Code), classLabel(f.Route)).Inc()
+	if f.Added >= 0 {
+		h.metrics.Added.Observe(f.Added.Seconds())
+	}
+}
+
+func classLabel(r *config.Route) string {
+	if r == nil {
+		return ""
+	}
+	switch routing.ClassOf(r) {
+	case routing.Once:
+		return "once"
+	case routing.Slow:
+		return "slow"
+	case routing.Read:
+	}
+	return "read"
+}
+
+// scraped serves the metrics; those that only matter at that moment are read then.
+func (h *Host) scraped() http.Handler {
+	next := h.metrics.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.metrics.Age.Set(h.age().Seconds())
+		h.metrics.Queued.Set(float64(h.queued()))
+		h.metrics.Quarantine.Set(float64(h.holder.View().Table.Quarantined(time.Now())))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Host) queued() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, l := range h.locals {
+		n += l.turnstile.queued()
+	}
+	return n
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// timed returns a sync of a file whose seconds are observed.
+func timed(observe func(seconds float64)) func(f *os.File) error {
+	return func(f *os.File) error {
+		begin := time.Now()
+		err := f.Sync()
+		observe(time.Since(begin).Seconds())
+		return err
+	}
+}
+
+// inner runs a call from another node. A failure is logged here, where its cause is known; for calls from this node io/caller
+// logs it.
+func (h *Host) inner(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
+	p, err := h.backend.Do(ctx, m, r)
+	if err != nil {
+		f := hop.AsFailure(err, m.Call)
+		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
+			"reason", f.Detail, "error", text(f.Err))
+	}
+	return p, err
+}
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -54,6 +54,7 @@
 		peer.WithMoved(h.tracker.Retell),
 		peer.WithPoll(pollOf(h.settings.Profile)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
+		peer.WithWhole(h.metrics.Whole.Inc),
 		peer.WithSynced(h.synced),
 		peer.WithFollowerLog(h.log.WithName("follower")),
 	)
@@ -156,7 +157,6 @@
 // synced follows an answered poll.
 func (h *Host) synced(r *rpc.SyncResponse, v peer.View) {
 	h.upstream.learn(r, v)
-	h.metrics.Age.Set(h.age().Seconds())
 }
 
 // redirect sends a node without a version to the relays of its failure domain, so that a herd that returns together
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -47,6 +47,7 @@
 	poll        time.Duration
 	log         logr.Logger
 	mismatch    func()
+	counted     func() // called for each whole snapshot taken
 	synced      func(r *rpc.SyncResponse, v View)
 	lost        func()
 	moved       func()
@@ -85,6 +86,9 @@
 // WithMismatch sets a function that counts digest mismatches.
 func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
 
+// WithWhole sets a function that counts whole snapshots taken.
+func WithWhole(w func()) FollowerOption { return func(f *Follower) { f.counted = w } }
+
 // WithSynced sets a function called after each answered poll with the answer and the view in force.
 func WithSynced(s func(r *rpc.SyncResponse, v View)) FollowerOption {
 	return func(f *Follower) { f.synced = s }
@@ -116,6 +120,7 @@
 		poll:     5 * time.Second,
 		log:      logr.Discard(),
 		mismatch: func() {},
+		counted:  func() {},
 		synced:   func(*rpc.SyncResponse, View) {},
 		lost:     func() {},
 		moved:    func() {},
@@ -357,6 +362,9 @@
 		return err
 	}
 	f.whole.Store(false)
+	if delta.GetWhole() {
+		f.counted()
+	}
 	f.log.Info("version in force", "version", f.holder.View().Snapshot.Version(), "entries", len(delta.GetEntries()), "whole", delta.GetWhole())
 	return nil
 }
--- a/io/platform/metrics.go
+++ b/io/platform/metrics.go
@@ -27,7 +27,7 @@
 	Age           prometheus.Gauge       // seconds since the last quorum confirmation; negative when never
 	Whole         prometheus.Counter     // full snapshots taken
 	Mismatches    prometheus.Counter     // digest mismatches
-	Commits       prometheus.Counter     // entries committed by the agreed log
+	Commits       prometheus.Counter     // commands of the agreed log applied
 	Term          prometheus.Gauge       // current term
 	Leader        prometheus.Gauge       // 1 on the leader
 	Sync          prometheus.Histogram   // seconds of one fsync of the log
@@ -60,8 +60,8 @@
 func NewMetrics() *Metrics {
 	m := &Metrics{
 		Registry:     prometheus.NewRegistry(),
-		Calls:        counters("calls_total", "Calls answered, by outcome, code and class.", "outcome", "code", "class"),
-		Added:        histogram("added_seconds", "Time that the mesh added to a call.", 0.00005, 2, 14),
+		Calls:        counters("calls_total", "Calls answered, by outcome (empty for an answer of the backend server), code and class.", "outcome", "code", "class"),
+		Added:        histogram("added_seconds", "Time until the head of an answer that the backend server did not take.", 0.00005, 2, 14),
 		Retries:      counters("retries_total", "Attempts after the first, by kind (retry or repick).", "kind"),
 		Crossed:      counter("crossed_answers_total", "Answers dropped because their call id did not match."),
 		Running:      gauge("admission_running", "Calls running at the backend server."),
@@ -75,7 +75,7 @@
 		Age:          gauge("confirmation_age_seconds", "Time since the last quorum confirmation; negative when never."),
 		Whole:        counter("full_transfers_total", "Whole snapshots taken."),
 		Mismatches:   counter("digest_mismatches_total", "Deltas whose digest did not match."),
-		Commits:      counter("agreement_commits_total", "Entries committed by the agreed log."),
+		Commits:      counter("agreement_commits_total", "Commands of the agreed log that this replica applied, those read back at its start included."),
 		Term:         gauge("agreement_term", "Current term of the agreed log."),
 		Leader:       gauge("agreement_leader", "1 when this replica leads."),
 		Sync:         histogram("fsync_seconds", "Time of one fsync of the agreed log.", 0.0001, 2, 15),
