--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -26,31 +26,26 @@
 func (b *Backend) Do(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	key := m.Service + "/" + m.Endpoint
 	if f := b.refusal(key, m.Call); f != nil {
-		return nil, b.refused(key, m, f)
+		return nil, f
 	}
 	unguard, f := b.guard(ctx, key, m)
 	if f != nil {
-		return nil, b.refused(key, m, f)
+		return nil, hop.AsFailure(f, m.Call)
 	}
 	release, f := b.admit(ctx, key, m)
 	if f != nil {
 		unguard(Result{})
-		return nil, b.refused(key, m, f)
+		return nil, hop.AsFailure(f, m.Call)
 	}
 	l := &flight{backend: b, begin: b.now(), release: release, unguard: unguard, meta: m}
 	if f := b.begin(key, l); f != nil {
 		release(Result{})
 		unguard(Result{})
-		return nil, b.refused(key, m, f)
+		return nil, f
 	}
 	return l.forward(ctx, r)
 }
 
-func (b *Backend) refused(key string, m hop.Meta, f *outcome.Failure) *outcome.Failure {
-	b.log.Info("call refused", "call", m.Call, "endpoint", key, "code", f.Code, "outcome", f.Kind, "reason", f.Detail)
-	return hop.AsFailure(f, m.Call)
-}
-
 // refusal checks that an endpoint takes new work.
 func (b *Backend) refusal(key, call string) *outcome.Failure {
 	b.mu.Lock()
@@ -93,7 +88,8 @@
 	backend  *Backend
 	endpoint *endpoint
 	pool     *pool
-	conn     *conn
+	exchange *exchange
+	answer   *http.Response
 	run      *run
 	meta     hop.Meta
 	begin    time.Time
@@ -108,23 +104,23 @@
 	if err != nil {
 		f := l.classify(ctx, err, false)
 		l.end(false, false)
-		return nil, l.backend.refused(l.endpoint.key, l.meta, f)
+		return nil, f
 	}
-	l.conn = c
-	p, err := c.RoundTrip(l.request(ctx, r))
+	x, p, err := c.start(ctx, l.request(ctx, r))
+	l.exchange, l.answer = x, p
 	if err != nil {
-		// RoundTrip waits for the end of its writes, so what the wire noted is final.
+		// Nothing is written after start returned an error, so what the wire noted is final.
 		f := l.classify(ctx, err, c.wire.wrote.Load())
 		l.end(f.Kind != outcome.NotRun && ctx.Err() == nil, false)
-		return nil, l.backend.refused(l.endpoint.key, l.meta, f)
+		return nil, f
 	}
 	l.status = p.StatusCode
 	if p.StatusCode == http.StatusSwitchingProtocols {
-		_ = p.Body.Close()
 		l.end(false, false)
 		return nil, l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the backend server switched protocols unasked", nil)
 	}
 	hop.Clean(p.Header)
+	hop.SetTook(p, l.backend.now().Sub(l.begin))
 	if after, ok := hop.Shed(p); ok {
 		l.backend.shed(l.endpoint.key, after)
 	}
@@ -181,8 +177,9 @@
 func (l *flight) end(broken, whole bool) {
 	l.once.Do(func() {
 		b := l.backend
-		if l.conn != nil && !whole {
-			l.pool.drop(l.conn)
+		if l.exchange != nil {
+			reuse := l.exchange.end(l.answer)
+			l.pool.put(l.exchange.conn, reuse && whole)
 		}
 		if broken {
 			b.broke(l.endpoint, l.run)
@@ -224,7 +221,7 @@
 
 // Close gives the answer up if it was not read whole.
 func (a *answerBody) Close() error {
-	err := a.ReadCloser.Close()
+	// The body's own Close would read the rest of the answer; a connection with a rest is closed instead.
 	a.flight.end(false, false)
-	return err
+	return nil
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -7,6 +7,7 @@
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/retry"
 	"godwitspindle/io/hop"
 )
 
@@ -41,8 +42,9 @@
 		if f == nil {
 			return p, nil
 		}
-		v := c.verdict(f)
+		v := c.judge(f)
 		if !v.Again && p != nil {
+			c.shed = true
 			return p, nil // the backend server's own refusal is the answer
 		}
 		if p != nil {
@@ -93,7 +95,8 @@
 	h := c.handler
 	begin := h.now()
 	m := c.meta
-	m.Endpoint, m.Remaining, m.Budget = e.Name, c.deadline.Sub(begin), max(c.budget, 0)
+	m.Endpoint, m.Remaining = e.Name, c.deadline.Sub(begin)
+	m.Budget, c.budget = retry.Split(c.budget)
 	r := *c.out
 	r.Body, r.ContentLength = c.body.attempt(c.r.ContentLength)
 	h.start(c.endpoint, begin)
@@ -102,10 +105,17 @@
 	o.Took = o.At.Sub(begin)
 	if err != nil {
 		o.Failure = hop.AsFailure(err, c.id)
+		if o.Failure.Kind == outcome.NotRun {
+			c.budget += m.Budget // nothing below can have used it
+		}
 		h.done(c.endpoint, o)
 		return nil, o.Failure
 	}
 	o.Status = p.StatusCode
+	c.added = -1
+	if took, ok := hop.Took(p); ok {
+		c.added = max(o.At.Sub(c.began)-took, 0)
+	}
 	h.done(c.endpoint, o)
 	after, shed := hop.Shed(p)
 	if !shed || !c.match.Route.Idempotent {
@@ -117,9 +127,9 @@
 	}
 }
 
-// verdict asks for the retry decision, within what is always forbidden: a second run of a request that may run only once, and
+// judge asks for the retry decision, within what is always forbidden: a second run of a request that may run only once, and
 // a second sending of a body that is partly used up.
-func (c *call) verdict(f *outcome.Failure) Verdict {
+func (c *call) judge(f *outcome.Failure) Verdict {
 	whole := c.body.whole()
 	v := c.handler.decide(Attempt{
 		Route: c.match.Route, Failure: f, Endpoint: c.endpoint, Repicks: c.repicks, Retries: c.retries, Budget: c.budget,
@@ -134,8 +144,11 @@
 		c.retries++
 		c.budget--
 	}
-	c.handler.log.Info("attempt failed", "call", c.id, "route", c.match.Route.Name, "endpoint", c.endpoint, "code", f.Code,
-		"outcome", f.Kind, "again", v.Again, "repick", v.Repick, "reason", v.Reason, "error", f.Err)
+	c.verdict = v.Reason
+	if v.Again { // the last failure is logged with the request
+		c.handler.log.Info("attempt failed, trying again", "call", c.id, "route", c.match.Route.Name, "endpoint", c.endpoint, "code", f.Code,
+			"outcome", f.Kind, "repick", v.Repick, "reason", c.verdict, "detail", f.Detail, "error", cause(f))
+	}
 	return v
 }
 
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -38,8 +38,10 @@
 // WithKey sets the key shared by all nodes.
 func WithKey(key string) Option { return func(c *Client) { c.key = key } }
 
-// WithTLS makes the client use HTTP/2 over TLS.
-func WithTLS(config *tls.Config) Option { return func(c *Client) { c.tls = config } }
+// WithDialTLS makes the client use HTTP/2 over TLS connections that dial opens, as platform.TLS offers it; dial must offer h2.
+func WithDialTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dialTLS = dial }
+}
 
 // WithConnections bounds the connections to each peer.
 func WithConnections(n int) Option { return func(c *Client) { c.connections = n } }
@@ -50,19 +52,23 @@
 // WithDialTimeout bounds the time for a new connection.
 func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
 
+// WithCrossed sets a function called for each answer that is dropped because it names another call.
+func WithCrossed(f func()) Option { return func(c *Client) { c.crossed = f } }
+
 // WithNow sets the clock.
 func WithNow(now func() time.Time) Option { return func(c *Client) { c.now = now } }
 
 // Client sends calls to peers over a bounded pool of HTTP/2 connections.
 type Client struct {
 	key         string
-	tls         *tls.Config
+	dialTLS     func(ctx context.Context, network, address string) (net.Conn, error) // nil for cleartext
 	scheme      string
 	connections int
 	limit       int
 	dialTimeout time.Duration
 	now         func() time.Time
 	transport   *http.Transport
+	crossed     func()
 
 	mu     sync.Mutex
 	peers  map[netip.AddrPort]*peer
@@ -86,21 +92,20 @@
 func New(opts ...Option) *Client {
 	c := &Client{
 		scheme: "http", connections: defaultConnections, limit: defaultPeers, dialTimeout: defaultDial, now: time.Now,
-		peers: map[netip.AddrPort]*peer{},
+		peers: map[netip.AddrPort]*peer{}, crossed: func() {},
 	}
 	for _, o := range opts {
 		o(c)
 	}
 	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(c.tls == nil)
-	protocols.SetHTTP2(c.tls != nil)
-	if c.tls != nil {
+	protocols.SetUnencryptedHTTP2(c.dialTLS == nil)
+	protocols.SetHTTP2(c.dialTLS != nil)
+	if c.dialTLS != nil {
 		c.scheme = "https"
 	}
 	c.transport = &http.Transport{
 		Protocols:              &protocols,
-		TLSClientConfig:        c.tls,
-		TLSHandshakeTimeout:    c.dialTimeout,
+		DialTLSContext:         c.dialTLS,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -133,12 +138,17 @@
 	if got := p.Header[headerCall]; len(got) != 1 || got[0] != m.Call {
 		_ = p.Body.Close()
 		c.mismatched.Add(1)
+		c.crossed()
 		return nil, c.count(failure(outcome.Reset, outcome.Unknown, m.Call, "the answer named another call", nil))
 	}
 	if p.Header.Get(outcome.HeaderOutcome) != "" {
 		return nil, c.count(c.refusal(p, m.Call))
 	}
+	took, noted := p.Header[headerTook]
 	Strip(p.Header)
+	if noted {
+		p.Header[headerTook] = took
+	}
 	return p, nil
 }
 
@@ -167,7 +177,7 @@
 }
 
 func (c *Client) request(ctx context.Context, address netip.AddrPort, m Meta, r *http.Request) *http.Request {
-	h := make(http.Header, len(r.Header)+16)
+	h := make(http.Header, len(r.Header)+3)
 	for k, v := range r.Header {
 		h[k] = v
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -92,15 +92,15 @@
 
 func (h *Host) startTransport() error {
 	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl)}
-	hopOptions := []hop.Option{hop.WithKey(h.settings.Key)}
+	hopOptions := []hop.Option{hop.WithKey(h.settings.Key), hop.WithCrossed(h.metrics.Crossed.Inc)}
 	if h.settings.TLS.Enabled() {
 		t, err := platform.NewTLS(h.settings.TLS, platform.WithTLSLogger(h.log))
 		if err != nil {
 			return err
 		}
 		h.tls = t
-		clientOptions = append(clientOptions, peer.WithClientTLS(t.Client()))
-		hopOptions = append(hopOptions, hop.WithTLS(t.Client()))
+		clientOptions = append(clientOptions, peer.WithClientDialTLS(t.Dial))
+		hopOptions = append(hopOptions, hop.WithDialTLS(t.Dial))
 	}
 	h.clients = peer.NewClients(clientOptions...)
 	h.hops = hop.New(hopOptions...)
@@ -149,9 +149,11 @@
 	options := func(local bool) []caller.Option {
 		return []caller.Option{
 			caller.WithLocal(local),
+			caller.WithMaxBody(callBytes),
 			caller.WithMatch(h.match),
 			caller.WithPick(h.pick),
 			caller.WithObserve(h.picker.Start, h.observe),
+			caller.WithFinished(h.finished),
 			caller.WithSend(h.send),
 			caller.WithDecide(h.decide),
 			caller.WithClaim(h.claim, h.finish, h.release),
