fix(peer): report changes in force without waiting for a poll

A replica that refused the first poll, because it was still starting, was tried last for 10 s, so that two replicas polled each other and the leader heard nothing of the nodes below them. The pause now doubles from 500 ms for upstreams that refuse at once, and a replica polls a new leader at once. Reports that went to an upstream which takes none no longer count as sent, names that come by a new way are reported upward at once, and a late farewell no longer removes a node that has come by another way.

--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -52,8 +52,8 @@
 	return &Tracker{self: self, poll: poll, children: map[string]*child{}, names: map[string]*name{}}
 }
 
-// Heard records a poll of a child that holds the given version and reports whether the child is new; report is nil for a
-// node without nodes below it.
+// Heard records a poll of a child that holds the given version and reports whether any node below came by a new way, which
+// the upstream must be told before it can count that node; report is nil for a node without nodes below it.
 func (t *Tracker) Heard(now time.Time, node string, held uint64, report *wire.Report) (joined bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -64,7 +64,7 @@
 		joined = true
 	}
 	c.held, c.lowest, c.count, c.heard, c.laggards = held, held, 1, now, nil
-	t.mark(node, node, now)
+	joined = t.mark(node, node, now) || joined
 	if report == nil {
 		return joined
 	}
@@ -78,30 +78,38 @@
 		if d := t.children[n]; d != nil && now.Sub(d.heard) < quietPolls*t.poll {
 			continue // it polls here now and would have said that it moves; the report is older than its move
 		}
-		t.mark(n, node, now)
+		joined = t.mark(n, node, now) || joined
 		delete(t.children, n) // it moved below this child; its own report would count it twice
 	}
 	return joined
 }
 
-func (t *Tracker) mark(node, via string, now time.Time) {
+// mark notes that a node was heard and reports whether it came by another way than before.
+func (t *Tracker) mark(node, via string, now time.Time) (moved bool) {
 	n := t.names[node]
 	if n == nil {
 		n = &name{}
 		t.names[node] = n
 	}
-	if n.via != via {
+	moved = n.via != via
+	if moved {
 		n.told = false
 	}
 	n.via, n.heard, n.fresh = via, now, true
+	return moved
 }
 
-// Forget drops a child that is known to have moved or left.
+// Forget drops a child that is known to have moved or left, with the nodes that were heard through it. A node that has
+// come by another way since is kept: the farewell to its former upstream may arrive late.
 func (t *Tracker) Forget(node string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	delete(t.children, node)
-	delete(t.names, node)
+	for k, n := range t.names {
+		if n.via == node {
+			delete(t.names, k)
+		}
+	}
 }
 
 // Report returns the aggregate of this node and of the nodes below it; held must be the version that the same poll
--- /dev/null
+++ b/io/demo/faults_test.go
@@ -0,0 +1,367 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"godwitspindle/core/relay"
+	"godwitspindle/io/host"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/rpc"
+)
+
+// Guards R9 and R1 against a leader that dies while changes are applied: an accepted change is lost, a version goes back,
+// or a resend is applied a second time.
+func TestLeaderKilled(t *testing.T) {
+	r := start(t, Places())
+	accepted := map[string]uint64{}
+	for n := range 60 {
+		if n == 30 {
+			l := r.leader()
+			go func() { _ = r.Stop(l) }()
+		}
+		c := edit(n)
+		c.Base = r.version
+		accepted[c.ID] = r.apply(c).Version
+	}
+	t.Logf("in force after %s", r.inForce(5*time.Second))
+	h, err := r.ops.History(context.Background(), 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]uint64{}
+	for _, c := range h.Changes {
+		got[c.ID] = c.Version
+	}
+	for id, v := range accepted {
+		if got[id] != v {
+			t.Errorf("change %s in the history: got version %d, want %d", id, got[id], v)
+		}
+	}
+	newest := r.version
+	c := edit(29)
+	c.Base, c.Author, c.Reason = accepted["edit-28"], "test", "test"
+	a, err := r.ops.Apply(context.Background(), c)
+	if err != nil || a.Version != accepted["edit-29"] {
+		t.Errorf("resend: got %+v, %v, want version %d", a, err, accepted["edit-29"])
+	}
+	if h, err := r.ops.History(context.Background(), 1); err != nil || h.Changes[0].Version != newest {
+		t.Errorf("newest change after the resend: got %+v, %v, want %d", h, err, newest)
+	}
+}
+
+// Guards R9 against two operators who both win with the same base, or a loser who is not told what won.
+func TestOperatorsRace(t *testing.T) {
+	r := start(t, Places())
+	var clients []*operator.Client
+	for _, h := range r.Running() {
+		if h.Listen().Operator.IsValid() {
+			clients = append(clients, operator.NewClient(operator.WithAddresses(h.Listen().Operator)))
+		}
+	}
+	for n := range 20 {
+		answers, errs := make([]*operator.Accepted, 2), make([]error, 2)
+		var wait sync.WaitGroup
+		for i := range 2 {
+			wait.Go(func() {
+				c := edit(n + i)
+				c.ID, c.Base, c.Author, c.Reason = fmt.Sprintf("race-%d-%d", n, i), r.version, fmt.Sprint("operator", i), "race"
+				answers[i], errs[i] = clients[(n+i)%len(clients)].Apply(context.Background(), c)
+			})
+		}
+		wait.Wait()
+		w := 0
+		if errs[0] != nil {
+			w = 1
+		}
+		p, ok := errors.AsType[*operator.Problem](errs[1-w])
+		if errs[w] != nil || !ok || p.Code != operator.CodeConflict || p.Winner == nil || p.Winner.ID != answers[w].ID || p.Winner.Version != answers[w].Version {
+			t.Fatalf("round %d: got %v and %v, want one winner and a conflict that names it", n, errs[0], errs[1])
+		}
+		r.version = answers[w].Version
+	}
+}
+
+// herd returns the places of a larger mesh: 3 replicas and n diskless nodes in 3 failure domains.
+func herd(n int) []Place {
+	var places []Place
+	services := []string{"counter", "archive", "ledger", "checks"}
+	for i := range 3 + n {
+		d := []string{"lower", "upper", "kochi"}[i%3]
+		places = append(places, Place{Name: fmt.Sprintf("h%d", i), Region: "munnar", Domain: d, Service: services[i%4], Replica: i < 3})
+	}
+	return places
+}
+
+// Guards R1 and the replicas' capacity when all nodes restart at once: a diskless node serves before its floor is proven or
+// serves less than it held, or the replicas hand out more whole snapshots than their budget of 16 each.
+func TestHerd(t *testing.T) {
+	r := start(t, herd(45))
+	for n := range 5 {
+		r.apply(edit(n))
+	}
+	r.inForce(5 * time.Second)
+	before := len(r.Running())
+	var wait sync.WaitGroup
+	for i := range before {
+		wait.Go(func() { _ = r.Stop(i) })
+	}
+	wait.Wait()
+	began := time.Now()
+	for i := 3; i < before; i++ {
+		wait.Go(func() {
+			if err := r.Start(i); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+	for i := 3; i < before; i++ {
+		a := send(http.DefaultClient, r.callers()[i], http.MethodGet, "/fares", "")
+		if a.code != "unproven" || a.outcome != operator.NotRun {
+			t.Errorf("%s without replicas: got %+v, want code unproven, outcome notrun", r.places[i].Name, a)
+		}
+	}
+	replicas := time.Now()
+	for i := range 3 {
+		wait.Go(func() {
+			if err := r.Start(i); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+	r.await("all nodes serve again", 15*time.Second, func(h *host.Host) bool { return h.Serving() && h.View().Snapshot.Version() >= r.version })
+	t.Logf("all %d nodes serve %s after the herd returned, %s after the replicas", before, time.Since(began), time.Since(replicas))
+	for i := range 3 {
+		if n := testutil.ToFloat64(r.Running()[i].Metrics().Given); n > 16 {
+			t.Errorf("whole snapshots given by replica %d: got %g, want at most 16", i, n)
+		}
+	}
+}
+
+// Guards R1, R5 and R9 while no majority of replicas runs: running nodes stop serving, a restarted one serves unproven, or a
+// purchase that cannot be claimed is reported as anything but notrun.
+func TestSourceOut(t *testing.T) {
+	r := start(t, Places())
+	leader := r.leader()
+	var out []int
+	for i, p := range r.places {
+		if p.Replica && (i == leader || len(out) == 0) && len(out) < 2 {
+			out = append(out, i)
+		}
+	}
+	if out[len(out)-1] != leader && out[0] != leader {
+		out[0] = leader
+	}
+	for _, i := range out {
+		_ = r.Stop(i)
+	}
+	diskless := r.index(func(i int, _ *host.Host) bool { return !r.places[i].Replica })
+	_ = r.Stop(diskless)
+	if err := r.Start(diskless); err != nil {
+		t.Fatal(err)
+	}
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		for i, h := range r.Running() {
+			if h == nil {
+				continue
+			}
+			a := send(http.DefaultClient, r.callers()[i], http.MethodGet, "/history", "")
+			if i == diskless && (a.code != "unproven" || a.outcome != operator.NotRun) {
+				t.Fatalf("restarted %s: got %+v, want code unproven, outcome notrun", r.places[i].Name, a)
+			}
+			if i != diskless && !a.whole {
+				t.Fatalf("running %s: got %+v, want a whole answer", r.places[i].Name, a)
+			}
+		}
+	}
+	running := r.index(func(i int, _ *host.Host) bool { return i != diskless && !r.places[i].Replica })
+	a := send(http.DefaultClient, r.callers()[running], http.MethodPost, "/passes", "out")
+	if a.outcome != operator.NotRun {
+		t.Errorf("purchase while the source is out: got %+v, want outcome notrun", a)
+	}
+	for _, i := range out {
+		if err := r.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	back := r.await("all nodes serve", 10*time.Second, (*host.Host).Serving)
+	r.apply(edit(1))
+	t.Logf("serving %s after the return, changed in force after %s", back, r.inForce(5*time.Second))
+}
+
+// Guards R1 and R9 against a leader behind a silent partition that accepts a change, answers a read that must be current,
+// or does not follow after the partition has healed.
+func TestLeaderCutOff(t *testing.T) {
+	r := start(t, Places())
+	old := r.leader()
+	listen := r.Running()[old].Listen()
+	r.Cut(old)
+	defer r.Cut()
+	alone := operator.NewClient(operator.WithAddresses(listen.Operator), operator.WithTimeout(8*time.Second))
+	defer alone.Close()
+	ctx := context.Background()
+	c := edit(1)
+	c.Base, c.Author, c.Reason, c.ID = r.version, "test", "test", "cut-off"
+	clients := peer.NewClients()
+	defer clients.Close()
+	asks := map[string]func() error{
+		"apply":   func() error { _, err := alone.Apply(ctx, c); return err },
+		"plan":    func() error { _, err := alone.Plan(ctx, c); return err },
+		"history": func() error { _, err := alone.History(ctx, 1); return err },
+		"floor": func() error {
+			_, err := clients.At(listen.Peer).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
+			return err
+		},
+	}
+	var wait sync.WaitGroup
+	for name, ask := range asks {
+		wait.Go(func() {
+			if ask() == nil {
+				t.Errorf("%s at the leader that was cut off: got an answer, want a failure", name)
+			}
+		})
+	}
+	others := operator.NewClient(operator.WithAddresses(r.operatorsBut(old)...))
+	defer others.Close()
+	began := time.Now()
+	c.ID = "majority"
+	a, err := others.Apply(ctx, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("the majority accepted after %s", time.Since(began))
+	wait.Wait()
+	r.Cut()
+	r.version = a.Version
+	t.Logf("in force on all nodes %s after the partition healed", r.inForce(10*time.Second))
+	h, err := alone.History(ctx, 1)
+	if err != nil || h.Changes[0].ID != "majority" {
+		t.Errorf("newest change at the former leader: got %+v, %v, want majority", h, err)
+	}
+}
+
+func (r *rig) operatorsBut(i int) []netip.AddrPort {
+	var list []netip.AddrPort
+	for j, h := range r.Running() {
+		if j != i && h != nil && h.Listen().Operator.IsValid() {
+			list = append(list, h.Listen().Operator)
+		}
+	}
+	return list
+}
+
+// Guards convergence after a long absence: a node that missed hundreds of changes must take one delta, and one below the
+// tombstone horizon (4,096 removals) a whole snapshot, and no part of what it held may remain.
+func TestMissedChanges(t *testing.T) {
+	renamed := func(n int) operator.Change {
+		type route struct {
+			Name     string   `json:"name"`
+			Service  string   `json:"service"`
+			Path     string   `json:"path"`
+			Methods  []string `json:"methods"`
+			Deadline string   `json:"deadline"`
+		}
+		var routes []route
+		for i := range 250 {
+			routes = append(routes, route{fmt.Sprintf("r%d-%d", n%2, i), "archive", fmt.Sprintf("/r%d/%d", n%2, i), []string{"GET"}, "1s"})
+		}
+		data, _ := json.Marshal(map[string]any{"set": "many", "routes": routes})
+		return operator.Change{ID: fmt.Sprint("renamed-", n), Rules: data}
+	}
+	tests := []struct {
+		name    string
+		changes int
+		change  func(n int) operator.Change
+		whole   float64
+	}{
+		{"hundreds of changes", 300, edit, 0},
+		{"below the tombstone horizon", 20, renamed, 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, Places())
+			far := r.index(func(i int, h *host.Host) bool { return !r.places[i].Replica && !r.isRelay(i) })
+			h := r.Running()[far]
+			before := testutil.ToFloat64(h.Metrics().Whole)
+			r.Cut(far)
+			for n := range c.changes {
+				r.apply(c.change(n))
+			}
+			r.Cut()
+			t.Logf("%d changes in force after %s", c.changes, r.inForce(10*time.Second))
+			got := testutil.ToFloat64(h.Metrics().Whole) - before
+			if got != c.whole {
+				t.Errorf("whole snapshots taken: got %g, want %g", got, c.whole)
+			}
+			if h.View().Snapshot.Digest() != r.Running()[r.leader()].View().Snapshot.Digest() {
+				t.Error("content: got another digest than the leader's, want the same")
+			}
+		})
+	}
+}
+
+// relays returns the places of the relays of a failure domain.
+func (r *rig) relays(domain string) []int {
+	var nodes []relay.Node
+	for _, p := range r.places {
+		nodes = append(nodes, relay.Node{Name: p.Name, Domain: p.Domain, Replica: p.Replica})
+	}
+	var list []int
+	for _, n := range relay.Relays(nodes, domain, nil) {
+		list = append(list, r.index(func(i int, _ *host.Host) bool { return r.places[i].Name == n.Name }))
+	}
+	return list
+}
+
+func (r *rig) isRelay(i int) bool {
+	for _, j := range r.relays(r.places[i].Domain) {
+		if i == j {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards R9 when relays die: the other nodes of the failure domain must converge within seconds.
+func TestRelaysKilled(t *testing.T) {
+	for _, killed := range []int{1, 2} {
+		t.Run(fmt.Sprint(killed, " of 2"), func(t *testing.T) {
+			r := start(t, Places())
+			for _, i := range r.relays("lower")[:killed] {
+				_ = r.Stop(i)
+			}
+			r.apply(edit(1))
+			first := r.inForce(5 * time.Second)
+			r.apply(edit(2))
+			t.Logf("the first change was in force after %s, the next after %s", first, r.inForce(5*time.Second))
+		})
+	}
+}
+
+// Guards R9 against a change that every node holds while an upstream that was slow to start, a move between upstreams, or
+// a report to the wrong upstream keeps it from being reported in force until the next poll, 5 s later.
+func TestReportedInForce(t *testing.T) {
+	for i := range 4 {
+		t.Run(fmt.Sprint("start ", i), func(t *testing.T) {
+			r := start(t, Places())
+			began := time.Now()
+			err := r.ops.Wait(context.Background(), r.version, 10*time.Second, func(operator.Progress) {})
+			if took := time.Since(began); err != nil || took > 2*time.Second {
+				t.Errorf("reported in force: got %v after %s, want within 2s", err, took)
+			}
+		})
+	}
+}
--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,12 +32,14 @@
 
 // Mesh is a running mesh.
 type Mesh struct {
-	Hosts    []*host.Host // in the order of the places
+	Hosts    []*host.Host // in the order of the places; nil while a node is stopped
 	Backends []*standin.Server
 	places   []Place
 	settings []*platform.Settings
 	folder   string
 	log      logr.Logger
+	cuts     cuts
+	mu       sync.RWMutex // guards Hosts against Start, Stop and Drain
 }
 
 // Option configures a Mesh.
@@ -87,11 +91,13 @@
 // plan makes the settings of all nodes.
 func (m *Mesh) plan(profile platform.Profile) error {
 	var replicas []platform.Replica
+	network := [4]byte{127, byte(1 + rand.N(254)), byte(rand.N(256)), 0}
 	for _, p := range m.places {
 		if !p.Replica {
 			continue
 		}
-		a, err := freeAddress()
+		network[3]++
+		a, err := freeAddress(netip.AddrFrom4(network))
 		if err != nil {
 			return err
 		}
@@ -121,11 +127,12 @@
 
 // Start starts the node at the given place, which must not run; its peer address stays the same if it is a replica.
 func (m *Mesh) Start(i int) error {
-	h, err := host.New(m.settings[i], m.log)
+	h, err := host.New(m.settings[i], m.log, host.WithDial(m.cuts.dialer(i)))
 	if err != nil {
 		return fmt.Errorf("start %s: %w", m.places[i].Name, err)
 	}
-	m.Hosts[i] = h
+	m.put(i, h)
+	m.cuts.place(i, h.Listen().Peer)
 	m.settings[i].Listen = h.Listen()
 	if !m.places[i].Replica {
 		m.settings[i].Listen.Operator = loopback(0)
@@ -133,18 +140,34 @@
 	return nil
 }
 
+// Cut separates the nodes at the given places silently from all others: messages vanish in both directions and nothing is
+// refused. Nodes on the same side reach each other. Without places the partition heals.
+func (m *Mesh) Cut(places ...int) { m.cuts.set(places) }
+
 // Stop ends the node at the given place at once, as a crash of its process would.
 func (m *Mesh) Stop(i int) error {
-	h := m.Hosts[i]
-	m.Hosts[i] = nil
-	return h.Close()
+	return m.put(i, nil).Close()
+}
+
+// put replaces the node at a place and returns the former one.
+func (m *Mesh) put(i int, h *host.Host) *host.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.Hosts[i]
+	m.Hosts[i] = h
+	return old
+}
+
+// Running returns the nodes in the order of the places; nil stands for a stopped one.
+func (m *Mesh) Running() []*host.Host {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Clone(m.Hosts)
 }
 
 // Drain stops the node at the given place gracefully.
 func (m *Mesh) Drain(i int) error {
-	h := m.Hosts[i]
-	m.Hosts[i] = nil
-	return h.Drain()
+	return m.put(i, nil).Drain()
 }
 
 func (m *Mesh) serve(i int, o meshOptions) error {
@@ -164,7 +187,7 @@
 // Operators returns a client of the operators' listeners.
 func (m *Mesh) Operators() *operator.Client {
 	var list []netip.AddrPort
-	for _, h := range m.Hosts {
+	for _, h := range m.Running() {
 		if h != nil && h.Listen().Operator.IsValid() {
 			list = append(list, h.Listen().Operator)
 		}
@@ -176,7 +199,7 @@
 func (m *Mesh) Await(ctx context.Context, ready func(h *host.Host) bool) error {
 	for {
 		all := true
-		for _, h := range m.Hosts {
+		for _, h := range m.Running() {
 			all = all && (h == nil || ready(h))
 		}
 		if all {
@@ -199,7 +222,7 @@
 		}
 	}
 	var wait sync.WaitGroup
-	for _, h := range m.Hosts {
+	for _, h := range m.Running() {
 		if h != nil {
 			wait.Go(func() { _ = h.Close() })
 		}
@@ -212,9 +235,10 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 }
 
-// freeAddress finds a port that is free now.
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback(0)))
+// freeAddress finds a port that is free now. It is on a loopback address of its own, since every other listener takes any
+// free port of 127.0.0.1 and could take this one before the replica opens it.
+func freeAddress(a netip.Addr) (netip.AddrPort, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0)))
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
 	}
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -50,6 +51,11 @@
 // WithDialTimeout bounds the time for a new connection.
 func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
 
+// WithDial replaces the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // WithNow sets the clock.
 func WithNow(now func() time.Time) Option { return func(c *Client) { c.now = now } }
 
@@ -61,6 +67,7 @@
 	connections int
 	limit       int
 	dialTimeout time.Duration
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	now         func() time.Time
 	transport   *http.Transport
 
@@ -101,6 +108,7 @@
 		Protocols:              &protocols,
 		TLSClientConfig:        c.tls,
 		TLSHandshakeTimeout:    c.dialTimeout,
+		DialContext:            c.dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -43,19 +43,22 @@
 	applied chan struct{}
 	spreads spreads
 	leading bool
+	seen    string // seen by the last turn
+	moved   func() // called when another replica leads
 	expiry  time.Time
 	stop    context.CancelFunc
 	wait    sync.WaitGroup
 }
 
 // newControl starts the control replica on the data folder.
-func newControl(s *platform.Settings, courier *peer.Courier, holder *peer.Holder, tracker *relay.Tracker, m *platform.Metrics, log logr.Logger) (*control, error) {
+func newControl(s *platform.Settings, courier *peer.Courier, holder *peer.Holder, tracker *relay.Tracker, m *platform.Metrics, moved func(), log logr.Logger) (*control, error) {
 	c := &control{
 		name:    s.Name,
 		holder:  holder,
 		tracker: tracker,
 		leases:  lease.New(lease.WithLease(leasePolls * pollOf(s.Profile))),
 		metrics: m,
+		moved:   moved,
 		log:     log,
 		store:   store.New(),
 		applied: make(chan struct{}, 1),
@@ -167,6 +170,10 @@
 func (c *control) turn(ctx context.Context, now time.Time) {
 	st := c.replica.Status()
 	c.metrics.Term.Set(float64(st.Term))
+	if l := agreement.Name(st.Leader); l != c.seen {
+		c.seen = l
+		c.moved()
+	}
 	if st.Role != agreement.Leader {
 		c.resign()
 		return
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -23,11 +24,6 @@
 	"godwitspindle/io/platform"
 )
 
-const (
-	leaveTimeout = 2 * time.Second // to report the leave; the drain goes on without it
-	moveTime     = time.Second     // callers keep-alive connections are told to close for this long
-)
-
 // Host is one running process.
 type Host struct {
 	settings    *platform.Settings
@@ -56,19 +52,30 @@
 	locally *caller.Handler
 
 	peers   *platform.Server
-	servers []*platform.Server
-	bound   map[string]netip.AddrPort // by listener
+	servers map[string]*platform.Server // by listener
+	bound   map[string]netip.AddrPort   // by listener
 	tls     *platform.TLS
 	leaving atomic.Bool
 	// reported is the version for which the nodes below were last reported complete.
 	reported atomic.Uint64
+	dial     Dial
+	followed atomic.Pointer[peer.Follower] // follower, for goroutines that start before it
 
 	mu     sync.Mutex
 	locals map[string]*local
 }
 
+// Dial opens a connection to another node.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a Host.
+type Option func(*Host)
+
+// WithDial replaces the function that opens connections to other nodes, for tests of partitions.
+func WithDial(d Dial) Option { return func(h *Host) { h.dial = d } }
+
 // New starts a process with checked settings; Run waits for its end and Close ends it at once.
-func New(s *platform.Settings, log logr.Logger) (*Host, error) {
+func New(s *platform.Settings, log logr.Logger, opts ...Option) (*Host, error) {
 	h := &Host{
 		settings:    s,
 		log:         log.WithValues("node", s.Name),
@@ -79,6 +86,10 @@
 		budget:      retry.NewBudget(),
 		locals:      map[string]*local{},
 		bound:       map[string]netip.AddrPort{},
+		servers:     map[string]*platform.Server{},
+	}
+	for _, o := range opts {
+		o(h)
 	}
 	for _, start := range []func() error{h.startTransport, h.startHolder, h.startControl, h.startFeed, h.startCalls, h.startPeers, h.startFollower, h.startListeners} {
 		if err := start(); err != nil {
@@ -91,8 +102,8 @@
 }
 
 func (h *Host) startTransport() error {
-	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl)}
-	hopOptions := []hop.Option{hop.WithKey(h.settings.Key)}
+	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl), peer.WithClientDial(h.dial)}
+	hopOptions := []hop.Option{hop.WithKey(h.settings.Key), hop.WithDial(h.dial)}
 	if h.settings.TLS.Enabled() {
 		t, err := platform.NewTLS(h.settings.TLS, platform.WithTLSLogger(h.log))
 		if err != nil {
@@ -134,7 +145,7 @@
 		return nil
 	}
 	h.courier = peer.NewCourier(h.clients, replicaAddress(h.settings), h.log.WithName("courier"))
-	c, err := newControl(h.settings, h.courier, h.holder, h.tracker, h.metrics, h.log.WithName("control"))
+	c, err := newControl(h.settings, h.courier, h.holder, h.tracker, h.metrics, h.led, h.log.WithName("control"))
 	if err != nil {
 		return fmt.Errorf("start the control replica: %w", err)
 	}
@@ -142,6 +153,13 @@
 	return nil
 }
 
+// led follows another replica's leadership: a replica reports only to the leader.
+func (h *Host) led() {
+	if f := h.followed.Load(); f != nil {
+		f.Repoll()
+	}
+}
+
 func (h *Host) startCalls() error {
 	h.backend = newBackend(h)
 	log := h.log.WithName("caller")
@@ -232,31 +250,6 @@
 	}
 }
 
-// Drain reports the leave, refuses new work, finishes calls in flight and closes the process.
-func (h *Host) Drain() error {
-	h.log.Info("draining", "grace", h.settings.Grace.String())
-	h.leaving.Store(true)
-	h.backend.Drain()
-	h.announce.close()
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	if _, err := h.proposer.Announce(ctx, h.announcement(true)); err != nil {
-		h.log.Info("leave not reported; the lease will run out", "error", err.Error())
-	}
-	cancel()
-	time.Sleep(moveTime)
-	ctx, cancel = context.WithTimeout(context.Background(), h.settings.Grace)
-	defer cancel()
-	err := h.backend.Wait(ctx)
-	for _, s := range h.servers {
-		err = errors.Join(err, s.Shutdown(ctx))
-	}
-	err = errors.Join(err, h.callers.Close(), h.locally.Close())
-	if err != nil {
-		h.log.Error(err, "calls were cut at the end of the grace time")
-	}
-	return errors.Join(err, h.Close())
-}
-
 // Close ends the process at once; calls in flight are cut.
 func (h *Host) Close() error {
 	var errs []error
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h.servers = append(h.servers, s)
+	h.servers[label] = s
 	h.bound[label] = s.Address()
 	return s, nil
 }
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -29,6 +29,7 @@
 		peer.WithTransfers(transfers),
 		peer.WithAge(h.age),
 		peer.WithReport(h.heard),
+		peer.WithGiven(h.metrics.Given.Inc),
 		peer.WithLeader(h.leader),
 	}
 	if h.control != nil {
@@ -50,10 +51,11 @@
 		peer.WithFollowerDomain(h.settings.Domain),
 		peer.WithParents(h.parents),
 		peer.WithReports(h.report),
-		peer.WithLost(h.tracker.Lost),
-		peer.WithMoved(h.tracker.Retell),
+		peer.WithLost(h.lost),
+		peer.WithMoved(h.moved),
 		peer.WithPoll(pollOf(h.settings.Profile)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
+		peer.WithTaken(h.taken),
 		peer.WithSynced(h.synced),
 		peer.WithFollowerLog(h.log.WithName("follower")),
 	)
@@ -61,6 +63,7 @@
 		return err
 	}
 	h.follower = f
+	h.followed.Store(f)
 	h.announce = newAnnouncer(
 		func() *rpc.AnnounceRequest { return h.announcement(false) },
 		h.proposer.Announce,
@@ -127,6 +130,25 @@
 	}
 }
 
+// taken counts whole snapshots.
+func (h *Host) taken(whole bool) {
+	if whole {
+		h.metrics.Whole.Inc()
+	}
+}
+
+// lost takes back a report that did not reach the upstream.
+func (h *Host) lost() {
+	h.reported.Store(0)
+	h.tracker.Lost()
+}
+
+// moved prepares the reports for another upstream, which knows nothing of what the former one was told.
+func (h *Host) moved() {
+	h.reported.Store(0)
+	h.tracker.Retell()
+}
+
 // acknowledged sends the report upward as soon as every node below holds the version.
 func (h *Host) acknowledged(held uint64) {
 	if h.Leads() || h.tracker.Children() == 0 || h.tracker.Lowest() < held || h.reported.Swap(held) == held {
--- /dev/null
+++ b/io/peer/choose.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"godwitspindle/io/rpc"
+)
+
+const (
+	// A failed upstream is tried last for a pause that doubles with each failure. A silent one costs seconds, so it gets the
+	// longest pause at once; one that refuses at once costs little and may only be starting.
+	failedPause   = 10 * time.Second
+	refusedPause  = 500 * time.Millisecond
+	refusedWithin = 250 * time.Millisecond
+)
+
+// failure is the last failed poll of an upstream.
+type failure struct {
+	at    time.Time
+	pause time.Duration
+}
+
+// pass polls the upstreams in order until one answers.
+func (f *Follower) pass(ctx context.Context) error {
+	parents := f.ordered()
+	if len(parents) == 0 {
+		sleep(ctx, backoffLeast) // the leading replica takes versions from its own log
+		return nil
+	}
+	var last error
+	for _, p := range parents {
+		f.settle(ctx, p)
+		began := time.Now()
+		last = f.sync(ctx, p)
+		if last == nil {
+			delete(f.failed, p)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return last
+		}
+		f.fail(p, time.Since(began))
+		f.lost()
+	}
+	return last
+}
+
+func (f *Follower) fail(p netip.AddrPort, took time.Duration) {
+	pause := failedPause
+	if took < refusedWithin {
+		pause = min(max(2*f.failed[p].pause, refusedPause), failedPause)
+	}
+	f.failed[p] = failure{at: time.Now(), pause: pause}
+}
+
+// Repoll ends the poll in progress, so that a better upstream is taken at once.
+func (f *Follower) Repoll() {
+	if cancel := f.again.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// settle notes the upstream that is polled next and tells the one before, which would otherwise wait for reports from
+// here. It waits for the answer, so that the farewell cannot overtake a later poll of the same upstream.
+func (f *Follower) settle(ctx context.Context, p netip.AddrPort) {
+	old := f.parent.Swap(&p)
+	if old == nil || *old == p {
+		return
+	}
+	f.moved()
+	if _, failed := f.failed[*old]; failed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
+	defer cancel()
+	_, err := f.clients.At(*old).Sync(ctx, connect.NewRequest(&rpc.SyncRequest{Node: f.name, Incarnation: f.incarnation, Moved: true}))
+	f.log.Info("upstream changed", "from", old.String(), "to", p.String(), "told", err == nil)
+}
+
+// ordered returns the upstreams in order of preference; those that failed recently come last, since a poll of a
+// silent one costs seconds.
+func (f *Follower) ordered() []netip.AddrPort {
+	var good, bad []netip.AddrPort
+	for _, p := range f.parents() {
+		if f.resting(p) > 0 {
+			bad = append(bad, p)
+			continue
+		}
+		good = append(good, p)
+	}
+	return append(good, bad...)
+}
+
+// resting returns how much longer a failed upstream is tried last.
+func (f *Follower) resting(p netip.AddrPort) time.Duration {
+	at, failed := f.failed[p]
+	if !failed {
+		return 0
+	}
+	return time.Until(at.at.Add(at.pause))
+}
+
+// patience returns how long to poll an upstream: until a preferred one that failed may be tried again.
+func (f *Follower) patience(parent netip.AddrPort) time.Duration {
+	wait := f.poll
+	for _, p := range f.parents() {
+		if p == parent {
+			break
+		}
+		if rest := f.resting(p); rest > 0 {
+			wait = min(wait, max(rest, nudgePause))
+		}
+	}
+	return wait
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -54,6 +55,15 @@
 	}
 }
 
+// WithClientDial replaces the function that opens connections; nil keeps the default.
+func WithClientDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientsOption {
+	return func(c *Clients) {
+		if dial != nil {
+			c.transport.DialContext = dial
+		}
+	}
+}
+
 // WithClientObserve sets the function that is told the bytes of each call.
 func WithClientObserve(f Observe) ClientsOption { return func(c *Clients) { c.observe = f } }
 
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -27,6 +27,7 @@
 	holder   *Holder
 	age      func() time.Duration
 	report   func(r *rpc.SyncRequest)
+	given    func()
 	coalesce time.Duration
 	budget   *relay.Budget
 	leader   func() string
@@ -35,6 +36,8 @@
 	mu       sync.Mutex
 	packed   map[uint64]*rpc.SyncResponse // by base version; all for one target version
 	target   uint64
+	closed   context.Context // ends with Close
+	close    context.CancelFunc
 }
 
 // FeedOption configures a Feed.
@@ -54,6 +57,9 @@
 	return func(d *Feed) { d.budget = relay.NewBudget(n) }
 }
 
+// WithGiven sets a function that counts whole snapshots given to other nodes.
+func WithGiven(f func()) FeedOption { return func(d *Feed) { d.given = f } }
+
 // WithLeader sets the function that names the leading replica.
 func WithLeader(f func() string) FeedOption { return func(d *Feed) { d.leader = f } }
 
@@ -73,20 +79,39 @@
 		holder:   holder,
 		age:      func() time.Duration { return -1 },
 		report:   func(*rpc.SyncRequest) {},
+		given:    func() {},
 		budget:   relay.NewBudget(32),
 		leader:   func() string { return "" },
 		redirect: func(string, string) []string { return nil },
 		encoder:  encoder,
 		packed:   map[uint64]*rpc.SyncResponse{},
 	}
+	d.closed, d.close = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(d)
 	}
 	return d, nil
 }
 
-// Sync answers one long poll.
+// Close ends waiting polls without an answer, so that the nodes below go to another upstream at once.
+func (d *Feed) Close() { d.close() }
+
+// Sync answers one long poll; the answer is nil after Close.
 func (d *Feed) Sync(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse {
+	if d.closed.Err() != nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.closed, cancel)()
+	resp := d.poll(ctx, r)
+	if d.closed.Err() != nil {
+		return nil
+	}
+	return resp
+}
+
+func (d *Feed) poll(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse {
 	d.report(r)
 	if r.GetMoved() {
 		return &rpc.SyncResponse{Age: -1}
@@ -156,6 +181,7 @@
 	}
 	resp := d.cached(held, s)
 	if held == 0 {
+		d.given()
 		took := time.Duration(len(resp.GetPacked())) * time.Second / transferRate
 		time.AfterFunc(took, func() { d.budget.Done(took) })
 	}
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -24,7 +24,6 @@
 	backoffMost  = 10 * time.Second
 	readTimeout  = 3 * time.Second
 	syncSlack    = 3 * time.Second // on top of the poll interval before a Sync counts as failed
-	failedPause  = 10 * time.Second
 	nudgePause   = 50 * time.Millisecond
 
 	farewellTimeout = time.Second
@@ -47,14 +46,16 @@
 	poll        time.Duration
 	log         logr.Logger
 	mismatch    func()
+	taken       func(whole bool)
 	synced      func(r *rpc.SyncResponse, v View)
 	lost        func()
 	moved       func()
 	domain      string
 	decoder     *zstd.Decoder
 	nudges      chan struct{}
-	failed      map[netip.AddrPort]time.Time // used only by run
-	confirmed   atomic.Int64                 // Unix nanoseconds of the last quorum confirmation; 0 for never
+	failed      map[netip.AddrPort]failure         // used only by run
+	again       atomic.Pointer[context.CancelFunc] // ends the poll in progress
+	confirmed   atomic.Int64                       // Unix nanoseconds of the last quorum confirmation; 0 for never
 	parent      atomic.Pointer[netip.AddrPort]
 	whole       atomic.Bool
 	stop        context.CancelFunc
@@ -85,6 +86,9 @@
 // WithMismatch sets a function that counts digest mismatches.
 func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
 
+// WithTaken sets a function called for each delta that came into force.
+func WithTaken(t func(whole bool)) FollowerOption { return func(f *Follower) { f.taken = t } }
+
 // WithSynced sets a function called after each answered poll with the answer and the view in force.
 func WithSynced(s func(r *rpc.SyncResponse, v View)) FollowerOption {
 	return func(f *Follower) { f.synced = s }
@@ -116,12 +120,13 @@
 		poll:     5 * time.Second,
 		log:      logr.Discard(),
 		mismatch: func() {},
+		taken:    func(bool) {},
 		synced:   func(*rpc.SyncResponse, View) {},
 		lost:     func() {},
 		moved:    func() {},
 		decoder:  decoder,
 		nudges:   make(chan struct{}, 1),
-		failed:   map[netip.AddrPort]time.Time{},
+		failed:   map[netip.AddrPort]failure{},
 	}
 	for _, o := range opts {
 		o(f)
@@ -193,62 +198,6 @@
 	}
 }
 
-// pass polls the upstreams in order until one answers.
-func (f *Follower) pass(ctx context.Context) error {
-	parents := f.ordered()
-	if len(parents) == 0 {
-		sleep(ctx, backoffLeast) // the leading replica takes versions from its own log
-		return nil
-	}
-	var last error
-	for _, p := range parents {
-		f.settle(ctx, p)
-		last = f.sync(ctx, p)
-		if last == nil {
-			delete(f.failed, p)
-			return nil
-		}
-		if ctx.Err() != nil {
-			return last
-		}
-		f.failed[p] = time.Now()
-		f.lost()
-	}
-	return last
-}
-
-// settle notes the upstream that is polled next and tells the one before, which would otherwise wait for reports from
-// here. It waits for the answer, so that the farewell cannot overtake a later poll of the same upstream.
-func (f *Follower) settle(ctx context.Context, p netip.AddrPort) {
-	old := f.parent.Swap(&p)
-	if old == nil || *old == p {
-		return
-	}
-	f.moved()
-	if _, failed := f.failed[*old]; failed {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
-	defer cancel()
-	_, err := f.clients.At(*old).Sync(ctx, connect.NewRequest(&rpc.SyncRequest{Node: f.name, Incarnation: f.incarnation, Moved: true}))
-	f.log.Info("upstream changed", "from", old.String(), "to", p.String(), "told", err == nil)
-}
-
-// ordered returns the upstreams in order of preference; those that failed recently come last, since a poll of a
-// silent one costs seconds.
-func (f *Follower) ordered() []netip.AddrPort {
-	var good, bad []netip.AddrPort
-	for _, p := range f.parents() {
-		at, failed := f.failed[p]
-		if failed && time.Since(at) < failedPause {
-			bad = append(bad, p)
-			continue
-		}
-		good = append(good, p)
-	}
-	return append(good, bad...)
-}
-
 // Nudge makes the follower send its report now, beside the long poll that may be in progress.
 func (f *Follower) Nudge() {
 	select {
@@ -278,11 +227,18 @@
 }
 
 func (f *Follower) sync(ctx context.Context, parent netip.AddrPort) error {
-	wait := f.poll
+	wait := f.patience(parent)
 	if !f.holder.Proven() || f.holder.View().Snapshot.Version() == 0 {
 		wait = backoffLeast
 	}
-	resp, err := f.ask(ctx, parent, wait)
+	polling, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.again.Store(&cancel)
+	resp, err := f.ask(polling, parent, wait)
+	if err != nil && polling.Err() != nil && ctx.Err() == nil {
+		f.lost()
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -357,33 +313,7 @@
 		return err
 	}
 	f.whole.Store(false)
+	f.taken(delta.GetWhole())
 	f.log.Info("version in force", "version", f.holder.View().Snapshot.Version(), "entries", len(delta.GetEntries()), "whole", delta.GetWhole())
 	return nil
 }
-
-// prove asks the upstreams for the floor until one answers.
-func (f *Follower) prove(ctx context.Context) {
-	for attempt := 1; ctx.Err() == nil && !f.holder.Proven(); attempt++ {
-		for _, p := range f.parents() {
-			floor, err := f.readFloor(ctx, p)
-			if err == nil {
-				f.holder.Prove(floor)
-				f.confirm(time.Now())
-				f.log.Info("floor proven", "floor", floor)
-				return
-			}
-			f.log.V(1).Info("floor not proven", "parent", p.String(), "error", err.Error())
-		}
-		sleep(ctx, min(backoff(attempt), floorPause))
-	}
-}
-
-func (f *Follower) readFloor(ctx context.Context, parent netip.AddrPort) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	resp, err := f.clients.At(parent).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
-	if err != nil {
-		return 0, fmt.Errorf("read the floor from %s: %w", parent, err)
-	}
-	return resp.Msg.GetVersion(), nil
-}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -16,6 +16,11 @@
 
 func (e *NotReplicaError) Error() string { return e.Method + ": this node is not a replica" }
 
+// LeavingError reports an upstream that is stopping.
+type LeavingError struct{}
+
+func (*LeavingError) Error() string { return "this node is leaving" }
+
 // Server answers the inner protocol; each method is a function field, and one that is nil is refused.
 type Server struct {
 	OnDeliver  func(m agreement.Message)
@@ -50,7 +55,11 @@
 	if s.OnSync == nil {
 		return nil, missing("sync")
 	}
-	return connect.NewResponse(s.OnSync(ctx, r.Msg)), nil
+	resp := s.OnSync(ctx, r.Msg)
+	if resp == nil {
+		return nil, unavailable("sync", &LeavingError{})
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // Floor answers with a quorum-confirmed version.
--- a/io/platform/metrics.go
+++ b/io/platform/metrics.go
@@ -26,6 +26,7 @@
 	Version       prometheus.Gauge       // snapshot version in force on this node
 	Age           prometheus.Gauge       // seconds since the last quorum confirmation; negative when never
 	Whole         prometheus.Counter     // full snapshots taken
+	Given         prometheus.Counter     // full snapshots given to other nodes
 	Mismatches    prometheus.Counter     // digest mismatches
 	Commits       prometheus.Counter     // entries committed by the agreed log
 	Term          prometheus.Gauge       // current term
@@ -74,6 +75,7 @@
 		Version:      gauge("snapshot_version", "Configuration version in force."),
 		Age:          gauge("confirmation_age_seconds", "Time since the last quorum confirmation; negative when never."),
 		Whole:        counter("full_transfers_total", "Whole snapshots taken."),
+		Given:        counter("full_transfers_given_total", "Whole snapshots given to other nodes."),
 		Mismatches:   counter("digest_mismatches_total", "Deltas whose digest did not match."),
 		Commits:      counter("agreement_commits_total", "Entries committed by the agreed log."),
 		Term:         gauge("agreement_term", "Current term of the agreed log."),
@@ -85,7 +87,7 @@
 	}
 	m.Registry.MustRegister(
 		m.Calls, m.Added, m.Retries, m.Crossed, m.Running, m.Queued, m.Refusals, m.Claims, m.Quarantine,
-		m.ControlBytes, m.Convergence, m.Version, m.Age, m.Whole, m.Mismatches,
+		m.ControlBytes, m.Convergence, m.Version, m.Age, m.Whole, m.Given, m.Mismatches,
 		m.Commits, m.Term, m.Leader, m.Sync, m.RefusedOpens, m.OperatorCalls,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
