--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -30,6 +30,14 @@
 	last     []string
 }
 
+// Order numbers the polls of one process; a zero number stands for an unknown one.
+type Order struct{ Incarnation, Number uint64 }
+
+// before reports whether o was sent before p by the same process.
+func (o Order) before(p Order) bool {
+	return o.Number > 0 && o.Incarnation == p.Incarnation && o.Number < p.Number
+}
+
 // child is a node that polls this one; a leaf has count 1.
 type child struct {
 	held     uint64
@@ -37,6 +45,7 @@
 	count    uint32
 	laggards []*wire.Laggard
 	heard    time.Time
+	order    Order
 }
 
 // name is a node somewhere below, or this node's child.
@@ -55,14 +64,23 @@
 // Heard records a poll of a child that holds the given version and reports whether any node below came by a new way, which
 // the upstream must be told before it can count that node; report is nil for a node without nodes below it.
 func (t *Tracker) Heard(now time.Time, node string, held uint64, report *wire.Report) (joined bool) {
+	return t.HeardInOrder(now, node, held, report, Order{})
+}
+
+// HeardInOrder is Heard for polls that may overtake each other: one that is older than the last takes nothing back.
+func (t *Tracker) HeardInOrder(now time.Time, node string, held uint64, report *wire.Report, o Order) (joined bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	c := t.children[node]
+	if c != nil && o.before(c.order) {
+		return t.mark(node, node, now) || t.markAll(now, node, report)
+	}
 	if c == nil {
 		c = &child{}
 		t.children[node] = c
 		joined = true
 	}
+	c.order = o
 	c.held, c.lowest, c.count, c.heard, c.laggards = held, held, 1, now, nil
 	joined = t.mark(node, node, now) || joined
 	if report == nil {
@@ -71,6 +89,11 @@
 	c.count = max(report.GetCount(), 1)
 	c.lowest = min(held, report.GetLowest())
 	c.laggards = report.GetLaggards()
+	return t.markAll(now, node, report) || joined
+}
+
+// markAll marks the nodes that a child names and reports whether any came by another way than before.
+func (t *Tracker) markAll(now time.Time, node string, report *wire.Report) (joined bool) {
 	for _, n := range report.GetAlive() {
 		if n == node || n == t.self {
 			continue
--- a/io/demo/faults_test.go
+++ b/io/demo/faults_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"godwitspindle/core/relay"
 	"godwitspindle/io/host"
@@ -145,7 +144,7 @@
 	r.await("all nodes serve again", 15*time.Second, func(h *host.Host) bool { return h.Serving() && h.View().Snapshot.Version() >= r.version })
 	t.Logf("all %d nodes serve %s after the herd returned, %s after the replicas", before, time.Since(began), time.Since(replicas))
 	for i := range 3 {
-		if n := testutil.ToFloat64(r.Running()[i].Metrics().Given); n > 16 {
+		if n := count(r.Running()[i], "full_transfers_given_total"); n > 16 {
 			t.Errorf("whole snapshots given by replica %d: got %g, want at most 16", i, n)
 		}
 	}
@@ -295,14 +294,14 @@
 			r := start(t, Places())
 			far := r.index(func(i int, h *host.Host) bool { return !r.places[i].Replica && !r.isRelay(i) })
 			h := r.Running()[far]
-			before := testutil.ToFloat64(h.Metrics().Whole)
+			before := count(h, "full_transfers_total")
 			r.Cut(far)
 			for n := range c.changes {
 				r.apply(c.change(n))
 			}
 			r.Cut()
 			t.Logf("%d changes in force after %s", c.changes, r.inForce(10*time.Second))
-			got := testutil.ToFloat64(h.Metrics().Whole) - before
+			got := count(h, "full_transfers_total") - before
 			if got != c.whole {
 				t.Errorf("whole snapshots taken: got %g, want %g", got, c.whole)
 			}
@@ -365,3 +364,14 @@
 		})
 	}
 }
+
+// count returns the value of a counter of a node.
+func count(h *host.Host, name string) float64 {
+	families, _ := h.Metrics().Registry.Gather()
+	for _, f := range families {
+		if f.GetName() == "godwitspindle_"+name {
+			return f.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return -1
+}
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -104,13 +104,14 @@
 }
 
 // heard takes the report part of a Sync from a node below.
-func (h *Host) heard(r *rpc.SyncRequest) {
+func (h *Host) heard(r *rpc.SyncRequest, number uint64) {
 	if r.GetMoved() {
 		h.tracker.Forget(r.GetNode())
 		return
 	}
 	now := time.Now()
-	joined := h.tracker.Heard(now, r.GetNode(), r.GetHeld(), r.GetReport())
+	order := relay.Order{Incarnation: r.GetIncarnation(), Number: number}
+	joined := h.tracker.HeardInOrder(now, r.GetNode(), r.GetHeld(), r.GetReport(), order)
 	if h.control != nil {
 		h.control.leases.Heard(now, r.GetNode(), r.GetReport().GetAlive())
 	}
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -26,7 +26,7 @@
 type Feed struct {
 	holder   *Holder
 	age      func() time.Duration
-	report   func(r *rpc.SyncRequest)
+	report   func(r *rpc.SyncRequest, number uint64)
 	given    func()
 	coalesce time.Duration
 	budget   *relay.Budget
@@ -46,8 +46,10 @@
 // WithAge sets the function that tells the age of the last quorum confirmation; negative when there was none.
 func WithAge(f func() time.Duration) FeedOption { return func(d *Feed) { d.age = f } }
 
-// WithReport sets the function that is given the report part of each request.
-func WithReport(f func(r *rpc.SyncRequest)) FeedOption { return func(d *Feed) { d.report = f } }
+// WithReport sets the function that is given the report part of each request and its number, by which late ones are told.
+func WithReport(f func(r *rpc.SyncRequest, number uint64)) FeedOption {
+	return func(d *Feed) { d.report = f }
+}
 
 // WithCoalesce sets how long a new version may wait for a following one before it is passed on.
 func WithCoalesce(t time.Duration) FeedOption { return func(d *Feed) { d.coalesce = t } }
@@ -78,7 +80,7 @@
 	d := &Feed{
 		holder:   holder,
 		age:      func() time.Duration { return -1 },
-		report:   func(*rpc.SyncRequest) {},
+		report:   func(*rpc.SyncRequest, uint64) {},
 		given:    func() {},
 		budget:   relay.NewBudget(32),
 		leader:   func() string { return "" },
@@ -97,22 +99,22 @@
 func (d *Feed) Close() { d.close() }
 
 // Sync answers one long poll; the answer is nil after Close.
-func (d *Feed) Sync(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse {
+func (d *Feed) Sync(ctx context.Context, r *rpc.SyncRequest, number uint64) *rpc.SyncResponse {
 	if d.closed.Err() != nil {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(d.closed, cancel)()
-	resp := d.poll(ctx, r)
+	resp := d.poll(ctx, r, number)
 	if d.closed.Err() != nil {
 		return nil
 	}
 	return resp
 }
 
-func (d *Feed) poll(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse {
-	d.report(r)
+func (d *Feed) poll(ctx context.Context, r *rpc.SyncRequest, number uint64) *rpc.SyncResponse {
+	d.report(r, number)
 	if r.GetMoved() {
 		return &rpc.SyncResponse{Age: -1}
 	}
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,9 @@
 	"godwitspindle/io/rpc"
 )
 
+// headerNumber carries the number of a poll within its process.
+const headerNumber = "Mesh-Number"
+
 const (
 	backoffLeast = 100 * time.Millisecond
 	backoffMost  = 10 * time.Second
@@ -58,6 +62,8 @@
 	confirmed   atomic.Int64                       // Unix nanoseconds of the last quorum confirmation; 0 for never
 	parent      atomic.Pointer[netip.AddrPort]
 	whole       atomic.Bool
+	asking      sync.Mutex
+	number      uint64 // of the last request
 	stop        context.CancelFunc
 	wait        sync.WaitGroup
 }
@@ -260,8 +266,22 @@
 func (f *Follower) ask(ctx context.Context, parent netip.AddrPort, wait time.Duration) (*rpc.SyncResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+syncSlack)
 	defer cancel()
+	req, number := f.request(parent, wait)
+	resp, err := f.clients.At(parent).Sync(ctx, numbered(req, number))
+	if err != nil {
+		return nil, fmt.Errorf("sync with %s: %w", parent, err)
+	}
+	return resp.Msg, nil
+}
+
+// request makes a numbered poll: a push and a long poll may overtake each other on their way, and the older one must not
+// replace what the newer one reports.
+func (f *Follower) request(parent netip.AddrPort, wait time.Duration) (*rpc.SyncRequest, uint64) {
+	f.asking.Lock()
+	defer f.asking.Unlock()
+	f.number++
 	s := f.holder.View().Snapshot
-	req := &rpc.SyncRequest{
+	r := &rpc.SyncRequest{
 		Node:        f.name,
 		Incarnation: f.incarnation,
 		Held:        s.Version(),
@@ -271,13 +291,15 @@
 		Whole:       f.whole.Load(),
 	}
 	if s.Version() == 0 {
-		req.Domain = f.domain
+		r.Domain = f.domain
 	}
-	resp, err := f.clients.At(parent).Sync(ctx, connect.NewRequest(req))
-	if err != nil {
-		return nil, fmt.Errorf("sync with %s: %w", parent, err)
-	}
-	return resp.Msg, nil
+	return r, f.number
+}
+
+func numbered(r *rpc.SyncRequest, number uint64) *connect.Request[rpc.SyncRequest] {
+	c := connect.NewRequest(r)
+	c.Header().Set(headerNumber, strconv.FormatUint(number, 10))
+	return c
 }
 
 // confirm moves the confirmation time forward, never back.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"connectrpc.com/connect"
 
@@ -24,7 +25,7 @@
 // Server answers the inner protocol; each method is a function field, and one that is nil is refused.
 type Server struct {
 	OnDeliver  func(m agreement.Message)
-	OnSync     func(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse
+	OnSync     func(ctx context.Context, r *rpc.SyncRequest, number uint64) *rpc.SyncResponse
 	OnFloor    func(ctx context.Context) (uint64, error)
 	OnPropose  func(ctx context.Context, c *wire.Command) (*wire.Result, error)
 	OnAnnounce func(ctx context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error)
@@ -55,7 +56,8 @@
 	if s.OnSync == nil {
 		return nil, missing("sync")
 	}
-	resp := s.OnSync(ctx, r.Msg)
+	number, _ := strconv.ParseUint(r.Header().Get(headerNumber), 10, 64) // 0 for none
+	resp := s.OnSync(ctx, r.Msg, number)
 	if resp == nil {
 		return nil, unavailable("sync", &LeavingError{})
 	}
