--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -24,7 +24,7 @@
 
 // Reasons of a verdict, for the log line.
 const (
-	ReasonMoved    = "moved"    // the endpoint is draining or unreachable
+	ReasonMoved    = "moved"    // the endpoint is draining, unreachable or not there
 	ReasonNotRun   = "notrun"   // proven not to have run
 	ReasonSafe     = "safe"     // may have run, and is idempotent
 	ReasonAnswered = "answered" // the backend server answered
@@ -97,9 +97,10 @@
 	return Verdict{Retry, ReasonSafe}
 }
 
-// moved reports whether the refusal cost the backend server nothing, so that another endpoint is tried for free.
+// moved reports whether the refusal cost the backend server nothing, so that another endpoint is tried for free. An
+// attempt ends with noendpoint at a node that has restarted and whose backend server has not announced itself again.
 func moved(c outcome.Code) bool {
-	return c == outcome.Draining || c == outcome.Unreachable || c == outcome.Refused
+	return c == outcome.Draining || c == outcome.Unreachable || c == outcome.Refused || c == outcome.NoEndpoint
 }
 
 // final reports whether every endpoint would refuse as well; only overload is worth another attempt besides moved.
--- a/io/demo/faults_test.go
+++ b/io/demo/faults_test.go
@@ -155,15 +155,7 @@
 func TestSourceOut(t *testing.T) {
 	r := start(t, Places())
 	leader := r.leader()
-	var out []int
-	for i, p := range r.places {
-		if p.Replica && (i == leader || len(out) == 0) && len(out) < 2 {
-			out = append(out, i)
-		}
-	}
-	if out[len(out)-1] != leader && out[0] != leader {
-		out[0] = leader
-	}
+	out := []int{leader, r.index(func(i int, _ *host.Host) bool { return r.places[i].Replica && i != leader })}
 	for _, i := range out {
 		_ = r.Stop(i)
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -59,7 +59,10 @@
 	// reported is the version for which the nodes below were last reported complete.
 	reported atomic.Uint64
 	dial     Dial
-	followed atomic.Pointer[peer.Follower] // follower, for goroutines that start before it
+	started  time.Time
+	// redirected is used on replicas only.
+	redirected redirects
+	followed   atomic.Pointer[peer.Follower] // follower, for goroutines that start before it
 
 	mu     sync.Mutex
 	locals map[string]*local
@@ -87,6 +90,7 @@
 		locals:      map[string]*local{},
 		bound:       map[string]netip.AddrPort{},
 		servers:     map[string]*platform.Server{},
+		started:     time.Now(),
 	}
 	for _, o := range opts {
 		o(h)
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -182,22 +182,6 @@
 	h.metrics.Age.Set(h.age().Seconds())
 }
 
-// redirect sends a node without a version to the relays of its failure domain, so that a herd that returns together
-// does not take all its snapshots from the replicas.
-func (h *Host) redirect(node, domain string) []string {
-	t := h.holder.View().Table
-	var list []string
-	for _, n := range relay.Relays(relayNodes(t, h.settings), domain, h.tracker.Fresh(time.Now())) {
-		if n.Name == node {
-			return nil
-		}
-		if !n.Replica {
-			list = append(list, n.Address.String())
-		}
-	}
-	return list
-}
-
 // readFloor reads a quorum-confirmed version: from this replica if it leads, else from the replicas in turn.
 func (h *Host) readFloor(ctx context.Context) (uint64, error) {
 	if h.control != nil {
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -57,6 +57,9 @@
 func (u *upstream) learn(r *rpc.SyncResponse, v peer.View) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if len(r.GetRelays()) > 0 {
+		u.redirect = nil // the newest answer replaces earlier ones
+	}
 	for _, text := range r.GetRelays() {
 		a, err := netip.ParseAddrPort(text)
 		if err == nil {
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -118,13 +118,13 @@
 	if r.GetMoved() {
 		return &rpc.SyncResponse{Age: -1}
 	}
-	if r.GetHeld() == 0 {
+	wait := min(time.Duration(r.GetWait())*time.Millisecond, maxWait)
+	v := d.holder.Wait(ctx, r.GetHeld(), wait)
+	if r.GetHeld() == 0 && v.Snapshot.Version() > 0 {
 		if relays := d.redirect(r.GetNode(), r.GetDomain()); len(relays) > 0 {
 			return &rpc.SyncResponse{Age: -1, Relays: relays, Leader: d.leader()}
 		}
 	}
-	wait := min(time.Duration(r.GetWait())*time.Millisecond, maxWait)
-	v := d.holder.Wait(ctx, r.GetHeld(), wait)
 	if d.coalesce > 0 && v.Snapshot.Version() > r.GetHeld() && r.GetHeld() > 0 {
 		v = d.settle(ctx, v)
 	}
