--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -150,6 +150,22 @@
 			k.Heard(start, "y", 5, nil)
 			k.Heard(start.Add(2*poll), "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
 		}, 2 * poll, 7, 3, "", "r s y"},
+		{"late farewell of a node that came by another way", func(k *Tracker) {
+			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
+			k.Forget("y")
+		}, 0, 7, 3, "", "r s y"},
+		{"forgotten with those it named", func(k *Tracker) {
+			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
+			k.Forget("s")
+		}, 0, 7, 1, "", "r"},
+		{"overtaken report", func(k *Tracker) {
+			k.HeardInOrder(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s"}}, Order{1, 9})
+			k.HeardInOrder(start, "s", 6, &wire.Report{Lowest: 5, Count: 1, Alive: []string{"y"}}, Order{1, 8})
+		}, 0, 7, 3, "", "r s y"},
+		{"restarted child counts anew", func(k *Tracker) {
+			k.HeardInOrder(start, "s", 7, nil, Order{1, 9})
+			k.HeardInOrder(start, "s", 5, nil, Order{2, 1})
+		}, 0, 5, 2, "s:5:STALE", "r s"},
 		{"silent for two polls", leaves, 2 * poll, 5, 3, "y:5:UNREACHABLE x:7:UNREACHABLE", "r x y"},
 		{"silent for a lease", leaves, 3 * poll, 7, 1, "", "r"},
 		{"refused names itself once", func(k *Tracker) {
--- /dev/null
+++ b/io/demo/process_test.go
@@ -0,0 +1,152 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"godwitspindle/examples"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/standin"
+)
+
+// process is one node as a real process, with a backend server in the test process.
+type process struct {
+	file    string
+	listen  map[string]string
+	command *exec.Cmd
+	backend *standin.Server
+}
+
+func (p *process) start(t *testing.T, binary string) {
+	t.Helper()
+	p.command = exec.Command(binary, "node", p.file)
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// settle writes the settings of three replicas, each on a loopback address of its own.
+func settle(t *testing.T, folder string) []*process {
+	t.Helper()
+	list := make([]*process, 3)
+	var replicas []map[string]string
+	for i := range list {
+		list[i] = &process{file: filepath.Join(folder, fmt.Sprintf("n%d.json", i)), listen: map[string]string{}}
+		for _, k := range []string{"caller", "local", "backend", "peer", "operator", "metrics"} {
+			a, err := freeAddress(netip.AddrFrom4([4]byte{127, 1, byte(os.Getpid()), byte(10 + i)}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			list[i].listen[k] = a.String()
+		}
+		replicas = append(replicas, map[string]string{"name": fmt.Sprint("n", i), "address": list[i].listen["peer"]})
+	}
+	for i, p := range list {
+		data, _ := json.Marshal(map[string]any{
+			"name": fmt.Sprint("n", i), "region": "munnar", "domain": []string{"lower", "upper", "kochi"}[i],
+			"data": filepath.Join(folder, fmt.Sprint("n", i)), "replicas": replicas, "listen": p.listen,
+		})
+		if err := os.WriteFile(p.file, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Mkdir(filepath.Join(folder, fmt.Sprint("n", i)), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return list
+}
+
+// Guards R1, R8 and R9 with real processes: a node killed at once does not come back to its version, or a node told to stop
+// under load cuts a call or exits with another status than 0.
+func TestProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the program")
+	}
+	t.Parallel()
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "godwitspindle")
+	if out, err := exec.Command("go", "build", "-o", binary, "godwitspindle").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	nodes := settle(t, folder)
+	r := &rig{T: t, Mesh: &Mesh{}}
+	var operators []netip.AddrPort
+	var callers []string
+	for i, p := range nodes {
+		p.start(t, binary)
+		t.Cleanup(func() {
+			_ = p.command.Process.Kill()
+			_ = p.command.Wait()
+		})
+		b, err := standin.New(standin.WithNode(netip.MustParseAddrPort(p.listen["backend"])), standin.WithEndpoint("counter", fmt.Sprint("n", i)), standin.WithLatency(10*time.Millisecond))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.backend = b
+		t.Cleanup(func() { _ = b.Close() })
+		r.Backends = append(r.Backends, b)
+		operators = append(operators, netip.MustParseAddrPort(p.listen["operator"]))
+		callers = append(callers, p.listen["caller"])
+	}
+	r.ops = operator.NewClient(operator.WithAddresses(operators...))
+	t.Cleanup(r.ops.Close)
+	awaitNodes(r, 3)
+	r.apply(operator.Change{ID: "register", Register: examples.SahyadriRegister})
+	r.apply(operator.Change{ID: "rules", Rules: examples.SahyadriRules})
+	if err := nodes[0].command.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_ = nodes[0].command.Wait()
+	r.apply(edit(1))
+	nodes[0].start(t, binary)
+	began := time.Now()
+	awaitWhole(t, callers[0])
+	if err := r.ops.Wait(context.Background(), r.version, 10*time.Second, func(operator.Progress) {}); err != nil {
+		t.Errorf("change made while a node was down: got %v, want in force", err)
+	}
+	t.Logf("the killed node served the newest version %s after its restart", time.Since(began))
+	l := r.run(6, func() []string { return callers })
+	time.Sleep(500 * time.Millisecond)
+	if err := nodes[1].command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	began = time.Now()
+	if err := nodes[1].command.Wait(); err != nil {
+		t.Errorf("exit after SIGTERM: got %v, want status 0", err)
+	}
+	t.Logf("stopped in %s", time.Since(began))
+	time.Sleep(300 * time.Millisecond)
+	r.end(l)
+}
+
+// awaitNodes waits until the mesh has n nodes.
+func awaitNodes(r *rig, n int) {
+	r.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		s, err := r.ops.Status(context.Background())
+		if err == nil && s.Nodes == n {
+			return
+		}
+	}
+	r.Fatalf("nodes: got fewer, want %d within 10s", n)
+}
+
+// awaitWhole waits until a caller gets a whole answer.
+func awaitWhole(t *testing.T, address string) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if send(http.DefaultClient, address, http.MethodGet, "/fares", "").whole {
+			return
+		}
+	}
+	t.Fatalf("calls at %s: got no whole answer, want one within 10s", address)
+}
