--- /dev/null
+++ b/io/demo/leave_test.go
@@ -0,0 +1,87 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"godwitspindle/io/host"
+)
+
+// Guards R7 and R8 when one backend server leaves under load: new work reaches it more than a second after the leave, or a
+// call fails.
+func TestBackendLeaves(t *testing.T) {
+	r := start(t, Places())
+	l := r.run(8, r.callers)
+	time.Sleep(500 * time.Millisecond)
+	leaver := r.index(func(i int, _ *host.Host) bool { return r.places[i].Service == "counter" })
+	b := r.Backends[leaver]
+	if err := b.Leave(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	at, last, served := time.Now(), time.Duration(0), b.Served()
+	for time.Since(at) < 3*time.Second {
+		if n := b.Served(); n != served {
+			last, served = time.Since(at), n
+		}
+		time.Sleep(time.Millisecond)
+	}
+	r.end(l)
+	t.Logf("last new work %s after the leave", last)
+	if last > time.Second {
+		t.Errorf("last new work: got %s after the leave, want within 1s", last)
+	}
+}
+
+// Guards R8 and R6 when a node stops as planned under load: a call in flight is cut or fails, the node's own endpoint takes
+// new work, or the listener for callers closes before they had a second to move away.
+func TestNodeDrains(t *testing.T) {
+	r := start(t, Places(), WithLatency(20*time.Millisecond))
+	l := r.run(8, r.callers)
+	time.Sleep(500 * time.Millisecond)
+	i := r.index(func(i int, h *host.Host) bool { return r.places[i].Service == "counter" && !h.Leads() })
+	began, ended := time.Now(), make(chan error)
+	go func() { ended <- r.Drain(i) }()
+	time.Sleep(50 * time.Millisecond) // the calls that were admitted before take 20 ms
+	served := r.Backends[i].Served()
+	for time.Since(began) < 900*time.Millisecond {
+		a := send(http.DefaultClient, r.callers()[i], http.MethodGet, "/fares", "")
+		if !a.whole || !a.closing {
+			t.Errorf("call at the draining node after %s: got %+v, want a whole answer with Connection: close", time.Since(began), a)
+		}
+	}
+	if n := r.Backends[i].Served() - served; n > 0 {
+		t.Errorf("new work at the draining endpoint: got %d calls, want 0", n)
+	}
+	err, took := <-ended, time.Since(began)
+	if a := send(http.DefaultClient, r.callers()[i], http.MethodGet, "/fares", ""); !errors.Is(a.err, syscall.ECONNREFUSED) {
+		t.Errorf("call after the drain: got %+v, want a refused connection", a)
+	}
+	r.end(l)
+	t.Logf("drained in %s", took)
+	if err != nil || took > 3*time.Second {
+		t.Errorf("drain: got %v after %s, want none within 3s (1s for callers to move away, 1s of HTTP/2, calls of 20ms)", err, took)
+	}
+}
+
+// Guards R8 in a rolling restart of all nodes under load: a call is lost or cut, or a node does not come back.
+func TestRollingRestart(t *testing.T) {
+	r := start(t, herd(6), WithLatency(5*time.Millisecond))
+	l := r.run(6, r.callers)
+	for i := range r.places {
+		if err := r.Drain(i); err != nil {
+			t.Errorf("drain %s: got %v, want none", r.places[i].Name, err)
+		}
+		if err := r.Start(i); err != nil {
+			t.Fatal(err)
+		}
+		r.await("all nodes and endpoints agreed", 10*time.Second, func(h *host.Host) bool {
+			_, e := h.View().Snapshot.Members()
+			return h.Serving() && len(h.View().Table.Nodes()) == len(r.places) && len(e) == len(r.places)
+		})
+	}
+	r.end(l)
+}
--- a/io/demo/path_test.go
+++ b/io/demo/path_test.go
@@ -73,8 +73,8 @@
 	return u
 }
 
-// load sends n calls at a steady rate from 16 connections, and returns what they and the answering took.
-func load(b *testing.B, address netip.AddrPort, n, rate int) usage {
+// paced sends n calls at a steady rate from 16 connections, and returns what they and the answering took.
+func paced(b *testing.B, address netip.AddrPort, n, rate int) usage {
 	b.Helper()
 	const workers = 16
 	t := &http.Transport{MaxIdleConnsPerHost: workers, MaxConnsPerHost: workers}
@@ -119,11 +119,11 @@
 func BenchmarkPath(b *testing.B) {
 	m := newPair(b, nil)
 	forwarded, direct := m.Hosts[0].Listen().Caller, m.Backends[1].Address()
-	load(b, forwarded, 500, 1000)
+	paced(b, forwarded, 500, 1000)
 	for _, rate := range []int{500, 2000} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
 			n := max(b.N, 2*rate)
-			d, f := load(b, direct, n, rate), load(b, forwarded, n, rate)
+			d, f := paced(b, direct, n, rate), paced(b, forwarded, n, rate)
 			for _, q := range []float64{50, 99} {
 				b.ReportMetric(float64(f.latency.ValueAtQuantile(q)-d.latency.ValueAtQuantile(q))/1e3, fmt.Sprintf("p%.0f-added-us", q))
 				b.ReportMetric(float64(d.latency.ValueAtQuantile(q))/1e3, fmt.Sprintf("p%.0f-direct-us", q))
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -55,6 +55,11 @@
 // WithCrossed sets a function called for each answer that is dropped because it names another call.
 func WithCrossed(f func()) Option { return func(c *Client) { c.crossed = f } }
 
+// WithDial replaces the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // WithNow sets the clock.
 func WithNow(now func() time.Time) Option { return func(c *Client) { c.now = now } }
 
@@ -66,6 +71,7 @@
 	connections int
 	limit       int
 	dialTimeout time.Duration
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	now         func() time.Time
 	transport   *http.Transport
 	crossed     func()
@@ -106,6 +112,7 @@
 	c.transport = &http.Transport{
 		Protocols:              &protocols,
 		DialTLSContext:         c.dialTLS,
+		DialContext:            c.dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -29,6 +29,7 @@
 		peer.WithTransfers(transfers),
 		peer.WithAge(h.age),
 		peer.WithReport(h.heard),
+		peer.WithGiven(h.metrics.Given.Inc),
 		peer.WithLeader(h.leader),
 	}
 	if h.control != nil {
@@ -49,11 +50,11 @@
 		peer.WithFollowerDomain(h.settings.Domain),
 		peer.WithParents(h.parents),
 		peer.WithReports(h.report),
-		peer.WithLost(h.tracker.Lost),
-		peer.WithMoved(h.tracker.Retell),
+		peer.WithLost(h.lost),
+		peer.WithMoved(h.moved),
 		peer.WithPoll(pollOf(h.settings.Profile)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
-		peer.WithWhole(h.metrics.Whole.Inc),
+		peer.WithTaken(h.taken),
 		peer.WithSynced(h.synced),
 		peer.WithFollowerLog(h.log.WithName("follower")),
 	}
@@ -65,6 +66,7 @@
 		return err
 	}
 	h.follower = f
+	h.followed.Store(f)
 	h.announce = newAnnouncer(
 		func() *rpc.AnnounceRequest { return h.announcement(false) },
 		h.proposer.Announce,
@@ -105,13 +107,14 @@
 }
 
 // heard takes the report part of a Sync from a node below.
-func (h *Host) heard(r *rpc.SyncRequest) {
+func (h *Host) heard(r *rpc.SyncRequest, number uint64) {
 	if r.GetMoved() {
 		h.tracker.Forget(r.GetNode())
 		return
 	}
 	now := time.Now()
-	joined := h.tracker.Heard(now, r.GetNode(), r.GetHeld(), r.GetReport())
+	order := relay.Order{Incarnation: r.GetIncarnation(), Number: number}
+	joined := h.tracker.HeardInOrder(now, r.GetNode(), r.GetHeld(), r.GetReport(), order)
 	if h.control != nil {
 		h.control.leases.Heard(now, r.GetNode(), r.GetReport().GetAlive())
 	}
@@ -131,6 +134,27 @@
 	}
 }
 
+// taken counts what came into force by a transfer.
+func (h *Host) taken(whole bool) {
+	if whole {
+		h.metrics.Whole.Inc()
+		return
+	}
+	h.metrics.Deltas.Inc()
+}
+
+// lost takes back a report that did not reach the upstream.
+func (h *Host) lost() {
+	h.reported.Store(0)
+	h.tracker.Lost()
+}
+
+// moved prepares the reports for another upstream, which knows nothing of what the former one was told.
+func (h *Host) moved() {
+	h.reported.Store(0)
+	h.tracker.Retell()
+}
+
 // acknowledged sends the report upward as soon as every node below holds the version.
 func (h *Host) acknowledged(held uint64) {
 	if h.Leads() || h.tracker.Children() == 0 || h.tracker.Lowest() < held || h.reported.Swap(held) == held {
@@ -162,22 +186,6 @@
 	h.upstream.learn(r, v)
 }
 
-// redirect sends a node without a version to the relays of its failure domain, so that a herd that returns together
-// does not take all its snapshots from the replicas.
-func (h *Host) redirect(node, domain string) []string {
-	t := h.holder.View().Table
-	var list []string
-	for _, n := range relay.Relays(relayNodes(t, h.settings), domain, h.tracker.Fresh(time.Now())) {
-		if n.Name == node {
-			return nil
-		}
-		if !n.Replica {
-			list = append(list, n.Address.String())
-		}
-	}
-	return list
-}
-
 // readFloor reads a quorum-confirmed version: from this replica if it leads, else from the replicas in turn.
 func (h *Host) readFloor(ctx context.Context) (uint64, error) {
 	if h.control != nil {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// WithClientDial replaces the function that opens connections; nil keeps the default.
+func WithClientDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientsOption {
+	return func(c *Clients) {
+		if dial != nil {
+			c.transport.DialContext = dial
+		}
+	}
+}
+
 // WithClientObserve sets the function that is told the bytes of each call.
 func WithClientObserve(f Observe) ClientsOption { return func(c *Clients) { c.observe = f } }
 
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -26,7 +26,8 @@
 type Feed struct {
 	holder   *Holder
 	age      func() time.Duration
-	report   func(r *rpc.SyncRequest)
+	report   func(r *rpc.SyncRequest, number uint64)
+	given    func()
 	coalesce time.Duration
 	budget   *relay.Budget
 	leader   func() string
@@ -35,6 +36,8 @@
 	mu       sync.Mutex
 	packed   map[uint64]*rpc.SyncResponse // by base version; all for one target version
 	target   uint64
+	closed   context.Context // ends with Close
+	close    context.CancelFunc
 }
 
 // FeedOption configures a Feed.
@@ -43,8 +46,10 @@
 // WithAge sets the function that tells the age of the last quorum confirmation; negative when there was none.
 func WithAge(f func() time.Duration) FeedOption { return func(d *Feed) { d.age = f } }
 
-// WithReport sets the function that is given the report part of each request.
-func WithReport(f func(r *rpc.SyncRequest)) FeedOption { return func(d *Feed) { d.report = f } }
+// WithReport sets the function that is given the report part of each request and its number, by which late ones are told.
+func WithReport(f func(r *rpc.SyncRequest, number uint64)) FeedOption {
+	return func(d *Feed) { d.report = f }
+}
 
 // WithCoalesce sets how long a new version may wait for a following one before it is passed on.
 func WithCoalesce(t time.Duration) FeedOption { return func(d *Feed) { d.coalesce = t } }
@@ -54,6 +59,9 @@
 	return func(d *Feed) { d.budget = relay.NewBudget(n) }
 }
 
+// WithGiven sets a function that counts whole snapshots given to other nodes.
+func WithGiven(f func()) FeedOption { return func(d *Feed) { d.given = f } }
+
 // WithLeader sets the function that names the leading replica.
 func WithLeader(f func() string) FeedOption { return func(d *Feed) { d.leader = f } }
 
@@ -72,32 +80,51 @@
 	d := &Feed{
 		holder:   holder,
 		age:      func() time.Duration { return -1 },
-		report:   func(*rpc.SyncRequest) {},
+		report:   func(*rpc.SyncRequest, uint64) {},
+		given:    func() {},
 		budget:   relay.NewBudget(32),
 		leader:   func() string { return "" },
 		redirect: func(string, string) []string { return nil },
 		encoder:  encoder,
 		packed:   map[uint64]*rpc.SyncResponse{},
 	}
+	d.closed, d.close = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(d)
 	}
 	return d, nil
 }
 
-// Sync answers one long poll.
-func (d *Feed) Sync(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse {
-	d.report(r)
+// Close ends waiting polls without an answer, so that the nodes below go to another upstream at once.
+func (d *Feed) Close() { d.close() }
+
+// Sync answers one long poll; the answer is nil after Close.
+func (d *Feed) Sync(ctx context.Context, r *rpc.SyncRequest, number uint64) *rpc.SyncResponse {
+	if d.closed.Err() != nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.closed, cancel)()
+	resp := d.poll(ctx, r, number)
+	if d.closed.Err() != nil {
+		return nil
+	}
+	return resp
+}
+
+func (d *Feed) poll(ctx context.Context, r *rpc.SyncRequest, number uint64) *rpc.SyncResponse {
+	d.report(r, number)
 	if r.GetMoved() {
 		return &rpc.SyncResponse{Age: -1}
 	}
-	if r.GetHeld() == 0 {
+	wait := min(time.Duration(r.GetWait())*time.Millisecond, maxWait)
+	v := d.holder.Wait(ctx, r.GetHeld(), wait)
+	if r.GetHeld() == 0 && v.Snapshot.Version() > 0 {
 		if relays := d.redirect(r.GetNode(), r.GetDomain()); len(relays) > 0 {
 			return &rpc.SyncResponse{Age: -1, Relays: relays, Leader: d.leader()}
 		}
 	}
-	wait := min(time.Duration(r.GetWait())*time.Millisecond, maxWait)
-	v := d.holder.Wait(ctx, r.GetHeld(), wait)
 	if d.coalesce > 0 && v.Snapshot.Version() > r.GetHeld() && r.GetHeld() > 0 {
 		v = d.settle(ctx, v)
 	}
@@ -156,6 +183,7 @@
 	}
 	resp := d.cached(held, s)
 	if held == 0 {
+		d.given()
 		took := time.Duration(len(resp.GetPacked())) * time.Second / transferRate
 		time.AfterFunc(took, func() { d.budget.Done(took) })
 	}
--- /dev/null
+++ b/io/peer/prove.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"godwitspindle/io/rpc"
+)
+
+// prove reads the floor until that succeeds.
+func (f *Follower) prove(ctx context.Context) {
+	for attempt := 1; ctx.Err() == nil && !f.holder.Proven(); attempt++ {
+		floor, err := f.floor(ctx)
+		if err == nil {
+			f.holder.Prove(floor)
+			f.confirm(time.Now())
+			f.log.Info("floor proven", "floor", floor)
+			return
+		}
+		f.log.V(1).Info("floor not proven", "error", err.Error())
+		sleep(ctx, min(backoff(attempt), floorPause))
+	}
+}
+
+// askFloor asks the upstreams in order for a quorum-confirmed version.
+func (f *Follower) askFloor(ctx context.Context) (uint64, error) {
+	var last error = &NoParentError{}
+	for _, p := range f.parents() {
+		floor, err := f.readFloor(ctx, p)
+		if err == nil {
+			return floor, nil
+		}
+		last = err
+	}
+	return 0, last
+}
+
+func (f *Follower) readFloor(ctx context.Context, parent netip.AddrPort) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	resp, err := f.clients.At(parent).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
+	if err != nil {
+		return 0, fmt.Errorf("read the floor from %s: %w", parent, err)
+	}
+	return resp.Msg.GetVersion(), nil
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"connectrpc.com/connect"
 
@@ -16,10 +17,15 @@
 
 func (e *NotReplicaError) Error() string { return e.Method + ": this node is not a replica" }
 
+// LeavingError reports an upstream that is stopping.
+type LeavingError struct{}
+
+func (*LeavingError) Error() string { return "this node is leaving" }
+
 // Server answers the inner protocol; each method is a function field, and one that is nil is refused.
 type Server struct {
 	OnDeliver  func(m agreement.Message)
-	OnSync     func(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse
+	OnSync     func(ctx context.Context, r *rpc.SyncRequest, number uint64) *rpc.SyncResponse
 	OnFloor    func(ctx context.Context) (uint64, error)
 	OnPropose  func(ctx context.Context, c *wire.Command) (*wire.Result, error)
 	OnAnnounce func(ctx context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error)
@@ -50,7 +56,12 @@
 	if s.OnSync == nil {
 		return nil, missing("sync")
 	}
-	return connect.NewResponse(s.OnSync(ctx, r.Msg)), nil
+	number, _ := strconv.ParseUint(r.Header().Get(headerNumber), 10, 64) // 0 for none
+	resp := s.OnSync(ctx, r.Msg, number)
+	if resp == nil {
+		return nil, unavailable("sync", &LeavingError{})
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // Floor answers with a quorum-confirmed version.
