feat(replica): bound the time that a leader writes into commands; replicas method between nodes

Cause: commands carried the leader's clock and state time is the maximum seen, so one leader with a clock far ahead would expire all claims and change ids for good. A leader stamps its clock, but not beyond the later of the last state time of another leader plus monotonic time plus 5 min, and the time that the clocks of a majority of voters have reached (Deliver answers with the receiver's clock). TestStamp and TestWrongClock hold the bound, and that a real outage moves time on.

--- a/io/peer/deliver.go
+++ b/io/peer/deliver.go
@@ -17,6 +17,7 @@
 const (
 	outboxMessages = 4096 // older messages are dropped beyond this; the protocol resends what matters
 	deliverTimeout = 3 * time.Second
+	clockAge       = time.Minute           // an older answer says nothing about a clock any more
 	retryDelay     = 50 * time.Millisecond // pause after a failed delivery, so that a dead peer costs little
 )
 
@@ -30,12 +31,19 @@
 	wait    sync.WaitGroup
 	mu      sync.Mutex
 	queues  map[string]chan agreement.Message
+	clocks  map[string]clock // by replica name
+}
+
+// What another replica's clock showed, and when.
+type clock struct {
+	shown time.Time
+	heard time.Time
 }
 
 // NewCourier returns a courier; address maps a replica identity to its peer listener.
 func NewCourier(clients *Clients, address func(string) (netip.AddrPort, bool), log logr.Logger) *Courier {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Courier{clients: clients, address: address, log: log, ctx: ctx, stop: stop, queues: map[string]chan agreement.Message{}}
+	return &Courier{clients: clients, address: address, log: log, ctx: ctx, stop: stop, queues: map[string]chan agreement.Message{}, clocks: map[string]clock{}}
 }
 
 // Send queues a message for its recipient and never blocks; a full queue drops the message.
@@ -88,8 +96,9 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, deliverTimeout)
 	defer cancel()
-	_, err := c.clients.At(address).Deliver(ctx, connect.NewRequest(&rpc.DeliverRequest{Messages: batch}))
+	resp, err := c.clients.At(address).Deliver(ctx, connect.NewRequest(&rpc.DeliverRequest{Messages: batch}))
 	if err == nil {
+		c.noteClock(agreement.Name(to), resp.Msg.GetTime())
 		return
 	}
 	c.log.V(1).Info("agreement messages not delivered", "to", to, "messages", len(batch), "error", err.Error())
@@ -98,3 +107,24 @@
 	case <-time.After(retryDelay):
 	}
 }
+
+func (c *Courier) noteClock(name string, ms int64) {
+	if ms == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clocks[name] = clock{shown: time.UnixMilli(ms), heard: time.Now()}
+}
+
+// Clock returns what the clock of a replica shows now, by its last answer; false when none is recent.
+func (c *Courier) Clock(name string) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k, ok := c.clocks[name]
+	if !ok {
+		return time.Time{}, false
+	}
+	since := time.Since(k.heard)
+	return k.shown.Add(since), since < clockAge
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -24,6 +25,7 @@
 	OnPropose  func(ctx context.Context, c *wire.Command) (*wire.Result, error)
 	OnAnnounce func(ctx context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error)
 	OnStatus   func(ctx context.Context, r *rpc.StatusRequest) (*rpc.StatusResponse, error)
+	OnReplicas func(ctx context.Context, r *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error)
 }
 
 func unavailable(method string, err error) error {
@@ -42,7 +44,7 @@
 	for _, m := range r.Msg.GetMessages() {
 		s.OnDeliver(Decode(m))
 	}
-	return connect.NewResponse(&rpc.DeliverResponse{}), nil
+	return connect.NewResponse(&rpc.DeliverResponse{Time: time.Now().UnixMilli()}), nil
 }
 
 // Sync answers one long poll.
@@ -100,3 +102,15 @@
 	}
 	return connect.NewResponse(resp), nil
 }
+
+// Replicas answers with the identity of this replica or, on the leader, lists or changes the member set.
+func (s *Server) Replicas(ctx context.Context, r *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error) {
+	if s.OnReplicas == nil {
+		return nil, missing("replicas")
+	}
+	resp, err := s.OnReplicas(ctx, r.Msg)
+	if err != nil {
+		return nil, unavailable("replicas", err)
+	}
+	return connect.NewResponse(resp), nil
+}
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -160,11 +160,18 @@
 			if err := r.restore(s.Data); err != nil {
 				return &StateError{Index: s.Index, Step: "restore", Err: err}
 			}
+			r.time.note(r.now(), r.stateTime())
 		}
 		r.snapshot, r.index, r.count, r.size = *s, s.Index, 0, 0
 	}
+	own := uint64(0) // term that this replica leads
+	if len(e.Committed) > 0 {
+		if s := r.core.Status(); s.Role == agreement.Leader {
+			own = s.Term
+		}
+	}
 	for _, n := range e.Committed {
-		if err := r.applyOne(n); err != nil {
+		if err := r.applyOne(n, own); err != nil {
 			return err
 		}
 	}
@@ -174,7 +181,7 @@
 	return nil
 }
 
-func (r *Replica) applyOne(e agreement.Entry) error {
+func (r *Replica) applyOne(e agreement.Entry, own uint64) error {
 	var result *wire.Result
 	if e.Kind == agreement.Command {
 		c := &wire.Command{}
@@ -182,6 +189,9 @@
 			return &StateError{Index: e.Index, Step: "decode", Err: err}
 		}
 		result = r.apply(e.Index, c)
+		if e.Term != own {
+			r.time.note(r.now(), time.UnixMilli(c.GetTime()))
+		}
 	}
 	r.index = e.Index
 	r.count++
--- a/io/replica/option.go
+++ b/io/replica/option.go
@@ -22,7 +22,7 @@
 	names               []string
 	disk                []disk.Option
 	election, heartbeat time.Duration
-	now                 func() time.Time
+	now, wall           func() time.Time
 	random              func(d time.Duration) time.Duration
 	send                func(m agreement.Message)
 	apply               func(index uint64, c *wire.Command) *wire.Result
@@ -30,16 +30,21 @@
 	restore             func(data []byte) error
 	version             func() uint64
 	applied             func(version uint64)
+	clock               func(name string) (time.Time, bool)
+	stateTime           func() time.Time
 	entries, bytes      int
 }
 
 func defaults() settings {
 	return settings{
 		election: time.Second, heartbeat: 100 * time.Millisecond,
-		now:     time.Now,
-		random:  func(d time.Duration) time.Duration { return rand.N(d) },
-		applied: func(uint64) {},
-		entries: compactEntries, bytes: compactBytes,
+		now:       time.Now,
+		wall:      time.Now,
+		random:    func(d time.Duration) time.Duration { return rand.N(d) },
+		applied:   func(uint64) {},
+		clock:     func(string) (time.Time, bool) { return time.Time{}, false },
+		stateTime: func() time.Time { return time.Time{} },
+		entries:   compactEntries, bytes: compactBytes,
 	}
 }
 
@@ -78,6 +83,9 @@
 // WithClock replaces the clock; it must be monotonic.
 func WithClock(now func() time.Time) Option { return func(s *settings) { s.now = now } }
 
+// WithWall replaces the clock whose time goes into commands.
+func WithWall(wall func() time.Time) Option { return func(s *settings) { s.wall = wall } }
+
 // WithSend sets how messages leave: it is called from the loop, must not block, and may lose messages. To is an
 // identity NAME/INCARNATION or, for agreement.Ask, a name; agreement.Name gives the name in both cases.
 func WithSend(f func(m agreement.Message)) Option { return func(s *settings) { s.send = f } }
@@ -99,6 +107,14 @@
 // WithApplied sets a function that is called from the loop after a round applied entries or a snapshot.
 func WithApplied(f func(version uint64)) Option { return func(s *settings) { s.applied = f } }
 
+// WithClocks sets the source of what the clocks of other replicas show now, by name; false when not known.
+func WithClocks(f func(name string) (time.Time, bool)) Option {
+	return func(s *settings) { s.clock = f }
+}
+
+// WithStateTime sets the source of the state machine's time after a restore.
+func WithStateTime(f func() time.Time) Option { return func(s *settings) { s.stateTime = f } }
+
 // WithCompaction sets after how many applied entries or bytes of them a snapshot replaces the log.
 func WithCompaction(entries, bytes int) Option {
 	return func(s *settings) { s.entries, s.bytes = entries, bytes }
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -41,6 +41,7 @@
 	once   sync.Once
 	status atomic.Pointer[agreement.Status]
 	err    error // set before done is closed
+	time   stamper
 
 	// Owned by the loop.
 	snapshot     agreement.Snapshot
@@ -103,6 +104,7 @@
 		if err := r.restore(d.Snapshot.Data); err != nil {
 			return &StateError{Index: r.index, Step: "restore", Err: err}
 		}
+		r.time.note(r.now(), r.stateTime())
 	}
 	r.core, err = agreement.New(agreement.WithID(r.id), agreement.WithFounders(r.names...),
 		agreement.WithElection(r.election), agreement.WithHeartbeat(r.heartbeat), agreement.WithRandom(r.random),
@@ -157,10 +159,13 @@
 	return max(0, r.now().Sub(at))
 }
 
-// Propose returns the result of a command after commit and apply, stamped with this replica's clock. It fails with
+// Propose returns the result of a command after commit and apply, stamped with this replica's clock within the bounds of
+// stamper. It fails with
 // *agreement.NotLeaderError, *BusyError or *ClosedError (no effect), or *DoubtError.
 func (r *Replica) Propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
-	stamped := &wire.Command{Time: r.now().UnixMilli(), Body: c.GetBody()}
+	clock := r.wall()
+	at := r.time.stamp(r.now(), clock, r.agreedTime(clock))
+	stamped := &wire.Command{Time: at.UnixMilli(), Body: c.GetBody()}
 	data, err := proto.Marshal(stamped)
 	if err != nil {
 		return nil, &StateError{Step: "marshal", Err: err}
--- /dev/null
+++ b/io/replica/stamp_test.go
@@ -0,0 +1,88 @@
+package replica
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/wire"
+)
+
+// Guards against a leader whose clock is far ahead, which would expire every claim and change id at once, also step by step
+// with many commands; and against state time that cannot move on after a real long outage.
+func TestStamp(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	tests := []struct {
+		name        string
+		seen, clock time.Duration // state time and own clock, from start
+		agreed      time.Duration // clocks of a majority; negative for not known
+		want        time.Duration
+	}{
+		{"clocks agree", 0, time.Minute, time.Minute, time.Minute},
+		{"own clock ahead, majority not known", 0, 100 * time.Hour, -1, aheadLimit},
+		{"own clock ahead of the majority", 0, 100 * time.Hour, 0, aheadLimit},
+		{"long outage, majority agrees", 0, 100 * time.Hour, 99 * time.Hour, 99 * time.Hour},
+		{"own clock behind", time.Hour, time.Minute, time.Hour, time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var s stamper
+			now, clock := time.Unix(5, 0), start.Add(tt.clock)
+			s.note(now, start.Add(tt.seen))
+			agreed := time.Time{}
+			if tt.agreed >= 0 {
+				agreed = start.Add(tt.agreed)
+			}
+			for range 100 {
+				if got := s.stamp(now, clock, agreed).Sub(start); got != tt.want {
+					t.Fatalf("stamp: got start + %s, want start + %s", got, tt.want)
+				}
+			}
+			if tt.agreed >= 0 {
+				return
+			}
+			if got, want := s.stamp(now.Add(time.Hour), clock, agreed).Sub(start), tt.want+time.Hour; got != want {
+				t.Errorf("stamp an hour later: got start + %s, want start + %s", got, want)
+			}
+		})
+	}
+}
+
+// Guards against state time that jumps when a leader's clock does, over a group of three with real elections; a leader's
+// own commands must not extend its bound.
+func TestWrongClock(t *testing.T) {
+	var ahead, others, newest atomic.Int64
+	var wrong atomic.Pointer[string]
+	g := newGroup(t, three, WithClocks(func(string) (time.Time, bool) { return time.Now().Add(time.Duration(others.Load())), true }))
+	for _, n := range three {
+		_ = g.members[n].Close()
+	}
+	base := g.opts
+	for _, n := range three {
+		g.opts = append(base[:len(base):len(base)], WithWall(func() time.Time {
+			if w := wrong.Load(); w != nil && *w == n {
+				return time.Now().Add(time.Duration(ahead.Load()))
+			}
+			return time.Now()
+		}), WithApply(func(_ uint64, c *wire.Command) *wire.Result {
+			newest.Store(max(newest.Load(), c.GetTime()))
+			return &wire.Result{}
+		}), WithVersion(nil))
+		g.start(n, t.TempDir())
+	}
+	l := g.leader()
+	g.propose(l, 3)
+	name := agreement.Name(l.ID())
+	ahead.Store(int64(100 * time.Hour))
+	wrong.Store(&name)
+	g.propose(l, 50)
+	if got := time.Until(time.UnixMilli(newest.Load())); got > aheadLimit+time.Second {
+		t.Errorf("state time with one clock 100 h ahead: got %s ahead, want at most %s", got, aheadLimit)
+	}
+	others.Store(int64(99 * time.Hour))
+	g.propose(l, 1)
+	if got := time.Until(time.UnixMilli(newest.Load())); got < 98*time.Hour {
+		t.Errorf("state time when a majority of clocks moved on: got %s ahead, want 99 h", got)
+	}
+}
--- a/io/rpc/rpcconnect/rpc.connect.go
+++ b/io/rpc/rpcconnect/rpc.connect.go
@@ -45,6 +45,8 @@
 	MeshAnnounceProcedure = "/godwitspindle.rpc.Mesh/Announce"
 	// MeshStatusProcedure is the fully-qualified name of the Mesh's Status RPC.
 	MeshStatusProcedure = "/godwitspindle.rpc.Mesh/Status"
+	// MeshReplicasProcedure is the fully-qualified name of the Mesh's Replicas RPC.
+	MeshReplicasProcedure = "/godwitspindle.rpc.Mesh/Replicas"
 )
 
 // MeshClient is a client for the godwitspindle.rpc.Mesh service.
@@ -55,6 +57,7 @@
 	Propose(context.Context, *connect.Request[rpc.ProposeRequest]) (*connect.Response[rpc.ProposeResponse], error)
 	Announce(context.Context, *connect.Request[rpc.AnnounceRequest]) (*connect.Response[rpc.AnnounceResponse], error)
 	Status(context.Context, *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error)
+	Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error)
 }
 
 // NewMeshClient constructs a client for the godwitspindle.rpc.Mesh service. By default, it uses the
@@ -104,6 +107,12 @@
 			connect.WithSchema(meshMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		replicas: connect.NewClient[rpc.ReplicasRequest, rpc.ReplicasResponse](
+			httpClient,
+			baseURL+MeshReplicasProcedure,
+			connect.WithSchema(meshMethods.ByName("Replicas")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -115,6 +124,7 @@
 	propose  *connect.Client[rpc.ProposeRequest, rpc.ProposeResponse]
 	announce *connect.Client[rpc.AnnounceRequest, rpc.AnnounceResponse]
 	status   *connect.Client[rpc.StatusRequest, rpc.StatusResponse]
+	replicas *connect.Client[rpc.ReplicasRequest, rpc.ReplicasResponse]
 }
 
 // Deliver calls godwitspindle.rpc.Mesh.Deliver.
@@ -147,6 +157,11 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Replicas calls godwitspindle.rpc.Mesh.Replicas.
+func (c *meshClient) Replicas(ctx context.Context, req *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error) {
+	return c.replicas.CallUnary(ctx, req)
+}
+
 // MeshHandler is an implementation of the godwitspindle.rpc.Mesh service.
 type MeshHandler interface {
 	Deliver(context.Context, *connect.Request[rpc.DeliverRequest]) (*connect.Response[rpc.DeliverResponse], error)
@@ -155,6 +170,7 @@
 	Propose(context.Context, *connect.Request[rpc.ProposeRequest]) (*connect.Response[rpc.ProposeResponse], error)
 	Announce(context.Context, *connect.Request[rpc.AnnounceRequest]) (*connect.Response[rpc.AnnounceResponse], error)
 	Status(context.Context, *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error)
+	Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error)
 }
 
 // NewMeshHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -200,6 +216,12 @@
 		connect.WithSchema(meshMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshReplicasHandler := connect.NewUnaryHandler(
+		MeshReplicasProcedure,
+		svc.Replicas,
+		connect.WithSchema(meshMethods.ByName("Replicas")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/godwitspindle.rpc.Mesh/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshDeliverProcedure:
@@ -214,6 +236,8 @@
 			meshAnnounceHandler.ServeHTTP(w, r)
 		case MeshStatusProcedure:
 			meshStatusHandler.ServeHTTP(w, r)
+		case MeshReplicasProcedure:
+			meshReplicasHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -246,3 +270,7 @@
 func (UnimplementedMeshHandler) Status(context.Context, *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("godwitspindle.rpc.Mesh.Status is not implemented"))
 }
+
+func (UnimplementedMeshHandler) Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("godwitspindle.rpc.Mesh.Replicas is not implemented"))
+}
