feat(operate): replace a replica with replica list, add, promote and remove

Cause: a replica that lost its data folder could not come back without code. GET and POST /v1/replicas list and change the member set through whichever replica leads; the leader asks the named replica for its identity. Status shows learners and how far each replica is behind. Mesh takes peer ports below the ephemeral range: a restart failed once with 'address already in use' under -race. TestReplaceReplica (3 and 5 replicas) and TestReplicaRefusals pass twice with -race.

--- a/cmd/run.go
+++ b/cmd/run.go
@@ -42,6 +42,7 @@
 	Show    *showCommand    `arg:"subcommand:show" help:"print register and rules as files"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show versions, replicas and endpoints"`
 	Wait    *waitCommand    `arg:"subcommand:wait" help:"wait until a version is in force everywhere"`
+	Replica *replicaCommand `arg:"subcommand:replica" help:"list, add, promote or remove control replicas"`
 	Revert  *revertCommand  `arg:"subcommand:revert" help:"propose the content of an earlier version"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check settings, register and rules files"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a small mesh in one process on loopback"`
@@ -132,6 +133,8 @@
 		return a.Status.run(s)
 	case a.Wait != nil:
 		return a.Wait.run(s)
+	case a.Replica != nil:
+		return a.Replica.run(s)
 	case a.Revert != nil:
 		return a.Revert.run(s)
 	case a.Check != nil:
@@ -188,11 +191,11 @@
 	switch p.Code {
 	case operator.CodeConflict, operator.CodeExpired:
 		return ExitConflict
-	case operator.CodeInvalid, operator.CodeReused, operator.CodeMissing, operator.CodeMalformed, operator.CodeOversize:
+	case operator.CodeInvalid, operator.CodeReused, operator.CodeMissing, operator.CodeMalformed, operator.CodeOversize, operator.CodeNoReplica:
 		return ExitUsage
 	case operator.CodeTimeout:
 		return ExitTimeout
-	case operator.CodeUnavailable:
+	case operator.CodeUnavailable, operator.CodeSilent:
 		return ExitUnreachable
 	}
 	return ExitFailed
--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -19,6 +20,13 @@
 	"godwitspindle/io/standin"
 )
 
+// Ports of the replicas' peer listeners.
+const (
+	firstPort = 20_000
+	ports     = 10_000
+	portTries = 100
+)
+
 // Place is one host of the mesh: a node and, if Service is set, a backend server beside it.
 type Place struct {
 	Name    string
@@ -212,12 +220,17 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 }
 
-// freeAddress finds a port that is free now.
+// freeAddress finds a port that is free now, below the range that the system gives to outgoing connections: such a
+// connection would keep a stopped replica from listening on its address again.
 func freeAddress() (netip.AddrPort, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback(0)))
-	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
+	var last error
+	for range portTries {
+		a := loopback(uint16(firstPort + rand.IntN(ports)))
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
+		if err == nil {
+			return a, l.Close()
+		}
+		last = err
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, fmt.Errorf("find a free port: %w", last)
 }
--- /dev/null
+++ b/io/demo/replace_test.go
@@ -0,0 +1,183 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"godwitspindle/io/host"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/platform"
+)
+
+// A mesh of replicas and one node without a control replica.
+func replicaMesh(t *testing.T, n int) *Mesh {
+	t.Helper()
+	places := []Place{{Name: "plain", Region: "munnar", Domain: "lower"}}
+	for i := range n {
+		places = append(places, Place{Name: fmt.Sprintf("r%d", i+1), Region: "munnar", Domain: fmt.Sprintf("d%d", i%3), Replica: true})
+	}
+	m, err := New(t.TempDir(), places, logr.Discard())
+	if err != nil {
+		t.Fatalf("New: %v", err)
+	}
+	t.Cleanup(func() { _ = m.Close() })
+	return m
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("timed out: %s", what)
+}
+
+// Applies a register of n slots through any replica and waits until it is in force on every running node.
+func change(t *testing.T, m *Mesh, slots int) uint64 {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+	defer stop()
+	c := m.Operators()
+	defer c.Close()
+	var st *operator.Status
+	eventually(t, "status with a leader", func() (ok bool) {
+		var err error
+		st, err = c.Status(ctx)
+		return err == nil && st.Leader != ""
+	})
+	register := fmt.Sprintf(`{"services":[{"name":"counter","internal":false,"slots":%d,"connections":130}],"domains":[{"name":"lower","region":"munnar"}]}`, slots)
+	a, err := c.Apply(ctx, operator.Change{ID: fmt.Sprint(slots), Base: st.Version, Author: "jo", Reason: "test", Register: []byte(register)})
+	if err != nil {
+		t.Fatalf("Apply: %v", err)
+	}
+	if err := m.Await(ctx, func(h *host.Host) bool { return h.Serving() && h.View().Snapshot.Version() >= a.Version }); err != nil {
+		t.Fatalf("version %d is not in force on every node: %v", a.Version, err)
+	}
+	return a.Version
+}
+
+func code(err error) string {
+	if p, ok := errors.AsType[*operator.Problem](err); ok {
+		return p.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// Returns the role and identity of the members with a name.
+func roles(t *testing.T, list *operator.Replicas, err error, name string) map[string]string {
+	t.Helper()
+	if err != nil {
+		t.Fatalf("replicas: %v", err)
+	}
+	found := map[string]string{}
+	for _, r := range list.Replicas {
+		if r.Name == name {
+			found[r.Role] = r.Identity
+		}
+	}
+	return found
+}
+
+// Guards against a replica that votes, serves or is counted after the loss of its data folder, against a replacement that
+// needs more than add and promote, and against a mesh that stops when another replica is lost right afterwards.
+func TestReplaceReplica(t *testing.T) {
+	for _, n := range []int{3, 5} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			m := replicaMesh(t, n)
+			held := change(t, m, 1)
+			lost := 1 // r1, which would found a new group
+			if err := errors.Join(m.Stop(lost), os.RemoveAll(m.settings[lost].Data)); err != nil {
+				t.Fatalf("lose r1: %v", err)
+			}
+			held = max(held, change(t, m, 2))
+			c := m.Operators()
+			defer c.Close()
+			_, err := c.Change(t.Context(), operator.Action{Action: operator.ActionAdd, Name: "r1"})
+			if got := code(err); got != operator.CodeSilent {
+				t.Errorf("add while the node is down: got %s, want %s", got, operator.CodeSilent)
+			}
+			peer := m.settings[lost].Listen.Peer
+			m.settings[lost].Listen = platform.Listen{Caller: loopback(0), Local: loopback(0), Backend: loopback(0), Peer: peer, Operator: loopback(0), Metrics: loopback(0)}
+			if err := m.Start(lost); err != nil {
+				t.Fatalf("start r1 anew: %v", err)
+			}
+			time.Sleep(2 * time.Second) // two election timeouts
+			if m.Hosts[lost].Leads() || m.Hosts[lost].Serving() && m.Hosts[lost].View().Snapshot.Version() < held {
+				t.Error("r1 leads, or serves an older version, after the loss of its data folder")
+			}
+			list, err := c.Replicas(t.Context())
+			before := roles(t, list, err, "r1")
+			if before["waiting"] == "" || before["voter"] == before["waiting"] {
+				t.Fatalf("replicas before add: got %v, want r1 waiting under a new identity", before)
+			}
+			list, err = c.Change(t.Context(), operator.Action{Action: operator.ActionAdd, Name: "r1"})
+			if got := roles(t, list, err, "r1"); len(got) != 1 || got["learner"] != before["waiting"] {
+				t.Fatalf("replicas after add: got %v, want only the new identity as a learner", got)
+			}
+			eventually(t, "promote", func() bool {
+				list, err = c.Change(t.Context(), operator.Action{Action: operator.ActionPromote, Name: "r1"})
+				return err == nil
+			})
+			if got := roles(t, list, err, "r1"); len(got) != 1 || got["voter"] != before["waiting"] {
+				t.Fatalf("replicas after promote: got %v, want only the new identity as a voter", got)
+			}
+			for i := range n / 2 { // as many as the voters can lose, the leader among them
+				leader := 2
+				for j, h := range m.Hosts {
+					if h != nil && j > lost && h.Leads() {
+						leader = j
+					}
+				}
+				if err := m.Stop(leader); err != nil {
+					t.Fatalf("lose another replica: %v", err)
+				}
+				if got := change(t, m, 3+i); got <= held {
+					t.Errorf("version after the loss: got %d, want more than %d", got, held)
+				}
+			}
+		})
+	}
+}
+
+// Guards against refusals without a code, and against a change of the member set that leaves no reachable majority.
+func TestReplicaRefusals(t *testing.T) {
+	m := replicaMesh(t, 3)
+	change(t, m, 1)
+	c := m.Operators()
+	defer c.Close()
+	tests := []struct{ action, name, want string }{
+		{"promote", "plain", operator.CodeNoReplica},
+		{"remove", "nobody", operator.CodeNoReplica},
+		{"demote", "r1", operator.CodeMalformed},
+		{"add", "r2", "<nil>"},     // a member already; nothing changes
+		{"promote", "r2", "<nil>"}, // a voter already
+	}
+	for _, tt := range tests {
+		_, err := c.Change(t.Context(), operator.Action{Action: tt.action, Name: tt.name})
+		if got := code(err); got != tt.want {
+			t.Errorf("%s %s: got %s, want %s", tt.action, tt.name, got, tt.want)
+		}
+	}
+	var spare []int // replicas that do not lead
+	for i, h := range m.Hosts[1:] {
+		if !h.Leads() {
+			spare = append(spare, i+1)
+		}
+	}
+	if err := m.Stop(spare[0]); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond) // over an election timeout, so that the leader misses it
+	_, err := c.Change(t.Context(), operator.Action{Action: operator.ActionRemove, Name: m.places[spare[1]].Name})
+	if got := code(err); got != operator.CodeMembers {
+		t.Errorf("remove one of the last two reachable replicas: got %s, want %s", got, operator.CodeMembers)
+	}
+}
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -30,7 +30,10 @@
 // control is the control replica of a process with its leader's duties.
 type control struct {
 	name    string
+	names   []string // of the replicas in the settings
 	replica *replica.Replica
+	clients *peer.Clients
+	address func(id string) (netip.AddrPort, bool)
 	holder  *peer.Holder
 	tracker *relay.Tracker
 	leases  *lease.Table
@@ -49,9 +52,11 @@
 }
 
 // newControl starts the control replica on the data folder.
-func newControl(s *platform.Settings, courier *peer.Courier, holder *peer.Holder, tracker *relay.Tracker, m *platform.Metrics, log logr.Logger) (*control, error) {
+func newControl(s *platform.Settings, clients *peer.Clients, courier *peer.Courier, holder *peer.Holder, tracker *relay.Tracker, m *platform.Metrics, log logr.Logger) (*control, error) {
 	c := &control{
 		name:    s.Name,
+		clients: clients,
+		address: replicaAddress(s),
 		holder:  holder,
 		tracker: tracker,
 		leases:  lease.New(lease.WithLease(leasePolls * pollOf(s.Profile))),
@@ -60,19 +65,20 @@
 		store:   store.New(),
 		applied: make(chan struct{}, 1),
 	}
-	names := make([]string, 0, len(s.Replicas))
 	for _, r := range s.Replicas {
-		names = append(names, r.Name)
+		c.names = append(c.names, r.Name)
 	}
 	r, err := replica.New(
 		replica.WithFolder(s.Data),
 		replica.WithName(s.Name),
-		replica.WithNames(names...),
+		replica.WithNames(c.names...),
 		replica.WithSend(courier.Send),
 		replica.WithApply(c.apply),
 		replica.WithMarshal(c.marshal),
 		replica.WithRestore(c.restore),
 		replica.WithVersion(c.version),
+		replica.WithStateTime(c.stateTime),
+		replica.WithClocks(courier.Clock),
 		replica.WithApplied(func(uint64) { c.signal() }),
 	)
 	if err != nil {
@@ -120,6 +126,12 @@
 	return c.store.Restore(data)
 }
 
+func (c *control) stateTime() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Time()
+}
+
 func (c *control) version() uint64 { return c.snapshot().Version() }
 
 func (c *control) snapshot() *config.Snapshot {
@@ -184,9 +196,26 @@
 	if m := c.leases.Next(now); m != nil {
 		c.commit(ctx, m)
 	}
+	c.prove(ctx)
 	c.measure(now)
 }
 
+// prove reads the floor for the node of the leader, which has no upstream that could give it.
+func (c *control) prove(ctx context.Context) {
+	if c.holder.Proven() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	version, err := c.replica.Read(ctx)
+	if err != nil {
+		c.log.V(1).Info("floor not proven", "error", err.Error())
+		return
+	}
+	c.holder.Prove(version)
+	c.log.Info("floor proven", "floor", version)
+}
+
 func (c *control) resign() {
 	if !c.leading {
 		return
@@ -267,6 +296,7 @@
 		Learners: st.Members.Learners,
 		Report:   &wire.Report{Count: uint32(count), Laggards: behind},
 		Spread:   c.spreads.of(version),
+		Replicas: c.members(st),
 	}, nil
 }
 
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -134,7 +134,7 @@
 		return nil
 	}
 	h.courier = peer.NewCourier(h.clients, replicaAddress(h.settings), h.log.WithName("courier"))
-	c, err := newControl(h.settings, h.courier, h.holder, h.tracker, h.metrics, h.log.WithName("control"))
+	c, err := newControl(h.settings, h.clients, h.courier, h.holder, h.tracker, h.metrics, h.log.WithName("control"))
 	if err != nil {
 		return fmt.Errorf("start the control replica: %w", err)
 	}
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"godwitspindle/core/agreement"
 	"godwitspindle/core/config"
 	"godwitspindle/io/hop"
 	"godwitspindle/io/operator"
@@ -82,15 +81,6 @@
 	return s, nil
 }
 
-// replicaNames lists voters and learners without incarnations.
-func replicaNames(ids []string) []string {
-	names := make([]string, 0, len(ids))
-	for _, id := range ids {
-		names = append(names, agreement.Name(id))
-	}
-	return names
-}
-
 // usages lists the capacity of the services in force.
 func usages(t *config.Table) []operator.Usage {
 	var list []operator.Usage
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"godwitspindle/core/agreement"
 	"godwitspindle/core/config"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
@@ -35,6 +36,7 @@
 		operator.WithContent(h.content),
 		operator.WithStatus(h.status),
 		operator.WithWait(h.progress),
+		operator.WithReplicas(h.replicas),
 		operator.WithParsers(config.ParseRegister, config.ParseRules, Faults),
 	)
 }
@@ -155,14 +157,14 @@
 	f, err := h.fleet(ctx, 0)
 	if err != nil {
 		m := h.control.replica.Status().Members
-		st.Replicas = replicaList("", m.Voters, m.Learners)
+		st.Replicas = replicaList(m.Voters, m.Learners)
 		return st, nil
 	}
 	st.Version = f.GetVersion()
 	st.Leader = f.GetLeader()
 	st.Current = int(f.GetReport().GetCount())
 	st.Behind = behind(f.GetReport())
-	st.Replicas = replicaList(f.GetLeader(), f.GetVoters(), f.GetLearners())
+	st.Replicas = members(f.GetReplicas())
 	if f.GetSpread() >= 0 {
 		st.Spread = operator.Duration(time.Duration(f.GetSpread()) * time.Millisecond)
 	}
@@ -238,17 +240,14 @@
 	return "stale"
 }
 
-func replicaList(leader string, voters, learners []string) []operator.Member {
+// replicaList lists members of which nobody knows how far behind they are.
+func replicaList(voters, learners []string) []operator.Member {
 	var list []operator.Member
-	for _, name := range replicaNames(voters) {
-		role := "voter"
-		if name == leader {
-			role = "leader"
-		}
-		list = append(list, operator.Member{Name: name, Role: role})
+	for _, id := range voters {
+		list = append(list, operator.Member{Name: agreement.Name(id), Role: "voter", Identity: id, Behind: -1, Heard: -1})
 	}
-	for _, name := range replicaNames(learners) {
-		list = append(list, operator.Member{Name: name, Role: "learner"})
+	for _, id := range learners {
+		list = append(list, operator.Member{Name: agreement.Name(id), Role: "learner", Identity: id, Behind: -1, Heard: -1})
 	}
 	return list
 }
--- /dev/null
+++ b/io/host/replicas.go
@@ -0,0 +1,260 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	identityTimeout = time.Second           // to ask one replica for its identity
+	changeTimeout   = 3 * time.Second       // one change of the member set, with its repetitions
+	changePause     = 10 * time.Millisecond // between repetitions; a learner that keeps up is level for moments only
+)
+
+// Actions on the member set, as the inner protocol names them; the first is answered by every replica itself.
+const (
+	actionIdentity = "identity"
+	actionList     = "list"
+)
+
+// refusalError is a refusal on its way to the operator.
+type refusalError struct{ code, detail string }
+
+// Error formats the refusal.
+func (e *refusalError) Error() string { return e.code + ": " + e.detail }
+
+// replicas answers the inner protocol's method of this name: its own identity or, on the leader, the rest.
+func (c *control) replicas(ctx context.Context, r *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
+	st := c.replica.Status()
+	if r.GetAction() == actionIdentity {
+		return &rpc.ReplicasResponse{Identity: c.replica.ID(), Waiting: st.Role == agreement.Waiting}, nil
+	}
+	if st.Role != agreement.Leader {
+		return nil, &agreement.NotLeaderError{Leader: st.Leader}
+	}
+	err := c.membership(ctx, r.GetAction(), r.GetName())
+	var refused *refusalError
+	switch {
+	case errors.As(err, &refused):
+		return &rpc.ReplicasResponse{Code: refused.code, Detail: refused.detail}, nil
+	case err != nil:
+		return nil, err
+	}
+	st = c.replica.Status()
+	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st)}
+	if r.GetAction() == actionList {
+		resp.Replicas = append(resp.Replicas, c.waiting(ctx, st.Members)...)
+	}
+	return resp, nil
+}
+
+// membership changes the member set; every action may be repeated. It fails with *refusalError or an error of
+// package replica.
+func (c *control) membership(ctx context.Context, action, name string) error {
+	if action == actionList {
+		return nil
+	}
+	if _, ok := c.address(name); !ok && len(c.identities(name)) == 0 {
+		return &refusalError{operator.CodeNoReplica, name + " is neither in the setting replicas nor a member"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	c.log.Info("member set change", "action", action, "replica", name)
+	switch action {
+	case operator.ActionAdd:
+		return c.add(ctx, name)
+	case operator.ActionPromote:
+		return c.promote(ctx, name)
+	case operator.ActionRemove:
+		return c.remove(ctx, name)
+	}
+	return &refusalError{operator.CodeMalformed, "action: expected add, promote or remove"}
+}
+
+// add asks the named replica for its identity and joins it as a learner in place of any earlier identity.
+func (c *control) add(ctx context.Context, name string) error {
+	id, waiting, err := c.identity(ctx, name)
+	var refused *refusalError
+	if errors.As(err, &refused) {
+		return err
+	}
+	if err != nil {
+		return &refusalError{operator.CodeSilent, fmt.Sprintf("%s did not give its identity: %v", name, err)}
+	}
+	if c.replica.Status().Members.Has(id) {
+		return nil
+	}
+	if !waiting {
+		return &refusalError{operator.CodeForeign, id + " is not a member, but its data folder already holds a log"}
+	}
+	return c.repeat(ctx, func() error { return c.replica.AddLearner(ctx, id) })
+}
+
+func (c *control) promote(ctx context.Context, name string) error {
+	m := c.replica.Status().Members
+	ids := c.identities(name)
+	if len(ids) == 0 {
+		return &refusalError{operator.CodeNoReplica, name + " is not a member; add it first"}
+	}
+	if slices.Contains(m.Voters, ids[0]) {
+		return nil
+	}
+	return c.repeat(ctx, func() error { return c.replica.Promote(ctx, ids[0]) })
+}
+
+func (c *control) remove(ctx context.Context, name string) error {
+	for _, id := range c.identities(name) {
+		if err := c.repeat(ctx, func() error { return c.replica.Remove(ctx, id) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// repeat carries out a change again while it is refused for a reason that may pass: a learner that is a little behind,
+// or a leader or change that is not committed yet.
+func (c *control) repeat(ctx context.Context, change func() error) error {
+	until := time.Now().Add(changeTimeout / 2)
+	for {
+		err := change()
+		var lag *agreement.LagError
+		var members *agreement.MembersError
+		behind, refused := errors.As(err, &lag), errors.As(err, &members)
+		if !behind && !refused {
+			return err
+		}
+		if time.Now().Before(until) && ctx.Err() == nil {
+			time.Sleep(changePause)
+			continue
+		}
+		if behind {
+			return &refusalError{operator.CodeBehind, fmt.Sprintf("%s holds the log up to %d of %d: %d entries behind",
+				agreement.Name(lag.Learner), lag.Match, lag.Commit, lag.Commit-lag.Match)}
+		}
+		return &refusalError{operator.CodeMembers, members.Reason}
+	}
+}
+
+// identities returns the members with a name.
+func (c *control) identities(name string) []string {
+	m := c.replica.Status().Members
+	return slices.DeleteFunc(slices.Concat(m.Learners, m.Voters), func(id string) bool { return agreement.Name(id) != name })
+}
+
+// identity asks a replica of the settings for its identity.
+func (c *control) identity(ctx context.Context, name string) (id string, waiting bool, err error) {
+	if name == c.name {
+		return c.replica.ID(), false, nil
+	}
+	a, ok := c.address(name)
+	if !ok {
+		return "", false, &peer.NoParentError{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
+	defer cancel()
+	resp, err := c.clients.At(a).Replicas(ctx, connect.NewRequest(&rpc.ReplicasRequest{Action: actionIdentity}))
+	if err != nil {
+		return "", false, fmt.Errorf("ask %s: %w", a, err)
+	}
+	if got := agreement.Name(resp.Msg.GetIdentity()); got != name {
+		return "", false, &refusalError{operator.CodeForeign, fmt.Sprintf("%s answers as %s", a, got)}
+	}
+	return resp.Msg.GetIdentity(), resp.Msg.GetWaiting(), nil
+}
+
+// members describes the member set as the leader sees it.
+func (c *control) members(st agreement.Status) []*rpc.Replica {
+	var list []*rpc.Replica
+	for _, id := range st.Members.Voters {
+		list = append(list, describe(st, id, "voter"))
+	}
+	for _, id := range st.Members.Learners {
+		list = append(list, describe(st, id, "learner"))
+	}
+	return list
+}
+
+func describe(st agreement.Status, id, role string) *rpc.Replica {
+	if id == st.ID {
+		return &rpc.Replica{Identity: id, Role: "leader"}
+	}
+	r := &rpc.Replica{Identity: id, Role: role, Behind: -1, Heard: -1}
+	if p, ok := st.Progress[id]; ok && !p.Heard.IsZero() {
+		r.Heard = max(0, time.Since(p.Heard).Milliseconds())
+		if p.Match > 0 {
+			r.Behind = max(0, int64(st.Commit)-int64(p.Match))
+		}
+	}
+	return r
+}
+
+// waiting asks the replicas of the settings for identities that are not members, such as one that lost its data folder.
+func (c *control) waiting(ctx context.Context, m agreement.Members) []*rpc.Replica {
+	found := make([]*rpc.Replica, len(c.names))
+	var wait sync.WaitGroup
+	for i, name := range c.names {
+		wait.Go(func() {
+			id, _, err := c.identity(ctx, name)
+			if err == nil && !m.Has(id) {
+				found[i] = &rpc.Replica{Identity: id, Role: "waiting", Behind: -1}
+			}
+		})
+	}
+	wait.Wait()
+	return slices.DeleteFunc(found, func(r *rpc.Replica) bool { return r == nil })
+}
+
+// replicas lists or changes the member set through whichever replica leads.
+func (h *Host) replicas(ctx context.Context, action, name string) (*operator.Replicas, error) {
+	request := &rpc.ReplicasRequest{Action: action, Name: name}
+	resp, err := h.askReplicas(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if resp.GetCode() != "" {
+		return nil, operator.MemberProblem(resp.GetCode(), resp.GetDetail())
+	}
+	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas())}, nil
+}
+
+func (h *Host) askReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
+	var last error = &peer.NoParentError{}
+	if h.Leads() {
+		resp, err := h.control.replicas(ctx, request)
+		if err == nil {
+			return resp, nil
+		}
+		last = err
+	}
+	for _, a := range h.upstream.replicas() {
+		resp, err := h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
+		if err == nil {
+			return resp.Msg, nil
+		}
+		last = err
+	}
+	return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: last}
+}
+
+func members(list []*rpc.Replica) []operator.Member {
+	out := make([]operator.Member, 0, len(list))
+	for _, r := range list {
+		m := operator.Member{Name: agreement.Name(r.GetIdentity()), Role: r.GetRole(), Identity: r.GetIdentity(), Behind: r.GetBehind(), Heard: -1}
+		if r.GetHeard() >= 0 {
+			m.Heard = operator.Duration(time.Duration(r.GetHeard()) * time.Millisecond)
+		}
+		out = append(out, m)
+	}
+	return out
+}
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -217,6 +217,7 @@
 		s.OnPropose = h.propose
 		s.OnAnnounce = h.control.announce
 		s.OnStatus = h.control.status
+		s.OnReplicas = h.control.replicas
 	}
 	return s
 }
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -177,15 +177,15 @@
 	}
 }
 
-func call[T any](ctx context.Context, c *Client, method, path string, change *Change) (*T, error) {
+func call[T any](ctx context.Context, c *Client, method, path string, content any) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var body []byte
-	if change != nil {
+	if content != nil {
 		var buffer bytes.Buffer
 		e := json.NewEncoder(&buffer)
 		e.SetEscapeHTML(false) // escapes would lengthen a file that is just under its limit
-		if err := e.Encode(change); err != nil {
+		if err := e.Encode(content); err != nil {
 			return nil, malformed(err.Error())
 		}
 		body = buffer.Bytes()
--- a/io/operator/messages.go
+++ b/io/operator/messages.go
@@ -89,7 +89,30 @@
 // Member is one control replica.
 type Member struct {
 	Name string `json:"name"`
-	Role string `json:"role"` // leader, voter or learner
+	Role string `json:"role"` // leader, voter, learner, or waiting: not a member
+	// Identity is the name with the incarnation of the data folder.
+	Identity string   `json:"identity,omitempty"`
+	Behind   int64    `json:"behind"` // committed entries not known to be on its disk; negative when not known
+	Heard    Duration `json:"heard"`  // since the leader heard it; zero for the leader itself
+}
+
+// Replicas is the answer of GET and POST /v1/replicas.
+type Replicas struct {
+	Leader   string   `json:"leader"`
+	Replicas []Member `json:"replicas"`
+}
+
+// Actions of POST /v1/replicas.
+const (
+	ActionAdd     = "add"     // join a replica with an empty data folder as a learner, in place of its earlier identity
+	ActionPromote = "promote" // make a learner that has caught up a voter
+	ActionRemove  = "remove"  // remove a replica from the member set
+)
+
+// Action is the body of POST /v1/replicas.
+type Action struct {
+	Action string `json:"action"`
+	Name   string `json:"name"`
 }
 
 // Usage is the capacity of one service.
--- a/io/operator/problem.go
+++ b/io/operator/problem.go
@@ -22,6 +22,11 @@
 	CodeForbidden    = "forbidden"    // sent by a web page or under a foreign host name
 	CodeUnavailable  = "unavailable"  // no leader or no majority is reachable
 	CodeTimeout      = "timeout"      // the version was not in force in time
+	CodeNoReplica    = "noreplica"    // no replica has the name
+	CodeSilent       = "silent"       // the named replica's node did not answer
+	CodeForeign      = "foreign"      // the named replica holds the log of another group
+	CodeBehind       = "behind"       // the learner has not caught up
+	CodeMembers      = "members"      // the change would put the group at risk
 	CodeNoPath       = "nopath"       // the path or method does not exist
 	CodeInternal     = "failed"       // the node failed to answer
 )
@@ -135,6 +140,27 @@
 	return p
 }
 
+// MemberProblem returns the problem for a refused change of the member set.
+func MemberProblem(code, detail string) *Problem {
+	p := &Problem{Status: http.StatusConflict, Code: code, Detail: detail, Outcome: NotRun}
+	switch code {
+	case CodeNoReplica:
+		p.Title, p.Status, p.Next = "no such replica", http.StatusNotFound, "choose a name that replica list shows; a new host takes the name of the one that it replaces"
+	case CodeSilent:
+		p.Title, p.Status = "the replica did not answer", http.StatusBadGateway
+		p.Next = "start its node with an empty data folder, check its address in the setting replicas of every node, and repeat"
+	case CodeForeign:
+		p.Title, p.Next = "the replica does not belong to this mesh", "check its settings; only if its data is of no use, stop the node, move the data folder away, start it and repeat"
+	case CodeBehind:
+		p.Title, p.Next = "the learner has not caught up", "wait and promote again, or use replica add NAME --wait"
+	case CodeMembers:
+		p.Title, p.Next = "the change of replicas is refused", "see replica list: a majority of the voters that remain must be reachable, and changes go one at a time"
+	default:
+		p.Title, p.Status, p.Next = "request not understood", http.StatusBadRequest, "correct the request"
+	}
+	return p
+}
+
 func newFaults(faults []*wire.Fault) []Fault {
 	var list []Fault
 	for _, f := range faults {
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -44,6 +44,7 @@
 	content  func(ctx context.Context, version uint64) (uint64, *wire.Content, error)
 	status   func(context.Context) (*Status, error)
 	wait     func(ctx context.Context, version uint64, report func(Progress)) error
+	replicas func(ctx context.Context, action, name string) (*Replicas, error)
 	register func([]byte) (*wire.Register, error)
 	rules    func([]byte) (*wire.RuleSet, error)
 	faults   func(error) []*wire.Fault
@@ -93,6 +94,11 @@
 	return func(s *Server) { s.wait = f }
 }
 
+// WithReplicas sets what lists the replicas (action list) or changes their set; a refusal is a *Problem.
+func WithReplicas(f func(ctx context.Context, action, name string) (*Replicas, error)) Option {
+	return func(s *Server) { s.replicas = f }
+}
+
 // WithParsers sets the strict readers of register and rules files, and what lists the faults of their errors.
 func WithParsers(register func([]byte) (*wire.Register, error), rules func([]byte) (*wire.RuleSet, error), faults func(error) []*wire.Fault) Option {
 	return func(s *Server) { s.register, s.rules, s.faults = register, rules, faults }
@@ -118,6 +124,8 @@
 	s.handle("GET /v1/show", s.serveShow)
 	s.handle("GET /v1/status", s.serveStatus)
 	s.handle("GET /v1/wait", s.serveWait)
+	s.handle("GET /v1/replicas", s.serveReplicas)
+	s.handle("POST /v1/replicas", s.serveAction)
 	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		if p := s.guard(r); p != nil {
 			p.write(w)
@@ -198,6 +206,9 @@
 	if u, ok := errors.AsType[*UnavailableError](err); ok {
 		return unavailable(u.Outcome, u.Leader)
 	}
+	if p, ok := errors.AsType[*Problem](err); ok {
+		return p
+	}
 	if m, ok := errors.AsType[*MissingError](err); ok {
 		return missing(m.Error())
 	}
--- a/io/peer/holder.go
+++ b/io/peer/holder.go
@@ -38,9 +38,10 @@
 // HolderOption configures a Holder.
 type HolderOption func(*Holder)
 
-// WithSavedFloor sets the floor read from disk and the function that makes a new floor durable before a swap.
+// WithSavedFloor sets the floor read from disk and the function that makes a new floor durable before a swap. Without a
+// saved floor (0) the folder is new or was lost, so the floor must be proved as on a diskless node.
 func WithSavedFloor(floor uint64, save func(version uint64) error) HolderOption {
-	return func(h *Holder) { h.floor, h.save, h.proven = floor, save, true }
+	return func(h *Holder) { h.floor, h.save, h.proven = floor, save, floor > 0 }
 }
 
 // WithSwapped sets a function that is called after each swap, in order.
