--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -125,9 +125,19 @@
 	return status.Version, nil
 }
 
+// resend is what a change whose outcome is not known is resent with.
+type resend struct {
+	ID   string `json:"id"`
+	Base uint64 `json:"base"`
+}
+
 // advise prints how to resend a change whose outcome is not known.
 func (s *session) advise(change operator.Change, err error) {
 	u, ok := errors.AsType[*operator.UnreachableError](err)
+	if ok && u.Outcome == operator.Unknown && s.json {
+		s.resend = &resend{ID: change.ID, Base: change.Base}
+		return
+	}
 	if ok && u.Outcome == operator.Unknown {
 		_, _ = fmt.Fprintf(s.stderr, "the change may have been accepted; resend it with --id %s --base %d\n", change.ID, change.Base)
 	}
--- a/cmd/replica.go
+++ b/cmd/replica.go
@@ -10,8 +10,10 @@
 	"godwitspindle/io/operator"
 )
 
-// promotePause is the time between attempts of add --wait to promote.
-const promotePause = 500 * time.Millisecond
+const (
+	promotePause = 500 * time.Millisecond // between attempts of add --wait to promote
+	lostAfter    = 3 * time.Second        // three election timeouts
+)
 
 // replicaCommand lists or changes the control replicas.
 type replicaCommand struct {
@@ -134,25 +136,33 @@
 	}
 	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "REPLICA\tROLE\tBEHIND\tHEARD\tIDENTITY")
-	voters := 0
+	voters, gone := 0, 0
 	var absent []string
 	for _, m := range list.Replicas {
 		if m.Role == "leader" || m.Role == "voter" {
 			voters++
 		}
+		if m.Role == "voter" && lost(m) {
+			gone++
+		}
 		if m.Role == "waiting" {
 			absent = append(absent, m.Name)
 		}
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Name, m.Role, lag(m), heard(m), m.Identity)
 	}
 	_ = w.Flush()
-	s.printf("%d voters: the mesh takes changes with up to %d of them lost\n", voters, (voters-1)/2)
+	s.printf("%d voters, %d of them lost; changes go on with up to %d lost\n", voters, gone, (voters-1)/2)
 	for _, name := range absent {
 		s.printf("%s waits with an empty data folder and does not vote; next: godwitspindle replica add %s --wait\n", name, name)
 	}
 	return nil
 }
 
+// lost reports whether the leader has not heard a replica for so long that it cannot count on it.
+func lost(m operator.Member) bool {
+	return m.Role != "leader" && m.Role != "waiting" && (m.Heard < 0 || time.Duration(m.Heard) > lostAfter)
+}
+
 func lag(m operator.Member) string {
 	if m.Behind < 0 {
 		return "unknown"
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-logr/logr"
@@ -67,6 +68,8 @@
 type session struct {
 	*Program
 	ctx    context.Context
+	json   bool    // errors are printed as JSON too
+	resend *resend // set when a change is in doubt
 	stdout io.Writer
 	stderr io.Writer
 }
@@ -113,7 +116,7 @@
 		_, _ = fmt.Fprintln(stderr, "error:", err)
 		return ExitUsage
 	}
-	s := &session{Program: p, ctx: ctx, stdout: stdout, stderr: stderr}
+	s := &session{Program: p, ctx: ctx, json: slices.Contains(args, "--json"), stdout: stdout, stderr: stderr}
 	return s.exit(a.run(s))
 }
 
@@ -146,47 +149,6 @@
 	return s.Demo(s.ctx, a.Demo.Keep, s.stdout, s.stderr)
 }
 
-// exit prints an error with what to do next and returns its code.
-func (s *session) exit(err error) int {
-	if err == nil {
-		return ExitDone
-	}
-	// An unreachable mesh wraps the problem of its last attempt, which is not the answer to the command.
-	_, unreachable := errors.AsType[*operator.UnreachableError](err)
-	p, isProblem := errors.AsType[*operator.Problem](err)
-	if unreachable || !isProblem {
-		_, _ = fmt.Fprintln(s.stderr, err)
-		return code(err)
-	}
-	_, _ = fmt.Fprintf(s.stderr, "%s: %v\n", p.Code, err)
-	for _, f := range p.Faults {
-		_, _ = fmt.Fprintf(s.stderr, "  %s: expected %s\n", f.Field, f.Expected)
-	}
-	if p.Winner != nil {
-		_, _ = fmt.Fprintf(s.stderr, "  accepted %s\n", p.Winner.Time.Format(timeFormat))
-	}
-	if p.Next != "" {
-		_, _ = fmt.Fprintf(s.stderr, "next: %s\n", p.Next)
-	}
-	return problemCode(p)
-}
-
-func code(err error) int {
-	if _, ok := errors.AsType[*platform.SettingsError](err); ok {
-		return ExitUsage
-	}
-	if _, ok := errors.AsType[*FaultsError](err); ok {
-		return ExitUsage
-	}
-	if _, ok := errors.AsType[*InputError](err); ok {
-		return ExitUsage
-	}
-	if _, ok := errors.AsType[*operator.UnreachableError](err); ok {
-		return ExitUnreachable
-	}
-	return ExitFailed
-}
-
 func problemCode(p *operator.Problem) int {
 	switch p.Code {
 	case operator.CodeConflict, operator.CodeExpired:
--- a/cmd/run_test.go
+++ b/cmd/run_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-func mesh(t *testing.T) string {
+func mesh(t *testing.T, leader string) string {
 	t.Helper()
 	propose := func(_ context.Context, c *wire.Change) (*wire.Result, error) {
 		if c.GetBase() != 40 {
@@ -63,11 +63,24 @@
 		operator.WithPropose(propose), operator.WithPlan(propose),
 		operator.WithStatus(func(context.Context) (*operator.Status, error) {
 			return &operator.Status{
-				Node: "n1", Version: 40, Nodes: 12, Current: 11, Spread: -1, Age: operator.Duration(310 * time.Millisecond), Leader: "a",
-				Replicas: []operator.Member{{Name: "a", Role: "leader"}, {Name: "b", Role: "voter"}, {Name: "c", Role: "learner"}},
+				Node: "n1", Version: 40, Nodes: 12, Current: 11, Spread: -1, Age: operator.Duration(310 * time.Millisecond), Leader: leader,
+				Replicas: []operator.Member{{Name: "a", Role: "leader"}, {Name: "b", Role: "voter"}, {Name: "c", Role: "learner", Behind: 120, Heard: operator.Duration(12 * time.Second)}},
 				Behind:   behind, Services: []operator.Usage{{Name: "archive", Endpoints: 5, Slots: 60}, {Name: "counter", Endpoints: 3, Slots: 36}},
 			}, nil
 		}),
+		operator.WithReplicas(func(_ context.Context, action, name string) (*operator.Replicas, error) {
+			switch {
+			case action == operator.ActionPromote:
+				return nil, operator.MemberProblem(operator.CodeBehind, name+" holds the log up to 80 of 200: 120 entries behind")
+			case name == "nobody":
+				return nil, operator.MemberProblem(operator.CodeNoReplica, name+" is neither in the setting replicas nor a member")
+			}
+			return &operator.Replicas{Leader: "a", Replicas: []operator.Member{
+				{Name: "a", Role: "leader", Identity: "a/1"},
+				{Name: "b", Role: "voter", Identity: "b/1", Behind: -1, Heard: -1},
+				{Name: "b", Role: "waiting", Identity: "b/2", Behind: -1, Heard: -1},
+			}}, nil
+		}),
 		operator.WithHistory(func(ctx context.Context, _ int) ([]*wire.Accepted, error) {
 			r, err := propose(ctx, &wire.Change{Base: 40, Author: "jo", Reason: "faster fares"})
 			return []*wire.Accepted{r.GetAccepted()}, err
@@ -104,7 +117,7 @@
 	}
 	good, bad := write("good.json", "{}"), write("bad.json", `{"bad":1}`)
 	settings := write("settings.json", `{"name":"a","region":"munnar","domain":"lower","listen":{"caller":"127.0.0.1:80"},"replicas":[{"name":"r","address":"10.0.0.9:7003"}]}`)
-	at := mesh(t)
+	at, lost := mesh(t, "a"), mesh(t, "")
 	tests := []struct {
 		args string
 		want int
@@ -139,11 +152,22 @@
 		{"wait 41 --at AT", ExitDone},
 		{"wait 42 --at AT --timeout 50ms", ExitTimeout},
 		{"status --at 127.0.0.1:1", ExitUnreachable},
+		{"apply --at AT --rules " + good + " --reason r --author jo --base 39 --json", ExitConflict},
+		{"plan --at AT --json --rules " + bad, ExitUsage},
+		{"replica", ExitUsage},
+		{"replica add", ExitUsage},
+		{"replica list --at AT", ExitDone},
+		{"replica add a --at AT", ExitDone},
+		{"replica add a --at AT --wait --timeout 1ms", ExitTimeout},
+		{"replica promote c --at AT --json", ExitFailed},
+		{"replica remove nobody --at AT", ExitUsage},
+		{"status --at LOST", ExitUnreachable},
 	}
 	var out strings.Builder
 	for _, tt := range tests {
 		var stdout, stderr bytes.Buffer
-		got := program().Run(t.Context(), strings.Fields(strings.ReplaceAll(tt.args, "AT", at)), &stdout, &stderr)
+		args := strings.NewReplacer("LOST", lost, "AT", at).Replace(tt.args)
+		got := program().Run(t.Context(), strings.Fields(args), &stdout, &stderr)
 		if got != tt.want {
 			t.Errorf("%s: got exit code %d, want %d: %s", tt.args, got, tt.want, stderr.String())
 		}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -29,12 +29,15 @@
 	ctx, stop := platform.Signals(s.ctx)
 	defer stop()
 	for {
+		if !c.JSON {
+			s.printf("\n%s\n", time.Now().UTC().Format(timeFormat))
+		}
 		err := c.once(ctx, s, client)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
-			_, _ = fmt.Fprintln(s.stderr, err)
+			_ = s.exit(err) // prints it; the watch goes on
 		}
 		select {
 		case <-ctx.Done():
@@ -50,31 +53,39 @@
 		return err
 	}
 	if c.JSON {
-		return s.print(status)
+		err = s.print(status)
+	} else {
+		s.status(status)
+	}
+	if err != nil || status.Leader != "" {
+		return err
+	}
+	return &operator.Problem{
+		Title: "no leader", Code: operator.CodeUnavailable, Detail: status.Node + " knows no leader, so no change is accepted",
+		Next: "start replicas until a majority runs; where they run, look at the network between them",
 	}
-	s.status(status)
-	return nil
 }
 
 func (s *session) status(v *operator.Status) {
-	spread := ""
-	if v.Spread >= 0 {
-		spread = ", " + inMilliseconds(v.Spread)
+	if v.Leader == "" {
+		s.printf("NO LEADER: how many nodes hold which version is not known\n%s holds version %d\n", v.Node, v.Version)
+	} else {
+		spread := ""
+		if v.Spread >= 0 {
+			spread = ", " + inMilliseconds(v.Spread)
+		}
+		s.printf("in force on %d of %d, version %d%s\n", v.Current, v.Nodes, v.Version, spread)
 	}
-	s.printf("in force on %d of %d, version %d%s\n", v.Current, v.Nodes, v.Version, spread)
 	s.printf("confirmed by a majority %s, as %s knows\n", ago(v.Age), v.Node)
+	names := make([]string, len(v.Replicas))
+	for i, m := range v.Replicas {
+		names[i] = m.Name + remarks(m, v.Leader != "")
+	}
 	leader := v.Leader
 	if leader == "" {
 		leader = "none known"
 	}
-	names := make([]string, len(v.Replicas))
-	for i, m := range v.Replicas {
-		names[i] = m.Name
-		if m.Role == "learner" {
-			names[i] += " (learner)"
-		}
-	}
-	s.printf("leader %s, replicas %s\n", leader, strings.Join(names, " "))
+	s.printf("leader %s, replicas %s\n", leader, strings.Join(names, ", "))
 	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
 	if len(v.Behind) > 0 {
 		_, _ = fmt.Fprintln(w, "\nBEHIND\tVERSION\tREASON\tHEARD")
@@ -91,6 +102,24 @@
 	_ = w.Flush()
 }
 
+// remarks says what is unusual about a replica.
+func remarks(m operator.Member, led bool) string {
+	var list []string
+	if m.Role == "learner" {
+		list = append(list, m.Role)
+	}
+	if led && m.Behind > 0 {
+		list = append(list, fmt.Sprintf("%d behind", m.Behind))
+	}
+	if led && lost(m) {
+		list = append(list, "not heard: "+ago(m.Heard))
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(list, ", ") + ")"
+}
+
 func ago(d operator.Duration) string {
 	if d < 0 {
 		return d.String()
--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -223,6 +223,9 @@
 	if l.Reason != wire.Reason_REASON_STALE {
 		return l
 	}
+	if node == n.via {
+		l.Version = c.held
+	}
 	if c.lowest >= version || (node == n.via && c.held >= version) {
 		return nil
 	}
--- a/io/demo/replace_test.go
+++ b/io/demo/replace_test.go
@@ -54,6 +54,9 @@
 		return err == nil && st.Leader != ""
 	})
 	register := fmt.Sprintf(`{"services":[{"name":"counter","internal":false,"slots":%d,"connections":130}],"domains":[{"name":"lower","region":"munnar"}]}`, slots)
+	if _, err := c.Plan(ctx, operator.Change{Base: st.Version, Register: []byte(register)}); err != nil {
+		t.Fatalf("Plan without id, author and reason: %v", err)
+	}
 	a, err := c.Apply(ctx, operator.Change{ID: fmt.Sprint(slots), Base: st.Version, Author: "jo", Reason: "test", Register: []byte(register)})
 	if err != nil {
 		t.Fatalf("Apply: %v", err)
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -70,6 +70,9 @@
 
 // confirmed waits until the store of this replica is current as of the call.
 func (h *Host) confirmed(ctx context.Context) error {
+	if st := h.control.replica.Status(); st.Role == agreement.Waiting && h.upstream.known() != "" {
+		return operator.WaitingProblem(h.settings.Name)
+	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	version, err := h.current(ctx)
@@ -141,6 +144,21 @@
 	return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: last}
 }
 
+// patientFleet asks again while ctx lasts, so that an election does not look like the loss of a majority.
+func (h *Host) patientFleet(ctx context.Context) (*rpc.StatusResponse, error) {
+	for {
+		f, err := h.fleet(ctx, 0)
+		if err == nil {
+			return f, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(progressInterval):
+		}
+	}
+}
+
 // status describes the mesh; without a leader it says what this replica knows.
 func (h *Host) status(ctx context.Context) (*operator.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -154,7 +172,7 @@
 		Age:      operator.Duration(h.age()),
 		Services: usages(v.Table),
 	}
-	f, err := h.fleet(ctx, 0)
+	f, err := h.patientFleet(ctx)
 	if err != nil {
 		m := h.control.replica.Status().Members
 		st.Replicas = replicaList(m.Voters, m.Learners)
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -18,6 +18,7 @@
 
 const (
 	identityTimeout = time.Second           // to ask one replica for its identity
+	silentAfter     = 3 * time.Second       // three election timeouts
 	changeTimeout   = 3 * time.Second       // one change of the member set, with its repetitions
 	changePause     = 10 * time.Millisecond // between repetitions; a learner that keeps up is level for moments only
 )
@@ -108,6 +109,9 @@
 		return &refusalError{operator.CodeNoReplica, name + " is not a member; add it first"}
 	}
 	if slices.Contains(m.Voters, ids[0]) {
+		if r := describe(c.replica.Status(), ids[0], "voter"); r.GetHeard() < 0 || r.GetHeard() > silentAfter.Milliseconds() {
+			return &refusalError{operator.CodeMembers, name + " is a voter that does not answer; if it lost its data folder, add it first"}
+		}
 		return nil
 	}
 	return c.repeat(ctx, func() error { return c.replica.Promote(ctx, ids[0]) })
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -27,6 +27,7 @@
 	longestPause = 2 * time.Second
 	refusedMost  = 3        // rounds in which no address takes a connection
 	answerBytes  = 16 << 20 // longest answer that is read
+	statusPath   = "/v1/status"
 )
 
 // UnreachableError says that no address gave an answer.
@@ -42,9 +43,25 @@
 	for i, a := range e.Addresses {
 		names[i] = a.String()
 	}
+	if p, ok := errors.AsType[*Problem](e.Err); ok {
+		return fmt.Sprintf("%s, as a node at %s says (outcome %s)", p.Error(), strings.Join(names, ", "), e.Outcome)
+	}
 	return fmt.Sprintf("no answer from %s (outcome %s): %v", strings.Join(names, ", "), e.Outcome, e.Err)
 }
 
+// Problem returns the failure with what to do next.
+func (e *UnreachableError) Problem() *Problem {
+	p := &Problem{
+		Title: "no node answered", Status: http.StatusServiceUnavailable, Code: CodeUnavailable, Outcome: e.Outcome, Detail: e.Error(),
+		Next: "pass --at with listen.operator of a replica, one for each; by default that is 127.0.0.1:7004 on the hosts that the " +
+			"setting replicas names, and other nodes have no such listener",
+	}
+	if t, ok := errors.AsType[*Problem](e.Err); ok {
+		p.Title, p.Next = t.Title, t.Next
+	}
+	return p
+}
+
 // Unwrap returns the last cause.
 func (e *UnreachableError) Unwrap() error { return e.Err }
 
@@ -135,9 +152,26 @@
 	return call[Content](ctx, c, http.MethodGet, path, nil)
 }
 
-// Status describes the mesh.
+// Status describes the mesh. When the first node that answers knows no leader, the others are asked once each.
 func (c *Client) Status(ctx context.Context) (*Status, error) {
-	return call[Status](ctx, c, http.MethodGet, "/v1/status", nil)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var from netip.AddrPort
+	first := new(Status)
+	err := c.try(ctx, func(ctx context.Context, a netip.AddrPort) error {
+		from = a
+		return c.once(ctx, a, http.MethodGet, statusPath, nil, first)
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, a := range c.addresses {
+		s := new(Status)
+		if first.Leader == "" && a != from && c.once(ctx, a, http.MethodGet, statusPath, nil, s) == nil && s.Leader != "" {
+			return s, nil
+		}
+	}
+	return first, nil
 }
 
 // Wait reports progress until version is in force everywhere; a *Problem with CodeTimeout ends it at timeout.
@@ -192,18 +226,7 @@
 	}
 	value := new(T)
 	err := c.try(ctx, func(ctx context.Context, a netip.AddrPort) error {
-		ctx, cancel := context.WithTimeout(ctx, attemptTime)
-		defer cancel()
-		answer, err := c.send(ctx, method, a, path, body)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = answer.Body.Close() }()
-		err = json.NewDecoder(io.LimitReader(answer.Body, answerBytes)).Decode(value)
-		if err != nil {
-			return fmt.Errorf("answer broke off: %w", err)
-		}
-		return nil
+		return c.once(ctx, a, method, path, body, value)
 	})
 	if err != nil {
 		return nil, err
@@ -211,6 +234,22 @@
 	return value, nil
 }
 
+// once makes one attempt at one address.
+func (c *Client) once(ctx context.Context, a netip.AddrPort, method, path string, body []byte, value any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	answer, err := c.send(ctx, method, a, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	err = json.NewDecoder(io.LimitReader(answer.Body, answerBytes)).Decode(value)
+	if err != nil {
+		return fmt.Errorf("answer broke off: %w", err)
+	}
+	return nil
+}
+
 // send makes one request; a problem answer becomes its error.
 func (c *Client) send(ctx context.Context, method string, a netip.AddrPort, path string, body []byte) (*http.Response, error) {
 	r, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+a.String()+path, bytes.NewReader(body))
@@ -243,6 +282,7 @@
 func (c *Client) try(ctx context.Context, f func(context.Context, netip.AddrPort) error) error {
 	outcome := NotRun
 	pause := firstPause
+	var told error // what a node answered, which says more than a connection that failed
 	for round := 1; ; round++ {
 		refused := true
 		var last error
@@ -252,11 +292,17 @@
 				return err
 			}
 			last = err
+			if _, ok := errors.AsType[*Problem](err); ok {
+				told = err
+			}
 			if !notRun(err) {
 				outcome = Unknown
 			}
 			refused = refused && hopeless(err)
 		}
+		if told != nil {
+			last = told
+		}
 		if refused && round >= refusedMost {
 			return &UnreachableError{Addresses: c.addresses, Outcome: outcome, Err: last}
 		}
--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"cmp"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"io"
@@ -13,6 +15,8 @@
 	"time"
 	"unicode"
 
+	"google.golang.org/protobuf/proto"
+
 	"godwitspindle/core/wire"
 )
 
@@ -35,7 +39,19 @@
 	if p != nil {
 		return p
 	}
-	return s.serveResult(w, r, c, s.plan)
+	// The store judges a plan as it would the change, which needs these fields; the answer leaves them out again.
+	id, author, reason := c.GetId(), c.GetAuthor(), c.GetReason()
+	c.Id, c.Author, c.Reason = cmp.Or(id, rand.Text()), cmp.Or(author, "plan"), cmp.Or(reason, "plan")
+	return s.serveResult(w, r, c, func(ctx context.Context, c *wire.Change) (*wire.Result, error) {
+		result, err := s.plan(ctx, c)
+		if result.GetAccepted() == nil {
+			return result, err
+		}
+		result = proto.CloneOf(result) // may be shared with the store
+		a := result.GetAccepted()
+		a.Id, a.Author, a.Reason = id, author, reason
+		return result, err
+	})
 }
 
 func (s *Server) serveResult(w http.ResponseWriter, r *http.Request, c *wire.Change, f func(context.Context, *wire.Change) (*wire.Result, error)) *Problem {
@@ -199,7 +215,7 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		out.end(&Problem{
 			Title: "not in force everywhere in time", Status: http.StatusGatewayTimeout, Code: CodeTimeout,
-			Next: "the change stays accepted and goes on; wait again, and see status for who is behind",
+			Next: "an accepted change stays accepted; see status for who is behind and history for the version, and wait again",
 		})
 	default:
 		out.end(s.failed(err))
--- a/io/operator/problem.go
+++ b/io/operator/problem.go
@@ -46,7 +46,7 @@
 // Problem is an RFC 9457 problem body and the error that a client returns for it.
 type Problem struct {
 	Title   string    `json:"title"`
-	Status  int       `json:"status"`
+	Status  int       `json:"status,omitempty"`
 	Code    string    `json:"code"`
 	Detail  string    `json:"detail,omitempty"`
 	Next    string    `json:"next,omitempty"`    // what to do
@@ -140,6 +140,15 @@
 	return p
 }
 
+// WaitingProblem returns the problem of a replica that is not a member, and so holds no history.
+func WaitingProblem(name string) *Problem {
+	return &Problem{
+		Title: "this replica is not a member", Status: http.StatusServiceUnavailable, Code: CodeUnavailable, Outcome: NotRun,
+		Detail: name + " waits with an empty data folder",
+		Next:   "run replica add " + name + " --wait, or pass --at with the operator listener of another replica",
+	}
+}
+
 // MemberProblem returns the problem for a refused change of the member set.
 func MemberProblem(code, detail string) *Problem {
 	p := &Problem{Status: http.StatusConflict, Code: code, Detail: detail, Outcome: NotRun}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -226,7 +226,7 @@
 	if leader != "" {
 		p.Detail = "the leader is " + leader
 	}
-	p.Next = "resend with the same id; see status for the replicas"
+	p.Next = "start replicas until a majority runs and reaches each other, then repeat, a change with the same id; status at each replica says whether it knows a leader"
 	return p
 }
 
