--- a/cmd/show.go
+++ b/cmd/show.go
@@ -5,6 +5,7 @@
 	Version  uint64 `arg:"--version" placeholder:"VERSION" help:"version of a change [default: the current one]"`
 	Register bool   `arg:"--register" help:"print the register only, as a file for apply"`
 	Rules    string `arg:"--rules" placeholder:"SET" help:"print one rule set only, as a file for apply"`
+	Stale    bool   `arg:"--stale" help:"print what one replica holds when no majority can confirm it; it may be old"`
 	Connection
 }
 
@@ -14,7 +15,7 @@
 		return err
 	}
 	defer client.Close()
-	content, err := client.Show(s.ctx, c.Version)
+	content, err := client.Show(s.ctx, c.Version, c.Stale)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/core/outcome/page_test.go
@@ -0,0 +1,69 @@
+package outcome
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Returns the string constants of a Go file whose name or type marks them as codes.
+func codes(t *testing.T, file string, isCode func(name, kind string) bool) []string {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	if err != nil {
+		t.Fatalf("parse %s: %v", file, err)
+	}
+	var list []string
+	ast.Inspect(f, func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok || len(v.Values) != 1 {
+			return true
+		}
+		kind, _ := v.Type.(*ast.Ident)
+		value, literal := v.Values[0].(*ast.BasicLit)
+		if literal && isCode(v.Names[0].Name, kind.String()) {
+			text, _ := strconv.Unquote(value.Value)
+			list = append(list, text)
+		}
+		return true
+	})
+	return list
+}
+
+// Guards against a code that an operator or caller meets and the page does not explain, and against a code of the page
+// that the program does not use.
+func TestPageListsCodes(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		section, file string
+		isCode        func(name, kind string) bool
+	}{
+		{"Codes that callers see", "failure.go", func(_, kind string) bool { return kind == "Code" }},
+		{"Answers to operators", "../../io/operator/problem.go", func(name, _ string) bool { return strings.HasPrefix(name, "Code") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.section, func(t *testing.T) {
+			_, section, _ := strings.Cut(string(page), "\n## "+tt.section+"\n")
+			section, _, _ = strings.Cut(section, "\n## ")
+			var got []string
+			for _, m := range regexp.MustCompile("(?m)^\\| `([a-z]+)` \\|").FindAllStringSubmatch(section, -1) {
+				got = append(got, m[1])
+			}
+			want := codes(t, tt.file, tt.isCode)
+			slices.Sort(got)
+			slices.Sort(want)
+			if len(want) == 0 || !slices.Equal(got, want) {
+				t.Errorf("codes of the page: got %v, want %v", got, want)
+			}
+		})
+	}
+}
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -34,6 +34,7 @@
 		operator.WithPlan(h.plan),
 		operator.WithHistory(h.history),
 		operator.WithContent(h.content),
+		operator.WithHeld(h.held),
 		operator.WithStatus(h.status),
 		operator.WithWait(h.progress),
 		operator.WithReplicas(h.replicas),
@@ -111,6 +112,11 @@
 	if err := h.confirmed(ctx); err != nil {
 		return 0, nil, err
 	}
+	return h.held(ctx, version)
+}
+
+// held returns content by what this replica holds, which may be old.
+func (h *Host) held(_ context.Context, version uint64) (uint64, *wire.Content, error) {
 	h.control.mu.Lock()
 	defer h.control.mu.Unlock()
 	list := h.control.store.Changes()
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -143,13 +143,11 @@
 	return call[History](ctx, c, http.MethodGet, "/v1/history?limit="+strconv.Itoa(limit), nil)
 }
 
-// Show returns register and rules as of version, 0 for the current one.
-func (c *Client) Show(ctx context.Context, version uint64) (*Content, error) {
-	path := "/v1/show"
-	if version > 0 {
-		path += "?version=" + strconv.FormatUint(version, 10)
-	}
-	return call[Content](ctx, c, http.MethodGet, path, nil)
+// Show returns register and rules as of version, 0 for the current one; stale asks for what the first replica that answers
+// holds, without the confirmation of a majority.
+func (c *Client) Show(ctx context.Context, version uint64, stale bool) (*Content, error) {
+	query := url.Values{"version": {strconv.FormatUint(version, 10)}, "stale": {strconv.FormatBool(stale)}}
+	return call[Content](ctx, c, http.MethodGet, "/v1/show?"+query.Encode(), nil)
 }
 
 // Status describes the mesh. When the first node that answers knows no leader, the others are asked once each.
--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -171,7 +171,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerTime)
 	defer cancel()
-	at, c, err := s.content(ctx, version)
+	read := s.content
+	if r.URL.Query().Get("stale") == "true" {
+		read = s.held
+	}
+	at, c, err := read(ctx, version)
 	if err != nil {
 		return s.failed(err)
 	}
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -57,6 +57,13 @@
 			}
 			return 42, &wire.Content{Sets: []*wire.RuleSet{{Set: "main", Routes: []*wire.Route{{Name: "buy", Deadline: 2000}}}}}, nil
 		}),
+		WithHeld(func(context.Context, uint64) (uint64, *wire.Content, error) { return 41, &wire.Content{}, nil }),
+		WithReplicas(func(_ context.Context, action, name string) (*Replicas, error) {
+			if action == ActionRemove {
+				return nil, MemberProblem(name, "why")
+			}
+			return &Replicas{Leader: action}, nil
+		}),
 		WithStatus(func(context.Context) (*Status, error) { return &Status{Version: 42, Age: -1}, nil }),
 		WithWait(func(ctx context.Context, version uint64, report func(Progress)) error {
 			report(Progress{Version: version, Nodes: 12, Current: 11, Elapsed: Duration(300 * time.Millisecond)})
@@ -119,6 +126,16 @@
 		{"history limit", "GET", "/v1/history?limit=1001", "", "", ""},
 		{"show", "GET", "/v1/show", "", "", ""},
 		{"show missing", "GET", "/v1/show?version=43", "", "", ""},
+		{"show stale", "GET", "/v1/show?stale=true", "", "", ""},
+		{"replicas", "GET", "/v1/replicas", "", "", ""},
+		{"replica add", "POST", "/v1/replicas", `{"action":"add","name":"a"}`, "", ""},
+		{"replica behind", "POST", "/v1/replicas", `{"action":"remove","name":"behind"}`, "", ""},
+		{"replica members", "POST", "/v1/replicas", `{"action":"remove","name":"members"}`, "", ""},
+		{"replica silent", "POST", "/v1/replicas", `{"action":"remove","name":"silent"}`, "", ""},
+		{"replica foreign", "POST", "/v1/replicas", `{"action":"remove","name":"foreign"}`, "", ""},
+		{"replica unknown", "POST", "/v1/replicas", `{"action":"remove","name":"noreplica"}`, "", ""},
+		{"replica action", "POST", "/v1/replicas", `{"action":"list","name":"a"}`, "", ""},
+		{"replica name", "POST", "/v1/replicas", `{"action":"add"}`, "", ""},
 		{"wait", "GET", "/v1/wait?version=42", "", "", ""},
 		{"wait timeout", "GET", "/v1/wait?version=43&timeout=1ms", "", "", ""},
 		{"wait without unit", "GET", "/v1/wait?version=43&timeout=1", "", "", ""},
--- a/io/operator/problem.go
+++ b/io/operator/problem.go
@@ -159,7 +159,7 @@
 		p.Title, p.Status = "the replica did not answer", http.StatusBadGateway
 		p.Next = "start its node with an empty data folder, check its address in the setting replicas of every node, and repeat"
 	case CodeForeign:
-		p.Title, p.Next = "the replica does not belong to this mesh", "check its settings; only if its data is of no use, stop the node, move the data folder away, start it and repeat"
+		p.Title, p.Next = "the replica is not an empty one of this mesh", "check its settings; if it was removed earlier, stop the node, move its data folder away, start it and repeat"
 	case CodeBehind:
 		p.Title, p.Next = "the learner has not caught up", "wait and promote again, or use replica add NAME --wait"
 	case CodeMembers:
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -42,6 +42,7 @@
 	plan     func(context.Context, *wire.Change) (*wire.Result, error)
 	history  func(ctx context.Context, limit int) ([]*wire.Accepted, error)
 	content  func(ctx context.Context, version uint64) (uint64, *wire.Content, error)
+	held     func(ctx context.Context, version uint64) (uint64, *wire.Content, error)
 	status   func(context.Context) (*Status, error)
 	wait     func(ctx context.Context, version uint64, report func(Progress)) error
 	replicas func(ctx context.Context, action, name string) (*Replicas, error)
@@ -84,6 +85,11 @@
 	return func(s *Server) { s.content = f }
 }
 
+// WithHeld sets what returns the same as WithContent by what this replica holds, without the confirmation of a majority.
+func WithHeld(f func(ctx context.Context, version uint64) (uint64, *wire.Content, error)) Option {
+	return func(s *Server) { s.held = f }
+}
+
 // WithStatus sets what describes the mesh.
 func WithStatus(f func(context.Context) (*Status, error)) Option {
 	return func(s *Server) { s.status = f }
