--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"godwitspindle/core/agreement"
 	"godwitspindle/core/config"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
@@ -33,8 +34,10 @@
 		operator.WithPlan(h.plan),
 		operator.WithHistory(h.history),
 		operator.WithContent(h.content),
+		operator.WithHeld(h.held),
 		operator.WithStatus(h.status),
 		operator.WithWait(h.progress),
+		operator.WithReplicas(h.replicas),
 		operator.WithParsers(config.ParseRegister, config.ParseRules, Faults),
 	)
 }
@@ -68,6 +71,9 @@
 
 // confirmed waits until the store of this replica is current as of the call.
 func (h *Host) confirmed(ctx context.Context) error {
+	if st := h.control.replica.Status(); st.Role == agreement.Waiting && h.upstream.known() != "" {
+		return operator.WaitingProblem(h.settings.Name)
+	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	version, err := h.current(ctx)
@@ -106,6 +112,11 @@
 	if err := h.confirmed(ctx); err != nil {
 		return 0, nil, err
 	}
+	return h.held(ctx, version)
+}
+
+// held returns content by what this replica holds, which may be old.
+func (h *Host) held(_ context.Context, version uint64) (uint64, *wire.Content, error) {
 	h.control.mu.Lock()
 	defer h.control.mu.Unlock()
 	list := h.control.store.Changes()
@@ -139,6 +150,21 @@
 	return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: last}
 }
 
+// patientFleet asks again while ctx lasts, so that an election does not look like the loss of a majority.
+func (h *Host) patientFleet(ctx context.Context) (*rpc.StatusResponse, error) {
+	for {
+		f, err := h.fleet(ctx, 0)
+		if err == nil {
+			return f, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(progressInterval):
+		}
+	}
+}
+
 // status describes the mesh; without a leader it says what this replica knows.
 func (h *Host) status(ctx context.Context) (*operator.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -152,17 +178,17 @@
 		Age:      operator.Duration(h.age()),
 		Services: usages(v.Table),
 	}
-	f, err := h.fleet(ctx, 0)
+	f, err := h.patientFleet(ctx)
 	if err != nil {
 		m := h.control.replica.Status().Members
-		st.Replicas = replicaList("", m.Voters, m.Learners)
+		st.Replicas = replicaList(m.Voters, m.Learners)
 		return st, nil
 	}
 	st.Version = f.GetVersion()
 	st.Leader = f.GetLeader()
 	st.Current = int(f.GetReport().GetCount())
 	st.Behind = behind(f.GetReport())
-	st.Replicas = replicaList(f.GetLeader(), f.GetVoters(), f.GetLearners())
+	st.Replicas = members(f.GetReplicas())
 	if f.GetSpread() >= 0 {
 		st.Spread = operator.Duration(time.Duration(f.GetSpread()) * time.Millisecond)
 	}
@@ -238,17 +264,14 @@
 	return "stale"
 }
 
-func replicaList(leader string, voters, learners []string) []operator.Member {
+// replicaList lists members of which nobody knows how far behind they are.
+func replicaList(voters, learners []string) []operator.Member {
 	var list []operator.Member
-	for _, name := range replicaNames(voters) {
-		role := "voter"
-		if name == leader {
-			role = "leader"
-		}
-		list = append(list, operator.Member{Name: name, Role: role})
+	for _, id := range voters {
+		list = append(list, operator.Member{Name: agreement.Name(id), Role: "voter", Identity: id, Behind: -1, Heard: -1})
 	}
-	for _, name := range replicaNames(learners) {
-		list = append(list, operator.Member{Name: name, Role: "learner"})
+	for _, id := range learners {
+		list = append(list, operator.Member{Name: agreement.Name(id), Role: "learner", Identity: id, Behind: -1, Heard: -1})
 	}
 	return list
 }
