test(demo): request path over whole nodes; fix what it found

Calls that waited in the queue were blamed for a crash and passed the quarantine check too early; the check now follows admission. The follower and the announcer of a host were read by peers while they were set (found by the race detector). A restarted node of a demo mesh could find its ports taken; they now lie below the range of outgoing connections.

A 503 with Retry-After on a keyed request is no longer stored as its answer.

--- /dev/null
+++ b/core/claim/measure_test.go
@@ -0,0 +1,235 @@
+package claim_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/claim"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/disk"
+	"godwitspindle/io/replica"
+)
+
+var measureTime = flag.Duration("measure", 0, "time of each measurement of claims; 0 skips them")
+
+// costs counts what a way of claiming uses on all replicas.
+type costs struct{ syncs, disk, sent atomic.Int64 }
+
+func record(key, owner string) *wire.Claim {
+	return &wire.Claim{
+		Kind: wire.ClaimKind_CLAIM_KIND_ACQUIRE, Route: "buy", Key: key, Fingerprint: make([]byte, 16), Owner: owner,
+		Deadline: time.Now().Add(10 * time.Second).UnixMilli(),
+	}
+}
+
+// store is the disk of one register replica: messages that wait while it syncs share the next sync, as in the log.
+type store struct {
+	inbox chan func(acceptor) ([]byte, func())
+	file  *os.File
+	costs *costs
+}
+
+func (s *store) run(ctx context.Context) {
+	cells := acceptor{}
+	for {
+		var answers []func()
+		var batch []byte
+		take := func(f func(acceptor) ([]byte, func())) {
+			b, reply := f(cells)
+			batch, answers = append(batch, b...), append(answers, reply)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.inbox:
+			take(f)
+		}
+		for len(s.inbox) > 0 && len(answers) < 512 {
+			take(<-s.inbox)
+		}
+		if len(batch) > 0 {
+			_, _ = s.file.Write(batch)
+			_ = s.file.Sync()
+			s.costs.syncs.Add(1)
+			s.costs.disk.Add(int64(len(batch)))
+		}
+		for _, f := range answers {
+			f()
+		}
+	}
+}
+
+// registers returns a function that claims keys in registers on three disks; rounds counts the rounds of each claim.
+func registers(t *testing.T, c *costs, rounds *atomic.Int64) func(key, owner string) bool {
+	var stores []*store
+	for i := range 3 {
+		f, err := os.Create(filepath.Join(t.TempDir(), fmt.Sprint("register", i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &store{inbox: make(chan func(acceptor) ([]byte, func()), 4096), file: f, costs: c}
+		stores = append(stores, s)
+		go s.run(t.Context())
+	}
+	var ids atomic.Uint64
+	return func(key, owner string) bool {
+		n := newClaimant(3, ids.Add(1)&0xffff, key, owner)
+		type reply struct {
+			from   int
+			answer answer
+		}
+		replies := make(chan reply, 64)
+		payload, _ := proto.Marshal(record(key, owner))
+		send := func() {
+			m := n.message
+			for i, s := range stores {
+				c.sent.Add(int64(len(payload)) + 40) // ballots there and back, and the owner in the answer
+				s.inbox <- func(a acceptor) ([]byte, func()) {
+					out, changed := a.apply(m)
+					var b []byte
+					if changed {
+						b = append(make([]byte, 24), payload...) // length, checksum and ballots
+					}
+					return b, func() { replies <- reply{i, out} }
+				}
+			}
+		}
+		send()
+		for n.winner == "" {
+			r := <-replies
+			if n.receive(r.from, r.answer) {
+				send()
+			}
+		}
+		rounds.Add(int64(n.rounds))
+		return n.winner == owner
+	}
+}
+
+// logged returns a function that claims keys through the agreed log on three disks.
+func logged(t *testing.T, c *costs) func(key, owner string) bool {
+	names := []string{"a", "b", "c"}
+	members := map[string]*replica.Replica{}
+	var mu sync.Mutex
+	for _, n := range names {
+		table := claim.New(claim.WithBounds(10_000_000, 1<<31))
+		r, err := replica.New(replica.WithFolder(t.TempDir()), replica.WithName(n), replica.WithNames(names...),
+			replica.WithSend(func(m agreement.Message) {
+				size := int64(64)
+				for _, e := range m.Entries {
+					size += int64(len(e.Data)) + 16
+				}
+				c.sent.Add(size)
+				mu.Lock()
+				to := members[agreement.Name(m.To)]
+				mu.Unlock()
+				if to != nil {
+					to.Step(m)
+				}
+			}),
+			replica.WithApply(func(_ uint64, w *wire.Command) *wire.Result {
+				var out []*wire.ClaimResult
+				for _, k := range w.GetClaims().GetClaims() {
+					out = append(out, table.Apply(time.Now(), k))
+				}
+				return &wire.Result{Body: &wire.Result_Claims{Claims: &wire.ClaimResults{Results: out}}}
+			}),
+			replica.WithMarshal(func() ([]byte, error) { return []byte{1}, nil }),
+			replica.WithRestore(func([]byte) error { return nil }),
+			replica.WithCompaction(1<<30, 1<<40),
+			replica.WithDisk(
+				disk.WithSync(func(f *os.File) error { c.syncs.Add(1); return f.Sync() }),
+				disk.WithWrite(func(f *os.File, b []byte) (int, error) { c.disk.Add(int64(len(b))); return f.Write(b) })),
+		)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mu.Lock()
+		members[n] = r
+		mu.Unlock()
+		t.Cleanup(func() { _ = r.Close() })
+	}
+	var leader *replica.Replica
+	for leader == nil {
+		for _, r := range members {
+			ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			if _, err := r.Read(ctx); err == nil {
+				leader = r
+			}
+			stop()
+		}
+	}
+	return func(key, owner string) bool {
+		w := &wire.Command{Body: &wire.Command_Claims{Claims: &wire.Claims{Claims: []*wire.Claim{record(key, owner)}}}}
+		r, err := leader.Propose(t.Context(), w)
+		if err != nil {
+			return false
+		}
+		return r.GetClaims().GetResults()[0].GetState() == wire.ClaimState_CLAIM_STATE_GRANTED
+	}
+}
+
+// measure runs claims from n claimants at once; with together above 1, so many of them claim the same key.
+func measure(t *testing.T, c *costs, n, together int, claim func(key, owner string) bool) {
+	var wait sync.WaitGroup
+	var granted atomic.Int64
+	took := make([][]time.Duration, n)
+	c.syncs.Store(0)
+	c.disk.Store(0)
+	c.sent.Store(0)
+	begin := time.Now()
+	for i := range n {
+		wait.Go(func() {
+			for k := 0; time.Since(begin) < *measureTime; k++ {
+				at := time.Now()
+				if claim(fmt.Sprintf("%08d-%08d-%016d", i/together, k, together), fmt.Sprintf("%016d-%d", i, k)) {
+					granted.Add(1)
+				}
+				took[i] = append(took[i], time.Since(at))
+			}
+		})
+	}
+	wait.Wait()
+	all := slices.Concat(took...)
+	slices.Sort(all)
+	count := float64(len(all))
+	t.Logf("%7.0f claims/s  p50 %9s  p99 %9s  disk %5.0f B  sent %5.0f B  fsyncs %6.3f a claim, granted %d of %d",
+		count/time.Since(begin).Seconds(), all[len(all)/2].Round(time.Microsecond), all[len(all)*99/100].Round(time.Microsecond),
+		float64(c.disk.Load())/count, float64(c.sent.Load())/count, float64(c.syncs.Load())/count, granted.Load(), len(all))
+}
+
+// Measures for docs/claims.md; disk, sent bytes and fsyncs are those of all three replicas. Run with -measure 3s.
+func TestMeasureClaims(t *testing.T) {
+	if *measureTime == 0 {
+		t.Skip("run with -measure")
+	}
+	for _, n := range []struct{ claimants, together int }{{1, 1}, {64, 1}, {512, 1}, {2, 2}, {64, 2}, {512, 2}} {
+		name := fmt.Sprintf("claimants=%d,same key=%d", n.claimants, n.together)
+		t.Run("log,"+name, func(t *testing.T) {
+			var c costs
+			measure(t, &c, n.claimants, n.together, logged(t, &c))
+		})
+		t.Run("register,"+name, func(t *testing.T) {
+			var c costs
+			var rounds atomic.Int64
+			total := atomic.Int64{}
+			claim := registers(t, &c, &rounds)
+			measure(t, &c, n.claimants, n.together, func(key, owner string) bool {
+				total.Add(1)
+				return claim(key, owner)
+			})
+			t.Logf("%.3f rounds a claim", float64(rounds.Load())/float64(total.Load()))
+		})
+	}
+}
--- a/core/quarantine/local.go
+++ b/core/quarantine/local.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -111,23 +112,20 @@
 // Drop forgets a call that ended without completing, such as a canceled one; it proves nothing about the request.
 func (l *Local) Drop(call string) { delete(l.running, call) }
 
-// Crash takes the crash of the backend server's process with the given incarnation, forgets all running calls and returns
-// the marks to propose. The only running suspect is confirmed; of several running suspects each is marked again; without
-// a suspect every running request is marked.
-func (l *Local) Crash(incarnation uint64, now time.Time) []*wire.Mark {
-	blamed := l.suspects(now)
+// Crash takes the crash of the backend server's process with the given incarnation and returns the marks to propose. Ran are
+// the fingerprints that the dead process ran, without which all running calls count; their calls are forgotten, while calls
+// that run on the next process stay. The only suspect that ran is confirmed; of several each is marked again; without a
+// suspect every request that ran is marked.
+func (l *Local) Crash(incarnation uint64, now time.Time, ran ...[]byte) []*wire.Mark {
+	dead := l.forget(ran)
+	blamed := l.among(dead, now)
 	kind := wire.MarkKind_MARK_KIND_CRASHED
 	if len(blamed) == 1 {
 		kind = wire.MarkKind_MARK_KIND_CONFIRMED
 	}
 	if len(blamed) == 0 {
-		for _, f := range l.running {
-			blamed = append(blamed, f)
-		}
-		slices.Sort(blamed)
-		blamed = slices.Compact(blamed)
+		blamed = dead
 	}
-	clear(l.running)
 	marks := make([]*wire.Mark, 0, len(blamed))
 	for _, f := range blamed {
 		s := l.suspect(f, now)
@@ -143,20 +141,44 @@
 	return marks
 }
 
+// forget ends the calls of a dead process and returns their different fingerprints in order.
+func (l *Local) forget(ran [][]byte) []string {
+	var dead []string
+	for _, f := range ran {
+		dead = append(dead, string(f))
+	}
+	if len(ran) == 0 {
+		dead = slices.Collect(maps.Values(l.running))
+	}
+	slices.Sort(dead)
+	dead = slices.Compact(dead)
+	maps.DeleteFunc(l.running, func(_, f string) bool {
+		_, found := slices.BinarySearch(dead, f)
+		return found
+	})
+	return dead
+}
+
 func (l *Local) mark(kind wire.MarkKind, fingerprint string, incarnation uint64) *wire.Mark {
 	return &wire.Mark{Kind: kind, Fingerprint: []byte(fingerprint), Endpoint: l.endpoint, Incarnation: incarnation}
 }
 
 // suspects returns the different fingerprints of running suspects in order, quarantined ones that began earlier included.
 func (l *Local) suspects(now time.Time) []string {
+	found := l.among(slices.Collect(maps.Values(l.running)), now)
+	slices.Sort(found)
+	return slices.Compact(found)
+}
+
+// among returns the fingerprints that are suspects, in the order given.
+func (l *Local) among(fingerprints []string, now time.Time) []string {
 	var found []string
-	for _, f := range l.running {
+	for _, f := range fingerprints {
 		if l.suspect(f, now) != nil {
 			found = append(found, f)
 		}
 	}
-	slices.Sort(found)
-	return slices.Compact(found)
+	return found
 }
 
 // suspect joins the agreed view with this node's own marks: the stricter mark counts, and an own clearing holds until the
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -28,13 +28,14 @@
 	if f := b.refusal(key, m.Call); f != nil {
 		return nil, b.refused(key, m, f)
 	}
-	unguard, f := b.guard(ctx, key, m)
+	release, f := b.admit(ctx, key, m)
 	if f != nil {
 		return nil, b.refused(key, m, f)
 	}
-	release, f := b.admit(ctx, key, m)
+	// A call that waited in the queue may have been marked meanwhile.
+	unguard, f := b.guard(ctx, key, m)
 	if f != nil {
-		unguard(Result{})
+		release(Result{})
 		return nil, b.refused(key, m, f)
 	}
 	l := &flight{backend: b, begin: b.now(), release: release, unguard: unguard, meta: m}
--- a/io/backend/seams.go
+++ b/io/backend/seams.go
@@ -65,7 +65,7 @@
 	return func(b *Backend) { b.admit = f }
 }
 
-// WithGuard sets the quarantine check, asked before admission; done is called once for each call that passed it.
+// WithGuard sets the quarantine check, asked once a call is admitted; done is called once for each call that passed it.
 func WithGuard(f func(ctx context.Context, endpoint string, m hop.Meta) (done func(Result), refused *outcome.Failure)) Option {
 	return func(b *Backend) { b.guard = f }
 }
--- a/io/caller/once.go
+++ b/io/caller/once.go
@@ -41,6 +41,14 @@
 		c.refuse(c.giveBack(claim, f))
 		return
 	}
+	if _, shed := hop.Shed(p); shed {
+		// Some backend servers pass on the 503 of an inner call after a part of their work, so it proves nothing. The claim is
+		// left without an outcome: a resend is neither run nor given this answer for 24 h, but told that the outcome is unknown.
+		c.handler.log.Info("outcome left unknown", "call", c.id, "route", claim.Route, "endpoint", c.endpoint, "status", p.StatusCode)
+		hop.Clean(p.Header)
+		c.stream(p)
+		return
+	}
 	c.keep(claim, p)
 }
 
--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -45,6 +46,7 @@
 	profile platform.Profile
 	latency time.Duration
 	slots   int
+	standin func(i int) []standin.Option
 }
 
 // WithProfile sets the distribution profile of all nodes.
@@ -56,9 +58,14 @@
 // WithSlots sets the slots of each backend server.
 func WithSlots(n int) Option { return func(o *meshOptions) { o.slots = n } }
 
+// WithStandin adds options to the backend server at each place.
+func WithStandin(f func(i int) []standin.Option) Option {
+	return func(o *meshOptions) { o.standin = f }
+}
+
 // New starts nodes and backend servers; data folders are made below folder.
 func New(folder string, places []Place, log logr.Logger, opts ...Option) (*Mesh, error) {
-	o := meshOptions{profile: platform.Fast, latency: time.Millisecond, slots: 12}
+	o := meshOptions{profile: platform.Fast, latency: time.Millisecond, slots: 12, standin: func(int) []standin.Option { return nil }}
 	for _, f := range opts {
 		f(&o)
 	}
@@ -86,30 +93,26 @@
 
 // plan makes the settings of all nodes.
 func (m *Mesh) plan(profile platform.Profile) error {
+	addresses, err := freeAddresses(3 * len(m.places))
+	if err != nil {
+		return err
+	}
 	var replicas []platform.Replica
-	for _, p := range m.places {
-		if !p.Replica {
-			continue
-		}
-		a, err := freeAddress()
-		if err != nil {
-			return err
+	for i, p := range m.places {
+		if p.Replica {
+			replicas = append(replicas, platform.Replica{Name: p.Name, Address: addresses[3*i]})
 		}
-		replicas = append(replicas, platform.Replica{Name: p.Name, Address: a})
 	}
-	for _, p := range m.places {
+	for i, p := range m.places {
 		s := platform.Default()
 		s.Name, s.Region, s.Domain, s.Replicas, s.Profile = p.Name, p.Region, p.Domain, replicas, profile
 		s.Log.Sample = 0
 		any := loopback(0)
-		s.Listen = platform.Listen{Caller: any, Local: any, Backend: any, Peer: any, Operator: any, Metrics: any}
-		for _, r := range replicas {
-			if r.Name == p.Name {
-				s.Listen.Peer = r.Address
-				s.Data = filepath.Join(m.folder, p.Name)
-			}
+		s.Listen = platform.Listen{
+			Peer: addresses[3*i], Caller: addresses[3*i+1], Backend: addresses[3*i+2], Local: any, Operator: any, Metrics: any,
 		}
-		if s.Data != "" {
+		if p.Replica {
+			s.Data = filepath.Join(m.folder, p.Name)
 			if err := os.MkdirAll(s.Data, 0o700); err != nil {
 				return fmt.Errorf("make the data folder: %w", err)
 			}
@@ -119,17 +122,13 @@
 	return nil
 }
 
-// Start starts the node at the given place, which must not run; its peer address stays the same if it is a replica.
+// Start starts the node at the given place, which must not run; its addresses for peers, callers and the backend server stay the same.
 func (m *Mesh) Start(i int) error {
 	h, err := host.New(m.settings[i], m.log)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", m.places[i].Name, err)
 	}
 	m.Hosts[i] = h
-	m.settings[i].Listen = h.Listen()
-	if !m.places[i].Replica {
-		m.settings[i].Listen.Operator = loopback(0)
-	}
 	return nil
 }
 
@@ -148,12 +147,12 @@
 }
 
 func (m *Mesh) serve(i int, o meshOptions) error {
-	b, err := standin.New(
+	b, err := standin.New(append([]standin.Option{
 		standin.WithNode(m.Hosts[i].Listen().Backend),
 		standin.WithEndpoint(m.places[i].Service, m.places[i].Name),
 		standin.WithSlots(o.slots, 130),
 		standin.WithLatency(o.latency),
-	)
+	}, o.standin(i)...)...)
 	if err != nil {
 		return fmt.Errorf("start the backend server at %s: %w", m.places[i].Name, err)
 	}
@@ -212,12 +211,30 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 }
 
-// freeAddress finds a port that is free now.
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback(0)))
-	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
+// Ports lie below the range from which Linux takes ports for connections by default, so that a node finds its ports free when
+// it starts again.
+const (
+	lowestPort = 20_000
+	ports      = 12_000
+)
+
+// freeAddresses finds different ports that are free now.
+func freeAddresses(n int) ([]netip.AddrPort, error) {
+	var found []netip.AddrPort
+	var last error
+	first := rand.IntN(ports)
+	for i := 0; i < ports && len(found) < n; i++ {
+		a := loopback(uint16(lowestPort + (first+i)%ports))
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
+		if err != nil {
+			last = err
+			continue
+		}
+		_ = l.Close()
+		found = append(found, a)
+	}
+	if len(found) < n {
+		return nil, fmt.Errorf("find free ports: %w", last)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return found, nil
 }
--- /dev/null
+++ b/io/demo/once_test.go
@@ -0,0 +1,214 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"godwitspindle/core/outcome"
+	"godwitspindle/io/standin"
+)
+
+// honest reports whether an outcome of a keyed purchase agrees with the number of its runs.
+func honest(a reply, runs int) bool {
+	switch {
+	case a.foreign || runs > 1:
+		return false
+	case a.status == http.StatusOK || a.kind == outcome.Lost:
+		return runs == 1
+	case a.kind == outcome.NotRun:
+		return runs == 0
+	}
+	return true // unknown, or no answer at all
+}
+
+func (m *world) inFlight() int {
+	return m.Backends[counter].Running() + m.Backends[counter+1].Running()
+}
+
+// busy takes the only slot of each of two counters for a while.
+func (m *world) busy(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	t.Cleanup(cancel)
+	eventually(t, time.Second, "both counters busy", func() bool {
+		go m.send(ctx, http.DefaultClient, entry, request{path: "/history", body: "busy", fault: standin.FaultStall})
+		time.Sleep(20 * time.Millisecond) // one that queues behind the other stays harmless
+		return m.inFlight() == 2
+	})
+}
+
+func (m *world) idle(t *testing.T) {
+	eventually(t, 2*time.Second, "both counters idle", func() bool { return m.inFlight() == 0 })
+}
+
+// Guards R4, R5 and R6: the node that a caller used dies at one step of the claim, and the caller resends the same key
+// through another node. A purchase that ran twice, or one reported as not run although it ran, fails the test.
+func TestNodeDiesAtEachStepOfAClaim(t *testing.T) {
+	m := startMesh(t, 2, WithSlots(1), WithLatency(time.Millisecond))
+	c := clientFrom("127.0.0.1")
+	running := func(key string) func() {
+		return func() { eventually(t, time.Second, "the purchase runs", func() bool { return m.runs(key) == 1 }) }
+	}
+	minority := func() { // no claim can be made
+		_, _ = m.Stop(0), m.Stop(1)
+	}
+	majority := func() {
+		if err := errors.Join(m.Start(0), m.Start(1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cases := []struct {
+		name    string
+		latency time.Duration
+		before  func()
+		until   func() // returns at the step at which the node dies
+		answer  bool   // it dies only after the caller has its answer
+		after   func()
+		victim  int
+	}{
+		{name: "before the claim", before: minority, until: func() { time.Sleep(200 * time.Millisecond) }, after: majority, victim: entry + 1},
+		{name: "claimed and queued", before: func() { m.busy(t) }, until: func() { time.Sleep(200 * time.Millisecond) }, victim: entry + 2},
+		{name: "running", before: func() { m.idle(t) }, latency: 400 * time.Millisecond, until: running("running"), victim: entry + 3},
+		{
+			name: "answered before finish", latency: 300 * time.Millisecond, answer: true, after: majority, victim: entry + 4,
+			until: func() { running("answered before finish")(); minority() },
+		},
+		{name: "answered", answer: true, until: func() {}, victim: entry + 5},
+		{name: "running beside the server", latency: 400 * time.Millisecond, until: running("running beside the server"), victim: counter},
+	}
+	var resends sync.WaitGroup // take as long as the claim's deadline, so they run beside the next cases
+	all := t
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.before != nil {
+				tt.before()
+			}
+			q := request{path: "/passes", key: tt.name, body: "pass " + tt.name, latency: tt.latency}
+			from := tt.victim
+			if from >= counter {
+				from = entry
+			}
+			first := make(chan reply, 1)
+			go func() { first <- m.send(t.Context(), c, from, q) }()
+			tt.until()
+			var a reply
+			if tt.answer {
+				a = <-first
+			}
+			if err := m.Stop(tt.victim); err != nil {
+				t.Log("stop:", err)
+			}
+			if !tt.answer {
+				a = <-first
+			}
+			if tt.after != nil {
+				tt.after()
+			}
+			if !honest(a, m.runs(tt.name)) {
+				t.Errorf("first outcome: got %+v after %d runs, want an honest one", a, m.runs(tt.name))
+			}
+			runs := m.runs(tt.name)
+			resends.Go(func() {
+				last := m.resend(all, c, q)
+				all.Logf("%s: first %d %s %s after %d runs, last %d %s %s replay=%t after %d runs", tt.name, a.status, a.kind, a.code, runs,
+					last.status, last.kind, last.code, last.replay, m.runs(tt.name))
+			})
+		})
+	}
+	resends.Wait()
+}
+
+// resend sends a purchase through another node until its outcome is final.
+func (m *world) resend(t *testing.T, c *http.Client, q request) reply {
+	var last reply
+	for range 5 { // the deadline of the claim passes within four
+		last = m.send(t.Context(), c, entry, q)
+		if !honest(last, m.runs(q.key)) {
+			t.Errorf("resend: got %+v after %d runs, want an honest outcome", last, m.runs(q.key))
+		}
+		if last.status == http.StatusOK || last.kind == outcome.Unknown && last.took < 200*time.Millisecond {
+			return last
+		}
+	}
+	t.Errorf("%s: got %+v, want a stored answer or unknown at once", q.key, last)
+	return last
+}
+
+// Guards R4 to R6 where resends meet: the leader dies while claims are made, two resends come at once through two nodes, and
+// a key is used again for another body.
+func TestResends(t *testing.T) {
+	m := startMesh(t, 2, WithLatency(20*time.Millisecond))
+	c := clientFrom("127.0.0.1")
+	t.Run("at once through two nodes while the leader dies", func(t *testing.T) {
+		var wait sync.WaitGroup
+		const keys = 60
+		var outcomes [keys][2]reply
+		key := func(i int) string { return "resend-" + string(rune('A'+i)) }
+		for i := range keys {
+			for j, node := range []int{entry + 1, entry} {
+				wait.Go(func() {
+					outcomes[i][j] = m.send(t.Context(), c, node, request{path: "/passes", key: key(i), body: key(i)})
+				})
+			}
+			if i == keys/2 {
+				for k := range 3 {
+					if m.Hosts[k].Leads() {
+						_ = m.Stop(k)
+						defer func() {
+							if err := m.Start(k); err != nil {
+								t.Fatal(err)
+							}
+						}()
+						break
+					}
+				}
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		wait.Wait()
+		answered := 0
+		for i, pair := range outcomes {
+			for _, a := range pair {
+				if !honest(a, m.runs(key(i))) && a.kind != outcome.NotRun {
+					t.Errorf("%s: got %+v after %d runs, want an honest outcome", key(i), a, m.runs(key(i)))
+				}
+				if a.status == http.StatusOK {
+					answered++
+				}
+			}
+			if m.runs(key(i)) > 1 || pair[0].kind == outcome.NotRun && pair[1].kind == outcome.NotRun && m.runs(key(i)) > 0 {
+				t.Errorf("%s: got %d runs with outcomes %+v, want at most one and none when both say notrun", key(i), m.runs(key(i)), pair)
+			}
+		}
+		t.Logf("%d of %d answered", answered, 2*keys)
+	})
+	m.ready(t, 2)
+	t.Run("another body", func(t *testing.T) {
+		eventually(t, 5*time.Second, "a purchase is answered", func() bool {
+			return m.send(t.Context(), c, entry+1, request{path: "/passes", key: "k", body: "one"}).status == http.StatusOK
+		})
+		a := m.send(t.Context(), c, entry, request{path: "/passes", key: "k", body: "two"})
+		if a.status != http.StatusUnprocessableEntity || a.code != outcome.Mismatch || m.runs("k") != 1 {
+			t.Errorf("got %+v after %d runs, want 422 mismatch after one", a, m.runs("k"))
+		}
+	})
+	t.Run("a shed purchase", func(t *testing.T) {
+		// A 503 with Retry-After must not be replayed for 24 h, nor taken as proof that a second run is safe.
+		q := request{path: "/passes", key: "shed", body: "shed", fault: standin.FaultShed}
+		if a := m.send(t.Context(), c, entry+1, q); a.status != http.StatusServiceUnavailable || a.kind != outcome.None {
+			t.Errorf("first: got %+v, want the backend server's own 503", a)
+		}
+		q.fault = ""
+		var a reply
+		eventually(t, 5*time.Second, "the claim's deadline passes", func() bool {
+			a = m.send(t.Context(), c, entry, q)
+			return a.code == outcome.Claimed
+		})
+		if a.kind != outcome.Unknown || a.replay || m.runs("shed") != 0 {
+			t.Errorf("resend: got %+v after %d runs, want unknown and no run", a, m.runs("shed"))
+		}
+	})
+}
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -17,6 +17,9 @@
 const (
 	avoidDraining    = 5 * time.Second // a leave is agreed and distributed well within this
 	avoidUnreachable = time.Second
+	// resetDelay is the wait before a retry after a broken connection. A request that crashed a backend server is marked within
+	// it (20 ms to detect, then a commit and its distribution); a retry without the wait crashes one more.
+	resetDelay = 100 * time.Millisecond
 )
 
 // match finds the route of a request in the version in force.
@@ -92,6 +95,9 @@
 	verdict := caller.Verdict{Again: v.Action != retry.Stop, Repick: v.Action == retry.Repick, Reason: v.Reason}
 	if v.Action == retry.Retry {
 		verdict.Wait = a.Failure.After
+		if a.Failure.Code == outcome.Reset {
+			verdict.Wait = max(verdict.Wait, resetDelay)
+		}
 		h.metrics.Retries.WithLabelValues("retry").Inc()
 	}
 	if v.Action == retry.Repick {
--- a/io/host/guard.go
+++ b/io/host/guard.go
@@ -77,7 +77,11 @@
 func (g *guard) crash(c backend.Crash) []*wire.Mark {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.local.Crash(c.Incarnation, c.At)
+	ran := make([][]byte, 0, len(c.Prints))
+	for _, f := range c.Prints {
+		ran = append(ran, f[:])
+	}
+	return g.local.Crash(c.Incarnation, c.At, ran...)
 }
 
 // marker commits marks in the background, so that no call waits for them.
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -37,17 +37,19 @@
 
 	clients  *peer.Clients
 	holder   *peer.Holder
-	follower *peer.Follower
 	feed     *peer.Feed
 	tracker  *relay.Tracker
 	upstream *upstream
 	proposer *peer.Proposer
 	courier  *peer.Courier
 	control  *control // nil without a control replica
-	announce *announcer
 	marker   *marker
 	floors   *peer.Rounds
 
+	// Set while replicas and nodes below already call; nil until then.
+	follower atomic.Pointer[peer.Follower]
+	announce atomic.Pointer[announcer]
+
 	picker  *routing.Picker
 	budget  *retry.Budget
 	hops    *hop.Client
@@ -174,7 +176,7 @@
 	})
 	go h.resize()
 	h.changed()
-	if h.follower != nil {
+	if h.follower.Load() != nil {
 		h.acknowledged(v.Snapshot.Version()) // nodes below may have taken the version from elsewhere first
 	}
 	time.AfterFunc(lateReport, h.reportLate)
@@ -182,8 +184,8 @@
 
 // changed makes the announcer compare what is agreed with what is announced.
 func (h *Host) changed() {
-	if h.announce != nil {
-		h.announce.notify()
+	if a := h.announce.Load(); a != nil {
+		a.notify()
 	}
 }
 
@@ -237,7 +239,7 @@
 	h.log.Info("draining", "grace", h.settings.Grace.String())
 	h.leaving.Store(true)
 	h.backend.Drain()
-	h.announce.close()
+	h.announce.Load().close()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	if _, err := h.proposer.Announce(ctx, h.announcement(true)); err != nil {
 		h.log.Info("leave not reported; the lease will run out", "error", err.Error())
@@ -260,11 +262,11 @@
 // Close ends the process at once; calls in flight are cut.
 func (h *Host) Close() error {
 	var errs []error
-	if h.announce != nil {
-		h.announce.close()
+	if a := h.announce.Load(); a != nil {
+		a.close()
 	}
-	if h.follower != nil {
-		h.follower.Close()
+	if f := h.follower.Load(); f != nil {
+		f.Close()
 	}
 	for _, s := range h.servers {
 		errs = append(errs, s.Close())
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -60,13 +60,13 @@
 	if err != nil {
 		return err
 	}
-	h.follower = f
-	h.announce = newAnnouncer(
+	h.follower.Store(f)
+	h.announce.Store(newAnnouncer(
 		func() *rpc.AnnounceRequest { return h.announcement(false) },
 		h.proposer.Announce,
 		func() *config.Snapshot { return h.holder.View().Snapshot },
 		func(err error) { h.log.Info("not announced", "error", err.Error()) },
-	)
+	))
 	return nil
 }
 
@@ -94,10 +94,11 @@
 	if h.control != nil {
 		return h.control.replica.Confirmed()
 	}
-	if h.follower == nil {
+	f := h.follower.Load()
+	if f == nil {
 		return -1
 	}
-	return h.follower.Age()
+	return f.Age()
 }
 
 // heard takes the report part of a Sync from a node below.
@@ -111,15 +112,13 @@
 	if h.control != nil {
 		h.control.leases.Heard(now, r.GetNode(), r.GetReport().GetAlive())
 	}
-	if h.Leads() {
-		return
-	}
-	if h.follower == nil {
+	f := h.follower.Load()
+	if h.Leads() || f == nil {
 		return
 	}
 	held := h.holder.View().Snapshot.Version()
 	if joined {
-		h.follower.Nudge()
+		f.Nudge()
 		return
 	}
 	if r.GetHeld() >= held {
@@ -132,14 +131,14 @@
 	if h.Leads() || h.tracker.Children() == 0 || h.tracker.Lowest() < held || h.reported.Swap(held) == held {
 		return
 	}
-	h.follower.Nudge()
+	h.follower.Load().Nudge()
 }
 
 // reportLate tells the upstream who is behind when not all nodes below have taken a version in time.
 func (h *Host) reportLate() {
 	held := h.holder.View().Snapshot.Version()
-	if h.follower != nil && !h.Leads() && h.tracker.Children() > 0 && h.reported.Load() != held {
-		h.follower.Nudge()
+	if f := h.follower.Load(); f != nil && !h.Leads() && h.tracker.Children() > 0 && h.reported.Load() != held {
+		f.Nudge()
 	}
 }
 
--- a/io/standin/serve.go
+++ b/io/standin/serve.go
@@ -44,6 +44,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	running := s.running.Add(1)
 	defer s.running.Add(-1)
+	for held := s.peak.Load(); running > held && !s.peak.CompareAndSwap(held, running); held = s.peak.Load() {
+	}
 	fault := r.Header.Get(HeaderFault)
 	if fault == FaultShed || (s.shed > 0 && running > int64(s.slots)) {
 		w.Header().Set("Retry-After", strconv.Itoa(int(max(s.shed, time.Second)/time.Second)))
--- a/io/standin/server.go
+++ b/io/standin/server.go
@@ -89,6 +89,7 @@
 	client      *http.Client
 
 	running atomic.Int64
+	peak    atomic.Int64
 	served  atomic.Uint64
 	crashes atomic.Uint64
 	stalled chan struct{} // closed by Close, which ends stalled requests
@@ -152,6 +153,12 @@
 // Served returns how many requests were run.
 func (s *Server) Served() uint64 { return s.served.Load() }
 
+// Running returns how many requests run now.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
+// Peak returns the highest number of requests that ran at the same time.
+func (s *Server) Peak() int { return int(s.peak.Load()) }
+
 // Crashes returns how often the server crashed.
 func (s *Server) Crashes() uint64 { return s.crashes.Load() }
 
