fix(admission): let the queue follow the slots of a resized gate

A host makes the gate of an endpoint with one slot before it knows the slots, and the queue stayed at the two places of that one slot.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -55,7 +55,8 @@
 // Gate holds the slots and the queue of one endpoint; it is safe for concurrent use by one short mutex.
 type Gate struct {
 	slots       int
-	depth       int // longest queue
+	depth       int  // longest queue
+	derived     bool // depth follows slots
 	connections int
 
 	mutex    sync.Mutex
@@ -105,7 +106,7 @@
 	if g.connections > 0 {
 		g.slots = min(g.slots, g.connections)
 	}
-	if g.depth < 0 {
+	if g.derived = g.depth < 0; g.derived {
 		g.depth = 2 * g.slots
 	}
 	g.limit.reset(g.slots)
@@ -237,7 +238,7 @@
 	g.draining = false
 }
 
-// Resize sets the slots and connections after a change of the configuration; running calls above them end by themselves.
+// Resize sets the slots, connections and queue after a change of the configuration; running calls above them end by themselves.
 func (g *Gate) Resize(now time.Time, slots, connections int) []Decision {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -246,6 +247,9 @@
 	if g.connections > 0 {
 		g.slots = min(g.slots, g.connections)
 	}
+	if g.derived {
+		g.depth = 2 * g.slots // a longer queue shrinks as its calls start
+	}
 	g.limit.resize(g.slots)
 	return g.start(now)
 }
--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -375,3 +375,23 @@
 		}
 	})
 }
+
+// Guards against a queue that keeps the length of the slots that the gate was made with: a host makes the gate of an endpoint
+// before it knows the slots.
+func TestResizeQueue(t *testing.T) {
+	for name, c := range map[string]struct {
+		options []Option
+		want    int
+	}{"derived": {nil, 8}, "set": {[]Option{WithQueue(3)}, 3}} {
+		t.Run(name, func(t *testing.T) {
+			g := New(append(c.options, WithSlots(1))...)
+			g.Resize(time.Time{}, 4, 0)
+			for i := range 20 {
+				g.Decide(time.Time{}, Request{Call: fmt.Sprint(i), Caller: fmt.Sprint(i)})
+			}
+			if s := g.Stats(); s.Running != 4 || s.Queued != c.want {
+				t.Errorf("got %d running and %d queued, want 4 and %d", s.Running, s.Queued, c.want)
+			}
+		})
+	}
+}
--- a/io/demo/load_test.go
+++ b/io/demo/load_test.go
@@ -103,8 +103,8 @@
 	}
 	t.Run("history gives way to lookups", func(t *testing.T) {
 		r := m.load(t, during,
-			flow{name: "lookups", callers: callers[:4], q: request{path: "/fares"}, rate: capacity / 2},
-			flow{name: "history", callers: callers[4:], q: request{path: "/history"}, rate: capacity * 5 / 2})
+			flow{name: "lookups", callers: callers[:4], q: request{path: "/fares"}, rate: capacity * 3 / 4},
+			flow{name: "history", callers: callers[4:], q: request{path: "/history"}, rate: capacity * 9 / 4})
 		if got := r[0].share(); got < 0.95 {
 			t.Errorf("lookups: got a share of %.2f served, want 0.95 while history can give way", got)
 		}
