--- a/core/claim/measure_test.go
+++ b/core/claim/measure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -23,6 +24,10 @@
 
 var measureTime = flag.Duration("measure", 0, "time of each measurement of claims; 0 skips them")
 
+// spread is the longest delay of a claimant's message where pairs claim one key; without it one of them reaches all replicas
+// first nearly always, since all is in one process.
+const spread = 500 * time.Microsecond
+
 // costs counts what a way of claiming uses on all replicas.
 type costs struct{ syncs, disk, sent atomic.Int64 }
 
@@ -71,7 +76,7 @@
 }
 
 // registers returns a function that claims keys in registers on three disks; rounds counts the rounds of each claim.
-func registers(t *testing.T, c *costs, rounds *atomic.Int64) func(key, owner string) bool {
+func registers(t *testing.T, c *costs, rounds *atomic.Int64, pairs, down bool) func(key, owner string) bool {
 	var stores []*store
 	for i := range 3 {
 		f, err := os.Create(filepath.Join(t.TempDir(), fmt.Sprint("register", i)))
@@ -94,21 +99,32 @@
 		send := func() {
 			m := n.message
 			for i, s := range stores {
+				if down && i == 2 {
+					continue
+				}
 				c.sent.Add(int64(len(payload)) + 40) // ballots there and back, and the owner in the answer
-				s.inbox <- func(a acceptor) ([]byte, func()) {
-					out, changed := a.apply(m)
-					var b []byte
-					if changed {
-						b = append(make([]byte, 24), payload...) // length, checksum and ballots
+				deliver := func() {
+					s.inbox <- func(a acceptor) ([]byte, func()) {
+						out, changed := a.apply(m)
+						var b []byte
+						if changed {
+							b = append(make([]byte, 24), payload...) // length, checksum and ballots
+						}
+						return b, func() { replies <- reply{i, out} }
 					}
-					return b, func() { replies <- reply{i, out} }
 				}
+				if !pairs {
+					deliver()
+					continue
+				}
+				time.AfterFunc(rand.N(spread), deliver)
 			}
 		}
 		send()
 		for n.winner == "" {
 			r := <-replies
-			if n.receive(r.from, r.answer) {
+			// A replica that is down is noticed at once, as on a connection that is known to be closed.
+			if n.receive(r.from, r.answer) || down && n.missing() {
 				send()
 			}
 		}
@@ -118,7 +134,7 @@
 }
 
 // logged returns a function that claims keys through the agreed log on three disks.
-func logged(t *testing.T, c *costs) func(key, owner string) bool {
+func logged(t *testing.T, c *costs, down bool) func(key, owner string) bool {
 	names := []string{"a", "b", "c"}
 	members := map[string]*replica.Replica{}
 	var mu sync.Mutex
@@ -170,6 +186,12 @@
 			stop()
 		}
 	}
+	for _, r := range members {
+		if down && r != leader {
+			_ = r.Close()
+			break
+		}
+	}
 	return func(key, owner string) bool {
 		w := &wire.Command{Body: &wire.Command_Claims{Claims: &wire.Claims{Claims: []*wire.Claim{record(key, owner)}}}}
 		r, err := leader.Propose(t.Context(), w)
@@ -180,20 +202,48 @@
 	}
 }
 
-// measure runs claims from n claimants at once; with together above 1, so many of them claim the same key.
-func measure(t *testing.T, c *costs, n, together int, claim func(key, owner string) bool) {
+// meet lets two claimants start at the same time.
+func meet(c chan struct{}, first bool, stop chan struct{}) bool {
+	out, in := c, c
+	if first {
+		in = nil
+	} else {
+		out = nil
+	}
+	select {
+	case out <- struct{}{}:
+	case <-in:
+	case <-stop:
+		return false
+	}
+	return true
+}
+
+// measure runs claims from n claimants at once; with pairs, two of them claim the same key at the same time.
+func measure(t *testing.T, c *costs, n int, pairs bool, claim func(key, owner string) bool) {
 	var wait sync.WaitGroup
 	var granted atomic.Int64
 	took := make([][]time.Duration, n)
 	c.syncs.Store(0)
 	c.disk.Store(0)
 	c.sent.Store(0)
+	stop := make(chan struct{})
+	time.AfterFunc(*measureTime, func() { close(stop) })
 	begin := time.Now()
+	meetings := make([]chan struct{}, n)
 	for i := range n {
+		meetings[i] = make(chan struct{})
+		who := i
+		if pairs {
+			who = i / 2
+		}
 		wait.Go(func() {
 			for k := 0; time.Since(begin) < *measureTime; k++ {
+				if pairs && !meet(meetings[who], i%2 == 0, stop) {
+					return
+				}
 				at := time.Now()
-				if claim(fmt.Sprintf("%08d-%08d-%016d", i/together, k, together), fmt.Sprintf("%016d-%d", i, k)) {
+				if claim(fmt.Sprintf("%08d-%08d-%016d", who, k, n), fmt.Sprintf("%016d-%d", i, k)) {
 					granted.Add(1)
 				}
 				took[i] = append(took[i], time.Since(at))
@@ -214,18 +264,36 @@
 	if *measureTime == 0 {
 		t.Skip("run with -measure")
 	}
-	for _, n := range []struct{ claimants, together int }{{1, 1}, {64, 1}, {512, 1}, {2, 2}, {64, 2}, {512, 2}} {
-		name := fmt.Sprintf("claimants=%d,same key=%d", n.claimants, n.together)
+	for _, n := range []struct {
+		claimants   int
+		pairs, down bool
+	}{
+		{1, false, false},
+		{64, false, false},
+		{512, false, false},
+		{2, true, false},
+		{64, true, false},
+		{512, true, false},
+		{1, false, true},
+		{64, false, true},
+		{512, false, true},
+	} {
+		name := fmt.Sprintf("claimants=%d,pairs on one key=%t,one replica down=%t", n.claimants, n.pairs, n.down)
 		t.Run("log,"+name, func(t *testing.T) {
 			var c costs
-			measure(t, &c, n.claimants, n.together, logged(t, &c))
+			claim := logged(t, &c, n.down)
+			measure(t, &c, n.claimants, n.pairs, func(key, owner string) bool {
+				if n.pairs {
+					time.Sleep(rand.N(spread))
+				}
+				return claim(key, owner)
+			})
 		})
 		t.Run("register,"+name, func(t *testing.T) {
 			var c costs
-			var rounds atomic.Int64
-			total := atomic.Int64{}
-			claim := registers(t, &c, &rounds)
-			measure(t, &c, n.claimants, n.together, func(key, owner string) bool {
+			var rounds, total atomic.Int64
+			claim := registers(t, &c, &rounds, n.pairs, n.down)
+			measure(t, &c, n.claimants, n.pairs, func(key, owner string) bool {
 				total.Add(1)
 				return claim(key, owner)
 			})
--- a/core/claim/register_test.go
+++ b/core/claim/register_test.go
@@ -122,6 +122,14 @@
 	return c.next(prepare, 1<<16|c.id, c.owner)
 }
 
+// missing ends the wait for replicas that do not answer the first round.
+func (c *claimant) missing() bool {
+	if c.message.step != test || c.winner != "" || len(c.answers) <= c.replicas/2 {
+		return false
+	}
+	return c.next(prepare, 1<<16|c.id, c.owner)
+}
+
 // value is the owner to complete: one accepted at the highest ballot, or one that all replicas may have taken in the first
 // round; else this claimant.
 func (c *claimant) value() string {
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -36,7 +36,7 @@
 // claims is a claim store in memory; fail makes its functions fail.
 type claims struct {
 	mu                       sync.Mutex
-	fail, noRelease          bool
+	fail, full, noRelease    bool
 	owner                    map[string]Claim
 	answer                   map[string]*Answer
 	finished                 map[string]bool
@@ -54,6 +54,9 @@
 	if s.fail {
 		return ClaimAnswer{}, storeError{}
 	}
+	if s.full {
+		return ClaimAnswer{State: Denied}, nil
+	}
 	held, ok := s.owner[c.Key]
 	switch {
 	case !ok:
@@ -348,8 +351,10 @@
 		{"answer too large to keep", "l", "x", []string{standin.HeaderSize, "100000"}, nil, "", "", 1},
 		{"resend after a large answer", "l", "x", nil, nil, outcome.Lost, outcome.Claimed, 1},
 		{"no majority", "n", "x", nil, func() { m.claims.fail = true }, outcome.NotRun, outcome.NoKey, 0},
+		{"table full", "n", "x", nil, func() { m.claims.fail, m.claims.full = false, true }, outcome.NotRun, outcome.NoKey, 0},
+		{"shed", "s", "x", []string{standin.HeaderFault, standin.FaultShed}, func() { m.claims.full = false }, "", "", 0},
+		{"resend after it was shed", "s", "x", nil, nil, outcome.Unknown, outcome.Claimed, 0},
 		{"all draining", "d", "x", nil, func() {
-			m.claims.fail = false
 			m.backends[0].Drain()
 			m.backends[1].Drain()
 		}, outcome.NotRun, outcome.Draining, 0},
--- a/io/caller/once.go
+++ b/io/caller/once.go
@@ -18,6 +18,7 @@
 	claimMargin    = 2 * time.Second        // time after the deadline in which the owner stores its outcome
 	storeTimeout   = 2 * time.Second        // for one finish or release
 	storeTries     = 3                      // a finish that fails leaves the claim without an outcome
+	deniedAfter    = 5 * time.Second        // room comes back only as claims expire
 	firstPoll      = 25 * time.Millisecond  // wait for another run's outcome; doubles up to lastPoll
 	lastPoll       = 250 * time.Millisecond // four claims a second for each waiting resend
 )
@@ -67,6 +68,10 @@
 		switch a.State {
 		case Granted, Done:
 			return a, nil
+		case Denied:
+			f := c.fail(outcome.NoKey, http.StatusServiceUnavailable, "the table of claims takes no more; this attempt did not run", nil)
+			f.After = deniedAfter
+			return a, f
 		case Conflict:
 			return a, c.fail(outcome.Mismatch, http.StatusUnprocessableEntity, "the idempotency key was used for another request", nil)
 		case Running:
--- a/io/caller/seams.go
+++ b/io/caller/seams.go
@@ -65,6 +65,7 @@
 	Done                           // a request with the key ran; Answer holds its answer if it was small enough
 	Conflict                       // the key was used for another request
 	Doubt                          // a request with the key may have run and has no outcome
+	Denied                         // no claim was made and none will be for this request, as when the table is full
 )
 
 // Claim names one run of one keyed request.
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -136,6 +136,8 @@
 		return caller.ClaimAnswer{State: caller.Conflict}, nil
 	case wire.ClaimState_CLAIM_STATE_UNKNOWN:
 		return caller.ClaimAnswer{State: caller.Doubt}, nil
+	case wire.ClaimState_CLAIM_STATE_REFUSED:
+		return caller.ClaimAnswer{State: caller.Denied}, nil
 	}
 	return caller.ClaimAnswer{}, &ClaimError{State: r.GetState()}
 }
