--- a/io/caller/once.go
+++ b/io/caller/once.go
@@ -18,6 +18,7 @@
 	claimMargin    = 2 * time.Second        // time after the deadline in which the owner stores its outcome
 	storeTimeout   = 2 * time.Second        // for one finish or release
 	storeTries     = 3                      // a finish that fails leaves the claim without an outcome
+	deniedAfter    = 5 * time.Second        // room comes back only as claims expire
 	firstPoll      = 25 * time.Millisecond  // wait for another run's outcome; doubles up to lastPoll
 	lastPoll       = 250 * time.Millisecond // four claims a second for each waiting resend
 )
@@ -41,6 +42,14 @@
 		c.refuse(c.giveBack(claim, f))
 		return
 	}
+	if _, shed := hop.Shed(p); shed {
+		// Some backend servers pass on the 503 of an inner call after a part of their work, so it proves nothing. The claim is
+		// left without an outcome: a resend is neither run nor given this answer for 24 h, but told that the outcome is unknown.
+		c.handler.log.Info("outcome left unknown", "call", c.id, "route", claim.Route, "endpoint", c.endpoint, "status", p.StatusCode)
+		hop.Clean(p.Header)
+		c.stream(p)
+		return
+	}
 	c.keep(claim, p)
 }
 
@@ -54,11 +63,15 @@
 		if err != nil {
 			// The claim may yet be committed; it is given back so that a resend need not wait for its deadline.
 			c.handler.background(func() { _ = c.store(func(ctx context.Context) error { return c.handler.release(ctx, claim) }, 1) })
-			return a, c.fail(outcome.NoKey, http.StatusServiceUnavailable, "no claim could be made durable; this request did not run", err)
+			return a, c.fail(outcome.NoKey, http.StatusServiceUnavailable, "no claim could be made durable; this attempt did not run, so send it again with the same key", err)
 		}
 		switch a.State {
 		case Granted, Done:
 			return a, nil
+		case Denied:
+			f := c.fail(outcome.NoKey, http.StatusServiceUnavailable, "the table of claims takes no more; this attempt did not run", nil)
+			f.After = deniedAfter
+			return a, f
 		case Conflict:
 			return a, c.fail(outcome.Mismatch, http.StatusUnprocessableEntity, "the idempotency key was used for another request", nil)
 		case Running:
--- a/io/demo/process_test.go
+++ b/io/demo/process_test.go
@@ -33,19 +33,20 @@
 	}
 }
 
-// settle writes the settings of three replicas, each on a loopback address of its own.
+// settle writes the settings of three replicas.
 func settle(t *testing.T, folder string) []*process {
 	t.Helper()
 	list := make([]*process, 3)
+	listeners := []string{"caller", "local", "backend", "peer", "operator", "metrics"}
+	addresses, err := freeAddresses(len(list) * len(listeners))
+	if err != nil {
+		t.Fatal(err)
+	}
 	var replicas []map[string]string
 	for i := range list {
 		list[i] = &process{file: filepath.Join(folder, fmt.Sprintf("n%d.json", i)), listen: map[string]string{}}
-		for _, k := range []string{"caller", "local", "backend", "peer", "operator", "metrics"} {
-			a, err := freeAddress(netip.AddrFrom4([4]byte{127, 1, byte(os.Getpid()), byte(10 + i)}))
-			if err != nil {
-				t.Fatal(err)
-			}
-			list[i].listen[k] = a.String()
+		for j, k := range listeners {
+			list[i].listen[k] = addresses[i*len(listeners)+j].String()
 		}
 		replicas = append(replicas, map[string]string{"name": fmt.Sprint("n", i), "address": list[i].listen["peer"]})
 	}
--- a/io/demo/replace_test.go
+++ b/io/demo/replace_test.go
@@ -30,16 +30,6 @@
 	return m
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatalf("timed out: %s", what)
-}
-
 // Applies a register of n slots through any replica and waits until it is in force on every running node.
 func change(t *testing.T, m *Mesh, slots int) uint64 {
 	t.Helper()
@@ -48,7 +38,7 @@
 	c := m.Operators()
 	defer c.Close()
 	var st *operator.Status
-	eventually(t, "status with a leader", func() (ok bool) {
+	eventually(t, 20*time.Second, "status with a leader", func() (ok bool) {
 		var err error
 		st, err = c.Status(ctx)
 		return err == nil && st.Leader != ""
@@ -125,7 +115,7 @@
 			if got := roles(t, list, err, "r1"); len(got) != 1 || got["learner"] != before["waiting"] {
 				t.Fatalf("replicas after add: got %v, want only the new identity as a learner", got)
 			}
-			eventually(t, "promote", func() bool {
+			eventually(t, 20*time.Second, "promote", func() bool {
 				list, err = c.Change(t.Context(), operator.Action{Action: operator.ActionPromote, Name: "r1"})
 				return err == nil
 			})
--- a/io/demo/tls_test.go
+++ b/io/demo/tls_test.go
@@ -45,7 +45,7 @@
 func (a *authority) issue(t *testing.T, f platform.Files, serial int64) {
 	t.Helper()
 	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	c := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), net.IPv4(127, 2, 0, 1)}}
+	c := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
 	der, err := x509.CreateCertificate(rand.Reader, c, a.certificate, key.Public(), a.key)
 	if err != nil {
 		t.Fatal(err)
@@ -94,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := newPair(t, []operator.ClientOption{operator.WithDial(own.Dial)}, WithTLS(files), func(o *meshOptions) { o.network = [4]byte{127, 2, 0, 0} })
+	m := newPair(t, []operator.ClientOption{operator.WithDial(own.Dial)}, WithTLS(files))
 	entry := m.Hosts[0].Listen()
 	if got := get(t, entry.Caller); got != http.StatusOK {
 		t.Fatalf("call over mutual TLS: got status %d, want 200", got)
--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -23,7 +23,7 @@
 	h.log.Info("draining", "grace", h.settings.Grace.String())
 	h.leaving.Store(true)
 	h.backend.Drain()
-	h.announce.close()
+	h.announce.Load().close()
 	reported := make(chan struct{})
 	go func() {
 		defer close(reported)
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -33,17 +33,19 @@
 
 	clients  *peer.Clients
 	holder   *peer.Holder
-	follower *peer.Follower
 	feed     *peer.Feed
 	tracker  *relay.Tracker
 	upstream *upstream
 	proposer *peer.Proposer
 	courier  *peer.Courier
 	control  *control // nil without a control replica
-	announce *announcer
 	marker   *marker
 	floors   *peer.Rounds
 
+	// Set while replicas and nodes below already call; nil until then.
+	follower atomic.Pointer[peer.Follower]
+	announce atomic.Pointer[announcer]
+
 	picker  *routing.Picker
 	budget  *retry.Budget
 	hops    *hop.Client
@@ -62,7 +64,6 @@
 	started  time.Time
 	// redirected is used on replicas only.
 	redirected redirects
-	followed   atomic.Pointer[peer.Follower] // follower, for goroutines that start before it
 
 	mu     sync.Mutex
 	locals map[string]*local
@@ -159,7 +160,7 @@
 
 // led follows another replica's leadership: a replica reports only to the leader.
 func (h *Host) led() {
-	if f := h.followed.Load(); f != nil {
+	if f := h.follower.Load(); f != nil {
 		f.Repoll()
 	}
 }
@@ -198,7 +199,7 @@
 	})
 	go h.resize()
 	h.changed()
-	if h.follower != nil {
+	if h.follower.Load() != nil {
 		h.acknowledged(v.Snapshot.Version()) // nodes below may have taken the version from elsewhere first
 	}
 	time.AfterFunc(lateReport, h.reportLate)
@@ -206,8 +207,8 @@
 
 // changed makes the announcer compare what is agreed with what is announced.
 func (h *Host) changed() {
-	if h.announce != nil {
-		h.announce.notify()
+	if a := h.announce.Load(); a != nil {
+		a.notify()
 	}
 }
 
@@ -259,11 +260,11 @@
 // Close ends the process at once; calls in flight are cut.
 func (h *Host) Close() error {
 	var errs []error
-	if h.announce != nil {
-		h.announce.close()
+	if a := h.announce.Load(); a != nil {
+		a.close()
 	}
-	if h.follower != nil {
-		h.follower.Close()
+	if f := h.follower.Load(); f != nil {
+		f.Close()
 	}
 	for _, s := range h.servers {
 		errs = append(errs, s.Close())
