perf(relay): choose relays in one pass over the fleet

Cause: every node chooses its upstreams again at each version. Each of 12 failure domains was a pass over all nodes and a sort that hashed both names in every comparison; the node list was built twice.

--- a/core/relay/choice.go
+++ b/core/relay/choice.go
@@ -23,40 +23,75 @@
 // of domain and name (Thaler and Ravishankar, 1998). Replicas become relays only where other nodes are missing, since
 // they serve every domain already. A nil alive counts every node as live.
 func Relays(nodes []Node, domain string, alive func(name string) bool) []Node {
-	var found []Node
+	var b best
 	for _, n := range nodes {
-		if n.Domain == domain && (alive == nil || alive(n.Name)) {
-			found = append(found, n)
+		if n.Domain == domain {
+			b.offer(n, alive)
 		}
 	}
-	slices.SortFunc(found, func(a, b Node) int {
-		if a.Replica != b.Replica {
-			if a.Replica {
-				return 1
-			}
-			return -1
-		}
-		return order(domain, a, b)
-	})
-	return found[:min(len(found), PerDomain)]
+	return b.list()
+}
+
+// best holds the relays of one failure domain among the nodes offered so far, the preferred one first. It hashes each
+// node once and sorts nothing, since every node chooses among the whole fleet at each version.
+type best struct {
+	nodes   [PerDomain]Node
+	weights [PerDomain]uint64
+	count   int
+}
+
+func (b *best) offer(n Node, alive func(name string) bool) {
+	w := weight(n.Domain, n.Name)
+	at := b.count
+	for at > 0 && b.before(n, w, at-1) {
+		at--
+	}
+	if at == PerDomain || (alive != nil && !alive(n.Name)) {
+		return
+	}
+	b.count = min(b.count+1, PerDomain)
+	copy(b.nodes[at+1:], b.nodes[at:b.count-1])
+	copy(b.weights[at+1:], b.weights[at:b.count-1])
+	b.nodes[at], b.weights[at] = n, w
 }
 
+// before reports whether a node is preferred to the one at a place.
+func (b *best) before(n Node, w uint64, at int) bool {
+	o := &b.nodes[at]
+	if n.Replica != o.Replica {
+		return o.Replica
+	}
+	if w != b.weights[at] {
+		return w > b.weights[at]
+	}
+	return n.Name < o.Name
+}
+
+func (b *best) list() []Node { return slices.Clone(b.nodes[:b.count]) }
+
 // Parents returns the upstreams of a node in the order in which it tries them. A relay takes from the leader, then the
 // other replicas, then relays of other domains, so that nodes help each other while the source is out. Other nodes take
 // from the relays of their failure domain, then other relays, then replicas. Ties are spread by the hash of the node.
 func Parents(self Node, nodes []Node, leader string, alive func(name string) bool) []Node {
 	var replicas, near, far []Node
-	domains := map[string]bool{}
+	domains := map[string]*best{self.Domain: {}}
 	for _, n := range nodes {
 		if n.Replica && n.Name != self.Name {
 			replicas = append(replicas, n)
 		}
-		if n.Domain != self.Domain && !domains[n.Domain] {
-			domains[n.Domain] = true
-			far = append(far, Relays(nodes, n.Domain, alive)...)
+		b := domains[n.Domain]
+		if b == nil {
+			b = &best{}
+			domains[n.Domain] = b
+		}
+		b.offer(n, alive)
+	}
+	near = domains[self.Domain].list()
+	for d, b := range domains {
+		if d != self.Domain {
+			far = append(far, b.list()...)
 		}
 	}
-	near = Relays(nodes, self.Domain, alive)
 	relay := slices.ContainsFunc(near, func(n Node) bool { return n.Name == self.Name })
 	near = slices.DeleteFunc(near, func(n Node) bool { return n.Name == self.Name })
 	spread := func(a, b Node) int { return order(self.Name, a, b) }
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -83,10 +83,11 @@
 }
 
 func (u *upstream) compute(v peer.View) {
-	u.relay = isRelay(v.Table, u.settings)
+	nodes := relayNodes(v.Table, u.settings)
+	u.relay = isRelay(nodes, u.settings)
 	self := relay.Node{Name: u.settings.Name, Domain: u.settings.Domain, Replica: u.settings.IsReplica()}
 	var addresses []netip.AddrPort
-	for _, n := range relay.Parents(self, relayNodes(v.Table, u.settings), u.leader, nil) {
+	for _, n := range relay.Parents(self, nodes, u.leader, nil) {
 		addresses = append(addresses, n.Address)
 	}
 	u.parents = addresses
@@ -142,18 +143,16 @@
 
 // relayNodes lists the agreed nodes and the replicas of the settings, which serve before they are agreed.
 func relayNodes(t *config.Table, s *platform.Settings) []relay.Node {
-	isReplica := map[string]bool{}
+	isReplica := make(map[string]bool, len(s.Replicas))
 	for _, r := range s.Replicas {
 		isReplica[r.Name] = true
 	}
-	var nodes []relay.Node
-	known := map[string]bool{}
+	nodes := make([]relay.Node, 0, len(t.Nodes())+len(s.Replicas))
 	for _, n := range t.Nodes() {
-		known[n.Name] = true
 		nodes = append(nodes, relay.Node{Name: n.Name, Domain: n.Domain, Address: n.Address, Replica: isReplica[n.Name]})
 	}
 	for _, r := range s.Replicas {
-		if !known[r.Name] {
+		if _, known := t.Node(r.Name); !known {
 			nodes = append(nodes, relay.Node{Name: r.Name, Address: r.Address, Replica: true})
 		}
 	}
@@ -161,8 +160,8 @@
 }
 
 // isRelay reports whether this node is a relay of its failure domain.
-func isRelay(t *config.Table, s *platform.Settings) bool {
-	for _, n := range relay.Relays(relayNodes(t, s), s.Domain, nil) {
+func isRelay(nodes []relay.Node, s *platform.Settings) bool {
+	for _, n := range relay.Relays(nodes, s.Domain, nil) {
 		if n.Name == s.Name {
 			return true
 		}
