perf(relay): cheap checks of who holds a version

Cause: the leader looks every 20 ms whether the oldest pending version is in force on all nodes, and one dead node keeps a version pending for a lease. Force allocated a laggard for every node, in force or not. A replica copied all names for each joining node.

--- a/core/relay/below.go
+++ b/core/relay/below.go
@@ -20,15 +20,15 @@
 	return lowest
 }
 
-// Fresh returns a function that reports whether a node was heard within two poll intervals of now.
+// Fresh returns a function that reports whether a node was heard within two poll intervals of now. It looks a name up when
+// asked, since a choice of relays asks only about the few best nodes.
 func (t *Tracker) Fresh(now time.Time) func(name string) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	fresh := make(map[string]bool, len(t.names))
-	for k, n := range t.names {
-		fresh[k] = now.Sub(n.heard) < quietPolls*t.poll
+	return func(name string) bool {
+		t.mutex.Lock()
+		defer t.mutex.Unlock()
+		n := t.names[name]
+		return n != nil && now.Sub(n.heard) < quietPolls*t.poll
 	}
-	return func(name string) bool { return fresh[name] }
 }
 
 // Retell makes the next report name every node that was heard lately, for an upstream that knows none of them.
--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -209,31 +209,28 @@
 		return &wire.Laggard{Node: node, Reason: wire.Reason_REASON_UNREACHABLE, Heard: -1}
 	}
 	silent := now.Sub(n.heard)
-	l := &wire.Laggard{Node: node, Reason: wire.Reason_REASON_UNREACHABLE, Heard: silent.Milliseconds()}
 	c := t.children[n.via]
 	if c == nil || silent >= quietPolls*t.poll {
-		return l
+		return &wire.Laggard{Node: node, Reason: wire.Reason_REASON_UNREACHABLE, Heard: silent.Milliseconds()}
 	}
-	l.Reason, l.Version = wire.Reason_REASON_STALE, c.lowest
-	for _, x := range c.laggards {
-		if x.GetNode() == node {
-			l.Reason, l.Version = x.GetReason(), x.GetVersion()
-		}
+	at := slices.IndexFunc(c.laggards, func(l *wire.Laggard) bool { return l.GetNode() == node })
+	reason, held := wire.Reason_REASON_STALE, c.lowest
+	if at >= 0 {
+		reason, held = c.laggards[at].GetReason(), c.laggards[at].GetVersion()
+	}
+	behind := func() *wire.Laggard {
+		return &wire.Laggard{Node: node, Reason: reason, Version: held, Heard: silent.Milliseconds()}
 	}
-	if l.Reason != wire.Reason_REASON_STALE {
-		return l
+	if reason != wire.Reason_REASON_STALE {
+		return behind()
 	}
 	if c.lowest >= version || (node == n.via && c.held >= version) {
 		return nil
 	}
-	if c.held >= version && len(c.laggards) < MaxLaggards && (l.Version >= version || !listed(c.laggards, node)) {
+	if c.held >= version && len(c.laggards) < MaxLaggards && (held >= version || at < 0) {
 		return nil
 	}
-	return l
-}
-
-func listed(list []*wire.Laggard, node string) bool {
-	return slices.ContainsFunc(list, func(l *wire.Laggard) bool { return l.GetNode() == node })
+	return behind()
 }
 
 // expire forgets children and names that were silent for a lease.
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -24,6 +24,7 @@
 	dutyInterval   = 20 * time.Millisecond // how often the leader looks for staged membership and for acknowledgements
 	expiryInterval = time.Second
 	memberTimeout  = 3 * time.Second // one membership command
+	measureShare   = 50              // a pending version is looked for at every fiftieth of its age, since a dead node keeps it pending for a lease
 	maxPending     = 256             // versions whose spread is being measured
 )
 
@@ -44,8 +45,10 @@
 	spreads spreads
 	leading bool
 	expiry  time.Time
-	stop    context.CancelFunc
-	wait    sync.WaitGroup
+	// measured is when the oldest pending version was last looked for on every node.
+	measured time.Time
+	stop     context.CancelFunc
+	wait     sync.WaitGroup
 }
 
 // newControl starts the control replica on the data folder.
@@ -221,14 +224,16 @@
 
 // measure notes when versions come into force everywhere.
 func (c *control) measure(now time.Time) {
-	for {
-		version, ok := c.spreads.oldest()
-		if !ok {
-			return
-		}
-		v := c.holder.View()
-		count, _ := c.tracker.Force(now, version, v.Snapshot.Version(), nodeNames(v.Table))
-		if count < len(v.Table.Nodes()) {
+	version, at, ok := c.spreads.oldest()
+	if !ok || now.Sub(c.measured) < now.Sub(at)/measureShare {
+		return
+	}
+	c.measured = now
+	v := c.holder.View()
+	nodes := nodeNames(v.Table)
+	for ; ok; version, _, ok = c.spreads.oldest() {
+		count, _ := c.tracker.Force(now, version, v.Snapshot.Version(), nodes)
+		if count < len(nodes) {
 			return
 		}
 		spread := c.spreads.done(version, now)
--- a/io/host/spread.go
+++ b/io/host/spread.go
@@ -35,14 +35,14 @@
 	s.pending = nil
 }
 
-// oldest returns the oldest version that is not yet in force everywhere.
-func (s *spreads) oldest() (uint64, bool) {
+// oldest returns the oldest version that is not yet in force everywhere and when it was accepted.
+func (s *spreads) oldest() (version uint64, at time.Time, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.pending) == 0 {
-		return 0, false
+		return 0, time.Time{}, false
 	}
-	return s.pending[0].version, true
+	return s.pending[0].version, s.pending[0].at, true
 }
 
 // done ends the measurement of a version and returns its spread.
--- /dev/null
+++ b/io/peer/capacity_test.go
@@ -0,0 +1,452 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/relay"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/rpc"
+	"godwitspindle/io/rpc/rpcconnect"
+)
+
+const (
+	services = 220
+	domains  = 3
+	changes  = 10
+)
+
+func entryOf(m proto.Message) config.Entry {
+	v, _ := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	return config.Entry{Key: config.KeyOf(m), Value: v}
+}
+
+func routeOf(i int, deadline int64) config.Entry {
+	return entryOf(&wire.Route{
+		Name: fmt.Sprintf("route-%03d", i), Service: fmt.Sprintf("service-%03d", i), Path: fmt.Sprintf("/api/%03d", i),
+		Priority: 5, Deadline: deadline, Set: "main",
+	})
+}
+
+// fleet is a snapshot of 220 services with a route each, and of n nodes with an endpoint each.
+func fleet(n int) *config.Snapshot {
+	var puts []config.Entry
+	for i := range services {
+		puts = append(puts, entryOf(&wire.Service{Name: fmt.Sprintf("service-%03d", i), Slots: 12, Connections: 130}), routeOf(i, 2000))
+	}
+	for i := range n {
+		name := fmt.Sprintf("node-%04d", i)
+		puts = append(puts, entryOf(&wire.Node{
+			Name: name, Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Domain: fmt.Sprint("domain-", i%12),
+			Region: fmt.Sprint("region-", i%4), Incarnation: uint64(i+1) * 0x9e3779b97f4a7c15,
+		}), entryOf(&wire.Endpoint{
+			Service: fmt.Sprintf("service-%03d", i%services), Name: name, Node: name, Slots: 12, Connections: 130,
+			Incarnation: uint64(i+1) * 0xbf58476d1ce4e5b9,
+		}))
+	}
+	return config.NewSnapshot().With(1, puts, nil)
+}
+
+// counted is a listener whose connections count every byte below HTTP, headers, pings and acknowledged settings included.
+type counted struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *counted) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countedConn{c, &l.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// member is one node: holder, feed, server and follower, wired as io/host wires them, without calls and announcements.
+type member struct {
+	name     string
+	holder   *Holder
+	feed     *Feed
+	tracker  *relay.Tracker
+	clients  *Clients
+	follower *Follower
+	listener *counted
+	server   *http.Server
+	reported atomic.Uint64
+	wholes   atomic.Int64 // whole snapshots served
+	active   atomic.Int64 // whole snapshots in transfer, by the time that the budget assumes
+	peak     atomic.Int64
+	refused  atomic.Int64 // requests told to come back later
+}
+
+type profile struct {
+	name           string
+	poll, coalesce time.Duration
+}
+
+var profiles = []profile{{"fast", 5 * time.Second, 0}, {"thrifty", 15 * time.Second, 250 * time.Millisecond}}
+
+// newMember starts a node that serves; without parents it is the source.
+func newMember(b *testing.B, name string, p profile, transfers int, swapped func(View)) *member {
+	b.Helper()
+	m := &member{name: name, tracker: relay.NewTracker(name, p.poll), clients: NewClients()}
+	m.holder, _ = NewHolder(WithSavedFloor(0, func(uint64) error { return nil }), WithSwapped(swapped))
+	m.feed, _ = NewFeed(m.holder, WithTransfers(transfers), WithCoalesce(p.coalesce), WithReport(m.heard), WithAge(func() time.Duration { return 0 }))
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	m.listener = &counted{Listener: inner}
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	path, handler := rpcconnect.NewMeshHandler(&Server{OnSync: m.sync})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	m.server = &http.Server{Handler: mux, Protocols: protocols, HTTP2: &http.HTTP2Config{MaxConcurrentStreams: 1000, SendPingTimeout: 15 * time.Second}}
+	go func() { _ = m.server.Serve(m.listener) }()
+	return m
+}
+
+func (m *member) sync(ctx context.Context, r *rpc.SyncRequest) *rpc.SyncResponse {
+	resp := m.feed.Sync(ctx, r)
+	if r.GetHeld() == 0 && resp.GetPacked() != nil {
+		m.wholes.Add(1)
+		m.peak.Store(max(m.peak.Load(), m.active.Add(1)))
+		time.AfterFunc(time.Duration(len(resp.GetPacked()))*time.Second/transferRate, func() { m.active.Add(-1) })
+	}
+	if resp.GetAfter() > 0 {
+		m.refused.Add(1)
+	}
+	return resp
+}
+
+func (m *member) heard(r *rpc.SyncRequest) {
+	if r.GetHeld() == 0 {
+		return
+	}
+	m.tracker.Heard(time.Now(), r.GetNode(), r.GetHeld(), r.GetReport())
+	held := m.holder.View().Snapshot.Version()
+	if m.follower != nil && r.GetHeld() >= held && m.tracker.Lowest() >= held && m.reported.Swap(held) != held {
+		m.follower.Nudge()
+	}
+}
+
+func (m *member) follow(p profile, parents ...*member) {
+	var list []netip.AddrPort
+	for _, x := range parents {
+		list = append(list, x.listener.Addr().(*net.TCPAddr).AddrPort())
+	}
+	m.follower, _ = NewFollower(m.holder, m.clients, WithIdentity(m.name, 1), WithPoll(p.poll),
+		WithParents(func() []netip.AddrPort { return list }),
+		WithReports(func(_ netip.AddrPort, held uint64) *wire.Report {
+			if m.tracker.Children() == 0 {
+				return nil
+			}
+			return m.tracker.Report(time.Now(), held)
+		}))
+}
+
+func closeAll(list []*member) {
+	var wait sync.WaitGroup
+	for _, m := range list {
+		wait.Go(func() {
+			if m.follower != nil {
+				m.follower.Close()
+			}
+			m.clients.Close()
+			_ = m.server.Close()
+		})
+	}
+	wait.Wait()
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func total(list []*member) (bytes int64) {
+	for _, m := range list {
+		bytes += m.listener.bytes.Load()
+	}
+	return bytes
+}
+
+func until(b *testing.B, limit time.Duration, ready func() bool) {
+	b.Helper()
+	for end := time.Now().Add(limit); !ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			b.Fatalf("not reached within %s", limit)
+		}
+	}
+}
+
+// mesh starts n nodes in three failure domains below one source; in the relay topology the first two of each are relays.
+func mesh(b *testing.B, n int, p profile, relays bool, swapped func(View)) (source *member, nodes []*member) {
+	source = newMember(b, "source", p, 1000, func(View) {})
+	for i := range n {
+		nodes = append(nodes, newMember(b, fmt.Sprintf("node-%04d", i), p, 32, swapped))
+	}
+	_ = source.holder.Offer(fleet(n))
+	for i, m := range nodes {
+		if !relays || i < 2*domains {
+			m.follow(p, source)
+			continue
+		}
+		near := []*member{nodes[i%domains], nodes[i%domains+domains]}
+		if i/domains%2 == 1 {
+			slices.Reverse(near)
+		}
+		m.follow(p, append(near, source)...)
+	}
+	until(b, 30*time.Second, func() bool {
+		return !slices.ContainsFunc(nodes, func(m *member) bool { return m.holder.View().Snapshot.Version() < 1 })
+	})
+	return source, nodes
+}
+
+// BenchmarkCapacitySpread measures one-rule changes and rest over real connections; bytes are those on the connections.
+func BenchmarkCapacitySpread(b *testing.B) {
+	for _, p := range profiles {
+		for _, topology := range []string{"relays", "source"} {
+			for _, n := range []int{15, 60, 240} {
+				b.Run(fmt.Sprintf("%s/%s/nodes=%d", p.name, topology, n), func(b *testing.B) {
+					var mu sync.Mutex
+					var at time.Time
+					var took []float64
+					source, nodes := mesh(b, n, p, topology == "relays", func(v View) {
+						mu.Lock()
+						defer mu.Unlock()
+						if v.Snapshot.Version() > 1 {
+							took = append(took, float64(time.Since(at).Microseconds())/1000)
+						}
+					})
+					defer func() { closeAll(append(nodes, source)) }()
+					time.Sleep(time.Second)
+					rest(b, source, nodes, p)
+					s, all := source.listener.bytes.Load(), total(nodes)
+					busy := processorTime()
+					for i := range changes {
+						mu.Lock()
+						at, took = time.Now(), slices.Clip(took)
+						mu.Unlock()
+						held := source.holder.View().Snapshot
+						_ = source.holder.Offer(held.With(held.Version()+1, []config.Entry{routeOf(i, 1000)}, nil))
+						until(b, 20*time.Second, func() bool {
+							mu.Lock()
+							defer mu.Unlock()
+							return len(took) == (i+1)*n
+						})
+						time.Sleep(60 * time.Millisecond) // acknowledgements and reports
+					}
+					slices.Sort(took)
+					b.ReportMetric(took[len(took)/2], "p50-ms")
+					b.ReportMetric(took[len(took)*99/100], "p99-ms")
+					b.ReportMetric(took[len(took)-1], "max-ms")
+					s = source.listener.bytes.Load() - s
+					b.ReportMetric(float64(s)/changes, "B/change@source")
+					b.ReportMetric(float64(total(nodes)-all+s)/changes/float64(n), "B/change/node")
+					b.ReportMetric(float64((processorTime()-busy).Microseconds())/changes/float64(n), "us/change/node")
+					b.ReportMetric(0, "ns/op")
+				})
+			}
+		}
+	}
+}
+
+// rest measures at least one poll interval without a change; all nodes poll in step, so each of them polls in it.
+func rest(b *testing.B, source *member, nodes []*member, p profile) {
+	s, relay, all, busy := source.listener.bytes.Load(), nodes[0].listener.bytes.Load(), total(nodes), processorTime()
+	span := max(p.poll, 10*time.Second)
+	time.Sleep(span)
+	n, seconds := float64(len(nodes)), span.Seconds()
+	s = source.listener.bytes.Load() - s
+	b.ReportMetric(float64(s)/seconds, "restB/s@source")
+	b.ReportMetric(float64(nodes[0].listener.bytes.Load()-relay)/seconds, "restB/s@relay")
+	b.ReportMetric(float64(total(nodes)-all+s)/seconds/n, "restB/s/node")
+	b.ReportMetric(100*(processorTime()-busy).Seconds()/seconds/n, "rest-core-%/node")
+}
+
+// BenchmarkCapacityJoin measures what a whole snapshot and a delta of one rule cost the sender and the receiver.
+func BenchmarkCapacityJoin(b *testing.B) {
+	for _, n := range []int{525, 1050, 2100} {
+		full := fleet(n)
+		next := full.With(2, []config.Entry{routeOf(1, 1000)}, nil)
+		holder, _ := NewHolder(WithSavedFloor(0, func(uint64) error { return nil }))
+		feed, _ := NewFeed(holder)
+		follower, _ := NewFollower(holder, NewClients())
+		follower.Close()
+		follower, _ = NewFollower(holder, NewClients())
+		defer follower.Close()
+		for _, c := range []struct {
+			name string
+			base *config.Snapshot
+		}{{"whole", config.NewSnapshot()}, {"delta", full}} {
+			resp := feed.pack(c.base.Version(), next)
+			raw, _ := proto.Marshal(resp)
+			delta, err := Unpack(follower.decoder, resp)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for _, step := range []struct {
+				name string
+				run  func()
+			}{
+				{"pack", func() { feed.pack(c.base.Version(), next) }},
+				{"unpack", func() { _, _ = Unpack(follower.decoder, resp) }},
+				{"apply", func() { _, _ = c.base.Apply(delta) }},
+				{"table", func() { _, _ = config.NewTable(next) }},
+			} {
+				b.Run(fmt.Sprintf("%s/%s/endpoints=%d", c.name, step.name, n), func(b *testing.B) {
+					for b.Loop() {
+						step.run()
+					}
+					b.ReportMetric(float64(len(raw)), "B")
+				})
+			}
+		}
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc+s.StackInuse) / 1024
+}
+
+// BenchmarkCapacityHeap measures the memory that a node keeps for the snapshot, its table and its codecs.
+func BenchmarkCapacityHeap(b *testing.B) {
+	for _, n := range []int{525, 1050, 2100} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			packed := func() *rpc.SyncResponse {
+				holder, _ := NewHolder()
+				feed, _ := NewFeed(holder)
+				return feed.pack(0, fleet(n))
+			}()
+			before := heap()
+			holder, _ := NewHolder(WithSavedFloor(0, func(uint64) error { return nil }))
+			feed, _ := NewFeed(holder)
+			follower, _ := NewFollower(holder, NewClients())
+			empty := heap()
+			if err := follower.apply(packed); err != nil {
+				b.Fatal(err)
+			}
+			joined := heap()
+			_ = feed.pack(0, holder.View().Snapshot)
+			served := heap()
+			runtime.KeepAlive(packed)
+			b.ReportMetric(empty-before, "empty-KB")
+			b.ReportMetric(joined-empty, "snapshot-KB")
+			b.ReportMetric(served-joined, "encoder-KB")
+			b.ReportMetric(0, "ns/op")
+			follower.Close()
+			runtime.KeepAlive(feed)
+		})
+	}
+}
+
+// BenchmarkCapacityStorm restarts all nodes at once against three servers with budgets of 16 transfers.
+func BenchmarkCapacityStorm(b *testing.B) {
+	for _, n := range []int{60, 120, 240} {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			full := fleet(525)
+			var servers, nodes []*member
+			for i := range 3 {
+				m := newMember(b, fmt.Sprint("server-", i), profiles[0], 16, func(View) {})
+				_ = m.holder.Offer(full)
+				servers = append(servers, m)
+			}
+			var held atomic.Int64
+			for i := range n {
+				nodes = append(nodes, newMember(b, fmt.Sprint("node-", i), profiles[0], 32, func(View) { held.Add(1) }))
+			}
+			start, busy := time.Now(), processorTime()
+			for i, m := range nodes {
+				m.follow(profiles[0], servers[i%3], servers[(i+1)%3], servers[(i+2)%3])
+			}
+			until(b, 60*time.Second, func() bool { return int(held.Load()) == n })
+			b.ReportMetric(float64(time.Since(start).Milliseconds()), "all-hold-ms")
+			b.ReportMetric(float64((processorTime()-busy).Microseconds())/1000/float64(n), "cpu-ms/node")
+			most, wholes, refused, peak := 0.0, 0.0, 0.0, 0.0
+			for _, m := range servers {
+				most = max(most, float64(m.listener.bytes.Load()))
+				peak = max(peak, float64(m.peak.Load()))
+				wholes += float64(m.wholes.Load())
+				refused += float64(m.refused.Load())
+			}
+			b.ReportMetric(wholes, "wholes")
+			b.ReportMetric(refused, "refused")
+			b.ReportMetric(peak, "peak@server")
+			b.ReportMetric(float64(total(servers))/float64(n), "B/node")
+			b.ReportMetric(most, "B@server")
+			b.ReportMetric(0, "ns/op")
+			closeAll(append(nodes, servers...))
+		})
+	}
+}
+
+// BenchmarkCapacitySource serves 2,100 nodes' configuration at the address in CAPACITY_SOURCE to a node process that the
+// target capacity of the Makefile starts and measures: 20 s of rest, then ten versions a second for 10 s.
+func BenchmarkCapacitySource(b *testing.B) {
+	address := os.Getenv("CAPACITY_SOURCE")
+	if address == "" {
+		b.Skip("CAPACITY_SOURCE is not set")
+	}
+	m := newMember(b, "source", profiles[0], 16, func(View) {})
+	_ = m.holder.Offer(fleet(2099))
+	step := func(e config.Entry) {
+		held := m.holder.View().Snapshot
+		_ = m.holder.Offer(held.With(held.Version()+1, []config.Entry{e}, nil))
+	}
+	path, handler := rpcconnect.NewMeshHandler(&Server{
+		OnSync:  m.sync,
+		OnFloor: func(context.Context) (uint64, error) { return m.holder.View().Snapshot.Version(), nil },
+		OnAnnounce: func(_ context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
+			step(entryOf(r.GetNode()))
+			return &rpc.AnnounceResponse{Lease: 15000}, nil
+		},
+	})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Addr: address, Handler: mux, Protocols: protocols}
+	go func() { _ = server.ListenAndServe() }()
+	time.Sleep(20 * time.Second)
+	for i := range 100 {
+		step(routeOf(i, 1000))
+		time.Sleep(100 * time.Millisecond)
+	}
+	_ = server.Close()
+	closeAll([]*member{m})
+}
