perf(peer): keep compressors out of the memory of nodes and relays

Cause: connect compressed every answer with gzip, small and zstd-packed ones too, with one writer for each answer in progress; the zstd encoder kept 2.8 MB for its tables; the collector let the heap double.

--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -12,7 +12,6 @@
 	"godwitspindle/io/operator"
 	"godwitspindle/io/peer"
 	"godwitspindle/io/platform"
-	"godwitspindle/io/rpc/rpcconnect"
 )
 
 const (
@@ -27,7 +26,7 @@
 
 // startPeers opens the peer listener, which carries both the inner protocol and inner calls.
 func (h *Host) startPeers() error {
-	path, handler := rpcconnect.NewMeshHandler(h.peerServer())
+	path, handler := peer.NewHandler(h.peerServer())
 	mux := http.NewServeMux()
 	mux.Handle(path, peer.Authorize(h.settings.Key, handler))
 	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.backend.Do), hop.WithNext(mux), hop.WithMaxBody(callBytes))
--- a/io/peer/feed.go
+++ b/io/peer/feed.go
@@ -17,7 +17,9 @@
 
 const (
 	packMinBytes = 512 // smaller deltas do not shrink enough to pay for the zstd frame
-	maxWait      = 60 * time.Second
+	// packWindowBytes is more than a failure domain's entries; a larger window made whole snapshots 1% larger at this level.
+	packWindowBytes = 64 << 10
+	maxWait         = 60 * time.Second
 	// transferRate is what one whole snapshot is assumed to take on a thin link, since the end of a transfer is not seen.
 	transferRate = 1 << 20 // bytes per second
 )
@@ -65,7 +67,9 @@
 
 // NewFeed returns a feed over holder.
 func NewFeed(holder *Holder, opts ...FeedOption) (*Feed, error) {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(1<<18))
+	// At 2,100 endpoints these options keep 0.7 MB for a whole snapshot of 85 KB; the default level keeps 2.8 MB for 83 KB.
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
+		zstd.WithWindowSize(packWindowBytes), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		return nil, fmt.Errorf("create the zstd encoder: %w", err)
 	}
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -112,7 +112,7 @@
 
 // NewFollower starts following; Close stops it.
 func NewFollower(holder *Holder, clients *Clients, opts ...FollowerOption) (*Follower, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxMessageBytes))
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxMessageBytes))
 	if err != nil {
 		return nil, fmt.Errorf("create the zstd decoder: %w", err)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"net/http"
 
 	"connectrpc.com/connect"
 
 	"godwitspindle/core/agreement"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/rpc"
+	"godwitspindle/io/rpc/rpcconnect"
 )
 
 // NotReplicaError reports a request that only a replica can answer.
@@ -26,6 +29,14 @@
 	OnStatus   func(ctx context.Context, r *rpc.StatusRequest) (*rpc.StatusResponse, error)
 }
 
+// NewHandler returns the path and the handler of the inner protocol.
+//
+// Answers are never compressed by connect: what is worth it is packed with zstd already, and a gzip writer for each answer in
+// progress took 0.4 MB for each node below a relay.
+func NewHandler(s *Server) (string, http.Handler) {
+	return rpcconnect.NewMeshHandler(s, connect.WithCompressMinBytes(math.MaxInt), connect.WithReadMaxBytes(maxMessageBytes))
+}
+
 func unavailable(method string, err error) error {
 	return connect.NewError(connect.CodeUnavailable, fmt.Errorf("%s: %w", method, err))
 }
