--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -18,7 +18,7 @@
 	leasePolls  = 3 // a lease is this many poll intervals
 	// thriftyCoalesce is how long a relay may hold a version back so that one delta carries several.
 	thriftyCoalesce = 250 * time.Millisecond
-	relayTransfers  = 8 // whole snapshots in transfer at once; each takes about 0.3 MB of a relay at 2,100 endpoints
+	relayTransfers  = 32 // whole snapshots in transfer at once
 	replicaTransfer = 16
 )
 
