--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -21,6 +21,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	since  time.Time // when it became idle
+	peek   func(fd uintptr) bool
+	peeked error // of the last peek
 }
 
 // wire notes writes, by which a request that broke is proven not to have been sent, and bounds the head of an answer.
@@ -61,13 +63,24 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	var b [1]byte
-	var got error
-	err := c.raw.Read(func(fd uintptr) bool {
-		_, _, got = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	err := c.raw.Read(c.peek)
+	return err == nil && (c.peeked == syscall.EAGAIN || c.peeked == syscall.EINTR)
+}
+
+// newConn returns a connection without a request.
+func newConn(n *net.TCPConn) (*conn, error) {
+	raw, err := n.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	w := &wire{Conn: n}
+	c := &conn{wire: w, raw: raw, reader: bufio.NewReaderSize(w, bufferBytes), writer: bufio.NewWriterSize(w, bufferBytes)}
+	b := make([]byte, 1)
+	c.peek = func(fd uintptr) bool {
+		_, _, c.peeked = syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
-	})
-	return err == nil && (got == syscall.EAGAIN || got == syscall.EINTR)
+	}
+	return c, nil
 }
 
 // exchange is one request and its answer on a connection.
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -71,9 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &wire{Conn: n}
-	c := &conn{wire: w, reader: bufio.NewReaderSize(w, bufferBytes), writer: bufio.NewWriterSize(w, bufferBytes)}
-	c.raw, err = n.(*net.TCPConn).SyscallConn()
+	c, err := newConn(n.(*net.TCPConn))
 	if err != nil {
 		_ = n.Close()
 		return nil, err
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,16 +40,14 @@
 // receiving listener has answered.
 func Outbound(r *http.Request) http.Header {
 	trailers := acceptsTrailers(r.Header["Te"])
-	h := r.Header.Clone()
-	if h == nil {
-		h = http.Header{}
-	}
+	h := make(http.Header, len(r.Header)+3)
+	maps.Copy(h, r.Header) // lines are shared with the received request and not changed
 	Clean(h)
 	delete(h, "Expect")
 	if trailers {
 		h["Te"] = []string{"trailers"}
 	}
-	h["Via"] = append(h["Via"], via)
+	h["Via"] = append(slices.Clip(h["Via"]), via)
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
