--- a/io/host/node.go
+++ b/io/host/node.go
@@ -10,10 +10,11 @@
 	"godwitspindle/io/platform"
 )
 
-// Garbage collection of a node. With Go's defaults a node's small heap is collected dozens of times a second under load.
+// Garbage collection of a node. With Go's defaults the heap of a node, 4 MB, is collected seven times a second at 3,000 calls/s.
 const (
 	collectPercent = 400
-	memoryBytes    = 28 << 20 // of Go's memory; a node is allowed 32 MB
+	// memoryBytes bounds Go's memory; with 13 MB of program text a node stays below 32 MB. 28 MiB gave 35 MB resident.
+	memoryBytes = 18 << 20
 )
 
 // RunNode runs one process with the given settings until ctx ends, and then stops it gracefully.
