--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -108,7 +108,7 @@
 // Initial returns the share of a call that comes from outside the mesh.
 func Initial(retries int) int { return min(max(retries, 0), MaxShare) }
 
-// Split divides the share of a call before an attempt: give travels with the attempt (Mesh-Budget), keep stays for this
+// Split divides the share of a call before an attempt: give travels with the attempt (in Mesh-Meta), keep stays for this
 // node. A unit is never counted twice, so a whole chain makes at most Initial retries, however deep it is.
 func Split(share int) (give, keep int) {
 	share = min(max(share, 0), MaxShare)
