fix(platform): a planned stop resets no connection in the backlog and drops no request read late

net/http's Shutdown closes the listener with connections in its backlog, which are reset, and drops a request that it reads after the shutdown began.

--- a/io/platform/listener.go
+++ b/io/platform/listener.go
@@ -1,9 +1,21 @@
 package platform
 
 import (
+	"context"
+	"errors"
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
+)
+
+const (
+	backlogWait  = 500 * time.Microsecond // without a new connection, after which the backlog counts as empty
+	backlogTries = 2                      // such waits, since a busy machine may report one late
+	firstMost    = 500 * time.Millisecond
+	backlogMost  = 200 * time.Millisecond
 )
 
 // countingListener closes connections over its limit at once: a client then learns that nothing was read, where one left
@@ -13,12 +25,98 @@
 	limit   int64
 	open    atomic.Int64
 	refused func()
+	last    atomic.Pointer[chan struct{}] // closed once the backlog is empty; nil before Quiesce
+	closed  chan struct{}
+	once    sync.Once
+	fresh   sync.Map // connections without a request so far
+}
+
+// deadliner is what TCP listeners add to net.Listener.
+type deadliner interface{ SetDeadline(t time.Time) error }
+
+// Quiesce makes Accept take what waits in the backlog, closes the listener then, and returns. Closing the listener resets
+// connections in the backlog, and a caller whose request was reset cannot know that it did not run.
+func (l *countingListener) Quiesce() {
+	d, ok := l.Listener.(deadliner)
+	if !ok {
+		return
+	}
+	empty := make(chan struct{})
+	if !l.last.CompareAndSwap(nil, &empty) {
+		return
+	}
+	if d.SetDeadline(time.Now()) != nil {
+		return
+	}
+	select {
+	case <-empty:
+	case <-l.closed:
+	case <-time.After(backlogMost):
+	}
+}
+
+// track follows the state of connections.
+func (l *countingListener) track(c net.Conn, s http.ConnState) {
+	if s == http.StateNew {
+		l.fresh.Store(c, true)
+		return
+	}
+	l.fresh.Delete(c)
+}
+
+// settle waits until every accepted connection has begun its first request: net/http drops a request that it reads after
+// the start of its own shutdown. A connection that stays silent is waited for no longer than firstMost.
+func (l *countingListener) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstMost)
+	defer cancel()
+	for ctx.Err() == nil {
+		waiting := false
+		l.fresh.Range(func(any, any) bool {
+			waiting = true
+			return false
+		})
+		if !waiting {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Close closes the listener.
+func (l *countingListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	err := l.Listener.Close()
+	if l.last.Load() != nil && errors.Is(err, net.ErrClosed) {
+		return nil // Quiesce closed it
+	}
+	return err
+}
+
+// accept takes the next connection; after Quiesce it waits for Close once the backlog is empty.
+func (l *countingListener) accept() (net.Conn, error) {
+	for tries := 0; ; {
+		c, err := l.Listener.Accept()
+		last := l.last.Load()
+		if last == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+		if tries == backlogTries {
+			_ = l.Listener.Close()
+			close(*last)
+			<-l.closed
+			return nil, net.ErrClosed
+		}
+		tries++
+		if err := l.Listener.(deadliner).SetDeadline(time.Now().Add(backlogWait)); err != nil {
+			return nil, err
+		}
+	}
 }
 
 // Accept returns the next connection within the limit.
 func (l *countingListener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
--- a/io/platform/server.go
+++ b/io/platform/server.go
@@ -103,9 +103,10 @@
 	}
 	s := &Server{
 		http:     newHTTP(o),
-		listener: &countingListener{Listener: inner, limit: int64(o.limits.Connections), refused: o.refused},
+		listener: &countingListener{Listener: inner, limit: int64(o.limits.Connections), refused: o.refused, closed: make(chan struct{})},
 		done:     make(chan struct{}),
 	}
+	s.http.ConnState = s.listener.track
 	go func() {
 		defer close(s.done)
 		err := s.serve()
@@ -154,6 +155,9 @@
 
 // Shutdown stops accepting and waits for requests in flight; when ctx ends first, they are cut and its error is returned.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.listener.Quiesce()
+	s.http.SetKeepAlivesEnabled(false)
+	s.listener.settle(ctx)
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close()
