--- a/io/demo/rig_test.go
+++ b/io/demo/rig_test.go
@@ -52,6 +52,7 @@
 	r.await("all nodes agreed", 20*time.Second, func(h *host.Host) bool { return h.Serving() && len(h.View().Table.Nodes()) == len(places) })
 	r.apply(operator.Change{ID: "register", Register: examples.SahyadriRegister})
 	r.apply(operator.Change{ID: "rules", Rules: examples.SahyadriRules})
+	r.inForce(10 * time.Second)
 	r.await("all endpoints agreed", 10*time.Second, func(h *host.Host) bool {
 		_, e := h.View().Snapshot.Members()
 		return len(e) == len(places)
--- a/io/platform/listener.go
+++ b/io/platform/listener.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	backlogWait  = 500 * time.Microsecond // without a new connection, after which the backlog counts as empty
-	backlogTries = 2                      // such waits, since a busy machine may report one late
+	backlogWait  = 2 * time.Millisecond  // without a new connection, after which the backlog counts as empty
+	backlogLast  = 50 * time.Microsecond // the last wait, whose end is seen late by less
+	backlogTries = 3                     // such waits, since a busy machine may report one late
 	firstMost    = 500 * time.Millisecond
 	backlogMost  = 200 * time.Millisecond
 )
@@ -107,7 +108,11 @@
 			return nil, net.ErrClosed
 		}
 		tries++
-		if err := l.Listener.(deadliner).SetDeadline(time.Now().Add(backlogWait)); err != nil {
+		wait := backlogWait
+		if tries == backlogTries {
+			wait = backlogLast
+		}
+		if err := l.Listener.(deadliner).SetDeadline(time.Now().Add(wait)); err != nil {
 			return nil, err
 		}
 	}
