fix(host): a node leaves relays that it was sent to and that hold no version

Nodes that were sent to each other while the set of nodes grew waited for ever: seen once in a start of 15 nodes under the race detector, where the 5 nodes of one failure domain held no version after 20 s. A redirect ends after 2 s now. A planned stop waits for HTTP/1.1 connections to end by themselves, since net/http drops a request that it reads after the start of its shutdown.

--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -39,7 +39,7 @@
 	folder   string
 	log      logr.Logger
 	cuts     cuts
-	mu       sync.RWMutex // guards Hosts against Start, Stop and Drain
+	mu       sync.RWMutex // guards Hosts and the addresses in settings against Start, Stop and Drain
 }
 
 // Option configures a Mesh.
@@ -133,6 +133,8 @@
 	}
 	m.put(i, h)
 	m.cuts.place(i, h.Listen().Peer)
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.settings[i].Listen = h.Listen()
 	if !m.places[i].Replica {
 		m.settings[i].Listen.Operator = loopback(0)
--- a/io/demo/rig_test.go
+++ b/io/demo/rig_test.go
@@ -33,9 +33,14 @@
 	watched sync.WaitGroup
 }
 
+// meshes bounds how many meshes run at once, so that bounds on time hold on a small machine.
+var meshes = make(chan struct{}, 4)
+
 func start(t *testing.T, places []Place, opts ...Option) *rig {
 	t.Helper()
 	t.Parallel()
+	meshes <- struct{}{}
+	t.Cleanup(func() { <-meshes })
 	m, err := New(t.TempDir(), places, logr.Discard(), opts...)
 	if err != nil {
 		t.Fatal(err)
@@ -246,6 +251,8 @@
 
 // callers returns the caller listeners of all places, those of stopped nodes included.
 func (r *rig) callers() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
 	var list []string
 	for _, s := range r.settings {
 		list = append(list, s.Listen.Caller.String())
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -18,6 +18,9 @@
 	leasePolls  = 3 // a lease is this many poll intervals
 	// thriftyCoalesce is how long a relay may hold a version back so that one delta carries several.
 	thriftyCoalesce = 250 * time.Millisecond
+	// redirectTime bounds how long a node without a version asks the relays that a replica named: nodes that were sent to
+	// each other while the set of nodes changed would wait for ever.
+	redirectTime    = 2 * time.Second
 	relayTransfers  = 32 // whole snapshots in transfer at once
 	replicaTransfer = 16
 )
@@ -37,6 +40,7 @@
 	relay    bool // of the failure domain, by the version in force
 	parents  []netip.AddrPort
 	redirect []netip.AddrPort // relays named by a replica while no version is held
+	until    time.Time        // when redirect ends
 }
 
 func newUpstream(s *platform.Settings) *upstream {
@@ -58,7 +62,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(r.GetRelays()) > 0 {
-		u.redirect = nil // the newest answer replaces earlier ones
+		u.redirect, u.until = nil, time.Now().Add(redirectTime) // the newest answer replaces earlier ones
 	}
 	for _, text := range r.GetRelays() {
 		a, err := netip.ParseAddrPort(text)
@@ -118,7 +122,7 @@
 func (u *upstream) order() []netip.AddrPort {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if len(u.redirect) > 0 {
+	if len(u.redirect) > 0 && time.Now().Before(u.until) {
 		return append(append([]netip.AddrPort{}, u.redirect...), u.parents...)
 	}
 	return u.parents
--- a/io/platform/listener.go
+++ b/io/platform/listener.go
@@ -65,18 +65,18 @@
 	l.fresh.Delete(c)
 }
 
-// settle waits until every accepted connection has begun its first request: net/http drops a request that it reads after
-// the start of its own shutdown. A connection that stays silent is waited for no longer than firstMost.
+// settle waits until all connections have ended by themselves: net/http drops a request that it reads after the start of
+// its own shutdown. Connections without a request so far are waited for no longer than firstMost.
 func (l *countingListener) settle(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, firstMost)
-	defer cancel()
+	began := time.Now()
 	for ctx.Err() == nil {
-		waiting := false
+		fresh := int64(0)
 		l.fresh.Range(func(any, any) bool {
-			waiting = true
-			return false
+			fresh++
+			return true
 		})
-		if !waiting {
+		open := l.open.Load()
+		if open == 0 || open <= fresh && time.Since(began) > firstMost {
 			return
 		}
 		time.Sleep(time.Millisecond)
--- a/io/platform/server.go
+++ b/io/platform/server.go
@@ -156,8 +156,10 @@
 // Shutdown stops accepting and waits for requests in flight; when ctx ends first, they are cut and its error is returned.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.listener.Quiesce()
-	s.http.SetKeepAlivesEnabled(false)
-	s.listener.settle(ctx)
+	if p := s.http.Protocols; !p.HTTP2() && !p.UnencryptedHTTP2() { // HTTP/2 tells its clients which requests it leaves out
+		s.http.SetKeepAlivesEnabled(false)
+		s.listener.settle(ctx)
+	}
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close()
