--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -39,7 +39,7 @@
 	folder   string
 	log      logr.Logger
 	cuts     cuts
-	mu       sync.RWMutex // guards Hosts against Start, Stop and Drain
+	mu       sync.RWMutex // guards Hosts and the addresses in settings against Start, Stop and Drain
 }
 
 // Option configures a Mesh.
--- a/io/demo/rig_test.go
+++ b/io/demo/rig_test.go
@@ -33,9 +33,14 @@
 	watched sync.WaitGroup
 }
 
+// meshes bounds how many meshes run at once, so that bounds on time hold on a small machine.
+var meshes = make(chan struct{}, 4)
+
 func start(t *testing.T, places []Place, opts ...Option) *rig {
 	t.Helper()
 	t.Parallel()
+	meshes <- struct{}{}
+	t.Cleanup(func() { <-meshes })
 	m, err := New(t.TempDir(), places, logr.Discard(), opts...)
 	if err != nil {
 		t.Fatal(err)
@@ -52,6 +57,7 @@
 	r.await("all nodes agreed", 20*time.Second, func(h *host.Host) bool { return h.Serving() && len(h.View().Table.Nodes()) == len(places) })
 	r.apply(operator.Change{ID: "register", Register: examples.SahyadriRegister})
 	r.apply(operator.Change{ID: "rules", Rules: examples.SahyadriRules})
+	r.inForce(10 * time.Second)
 	r.await("all endpoints agreed", 10*time.Second, func(h *host.Host) bool {
 		_, e := h.View().Snapshot.Members()
 		return len(e) == len(places)
@@ -245,6 +251,8 @@
 
 // callers returns the caller listeners of all places, those of stopped nodes included.
 func (r *rig) callers() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
 	var list []string
 	for _, s := range r.settings {
 		list = append(list, s.Listen.Caller.String())
