--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -144,3 +144,14 @@
 		n.Drop("later")
 	}
 }
+
+// Guards against blame for a request that reached the next process before the crash of the one before it was noticed.
+func TestCrashLeavesNextProcess(t *testing.T) {
+	l := NewLocal("s/e")
+	l.Start("1", []byte("bad"), epoch)
+	l.Start("2", []byte("next"), epoch)
+	marks := l.Crash(1, epoch, []byte("bad"))
+	if len(marks) != 1 || string(marks[0].GetFingerprint()) != "bad" || l.Running() != 1 {
+		t.Errorf("got %v and %d running, want only bad marked and next running", marks, l.Running())
+	}
+}
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -337,3 +337,27 @@
 		})
 	}
 }
+
+// Guards against a run of a request that was put in quarantine while it waited for a slot, and against a slot that its refusal
+// keeps.
+func TestGuardFollowsAdmission(t *testing.T) {
+	marked, held := false, 0
+	b, s := start(t, []Option{
+		WithAdmit(func(context.Context, string, hop.Meta) (func(Result), *outcome.Failure) {
+			marked = true // while the call waited
+			held++
+			return func(Result) { held-- }, nil
+		}),
+		WithGuard(func(_ context.Context, _ string, m hop.Meta) (func(Result), *outcome.Failure) {
+			if marked {
+				return nil, &outcome.Failure{Code: outcome.Quarantined, Kind: outcome.NotRun, Call: m.Call}
+			}
+			return func(Result) {}, nil
+		}),
+	})
+	_, err := b.Do(t.Context(), testMeta("a"), call("/passes"))
+	wantFailure(t, err, outcome.Quarantined, outcome.NotRun)
+	if s.Served() != 0 || held != 0 {
+		t.Errorf("got %d runs and %d slots held, want none", s.Served(), held)
+	}
+}
