fix(caller): a keyed request refused before its claim is granted ends as unknown

Cause: a resend that met a node without a majority was told notrun although an earlier attempt with its key had run; by the promise a request that is told not run has not run, and for its caller a keyed request is one request over all attempts. Conclusion: notrun is said to a keyed request only under a granted claim that was released, or for a mismatch.

--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -14,8 +14,8 @@
 	Retention   = 24 * time.Hour   // of a claim by state time, from its grant
 	MaxDeadline = 10 * time.Minute // of an acquire above state time; twice the longest route deadline, for clock skew
 	MaxAnswer   = 16 << 10         // bytes of a stored answer
-	MaxCount    = 100_000          // claims
-	MaxBytes    = 64 << 20         // bytes of claims and answers
+	MaxCount    = 400_000          // claims; 4.6 new ones a second over the whole retention
+	MaxBytes    = 128 << 20        // bytes of claims and answers
 	MaxText     = 512              // bytes of a route, key, fingerprint or owner
 	maxReleased = 32               // released owners remembered for one claim
 	overhead    = 256              // bytes of bookkeeping counted for each claim
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -15,6 +15,9 @@
 	"godwitspindle/io/hop"
 )
 
+// headerKey carries the caller's key, by the IETF draft "The Idempotency-Key HTTP Header Field".
+const headerKey = "Idempotency-Key"
+
 // call is one request on its way.
 type call struct {
 	handler  *Handler
@@ -30,6 +33,7 @@
 	budget   int // retries left to this node; what attempts took along is no longer in it
 	body     *body
 	key      string // idempotency key of a request that may run only once
+	granted  bool   // the claim on the key is held, so no other attempt has run or runs
 	meta     hop.Meta
 	out      *http.Request // what is sent, but for body and metadata
 
@@ -122,11 +126,11 @@
 }
 
 func (c *call) readKey() *outcome.Failure {
-	keys := c.r.Header.Values("Idempotency-Key")
+	keys := c.r.Header.Values(headerKey)
 	if c.match.Route.Idempotent || len(keys) == 0 {
 		return nil
 	}
-	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
+	if !validKey(keys) {
 		return c.fail(outcome.Oversize, http.StatusBadRequest, fmt.Sprintf("Idempotency-Key must be one value of 1 to %d bytes", maxKeyBytes), nil)
 	}
 	c.key = keys[0]
@@ -137,6 +141,11 @@
 	return nil
 }
 
+// validKey accepts one value of 1 to maxKeyBytes; no request with another one can have run.
+func validKey(keys []string) bool {
+	return len(keys) == 1 && keys[0] != "" && len(keys[0]) <= maxKeyBytes
+}
+
 func (c *call) readBody() *outcome.Failure {
 	if c.r.ContentLength > c.handler.maxBody {
 		return c.fail(outcome.Oversize, http.StatusRequestEntityTooLarge, "the body is too large", nil)
@@ -182,7 +191,7 @@
 
 // refuse answers with a failure.
 func (c *call) refuse(f *outcome.Failure) {
-	f = hop.AsFailure(f, c.id)
+	f = c.wholeKey(hop.AsFailure(f, c.id))
 	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
 		"outcome", f.Kind, "reason", f.Detail, "retry", c.verdict, "error", cause(f), "took", c.took())
 	c.handler.finished(Finished{Route: c.match.Route, Code: f.Code, Kind: f.Kind, Added: -1})
@@ -190,6 +199,19 @@
 	f.Write(c.w)
 }
 
+// wholeKey says unknown in place of not run for a keyed request whose claim was not granted: this attempt did not run, but
+// for its caller it is the same request as an earlier attempt with the key, and that one may have run.
+func (c *call) wholeKey(f *outcome.Failure) *outcome.Failure {
+	keyed := validKey(c.r.Header.Values(headerKey)) && (c.match.Route == nil || !c.match.Route.Idempotent)
+	if f.Kind != outcome.NotRun || !keyed || c.granted || f.Code == outcome.Mismatch {
+		return f
+	}
+	n := *f
+	n.Kind = outcome.Unknown
+	n.Detail += "; an earlier request with this key may have run: send it again with the same key"
+	return &n
+}
+
 func (c *call) succeeded(status int) {
 	c.handler.finished(Finished{Route: c.match.Route, Added: c.added})
 	if !c.shed && !c.handler.sample() {
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -350,8 +350,8 @@
 		{"resend after a lost answer", "t", "x", nil, nil, outcome.Lost, outcome.Claimed, 1},
 		{"answer too large to keep", "l", "x", []string{standin.HeaderSize, "100000"}, nil, "", "", 1},
 		{"resend after a large answer", "l", "x", nil, nil, outcome.Lost, outcome.Claimed, 1},
-		{"no majority", "n", "x", nil, func() { m.claims.fail = true }, outcome.NotRun, outcome.NoKey, 0},
-		{"table full", "n", "x", nil, func() { m.claims.fail, m.claims.full = false, true }, outcome.NotRun, outcome.NoKey, 0},
+		{"no majority", "n", "x", nil, func() { m.claims.fail = true }, outcome.Unknown, outcome.NoKey, 0},
+		{"table full", "n", "x", nil, func() { m.claims.fail, m.claims.full = false, true }, outcome.Unknown, outcome.NoKey, 0},
 		{"shed", "s", "x", []string{standin.HeaderFault, standin.FaultShed}, func() { m.claims.full = false }, "", "", 0},
 		{"resend after it was shed", "s", "x", nil, nil, outcome.Unknown, outcome.Claimed, 0},
 		{"all draining", "d", "x", nil, func() {
--- a/io/caller/once.go
+++ b/io/caller/once.go
@@ -37,6 +37,7 @@
 		c.replay(a.Answer)
 		return
 	}
+	c.granted = true
 	p, f := c.attempts()
 	if f != nil {
 		c.refuse(c.giveBack(claim, f))
@@ -63,7 +64,7 @@
 		if err != nil {
 			// The claim may yet be committed; it is given back so that a resend need not wait for its deadline.
 			c.handler.background(func() { _ = c.store(func(ctx context.Context) error { return c.handler.release(ctx, claim) }, 1) })
-			return a, c.fail(outcome.NoKey, http.StatusServiceUnavailable, "no claim could be made durable; this attempt did not run, so send it again with the same key", err)
+			return a, c.fail(outcome.NoKey, http.StatusServiceUnavailable, "no claim could be made durable, so this attempt did not run", err)
 		}
 		switch a.State {
 		case Granted, Done:
--- a/io/demo/faults_test.go
+++ b/io/demo/faults_test.go
@@ -180,8 +180,13 @@
 	}
 	running := r.index(func(i int, _ *host.Host) bool { return i != diskless && !r.places[i].Replica })
 	a := send(http.DefaultClient, r.callers()[running], http.MethodPost, "/passes", "out")
-	if a.outcome != operator.NotRun {
-		t.Errorf("purchase while the source is out: got %+v, want outcome notrun", a)
+	if a.code != "nokey" || a.outcome != operator.Unknown {
+		t.Errorf("purchase while the source is out: got %+v, want code nokey, outcome unknown", a)
+	}
+	for i, b := range r.Backends {
+		if runs := b.Runs(quoted("out")); runs != 0 {
+			t.Errorf("purchase while the source is out: got %d runs at %s, want 0", runs, r.places[i].Name)
+		}
 	}
 	for _, i := range out {
 		if err := r.Start(i); err != nil {
--- a/io/demo/once_test.go
+++ b/io/demo/once_test.go
@@ -12,15 +12,14 @@
 	"godwitspindle/io/standin"
 )
 
-// honest reports whether an outcome of a keyed purchase agrees with the number of its runs. A refusal for want of a claim says
-// that this attempt did not run, and nothing about earlier ones (design page, section 8).
+// honest reports whether an outcome of a keyed purchase agrees with the number of its runs over all attempts.
 func honest(a reply, runs int) bool {
 	switch {
 	case a.foreign || runs > 1:
 		return false
 	case a.status == http.StatusOK || a.kind == outcome.Lost:
 		return runs == 1
-	case a.kind == outcome.NotRun && a.code != outcome.NoKey:
+	case a.kind == outcome.NotRun:
 		return runs == 0
 	}
 	return true // unknown, or no answer at all
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	callBytes   = 16 << 20 // request body
-	peerBytes   = 64 << 20 // a log snapshot
+	callBytes   = 16 << 20  // request body
+	peerBytes   = 256 << 20 // a log snapshot, with up to 128 MiB of claims
 	callerConns = 4096
 	peerConns   = 8192 // every node may connect to a replica when relays are lost
 )
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -18,7 +18,7 @@
 	pingInterval     = 3 * time.Second // an idle connection is pinged, so that a silent partition is noticed
 	pingTimeout      = 2 * time.Second
 	idleTimeout      = 90 * time.Second
-	maxMessageBytes  = 64 << 20 // a log snapshot travels in one message
+	maxMessageBytes  = 256 << 20 // a log snapshot travels in one message, with up to 128 MiB of claims
 	compressMinBytes = 1 << 10
 )
 
