--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -91,23 +91,26 @@
 // plan makes the settings of all nodes.
 func (m *Mesh) plan(profile platform.Profile) error {
 	var replicas []platform.Replica
-	network := [4]byte{127, byte(1 + rand.N(254)), byte(rand.N(256)), 0}
-	for _, p := range m.places {
+	// Each place has a loopback address of its own, so that no other listener or connection takes the ports of a stopped node.
+	network := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(254)), byte(rand.N(255)), 0})
+	addresses := make([]netip.Addr, len(m.places))
+	for i, p := range m.places {
+		network = network.Next()
+		addresses[i] = network
 		if !p.Replica {
 			continue
 		}
-		network[3]++
-		a, err := freeAddress(netip.AddrFrom4(network))
+		a, err := freeAddress(network)
 		if err != nil {
 			return err
 		}
 		replicas = append(replicas, platform.Replica{Name: p.Name, Address: a})
 	}
-	for _, p := range m.places {
+	for i, p := range m.places {
 		s := platform.Default()
 		s.Name, s.Region, s.Domain, s.Replicas, s.Profile = p.Name, p.Region, p.Domain, replicas, profile
 		s.Log.Sample = 0
-		any := loopback(0)
+		any := netip.AddrPortFrom(addresses[i], 0)
 		s.Listen = platform.Listen{Caller: any, Local: any, Backend: any, Peer: any, Operator: any, Metrics: any}
 		for _, r := range replicas {
 			if r.Name == p.Name {
@@ -137,7 +140,7 @@
 	defer m.mu.Unlock()
 	m.settings[i].Listen = h.Listen()
 	if !m.places[i].Replica {
-		m.settings[i].Listen.Operator = loopback(0)
+		m.settings[i].Listen.Operator = netip.AddrPortFrom(h.Listen().Peer.Addr(), 0)
 	}
 	return nil
 }
@@ -233,12 +236,8 @@
 	return errors.Join(errs...)
 }
 
-func loopback(port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-}
-
-// freeAddress finds a port that is free now. It is on a loopback address of its own, since every other listener takes any
-// free port of 127.0.0.1 and could take this one before the replica opens it.
+// freeAddress finds a port that is free now. The address should be used by one node only, else another listener
+// could take the port before the node opens it.
 func freeAddress(a netip.Addr) (netip.AddrPort, error) {
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0)))
 	if err != nil {
