fix(host): report again when a node that joined late has caught up

A relay that had reported a version complete did not report again when a node joined with an older version and then took it.

--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -123,6 +123,7 @@
 	}
 	held := h.holder.View().Snapshot.Version()
 	if joined {
+		h.reported.Store(0) // it may be behind, and must be reported again when it has caught up
 		h.follower.Nudge()
 		return
 	}
@@ -154,7 +155,14 @@
 
 // acknowledged sends the report upward as soon as every node below holds the version.
 func (h *Host) acknowledged(held uint64) {
-	if h.Leads() || h.tracker.Children() == 0 || h.tracker.Lowest() < held || h.reported.Swap(held) == held {
+	if h.Leads() || h.tracker.Children() == 0 {
+		return
+	}
+	if h.tracker.Lowest() < held {
+		h.reported.Store(0)
+		return
+	}
+	if h.reported.Swap(held) == held {
 		return
 	}
 	h.follower.Nudge()
