--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -139,7 +139,7 @@
 		}, 0, 3, 5, "x:3:REFUSED", "r s x z"},
 		{"moved below a relay", func(k *Tracker) {
 			leaves(k)
-			k.Forget("y")
+			k.Forget(start, "y", Order{})
 			k.Heard(start.Add(1), "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
 		}, 0, 7, 4, "", "r s x y"},
 		{"named by a report that crossed its poll here", func(k *Tracker) {
@@ -152,11 +152,11 @@
 		}, 2 * poll, 7, 3, "", "r s y"},
 		{"late farewell of a node that came by another way", func(k *Tracker) {
 			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
-			k.Forget("y")
+			k.Forget(start, "y", Order{})
 		}, 0, 7, 3, "", "r s y"},
 		{"forgotten with those it named", func(k *Tracker) {
 			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
-			k.Forget("s")
+			k.Forget(start, "s", Order{})
 		}, 0, 7, 1, "", "r"},
 		{"overtaken report", func(k *Tracker) {
 			k.HeardInOrder(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s"}}, Order{1, 9})
@@ -174,7 +174,28 @@
 		{"names within half a poll", func(k *Tracker) { leaves(k); k.Report(start, 7) }, poll/2 - 1, 5, 3, "y:5:STALE", ""},
 		{"names heard again", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Heard(start.Add(1), "x", 7, nil) }, poll / 2, 5, 3, "y:5:STALE", "r x"},
 		{"names of a lost report", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Lost() }, 1, 5, 3, "y:5:STALE", "r x y"},
-		{"forgotten", func(k *Tracker) { leaves(k); k.Forget("y") }, 0, 7, 2, "", "r x"},
+		{"a poll that its farewell overtook", func(k *Tracker) {
+			leaves(k)
+			k.HeardInOrder(start, "y", 5, nil, Order{1, 7})
+			k.Forget(start, "y", Order{1, 9})
+			k.HeardInOrder(start.Add(1), "y", 5, nil, Order{1, 8})
+		}, 0, 7, 2, "", "r x"},
+		{"named by its new upstream before its farewell arrived", func(k *Tracker) {
+			k.HeardInOrder(start, "y", 5, nil, Order{1, 7})
+			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
+			k.Forget(start, "y", Order{1, 8})
+		}, 0, 7, 3, "", "r s y"},
+		{"came back before its farewell arrived", func(k *Tracker) {
+			leaves(k)
+			k.HeardInOrder(start, "y", 5, nil, Order{1, 10})
+			k.Forget(start, "y", Order{1, 9})
+		}, 0, 5, 3, "y:5:STALE", "r x y"},
+		{"restarted after its farewell", func(k *Tracker) {
+			leaves(k)
+			k.Forget(start, "y", Order{1, 9})
+			k.HeardInOrder(start.Add(1), "y", 6, nil, Order{2, 1})
+		}, 0, 6, 3, "y:6:STALE", "r x y"},
+		{"forgotten", func(k *Tracker) { leaves(k); k.Forget(start, "y", Order{}) }, 0, 7, 2, "", "r x"},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -25,8 +25,10 @@
 	mutex    sync.Mutex
 	children map[string]*child
 	names    map[string]*name
-	named    time.Time // when names were last reported
-	previous time.Time // the value of named before the last report, for Lost
+	left     map[string]farewell // children that moved away
+	claims   map[string]claim    // children that another child names, until their farewell arrives
+	named    time.Time           // when names were last reported
+	previous time.Time           // the value of named before the last report, for Lost
 	last     []string
 }
 
@@ -38,6 +40,18 @@
 	return o.Number > 0 && o.Incarnation == p.Incarnation && o.Number < p.Number
 }
 
+// claim is a child's report that names a node which still counts as a child here.
+type claim struct {
+	via string
+	at  time.Time
+}
+
+// farewell is when a child moved away; its polls from before may still arrive.
+type farewell struct {
+	order Order
+	at    time.Time
+}
+
 // child is a node that polls this one; a leaf has count 1.
 type child struct {
 	held     uint64
@@ -58,7 +72,7 @@
 
 // NewTracker returns a Tracker for the named node; poll is the poll interval of the profile.
 func NewTracker(self string, poll time.Duration) *Tracker {
-	return &Tracker{self: self, poll: poll, children: map[string]*child{}, names: map[string]*name{}}
+	return &Tracker{self: self, poll: poll, children: map[string]*child{}, names: map[string]*name{}, left: map[string]farewell{}, claims: map[string]claim{}}
 }
 
 // Heard records a poll of a child that holds the given version and reports whether any node below came by a new way, which
@@ -71,6 +85,9 @@
 func (t *Tracker) HeardInOrder(now time.Time, node string, held uint64, report *wire.Report, o Order) (joined bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if o.before(t.left[node].order) {
+		return false // sent before the node moved away
+	}
 	c := t.children[node]
 	if c != nil && o.before(c.order) {
 		return t.mark(node, node, now) || t.markAll(now, node, report)
@@ -99,7 +116,8 @@
 			continue
 		}
 		if d := t.children[n]; d != nil && now.Sub(d.heard) < quietPolls*t.poll {
-			continue // it polls here now and would have said that it moves; the report is older than its move
+			t.claims[n] = claim{node, now}
+			continue // either the report is older than its move here, or its farewell is still under way
 		}
 		joined = t.mark(n, node, now) || joined
 		delete(t.children, n) // it moved below this child; its own report would count it twice
@@ -124,15 +142,23 @@
 
 // Forget drops a child that is known to have moved or left, with the nodes that were heard through it. A node that has
 // come by another way since is kept: the farewell to its former upstream may arrive late.
-func (t *Tracker) Forget(node string) {
+func (t *Tracker) Forget(now time.Time, node string, o Order) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if c := t.children[node]; c != nil && o.before(c.order) {
+		return // it has come back since
+	}
+	t.left[node] = farewell{o, now}
 	delete(t.children, node)
 	for k, n := range t.names {
 		if n.via == node {
 			delete(t.names, k)
 		}
 	}
+	if c, ok := t.claims[node]; ok && t.children[c.via] != nil {
+		t.mark(node, c.via, c.at)
+	}
+	delete(t.claims, node)
 }
 
 // Report returns the aggregate of this node and of the nodes below it; held must be the version that the same poll
@@ -279,6 +305,16 @@
 			delete(t.names, k)
 		}
 	}
+	for k, c := range t.claims {
+		if now.Sub(c.at) >= quietPolls*t.poll {
+			delete(t.claims, k)
+		}
+	}
+	for k, f := range t.left {
+		if now.Sub(f.at) >= leasePolls*t.poll {
+			delete(t.left, k)
+		}
+	}
 }
 
 // worst keeps the laggards that are furthest behind.
--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -247,13 +248,21 @@
 	ports      = 12_000
 )
 
-// freeAddresses finds different ports that are free now.
+// nextPort counts the ports that were handed out, so that meshes which start at once never share one.
+var nextPort = newCursor(rand.Uint32N(ports))
+
+func newCursor(at uint32) *atomic.Uint32 {
+	c := &atomic.Uint32{}
+	c.Store(at)
+	return c
+}
+
+// freeAddresses finds different ports that are free now and that no other mesh of this process was given lately.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
 	var found []netip.AddrPort
 	var last error
-	first := rand.IntN(ports)
 	for i := 0; i < ports && len(found) < n; i++ {
-		a := loopback(uint16(lowestPort + (first+i)%ports))
+		a := loopback(uint16(lowestPort + nextPort.Add(1)%ports))
 		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
 		if err != nil {
 			last = err
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -108,12 +108,13 @@
 
 // heard takes the report part of a Sync from a node below.
 func (h *Host) heard(r *rpc.SyncRequest, number uint64) {
+	now := time.Now()
+	order := relay.Order{Incarnation: r.GetIncarnation(), Number: number}
 	if r.GetMoved() {
-		h.tracker.Forget(r.GetNode())
+		h.tracker.Forget(now, r.GetNode(), order)
+		h.acknowledged(h.holder.View().Snapshot.Version()) // it may have been the last that was behind
 		return
 	}
-	now := time.Now()
-	order := relay.Order{Incarnation: r.GetIncarnation(), Number: number}
 	joined := h.tracker.HeardInOrder(now, r.GetNode(), r.GetHeld(), r.GetReport(), order)
 	if h.control != nil {
 		h.control.leases.Heard(now, r.GetNode(), r.GetReport().GetAlive())
@@ -124,6 +125,7 @@
 	}
 	held := h.holder.View().Snapshot.Version()
 	if joined {
+		h.reported.Store(0) // it may be behind, and must be reported again when it has caught up
 		f.Nudge()
 		return
 	}
@@ -155,10 +157,18 @@
 
 // acknowledged sends the report upward as soon as every node below holds the version.
 func (h *Host) acknowledged(held uint64) {
-	if h.Leads() || h.tracker.Children() == 0 || h.tracker.Lowest() < held || h.reported.Swap(held) == held {
+	f := h.follower.Load()
+	if f == nil || h.Leads() || h.tracker.Children() == 0 {
+		return
+	}
+	if h.tracker.Lowest() < held {
+		h.reported.Store(0)
+		return
+	}
+	if h.reported.Swap(held) == held {
 		return
 	}
-	h.follower.Load().Nudge()
+	f.Nudge()
 }
 
 // reportLate tells the upstream who is behind when not all nodes below have taken a version in time.
--- a/io/peer/choose.go
+++ b/io/peer/choose.go
@@ -4,10 +4,6 @@
 	"context"
 	"net/netip"
 	"time"
-
-	"connectrpc.com/connect"
-
-	"godwitspindle/io/rpc"
 )
 
 const (
@@ -64,8 +60,9 @@
 	}
 }
 
-// settle notes the upstream that is polled next and tells the one before, which would otherwise wait for reports from
-// here. It waits for the answer, so that the farewell cannot overtake a later poll of the same upstream.
+// settle notes the upstream that is polled next and tells the one before, which would otherwise count this node as its own
+// and behind. One that answers is told before the new one is polled; one that failed is told beside it, since that may
+// take long. Farewells are numbered, so a late one does no harm.
 func (f *Follower) settle(ctx context.Context, p netip.AddrPort) {
 	old := f.parent.Swap(&p)
 	if old == nil || *old == p {
@@ -73,12 +70,18 @@
 	}
 	f.moved()
 	if _, failed := f.failed[*old]; failed {
+		f.wait.Go(func() { f.depart(ctx, *old, p) })
 		return
 	}
+	f.depart(ctx, *old, p)
+}
+
+// depart tells an upstream that the node takes from another one.
+func (f *Follower) depart(ctx context.Context, from, to netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
 	defer cancel()
-	_, err := f.clients.At(*old).Sync(ctx, connect.NewRequest(&rpc.SyncRequest{Node: f.name, Incarnation: f.incarnation, Moved: true}))
-	f.log.Info("upstream changed", "from", old.String(), "to", p.String(), "told", err == nil)
+	_, err := f.clients.At(from).Sync(ctx, f.farewell())
+	f.log.Info("upstream changed", "from", from.String(), "to", to.String(), "told", err == nil)
 }
 
 // ordered returns the upstreams in order of preference; those that failed recently come last, since a poll of a
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -314,6 +314,14 @@
 	return r, f.number
 }
 
+// farewell makes the numbered message that tells an upstream that the node takes from another one.
+func (f *Follower) farewell() *connect.Request[rpc.SyncRequest] {
+	f.asking.Lock()
+	defer f.asking.Unlock()
+	f.number++
+	return numbered(&rpc.SyncRequest{Node: f.name, Incarnation: f.incarnation, Moved: true}, f.number)
+}
+
 func numbered(r *rpc.SyncRequest, number uint64) *connect.Request[rpc.SyncRequest] {
 	c := connect.NewRequest(r)
 	c.Header().Set(headerNumber, strconv.FormatUint(number, 10))
