--- a/core/agreement/rules_test.go
+++ b/core/agreement/rules_test.go
@@ -129,3 +129,18 @@
 		})
 	}
 }
+
+// Guards against a replica that votes before it holds the founded member set: after the loss of its disk it could help a
+// candidate to win that lacks a committed entry.
+func TestEmptyReplicaDoesNotVote(t *testing.T) {
+	for _, k := range []MessageKind{PreVote, Vote} {
+		r, err := New(WithID("c/2"), WithFounders("a", "b", "c"), WithRandom(func(time.Duration) time.Duration { return 0 }))
+		if err != nil {
+			t.Fatalf("New: %v", err)
+		}
+		r.Step(at(0), Message{Kind: k, From: "b/1", To: "c/2", Term: 9, Index: 5, LogTerm: 8})
+		if e := r.Effects(); len(e.Messages) > 0 || e.State != nil {
+			t.Errorf("message kind %v to an empty replica: got answers %v, state %v, want none", k, e.Messages, e.State)
+		}
+	}
+}
--- a/core/routing/picker_test.go
+++ b/core/routing/picker_test.go
@@ -81,6 +81,7 @@
 		{"negative report is no better than none", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", -9, start) }, 0, false, 200, 300},
 		{"fresh busy report", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", 1, start) }, 0, false, 0, 10},
 		{"stale busy report", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", 1, start) }, 11 * time.Second, false, 200, 300},
+		{"fading busy report under load", []string{"a"}, func(p *Picker) { p.Hint("ledger/0", 1, start) }, 4 * time.Second, true, 205, 240},
 		{"fast failures", []string{"a"}, func(p *Picker) { done(p, "ledger/0", 4, Observation{Took: ms, Failed: true}) }, 0, false, 0, 10},
 		{"other domain when idle", []string{"b", "a"}, func(*Picker) {}, 0, false, 0, 10},
 		{"other domain under load", []string{"b", "a"}, func(*Picker) {}, 0, true, 150, 245},
--- a/io/backend/exchange_test.go
+++ b/io/backend/exchange_test.go
@@ -46,6 +46,20 @@
 		_, _ = io.WriteString(w, "/interim")
 	case "/head":
 		w.Header().Set("X-Long", strings.Repeat("x", 2*maxHeaderBytes))
+	case "/surplus", "/late":
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		own, other := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nothers"
+		if r.URL.Path == "/late" {
+			_, _ = io.WriteString(c, own)
+			time.Sleep(20 * time.Millisecond)
+			own = ""
+		}
+		_, _ = io.WriteString(c, own+other)
+		_, _ = io.Copy(io.Discard, c) // until the node closes the connection
+		_ = c.Close()
 	case "/endless":
 		for r.Context().Err() == nil {
 			_, _ = w.Write(make([]byte, 32<<10))
@@ -57,7 +71,7 @@
 }
 
 // TestExchange guards the edges of an exchange: an answer before the body is read, an interim answer, a head without end, an
-// answer that is given up, and a stalled upload. A later call on the only connection must get its own whole answer, also after
+// answer that is given up, a stalled upload, and an answer that nobody asked for, together with one or after it (R4). A later call on the only connection must get its own whole answer, also after
 // the backend server closed the idle connection, which must not make the outcome unknown.
 func TestExchange(t *testing.T) {
 	s := httptest.NewUnstartedServer(http.HandlerFunc(serveEdges))
@@ -86,6 +100,8 @@
 		{name: "interim answer", path: "/interim", status: 200, answer: "/interim"},
 		{name: "head without end", path: "/head", code: outcome.Reset, kind: outcome.Unknown},
 		{name: "answer given up", path: "/endless", status: 200, giveUp: true},
+		{name: "surplus answer", path: "/surplus", status: 200, answer: "mine"},
+		{name: "surplus answer later", path: "/late", status: 200, answer: "mine", idle: 60 * time.Millisecond},
 		{name: "stalled upload", path: "/a", body: &endless{stall: true, closed: make(chan struct{})}, code: outcome.Late, kind: outcome.Unknown},
 	}
 	for _, tt := range tests {
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"godwitspindle/core/config"
@@ -254,6 +255,18 @@
 	}
 }
 
+// TestBrokenStream guards R4 for an answer without a stated length: net/http itself breaks one that falls short of its
+// length, so only here does a missing cut make a truncated answer look whole.
+func TestBrokenStream(t *testing.T) {
+	m := newMesh(t, 1, read(true), WithSend(func(context.Context, config.Endpoint, hop.Meta, *http.Request) (*http.Response, error) {
+		body := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF))
+		return &http.Response{StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(body), ContentLength: -1}, nil
+	}))
+	if got := m.do("GET", "/x", ""); got.err == nil {
+		t.Errorf("got a whole answer %+v, want a broken stream", got)
+	}
+}
+
 // TestRefusals guards that requests which must not be carried are refused as not run, before any attempt.
 func TestRefusals(t *testing.T) {
 	deep := Context{Depth: outcome.MaxDepth, Deadline: time.Now().Add(time.Minute)}.String()
--- a/io/demo/leave_test.go
+++ b/io/demo/leave_test.go
@@ -88,3 +88,31 @@
 	}
 	r.end(l)
 }
+
+// Guards R8 for calls that take longer than the second in which callers move away: a drain that does not wait for them cuts
+// those that came in at the node and those that run on its own backend server.
+func TestDrainWaitsForCalls(t *testing.T) {
+	r := start(t, Places(), WithLatency(1800*time.Millisecond))
+	i := r.index(func(i int, h *host.Host) bool { return r.places[i].Service == "archive" && !h.Leads() })
+	other := r.index(func(n int, _ *host.Host) bool { return n != i })
+	answers := make(chan answer)
+	const calls = 12
+	for n := range calls {
+		address := r.callers()[[]int{i, other}[n%2]]
+		go func() { answers <- send(http.DefaultClient, address, http.MethodGet, "/history", "") }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	if r.Backends[i].Served() == 0 {
+		t.Error("got no call at the draining endpoint, want some in flight")
+	}
+	ended := make(chan error)
+	go func() { ended <- r.Drain(i) }()
+	for range calls {
+		if a := <-answers; !a.whole || a.status != http.StatusOK {
+			t.Errorf("call in flight at the drain: got %+v, want a whole answer", a)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("drain: got %v, want none", err)
+	}
+}
--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -284,3 +285,38 @@
 		_, _ = decodeSnapshot(b)
 	})
 }
+
+// Guards against an acknowledged save that a power loss takes back: each file is synced after its last write, and the folder
+// after each new name, before Save or Compact returns.
+func TestSavesAreSynced(t *testing.T) {
+	folder := t.TempDir()
+	dirty, folders := map[string]bool{}, 0
+	l, err := Open(folder, WithName("a"), WithWrite(func(f *os.File, b []byte) (int, error) {
+		dirty[f.Name()] = true
+		return f.Write(b)
+	}), WithSync(func(f *os.File) error {
+		delete(dirty, f.Name())
+		if f.Name() == folder {
+			folders++
+		}
+		return f.Sync()
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	check := func(step string, names int, save func() error) {
+		t.Helper()
+		folders = 0
+		if err := save(); err != nil {
+			t.Fatalf("%s: %v", step, err)
+		}
+		if len(dirty) > 0 || folders < names {
+			t.Errorf("%s: got unsynced files %v and %d syncs of the folder, want none and at least %d", step, dirty, folders, names)
+		}
+	}
+	for i, e := range saves() {
+		check(fmt.Sprint("save ", i), []int{3, 1, 1, 0}[i], func() error { return l.Save(e) })
+	}
+	check("compact", 2, func() error { return l.Compact(agreement.Snapshot{Index: 4, Term: 3, Members: founding.Members}) })
+}
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"godwitspindle/core/outcome"
@@ -389,3 +390,22 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// TestBrokenAnswer guards R4 at the peer: an answer without a stated length that breaks off at the backend server must reach
+// the calling node as broken, not as a shorter whole one.
+func TestBrokenAnswer(t *testing.T) {
+	a := serve(t, NewServer(WithDo(func(context.Context, Meta, *http.Request) (*http.Response, error) {
+		body := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF))
+		return &http.Response{StatusCode: 200, Header: http.Header{}, Body: io.NopCloser(body), ContentLength: -1}, nil
+	})))
+	c := New()
+	defer func() { _ = c.Close() }()
+	p, err := c.Call(t.Context(), a, testMeta("c1"), request("GET", "/", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	if got, err := io.ReadAll(p.Body); err == nil {
+		t.Errorf("got a whole answer %q, want a broken one", got)
+	}
+}
--- a/io/peer/holder_test.go
+++ b/io/peer/holder_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	"godwitspindle/core/config"
+	"godwitspindle/core/wire"
 )
 
 func version(v uint64) *config.Snapshot { return config.NewSnapshot().With(v, nil, nil) }
@@ -66,3 +71,67 @@
 		t.Errorf("held version: got %d, want 0", got)
 	}
 }
+
+// Guards R2 and R3 at the swap: a version that fails a check comes into force in part (entries without their table, or the
+// reverse), or its floor is saved, so that the node could not go back to the version that it still serves.
+func TestHolderKeepsVersion(t *testing.T) {
+	put := func(m proto.Message) []config.Entry {
+		value, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []config.Entry{{Key: config.KeyOf(m), Value: value}}
+	}
+	held := config.NewSnapshot().With(3, put(&wire.Service{Name: "a"}), nil)
+	dangling := held.With(4, put(&wire.Route{Name: "r", Service: "gone", Path: "/"}), nil)
+	delta := func(edit func(d *wire.Delta)) *wire.Delta {
+		d, _ := held.With(4, put(&wire.Service{Name: "b"}), nil).Delta(3)
+		edit(d)
+		return d
+	}
+	for name, swap := range map[string]func(h *Holder) error{
+		"offer, route without service": func(h *Holder) error { return h.Offer(dangling) },
+		"delta, route without service": func(h *Holder) error { d, _ := dangling.Delta(3); return h.Apply(d) },
+		"delta, other digest":          func(h *Holder) error { return h.Apply(delta(func(d *wire.Delta) { d.Digest.Low++ })) },
+		"delta, entry lost":            func(h *Holder) error { return h.Apply(delta(func(d *wire.Delta) { d.Entries = nil })) },
+		"delta, stale":                 func(h *Holder) error { return h.Apply(delta(func(d *wire.Delta) { d.Version = 2 })) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var saved []uint64
+			h, err := NewHolder(WithSavedFloor(1, func(v uint64) error { saved = append(saved, v); return nil }))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := h.Offer(held); err != nil {
+				t.Fatal(err)
+			}
+			before := h.View()
+			if swap(h) == nil {
+				t.Error("got no error, want a refusal")
+			}
+			if got := h.View(); got != before || !h.Serving() {
+				t.Errorf("view: got version %d, serving %v, want version 3 in force with its table", got.Snapshot.Version(), h.Serving())
+			}
+			if !slices.Equal(saved, []uint64{3}) {
+				t.Errorf("floors saved: got %v, want [3]", saved)
+			}
+		})
+	}
+}
+
+// Guards against a reconnect storm in step: nodes that lost their upstream together must not come back together.
+func TestFollowerBackoff(t *testing.T) {
+	for attempt, bound := range map[int]time.Duration{1: 200 * time.Millisecond, 4: 1600 * time.Millisecond, 30: 10 * time.Second} {
+		var quarters [4]int
+		for range 1000 {
+			d := backoff(attempt)
+			if d <= 0 || d > bound+time.Millisecond {
+				t.Fatalf("attempt %d: got %s, want up to %s", attempt, d, bound)
+			}
+			quarters[min(int(4*d/bound), 3)]++
+		}
+		if least := slices.Min(quarters[:]); least < 150 { // 250 expected; 150 is seven standard deviations below
+			t.Errorf("attempt %d: got %v draws in the quarters of %s, want an even spread", attempt, quarters, bound)
+		}
+	}
+}
--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -270,3 +270,39 @@
 		t.Fatalf("state after restart: got %d, want at least 10", got)
 	}
 }
+
+// Guards against an acknowledgement that a power loss makes false: a follower whose sync has not returned must not answer
+// the leader, so an entry that only the leader has synced must not be committed.
+func TestNoAnswerBeforeSync(t *testing.T) {
+	var slow atomic.Bool
+	var leader atomic.Pointer[string] // only the others are slow
+	g := newGroup(t, nil)
+	g.names = []string{"a", "b", "c"}
+	for _, n := range g.names {
+		g.opts = []Option{WithDisk(disk.WithSync(func(f *os.File) error {
+			for l := leader.Load(); slow.Load() && l != nil && *l != n; {
+				time.Sleep(time.Millisecond)
+			}
+			return f.Sync()
+		}))}
+		g.start(n, t.TempDir())
+	}
+	r := g.leader()
+	g.propose(r, 1)
+	name := agreement.Name(r.Status().ID)
+	leader.Store(&name)
+	slow.Store(true)
+	defer slow.Store(false)
+	before := r.Status().Commit
+	answered := make(chan error, 1)
+	go func() {
+		_, err := r.Propose(t.Context(), &wire.Command{})
+		answered <- err
+	}()
+	time.Sleep(100 * time.Millisecond) // half an election timeout, after which the leader steps down
+	if got := r.Status().Commit; got != before {
+		t.Errorf("commit while no follower has synced: got %d, want %d", got, before)
+	}
+	slow.Store(false)
+	<-answered
+}
