--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
@@ -139,15 +140,13 @@
 	if h.Leads() {
 		return h.control.status(ctx, request)
 	}
-	var last error = &peer.NoParentError{}
-	for _, a := range h.upstream.replicas() {
-		resp, err := h.clients.At(a).Status(ctx, connect.NewRequest(request))
-		if err == nil {
-			return resp.Msg, nil
-		}
-		last = err
+	resp, err := peer.InTurn(h.upstream.replicas(), func(a netip.AddrPort) (*connect.Response[rpc.StatusResponse], error) {
+		return h.clients.At(a).Status(ctx, connect.NewRequest(request))
+	})
+	if err != nil {
+		return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: err}
 	}
-	return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: last}
+	return resp.Msg, nil
 }
 
 // patientFleet asks again while ctx lasts, so that an election does not look like the loss of a majority.
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -233,22 +234,18 @@
 }
 
 func (h *Host) askReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
-	var last error = &peer.NoParentError{}
 	if h.Leads() {
-		resp, err := h.control.replicas(ctx, request)
-		if err == nil {
+		if resp, err := h.control.replicas(ctx, request); err == nil {
 			return resp, nil
 		}
-		last = err
 	}
-	for _, a := range h.upstream.replicas() {
-		resp, err := h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
-		if err == nil {
-			return resp.Msg, nil
-		}
-		last = err
+	resp, err := peer.InTurn(h.upstream.replicas(), func(a netip.AddrPort) (*connect.Response[rpc.ReplicasResponse], error) {
+		return h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
+	})
+	if err != nil {
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
 	}
-	return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: last}
+	return resp.Msg, nil
 }
 
 func members(list []*rpc.Replica) []operator.Member {
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -202,15 +202,13 @@
 
 // askFloor asks the replicas in turn, the leader first; only the leader answers.
 func (h *Host) askFloor(ctx context.Context) (uint64, error) {
-	var last error = &peer.NoParentError{}
-	for _, a := range h.upstream.replicas() {
+	return peer.InTurn(h.upstream.replicas(), func(a netip.AddrPort) (uint64, error) {
 		resp, err := h.clients.At(a).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
-		if err == nil {
-			return resp.Msg.GetVersion(), nil
+		if err != nil {
+			return 0, fmt.Errorf("read the floor from %s: %w", a, err)
 		}
-		last = fmt.Errorf("read the floor from %s: %w", a, err)
-	}
-	return 0, last
+		return resp.Msg.GetVersion(), nil
+	})
 }
 
 // propose commits a command on this replica if it leads.
--- a/io/peer/proposer.go
+++ b/io/peer/proposer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -16,10 +15,10 @@
 )
 
 const (
-	claimBatch   = 512 // claims in one RPC
-	claimRounds  = 4   // RPCs with claims in flight at once
-	resendDelay  = 50 * time.Millisecond
-	proposeLimit = 2 * time.Second // one try at one replica
+	claimBatch   = 512                   // claims in one RPC
+	claimRounds  = 4                     // RPCs with claims in flight at once
+	resendDelay  = 50 * time.Millisecond // between rounds over all replicas
+	proposeLimit = 2 * time.Second       // one try at one replica
 )
 
 // DoubtError reports a proposal that may or may not have been accepted.
@@ -30,6 +29,13 @@
 // Unwrap returns the cause.
 func (e *DoubtError) Unwrap() error { return e.Err }
 
+// ResultCountError reports an answer whose results do not match the claims that were sent.
+type ResultCountError struct{ Got, Want int }
+
+func (e *ResultCountError) Error() string {
+	return fmt.Sprintf("got %d claim results, want %d", e.Got, e.Want)
+}
+
 // Proposer sends commands to the replicas and batches concurrent claims.
 type Proposer struct {
 	clients  *Clients
@@ -64,7 +70,7 @@
 		stop:     stop,
 	}
 	for range claimRounds {
-		p.wait.Go(func() { p.batches() })
+		p.wait.Go(p.sendBatches)
 	}
 	return p
 }
@@ -80,14 +86,11 @@
 func (p *Proposer) Propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
 	var last error = &NoParentError{}
 	for ctx.Err() == nil {
-		for _, a := range p.replicas() {
-			result, err := p.try(ctx, a, c)
-			if err == nil {
-				return result, nil
-			}
-			last = err
-			p.log.V(1).Info("proposal not confirmed", "replica", a.String(), "error", err.Error())
+		result, err := InTurn(p.replicas(), func(a netip.AddrPort) (*wire.Result, error) { return p.try(ctx, a, c) })
+		if err == nil {
+			return result, nil
 		}
+		last = err
 		sleep(ctx, resendDelay)
 	}
 	return nil, &DoubtError{Err: last}
@@ -98,6 +101,7 @@
 	defer cancel()
 	resp, err := p.clients.At(a).Propose(ctx, connect.NewRequest(&rpc.ProposeRequest{Command: c}))
 	if err != nil {
+		p.log.V(1).Info("proposal not confirmed", "replica", a.String(), "error", err.Error())
 		return nil, fmt.Errorf("propose to %s: %w", a, err)
 	}
 	return resp.Msg.GetResult(), nil
@@ -121,8 +125,8 @@
 	}
 }
 
-// batches sends whatever claims have gathered while the previous RPC was in flight.
-func (p *Proposer) batches() {
+// sendBatches sends whatever claims have gathered while the previous RPC was in flight.
+func (p *Proposer) sendBatches() {
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -158,7 +162,7 @@
 	result, err := p.Propose(ctx, &wire.Command{Body: &wire.Command_Claims{Claims: claims}})
 	results := result.GetClaims().GetResults()
 	if err == nil && len(results) != len(batch) {
-		err = &DoubtError{Err: errors.ErrUnsupported}
+		err = &DoubtError{Err: &ResultCountError{Got: len(results), Want: len(batch)}}
 	}
 	for i, c := range batch {
 		if err != nil {
@@ -169,18 +173,15 @@
 	}
 }
 
-// Announce tells the replicas about the node and its endpoints until one accepts or ctx ends.
+// Announce tells the replicas about the node and its endpoints until one accepts or ctx ends, and returns the lease.
 func (p *Proposer) Announce(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error) {
 	var last error = &NoParentError{}
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		for _, a := range p.replicas() {
-			lease, err := p.announce(ctx, a, r)
-			if err == nil {
-				return lease, nil
-			}
-			last = err
-			p.log.V(1).Info("announcement not accepted", "replica", a.String(), "error", err.Error())
+		lease, err := InTurn(p.replicas(), func(a netip.AddrPort) (time.Duration, error) { return p.announce(ctx, a, r) })
+		if err == nil {
+			return lease, nil
 		}
+		last = err
 		sleep(ctx, min(backoff(attempt), time.Second))
 	}
 	return 0, last
@@ -191,6 +192,7 @@
 	defer cancel()
 	resp, err := p.clients.At(a).Announce(ctx, connect.NewRequest(r))
 	if err != nil {
+		p.log.V(1).Info("announcement not accepted", "replica", a.String(), "error", err.Error())
 		return 0, fmt.Errorf("announce to %s: %w", a, err)
 	}
 	return time.Duration(resp.Msg.GetLease()) * time.Millisecond, nil
--- a/io/peer/prove.go
+++ b/io/peer/prove.go
@@ -28,15 +28,7 @@
 
 // askFloor asks the upstreams in order for a quorum-confirmed version.
 func (f *Follower) askFloor(ctx context.Context) (uint64, error) {
-	var last error = &NoParentError{}
-	for _, p := range f.parents() {
-		floor, err := f.readFloor(ctx, p)
-		if err == nil {
-			return floor, nil
-		}
-		last = err
-	}
-	return 0, last
+	return InTurn(f.parents(), func(p netip.AddrPort) (uint64, error) { return f.readFloor(ctx, p) })
 }
 
 func (f *Follower) readFloor(ctx context.Context, parent netip.AddrPort) (uint64, error) {
--- /dev/null
+++ b/io/peer/turn.go
@@ -0,0 +1,18 @@
+package peer
+
+import "net/netip"
+
+// InTurn asks the addresses one after the other and returns the first answer, or the error of the last address; without
+// addresses the error is a *NoParentError.
+func InTurn[T any](addresses []netip.AddrPort, ask func(a netip.AddrPort) (T, error)) (T, error) {
+	var none T
+	var last error = &NoParentError{}
+	for _, a := range addresses {
+		answer, err := ask(a)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+	}
+	return none, last
+}
