refactor(host): the control replica takes its parts as one value

newControl had nine parameters. Fields that only the duties use are grouped, and names say what they hold: leaderChanged, leaderName, expired.

--- a/io/host/control.go
+++ b/io/host/control.go
@@ -29,48 +29,51 @@
 	maxPending     = 256             // versions whose spread is being measured
 )
 
+// controlParts are the parts of the process that its control replica uses.
+type controlParts struct {
+	clients       *peer.Clients
+	courier       *peer.Courier
+	holder        *peer.Holder
+	tracker       *relay.Tracker
+	metrics       *platform.Metrics
+	leaderChanged func() // called when another replica leads
+	log           logr.Logger
+}
+
 // control is the control replica of a process with its leader's duties.
 type control struct {
+	controlParts
 	name    string
 	names   []string // of the replicas in the settings
-	replica *replica.Replica
-	clients *peer.Clients
 	address func(id string) (netip.AddrPort, bool)
-	holder  *peer.Holder
-	tracker *relay.Tracker
+	replica *replica.Replica
 	leases  *lease.Table
-	metrics *platform.Metrics
-	log     logr.Logger
 
 	mu    sync.Mutex // guards store
 	store *store.Store
 
-	applied chan struct{}
+	applied chan struct{} // signalled when a command was applied
 	spreads spreads
-	leading bool
-	seen    string // seen by the last turn
-	moved   func() // called when another replica leads
-	expiry  time.Time
-	// measured is when the oldest pending version was last looked for on every node.
-	measured time.Time
-	stop     context.CancelFunc
-	wait     sync.WaitGroup
+
+	// Used only by duties.
+	leading  bool
+	leader   string    // at the last turn
+	expired  time.Time // when leases were last looked through
+	measured time.Time // when the oldest pending version was last looked for on every node
+
+	stop context.CancelFunc
+	wait sync.WaitGroup
 }
 
 // newControl starts the control replica on the data folder.
-func newControl(s *platform.Settings, clients *peer.Clients, courier *peer.Courier, holder *peer.Holder, tracker *relay.Tracker, m *platform.Metrics, moved func(), log logr.Logger) (*control, error) {
+func newControl(s *platform.Settings, p controlParts) (*control, error) {
 	c := &control{
-		name:    s.Name,
-		clients: clients,
-		address: replicaAddress(s),
-		holder:  holder,
-		tracker: tracker,
-		leases:  lease.New(lease.WithLease(leasePolls * pollOf(s.Profile))),
-		metrics: m,
-		moved:   moved,
-		log:     log,
-		store:   store.New(),
-		applied: make(chan struct{}, 1),
+		controlParts: p,
+		name:         s.Name,
+		address:      replicaAddress(s),
+		leases:       lease.New(lease.WithLease(leasePolls * pollOf(s.Profile))),
+		store:        store.New(),
+		applied:      make(chan struct{}, 1),
 	}
 	for _, r := range s.Replicas {
 		c.names = append(c.names, r.Name)
@@ -79,14 +82,14 @@
 		replica.WithFolder(s.Data),
 		replica.WithName(s.Name),
 		replica.WithNames(c.names...),
-		replica.WithDisk(disk.WithSync(timed(m.Sync.Observe))),
-		replica.WithSend(courier.Send),
+		replica.WithDisk(disk.WithSync(timed(p.metrics.Sync.Observe))),
+		replica.WithSend(p.courier.Send),
 		replica.WithApply(c.apply),
 		replica.WithMarshal(c.marshal),
 		replica.WithRestore(c.restore),
 		replica.WithVersion(c.version),
 		replica.WithStateTime(c.stateTime),
-		replica.WithClocks(courier.Clock),
+		replica.WithClocks(p.courier.Clock),
 		replica.WithApplied(func(uint64) { c.signal() }),
 	)
 	if err != nil {
@@ -188,9 +191,9 @@
 func (c *control) turn(ctx context.Context, now time.Time) {
 	st := c.replica.Status()
 	c.metrics.Term.Set(float64(st.Term))
-	if l := agreement.Name(st.Leader); l != c.seen {
-		c.seen = l
-		c.moved()
+	if l := agreement.Name(st.Leader); l != c.leader {
+		c.leader = l
+		c.leaderChanged()
 	}
 	if st.Role != agreement.Leader {
 		c.resign()
@@ -199,8 +202,8 @@
 	if !c.leading {
 		c.lead(now)
 	}
-	if now.Sub(c.expiry) >= expiryInterval {
-		c.expiry = now
+	if now.Sub(c.expired) >= expiryInterval {
+		c.expired = now
 		c.leases.Heard(now, c.name, nil) // the leader has no relay that names it
 		for _, e := range c.leases.Expire(now) {
 			c.log.Info("lease expired", "node", e.Node, "endpoint", e.Endpoint, "silent", e.Silent.String())
@@ -229,6 +232,7 @@
 	c.log.Info("floor proven", "floor", version)
 }
 
+// resign ends the duties of a replica that no longer leads.
 func (c *control) resign() {
 	if !c.leading {
 		return
@@ -239,9 +243,10 @@
 	c.log.Info("leadership ended")
 }
 
+// lead takes up the duties with a full lease for each member, since their silence before is not known.
 func (c *control) lead(now time.Time) {
 	c.leading = true
-	c.expiry = now
+	c.expired = now
 	nodes, endpoints := c.snapshot().Members()
 	c.leases.Reset(now, nodes, endpoints)
 	c.spreads.reset()
@@ -249,6 +254,7 @@
 	c.log.Info("leadership began", "nodes", len(nodes), "endpoints", len(endpoints))
 }
 
+// commit proposes a membership command; a failed one is staged again.
 func (c *control) commit(ctx context.Context, m *wire.Membership) {
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
@@ -315,8 +321,8 @@
 	}, nil
 }
 
-// leader returns the name of the leading replica, or an empty string.
-func (c *control) leader() string { return agreement.Name(c.replica.Leader()) }
+// leaderName returns the name of the leading replica, or an empty string.
+func (c *control) leaderName() string { return agreement.Name(c.replica.Leader()) }
 
 func nodeNames(t *config.Table) []string {
 	names := make([]string, 0, len(t.Nodes()))
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -96,7 +96,18 @@
 	for _, o := range opts {
 		o(h)
 	}
-	for _, start := range []func() error{h.startTransport, h.startHolder, h.startControl, h.startFeed, h.startCalls, h.startPeers, h.startFollower, h.startListeners} {
+	// Each step uses the parts that the steps before it made.
+	steps := []func() error{
+		h.startTransport,
+		h.startHolder,
+		h.startControl,
+		h.startFeed,
+		h.startCalls,
+		h.startPeers,
+		h.startFollower,
+		h.startListeners,
+	}
+	for _, start := range steps {
 		if err := start(); err != nil {
 			_ = h.Close()
 			return nil, err
@@ -150,7 +161,15 @@
 		return nil
 	}
 	h.courier = peer.NewCourier(h.clients, replicaAddress(h.settings), h.log.WithName("courier"))
-	c, err := newControl(h.settings, h.clients, h.courier, h.holder, h.tracker, h.metrics, h.led, h.log.WithName("control"))
+	c, err := newControl(h.settings, controlParts{
+		clients:       h.clients,
+		courier:       h.courier,
+		holder:        h.holder,
+		tracker:       h.tracker,
+		metrics:       h.metrics,
+		leaderChanged: h.leaderChanged,
+		log:           h.log.WithName("control"),
+	})
 	if err != nil {
 		return fmt.Errorf("start the control replica: %w", err)
 	}
@@ -158,8 +177,8 @@
 	return nil
 }
 
-// led follows another replica's leadership: a replica reports only to the leader.
-func (h *Host) led() {
+// leaderChanged makes the follower choose its upstream again, since a replica reports only to the leader.
+func (h *Host) leaderChanged() {
 	if f := h.follower.Load(); f != nil {
 		f.Repoll()
 	}
@@ -239,7 +258,7 @@
 func (h *Host) Serving() bool { return h.holder.Serving() }
 
 // Leads reports whether the control replica of this process leads.
-func (h *Host) Leads() bool { return h.control != nil && h.control.leader() == h.settings.Name }
+func (h *Host) Leads() bool { return h.control != nil && h.control.leaderName() == h.settings.Name }
 
 // Run waits until ctx ends and then stops gracefully: no call in flight is cut within the setting grace. It
 // returns early with the error of a control replica that stopped.
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -78,7 +78,7 @@
 // parents returns the upstreams; the leader has none, since all others take from it.
 func (h *Host) parents() []netip.AddrPort {
 	if h.control != nil {
-		h.upstream.lead(h.control.leader(), h.holder.View())
+		h.upstream.lead(h.control.leaderName(), h.holder.View())
 	}
 	if h.Leads() {
 		return nil
@@ -89,7 +89,7 @@
 // leader returns the name of the leading replica as far as this node knows.
 func (h *Host) leader() string {
 	if h.control != nil {
-		return h.control.leader()
+		return h.control.leaderName()
 	}
 	return h.upstream.known()
 }
