refactor: names and comments of io/peer, io/host and cmd

The follower's fields and methods say what they hold or do, fields that only its loop uses are grouped, the announcer takes its parts as one value, demo has its own command file, and each Error method has a doc sentence.

--- a/cmd/failure.go
+++ b/cmd/failure.go
@@ -22,9 +22,9 @@
 		return ExitDone
 	}
 	p, isProblem := problemOf(err)
-	n := code(err)
+	n := errorExit(err)
 	if isProblem {
-		n = problemCode(p)
+		n = problemExit(p)
 	}
 	switch {
 	case s.json && isProblem:
@@ -91,7 +91,8 @@
 	return operator.CodeInternal
 }
 
-func code(err error) int {
+// errorExit returns the exit code for an error that is not a problem.
+func errorExit(err error) int {
 	_, settings := errors.AsType[*platform.SettingsError](err)
 	_, faults := errors.AsType[*FaultsError](err)
 	_, input := errors.AsType[*InputError](err)
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -59,11 +59,6 @@
 	return "Exit codes: 0 done, 1 failed, 2 bad input or usage, 3 conflict, 4 not reachable, 5 timed out waiting."
 }
 
-// demoCommand runs Program.Demo.
-type demoCommand struct {
-	Keep bool `arg:"--keep" help:"leave the mesh running and print its addresses"`
-}
-
 // session is one run of a command.
 type session struct {
 	*Program
@@ -143,13 +138,11 @@
 	case a.Check != nil:
 		return a.Check.run(s)
 	}
-	if s.Demo == nil {
-		return &MissingPartError{Command: "demo"}
-	}
-	return s.Demo(s.ctx, a.Demo.Keep, s.stdout, s.stderr)
+	return a.Demo.run(s)
 }
 
-func problemCode(p *operator.Problem) int {
+// problemExit returns the exit code for a problem.
+func problemExit(p *operator.Problem) int {
 	switch p.Code {
 	case operator.CodeConflict, operator.CodeExpired:
 		return ExitConflict
--- a/io/demo/cut.go
+++ b/io/demo/cut.go
@@ -17,6 +17,7 @@
 // HealedError reports a connection that lost data in a partition which has healed.
 type HealedError struct{}
 
+// Error says why the connection ended.
 func (*HealedError) Error() string { return "the connection lost data in a partition" }
 
 // cuts knows which places are on the far side of a silent partition.
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -64,6 +64,7 @@
 	Got  string
 }
 
+// Error says what was asked and what came.
 func (e *AnswerError) Error() string { return e.What + ": unexpected " + e.Got }
 
 // Run shows a mesh from its start to a changed rule, and ends; with keep it stays until SIGINT or SIGTERM. Errors of the nodes
--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -119,9 +119,9 @@
 			s.TLS = o.tls(p.Name)
 		}
 		s.Log.Sample = 0
-		any := loopback(0)
+		free := loopback(0) // a port that the system chooses
 		s.Listen = platform.Listen{
-			Peer: addresses[3*i], Caller: addresses[3*i+1], Backend: addresses[3*i+2], Local: any, Operator: any, Metrics: any,
+			Peer: addresses[3*i], Caller: addresses[3*i+1], Backend: addresses[3*i+2], Local: free, Operator: free, Metrics: free,
 		}
 		if p.Replica {
 			s.Data = filepath.Join(m.folder, p.Name)
--- a/io/host/announcer.go
+++ b/io/host/announcer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
 	"godwitspindle/core/config"
@@ -16,20 +17,25 @@
 	announceSettle  = 2 * time.Second // time for an announcement to come back as a version before it is sent again
 )
 
+// announcerParts are the parts of the process that its announcer uses.
+type announcerParts struct {
+	current func() *rpc.AnnounceRequest // what the node announces now
+	agreed  func() *config.Snapshot     // the version in force
+	send    func(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error)
+	log     logr.Logger
+}
+
 // announcer keeps the agreed set in step with what the node announces.
 type announcer struct {
-	current func() *rpc.AnnounceRequest
-	send    func(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error)
-	agreed  func() *config.Snapshot
-	failed  func(err error)
-	wake    chan struct{}
-	stop    context.CancelFunc
-	wait    sync.WaitGroup
+	announcerParts
+	wake chan struct{}
+	stop context.CancelFunc
+	wait sync.WaitGroup
 }
 
-func newAnnouncer(current func() *rpc.AnnounceRequest, send func(context.Context, *rpc.AnnounceRequest) (time.Duration, error), agreed func() *config.Snapshot, failed func(error)) *announcer {
+func newAnnouncer(p announcerParts) *announcer {
 	ctx, stop := context.WithCancel(context.Background())
-	a := &announcer{current: current, send: send, agreed: agreed, failed: failed, wake: make(chan struct{}, 1), stop: stop}
+	a := &announcer{announcerParts: p, wake: make(chan struct{}, 1), stop: stop}
 	a.wait.Go(func() { a.run(ctx) })
 	return a
 }
@@ -68,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	if _, err := a.send(ctx, r); err != nil && ctx.Err() == nil {
-		a.failed(err)
+		a.log.Info("not announced", "error", err.Error())
 	}
 }
 
@@ -94,6 +100,7 @@
 	return false
 }
 
+// holds reports whether a snapshot has exactly this entry.
 func holds(s *config.Snapshot, m proto.Message) bool {
 	e, ok := s.Get(config.KeyOf(m))
 	if !ok {
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -176,6 +176,7 @@
 // ClaimError reports a claim operation that the agreed table refused.
 type ClaimError struct{ State wire.ClaimState }
 
+// Error names the state.
 func (e *ClaimError) Error() string { return "claim refused: " + claimLabel(e.State) }
 
 func claimLabel(s wire.ClaimState) string {
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -55,7 +55,7 @@
 		peer.WithPoll(pollOf(h.settings.Profile)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithTaken(h.taken),
-		peer.WithSynced(h.synced),
+		peer.WithSynced(h.upstream.learn),
 		peer.WithFollowerLog(h.log.WithName("follower")),
 	}
 	if h.control != nil {
@@ -66,12 +66,12 @@
 		return err
 	}
 	h.follower.Store(f)
-	h.announce.Store(newAnnouncer(
-		func() *rpc.AnnounceRequest { return h.announcement(false) },
-		h.proposer.Announce,
-		func() *config.Snapshot { return h.holder.View().Snapshot },
-		func(err error) { h.log.Info("not announced", "error", err.Error()) },
-	))
+	h.announce.Store(newAnnouncer(announcerParts{
+		current: func() *rpc.AnnounceRequest { return h.announcement(false) },
+		agreed:  func() *config.Snapshot { return h.holder.View().Snapshot },
+		send:    h.proposer.Announce,
+		log:     h.log,
+	}))
 	return nil
 }
 
@@ -179,11 +179,6 @@
 	return h.tracker.Report(time.Now(), held)
 }
 
-// synced follows an answered poll.
-func (h *Host) synced(r *rpc.SyncResponse, v peer.View) {
-	h.upstream.learn(r, v)
-}
-
 // readFloor reads a quorum-confirmed version: from this replica if it leads, else from the replicas in turn.
 func (h *Host) readFloor(ctx context.Context) (uint64, error) {
 	if h.control != nil {
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -57,8 +57,8 @@
 	u.compute(v)
 }
 
-// learn takes the leader's name and redirects from an answer; it reports whether the leader changed.
-func (u *upstream) learn(r *rpc.SyncResponse, v peer.View) bool {
+// learn takes the leader's name and redirects from an answer.
+func (u *upstream) learn(r *rpc.SyncResponse, v peer.View) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(r.GetRelays()) > 0 {
@@ -71,11 +71,10 @@
 		}
 	}
 	if r.GetLeader() == "" || r.GetLeader() == u.leader {
-		return false
+		return
 	}
 	u.leader = r.GetLeader()
 	u.compute(v)
-	return true
 }
 
 // lead sets the leader that the control replica of this process knows.
@@ -89,6 +88,7 @@
 	u.compute(v)
 }
 
+// compute derives the upstreams from the version in force and the leader.
 func (u *upstream) compute(v peer.View) {
 	nodes := relayNodes(v.Table, u.settings)
 	u.relay = isRelay(nodes, u.settings)
--- a/io/peer/auth.go
+++ b/io/peer/auth.go
@@ -16,6 +16,7 @@
 // UnauthorizedError reports a peer without the shared key.
 type UnauthorizedError struct{}
 
+// Error says what is wrong with the key.
 func (*UnauthorizedError) Error() string { return "the shared key is missing or wrong" }
 
 // Authorize wraps a handler so that requests without the shared key are refused; an empty key admits everyone.
--- a/io/peer/choose.go
+++ b/io/peer/choose.go
@@ -24,16 +24,16 @@
 	pause time.Duration
 }
 
-// pass polls the upstreams in order until one answers.
-func (f *Follower) pass(ctx context.Context) error {
+// pollParents polls the upstreams in order until one answers.
+func (f *Follower) pollParents(ctx context.Context) error {
 	parents := f.ordered()
 	if len(parents) == 0 {
-		sleep(ctx, backoffLeast) // the leading replica takes versions from its own log
+		sleep(ctx, minBackoff) // the leading replica takes versions from its own log
 		return nil
 	}
 	var last error
 	for _, p := range parents {
-		f.settle(ctx, p)
+		f.moveTo(ctx, p)
 		began := time.Now()
 		last = f.sync(ctx, p)
 		if last == nil {
@@ -43,13 +43,14 @@
 		if ctx.Err() != nil {
 			return last
 		}
-		f.fail(p, time.Since(began))
+		f.noteFailure(p, time.Since(began))
 		f.lost()
 	}
 	return last
 }
 
-func (f *Follower) fail(p netip.AddrPort, took time.Duration) {
+// noteFailure makes an upstream that failed be tried last for a pause.
+func (f *Follower) noteFailure(p netip.AddrPort, took time.Duration) {
 	pause := failedPause
 	if took < refusedWithin {
 		pause = min(max(2*f.failed[p].pause, refusedPause), failedPause)
@@ -59,14 +60,14 @@
 
 // Repoll ends the poll in progress, so that a better upstream is taken at once.
 func (f *Follower) Repoll() {
-	if cancel := f.again.Load(); cancel != nil {
+	if cancel := f.cancelPoll.Load(); cancel != nil {
 		(*cancel)()
 	}
 }
 
-// settle notes the upstream that is polled next and tells the one before, which would otherwise wait for reports from
-// here. It waits for the answer, so that the farewell cannot overtake a later poll of the same upstream.
-func (f *Follower) settle(ctx context.Context, p netip.AddrPort) {
+// moveTo notes the upstream that is polled next and tells the one before, which would otherwise wait for reports from
+// here. It waits for the answer, so that this notice cannot overtake a later poll of the same upstream.
+func (f *Follower) moveTo(ctx context.Context, p netip.AddrPort) {
 	old := f.parent.Swap(&p)
 	if old == nil || *old == p {
 		return
@@ -75,7 +76,7 @@
 	if _, failed := f.failed[*old]; failed {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, farewellTimeout)
+	ctx, cancel := context.WithTimeout(ctx, movedTimeout)
 	defer cancel()
 	_, err := f.clients.At(*old).Sync(ctx, connect.NewRequest(&rpc.SyncRequest{Node: f.name, Incarnation: f.incarnation, Moved: true}))
 	f.log.Info("upstream changed", "from", old.String(), "to", p.String(), "told", err == nil)
@@ -86,7 +87,7 @@
 func (f *Follower) ordered() []netip.AddrPort {
 	var good, bad []netip.AddrPort
 	for _, p := range f.parents() {
-		if f.resting(p) > 0 {
+		if f.failedFor(p) > 0 {
 			bad = append(bad, p)
 			continue
 		}
@@ -95,23 +96,23 @@
 	return append(good, bad...)
 }
 
-// resting returns how much longer a failed upstream is tried last.
-func (f *Follower) resting(p netip.AddrPort) time.Duration {
-	at, failed := f.failed[p]
+// failedFor returns how much longer a failed upstream is tried last.
+func (f *Follower) failedFor(p netip.AddrPort) time.Duration {
+	last, failed := f.failed[p]
 	if !failed {
 		return 0
 	}
-	return time.Until(at.at.Add(at.pause))
+	return time.Until(last.at.Add(last.pause))
 }
 
-// patience returns how long to poll an upstream: until a preferred one that failed may be tried again.
-func (f *Follower) patience(parent netip.AddrPort) time.Duration {
+// pollWait returns how long to poll an upstream: until a preferred one that failed may be tried again.
+func (f *Follower) pollWait(parent netip.AddrPort) time.Duration {
 	wait := f.poll
 	for _, p := range f.parents() {
 		if p == parent {
 			break
 		}
-		if rest := f.resting(p); rest > 0 {
+		if rest := f.failedFor(p); rest > 0 {
 			wait = min(wait, max(rest, nudgePause))
 		}
 	}
--- a/io/peer/deliver.go
+++ b/io/peer/deliver.go
@@ -34,7 +34,7 @@
 	clocks  map[string]clock // by replica name
 }
 
-// What another replica's clock showed, and when.
+// clock is what another replica's clock showed, and when.
 type clock struct {
 	shown time.Time
 	heard time.Time
@@ -43,7 +43,15 @@
 // NewCourier returns a courier; address maps a replica identity to its peer listener.
 func NewCourier(clients *Clients, address func(string) (netip.AddrPort, bool), log logr.Logger) *Courier {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Courier{clients: clients, address: address, log: log, ctx: ctx, stop: stop, queues: map[string]chan agreement.Message{}, clocks: map[string]clock{}}
+	return &Courier{
+		clients: clients,
+		address: address,
+		log:     log,
+		ctx:     ctx,
+		stop:    stop,
+		queues:  map[string]chan agreement.Message{},
+		clocks:  map[string]clock{},
+	}
 }
 
 // Send queues a message for its recipient and never blocks; a full queue drops the message.
@@ -102,10 +110,7 @@
 		return
 	}
 	c.log.V(1).Info("agreement messages not delivered", "to", to, "messages", len(batch), "error", err.Error())
-	select {
-	case <-c.ctx.Done():
-	case <-time.After(retryDelay):
-	}
+	sleep(c.ctx, retryDelay)
 }
 
 func (c *Courier) noteClock(name string, ms int64) {
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -24,25 +24,26 @@
 const headerNumber = "Mesh-Number"
 
 const (
-	backoffLeast = 100 * time.Millisecond
-	backoffMost  = 10 * time.Second
-	readTimeout  = 3 * time.Second
-	syncSlack    = 3 * time.Second // on top of the poll interval before a Sync counts as failed
-	nudgePause   = 50 * time.Millisecond
+	minBackoff  = 100 * time.Millisecond
+	maxBackoff  = 10 * time.Second
+	readTimeout = 3 * time.Second
+	syncSlack   = 3 * time.Second // on top of the poll interval before a Sync counts as failed
+	nudgePause  = 50 * time.Millisecond
 
 	// A version that follows another closely waits until this multiple of the time of the last swap has passed. A swap costs the
 	// process about four times what it takes here (collection, routing), so a burst stays under two percent of a core. A
 	// version after a quiet time never waits.
-	paceShare = 250
-	paceMost  = 500 * time.Millisecond
+	swapPauseFactor = 250
+	maxSwapPause    = 500 * time.Millisecond
 
-	farewellTimeout = time.Second
-	floorPause      = time.Second // floor reads share rounds, so they may come often
+	movedTimeout  = time.Second
+	maxFloorPause = time.Second // floor reads share rounds, so they may come often
 )
 
 // NoParentError reports that no upstream is known.
 type NoParentError struct{}
 
+// Error names the setting to check.
 func (*NoParentError) Error() string { return "no upstream is known; check the setting replicas" }
 
 // Follower keeps a holder at the newest version of its upstreams by long polls, and proves its floor.
@@ -64,17 +65,21 @@
 	domain      string
 	decoder     *zstd.Decoder
 	nudges      chan struct{}
-	failed      map[netip.AddrPort]failure         // used only by run
-	again       atomic.Pointer[context.CancelFunc] // ends the poll in progress
+	cancelPoll  atomic.Pointer[context.CancelFunc] // ends the poll in progress
 	confirmed   atomic.Int64                       // Unix nanoseconds of the last quorum confirmation; 0 for never
-	parent      atomic.Pointer[netip.AddrPort]
-	whole       atomic.Bool
-	asking      sync.Mutex
-	number      uint64        // of the last request
-	took        time.Duration // of the last swap by a delta; used only by run
-	swapped     time.Time     // when it ended
-	stop        context.CancelFunc
-	wait        sync.WaitGroup
+	parent      atomic.Pointer[netip.AddrPort]     // polled last
+	whole       atomic.Bool                        // the next poll asks for a whole snapshot
+
+	// Used only by run.
+	failed    map[netip.AddrPort]failure
+	swapTook  time.Duration // of the last swap by a delta
+	swappedAt time.Time     // when it ended
+
+	numbering sync.Mutex // orders the numbers of requests with the reports that they carry
+	number    uint64     // of the last request
+
+	stop context.CancelFunc
+	wait sync.WaitGroup
 }
 
 // FollowerOption configures a Follower.
@@ -101,7 +106,7 @@
 // WithMismatch sets a function that counts digest mismatches.
 func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
 
-// WithTaken sets a function called for each delta that came into force.
+// WithTaken sets a function called for each delta or whole snapshot that came into force.
 func WithTaken(t func(whole bool)) FollowerOption { return func(f *Follower) { f.taken = t } }
 
 // WithSynced sets a function called after each answered poll with the answer and the view in force.
@@ -178,7 +183,7 @@
 	return time.Since(time.Unix(0, at))
 }
 
-// Parent returns the address of the upstream that answered last.
+// Parent returns the address of the upstream that was polled last.
 func (f *Follower) Parent() (netip.AddrPort, bool) {
 	p := f.parent.Load()
 	if p == nil {
@@ -187,9 +192,10 @@
 	return *p, true
 }
 
+// run polls without end, with a growing delay after failures.
 func (f *Follower) run(ctx context.Context) {
 	for attempt := 0; ctx.Err() == nil; {
-		err := f.pass(ctx)
+		err := f.pollParents(ctx)
 		if err == nil {
 			attempt = 0
 			continue
@@ -206,7 +212,7 @@
 
 // backoff returns a full-jitter delay for the given attempt, counted from 1.
 func backoff(attempt int) time.Duration {
-	top := min(backoffLeast<<min(attempt, 10), backoffMost)
+	top := min(minBackoff<<min(attempt, 10), maxBackoff)
 	return rand.N(top) + time.Millisecond
 }
 
@@ -247,14 +253,15 @@
 	}
 }
 
+// sync makes one long poll and applies its answer.
 func (f *Follower) sync(ctx context.Context, parent netip.AddrPort) error {
-	wait := f.patience(parent)
+	wait := f.pollWait(parent)
 	if !f.holder.Proven() || f.holder.View().Snapshot.Version() == 0 {
-		wait = backoffLeast
+		wait = minBackoff
 	}
 	polling, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f.again.Store(&cancel)
+	f.cancelPoll.Store(&cancel)
 	resp, err := f.ask(polling, parent, wait)
 	if err != nil && polling.Err() != nil && ctx.Err() == nil {
 		f.lost()
@@ -264,11 +271,11 @@
 		return err
 	}
 	if after := resp.GetAfter(); after > 0 {
-		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(backoffLeast))
+		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(minBackoff))
 		return nil
 	}
 	if resp.GetDelta() != nil || len(resp.GetPacked()) > 0 {
-		sleep(ctx, time.Until(f.swapped.Add(min(f.took*paceShare, paceMost))))
+		sleep(ctx, time.Until(f.swappedAt.Add(min(f.swapTook*swapPauseFactor, maxSwapPause))))
 	}
 	if err := f.apply(resp); err != nil {
 		return fmt.Errorf("apply from %s: %w", parent, err)
@@ -295,8 +302,8 @@
 // request makes a numbered poll: a push and a long poll may overtake each other on their way, and the older one must not
 // replace what the newer one reports.
 func (f *Follower) request(parent netip.AddrPort, wait time.Duration) (*rpc.SyncRequest, uint64) {
-	f.asking.Lock()
-	defer f.asking.Unlock()
+	f.numbering.Lock()
+	defer f.numbering.Unlock()
 	f.number++
 	s := f.holder.View().Snapshot
 	r := &rpc.SyncRequest{
@@ -341,8 +348,8 @@
 	start := time.Now()
 	err = f.holder.Apply(delta)
 	if !delta.GetWhole() {
-		f.swapped = time.Now()
-		f.took = f.swapped.Sub(start)
+		f.swappedAt = time.Now()
+		f.swapTook = f.swappedAt.Sub(start)
 	}
 	var stale *config.StaleError
 	if errors.As(err, &stale) {
--- a/io/peer/holder.go
+++ b/io/peer/holder.go
@@ -20,6 +20,7 @@
 // FloorError reports a version below the floor of the node.
 type FloorError struct{ Version, Floor uint64 }
 
+// Error names both versions.
 func (e *FloorError) Error() string {
 	return fmt.Sprintf("version %d is below the floor %d", e.Version, e.Floor)
 }
--- a/io/peer/proposer.go
+++ b/io/peer/proposer.go
@@ -24,6 +24,7 @@
 // DoubtError reports a proposal that may or may not have been accepted.
 type DoubtError struct{ Err error }
 
+// Error shows the last cause.
 func (e *DoubtError) Error() string { return "no replica confirmed the proposal: " + e.Err.Error() }
 
 // Unwrap returns the cause.
@@ -32,6 +33,7 @@
 // ResultCountError reports an answer whose results do not match the claims that were sent.
 type ResultCountError struct{ Got, Want int }
 
+// Error names both numbers.
 func (e *ResultCountError) Error() string {
 	return fmt.Sprintf("got %d claim results, want %d", e.Got, e.Want)
 }
--- a/io/peer/prove.go
+++ b/io/peer/prove.go
@@ -22,7 +22,7 @@
 			return
 		}
 		f.log.V(1).Info("floor not proven", "error", err.Error())
-		sleep(ctx, min(backoff(attempt), floorPause))
+		sleep(ctx, min(backoff(attempt), maxFloorPause))
 	}
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -19,11 +19,13 @@
 // NotReplicaError reports a request that only a replica can answer.
 type NotReplicaError struct{ Method string }
 
+// Error names the method.
 func (e *NotReplicaError) Error() string { return e.Method + ": this node is not a replica" }
 
 // LeavingError reports an upstream that is stopping.
 type LeavingError struct{}
 
+// Error says that the node is leaving.
 func (*LeavingError) Error() string { return "this node is leaving" }
 
 // Server answers the inner protocol; each method is a function field, and one that is nil is refused.
