--- /dev/null
+++ b/io/host/convert.go
@@ -0,0 +1,86 @@
+package host
+
+import (
+	"time"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/config"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/operator"
+	"godwitspindle/io/rpc"
+)
+
+// duration converts milliseconds; any negative value stands for unknown.
+func duration(ms int64) operator.Duration {
+	if ms < 0 {
+		return -1
+	}
+	return operator.Duration(time.Duration(ms) * time.Millisecond)
+}
+
+// behind lists the nodes that do not hold a version.
+func behind(r *wire.Report) []operator.Behind {
+	list := make([]operator.Behind, 0, len(r.GetLaggards()))
+	for _, l := range r.GetLaggards() {
+		list = append(list, operator.Behind{
+			Node:    l.GetNode(),
+			Version: l.GetVersion(),
+			Reason:  reason(l.GetReason()),
+			Heard:   duration(l.GetHeard()),
+		})
+	}
+	return list
+}
+
+// reason names why a node is behind.
+func reason(r wire.Reason) string {
+	switch r {
+	case wire.Reason_REASON_REFUSED:
+		return "refused"
+	case wire.Reason_REASON_UNREACHABLE:
+		return "unreachable"
+	case wire.Reason_REASON_UNPROVEN:
+		return "unproven"
+	}
+	return "stale"
+}
+
+// replicaList lists members of which nobody knows how far behind they are.
+func replicaList(voters, learners []string) []operator.Member {
+	var list []operator.Member
+	for _, id := range voters {
+		list = append(list, operator.Member{Name: agreement.Name(id), Role: "voter", Identity: id, Behind: -1, Heard: -1})
+	}
+	for _, id := range learners {
+		list = append(list, operator.Member{Name: agreement.Name(id), Role: "learner", Identity: id, Behind: -1, Heard: -1})
+	}
+	return list
+}
+
+// members lists the replicas as the leader sees them.
+func members(list []*rpc.Replica) []operator.Member {
+	out := make([]operator.Member, 0, len(list))
+	for _, r := range list {
+		out = append(out, operator.Member{
+			Name:     agreement.Name(r.GetIdentity()),
+			Role:     r.GetRole(),
+			Identity: r.GetIdentity(),
+			Behind:   r.GetBehind(),
+			Heard:    duration(r.GetHeard()),
+		})
+	}
+	return out
+}
+
+// usages lists the capacity of the services in force.
+func usages(t *config.Table) []operator.Usage {
+	var list []operator.Usage
+	for _, s := range t.Services() {
+		u := operator.Usage{Name: s.Name, Endpoints: len(s.Endpoints)}
+		for _, e := range s.Endpoints {
+			u.Slots += e.Slots
+		}
+		list = append(list, u)
+	}
+	return list
+}
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"strings"
 
-	"godwitspindle/core/config"
 	"godwitspindle/io/caller"
 	"godwitspindle/io/hop"
 	"godwitspindle/io/operator"
@@ -76,16 +75,3 @@
 	h.bound[label] = s.Address()
 	return s, nil
 }
-
-// usages lists the capacity of the services in force.
-func usages(t *config.Table) []operator.Usage {
-	var list []operator.Usage
-	for _, s := range t.Services() {
-		u := operator.Usage{Name: s.Name, Endpoints: len(s.Endpoints)}
-		for _, e := range s.Endpoints {
-			u.Slots += e.Slots
-		}
-		list = append(list, u)
-	}
-	return list
-}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"godwitspindle/core/outcome"
@@ -138,3 +139,22 @@
 	}
 	return r
 }
+
+// inner runs a call from another node. A failure is logged here, where its cause is known; for calls from this node io/caller
+// logs it.
+func (h *Host) inner(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
+	p, err := h.backend.Do(ctx, m, r)
+	if err != nil {
+		f := hop.AsFailure(err, m.Call)
+		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
+			"reason", f.Detail, "error", text(f.Err))
+	}
+	return p, err
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"context"
 	"net/http"
 	"os"
 	"time"
@@ -9,7 +8,6 @@
 	"godwitspindle/core/config"
 	"godwitspindle/core/routing"
 	"godwitspindle/io/caller"
-	"godwitspindle/io/hop"
 )
 
 // finished counts the outcome of a call at the node that took it from its caller.
@@ -55,13 +53,6 @@
 	return n
 }
 
-func text(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // timed returns a sync of a file whose seconds are observed.
 func timed(observe func(seconds float64)) func(f *os.File) error {
 	return func(f *os.File) error {
@@ -71,15 +62,3 @@
 		return err
 	}
 }
-
-// inner runs a call from another node. A failure is logged here, where its cause is known; for calls from this node io/caller
-// logs it.
-func (h *Host) inner(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
-	p, err := h.backend.Do(ctx, m, r)
-	if err != nil {
-		f := hop.AsFailure(err, m.Call)
-		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
-			"reason", f.Detail, "error", text(f.Err))
-	}
-	return p, err
-}
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -188,9 +188,7 @@
 	st.Current = int(f.GetReport().GetCount())
 	st.Behind = behind(f.GetReport())
 	st.Replicas = members(f.GetReplicas())
-	if f.GetSpread() >= 0 {
-		st.Spread = operator.Duration(time.Duration(f.GetSpread()) * time.Millisecond)
-	}
+	st.Spread = duration(f.GetSpread())
 	return st, nil
 }
 
@@ -198,7 +196,7 @@
 func (h *Host) progress(ctx context.Context, version uint64, report func(operator.Progress)) error {
 	began := time.Now()
 	for {
-		p, err := h.step(ctx, version)
+		p, err := h.progressNow(ctx, version)
 		if err == nil {
 			if p.Elapsed < 0 {
 				p.Elapsed = operator.Duration(time.Since(began))
@@ -216,7 +214,8 @@
 	}
 }
 
-func (h *Host) step(ctx context.Context, version uint64) (*operator.Progress, error) {
+// progressNow asks once; Elapsed is negative while the version is not in force everywhere.
+func (h *Host) progressNow(ctx context.Context, version uint64) (*operator.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	f, err := h.fleet(ctx, version)
@@ -228,49 +227,9 @@
 		Version: version,
 		Nodes:   nodes,
 		Current: int(f.GetReport().GetCount()),
-		Elapsed: -1,
+		Elapsed: duration(f.GetSpread()),
 		Behind:  behind(f.GetReport()),
 	}
 	p.Done = h.holder.View().Snapshot.Version() >= version && p.Current >= nodes && nodes > 0
-	if f.GetSpread() >= 0 {
-		p.Elapsed = operator.Duration(time.Duration(f.GetSpread()) * time.Millisecond)
-	}
 	return p, nil
 }
-
-func behind(r *wire.Report) []operator.Behind {
-	list := make([]operator.Behind, 0, len(r.GetLaggards()))
-	for _, l := range r.GetLaggards() {
-		list = append(list, operator.Behind{
-			Node:    l.GetNode(),
-			Version: l.GetVersion(),
-			Reason:  reason(l.GetReason()),
-			Heard:   operator.Duration(time.Duration(l.GetHeard()) * time.Millisecond),
-		})
-	}
-	return list
-}
-
-func reason(r wire.Reason) string {
-	switch r {
-	case wire.Reason_REASON_REFUSED:
-		return "refused"
-	case wire.Reason_REASON_UNREACHABLE:
-		return "unreachable"
-	case wire.Reason_REASON_UNPROVEN:
-		return "unproven"
-	}
-	return "stale"
-}
-
-// replicaList lists members of which nobody knows how far behind they are.
-func replicaList(voters, learners []string) []operator.Member {
-	var list []operator.Member
-	for _, id := range voters {
-		list = append(list, operator.Member{Name: agreement.Name(id), Role: "voter", Identity: id, Behind: -1, Heard: -1})
-	}
-	for _, id := range learners {
-		list = append(list, operator.Member{Name: agreement.Name(id), Role: "learner", Identity: id, Behind: -1, Heard: -1})
-	}
-	return list
-}
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -247,15 +247,3 @@
 	}
 	return resp.Msg, nil
 }
-
-func members(list []*rpc.Replica) []operator.Member {
-	out := make([]operator.Member, 0, len(list))
-	for _, r := range list {
-		m := operator.Member{Name: agreement.Name(r.GetIdentity()), Role: r.GetRole(), Identity: r.GetIdentity(), Behind: r.GetBehind(), Heard: -1}
-		if r.GetHeard() >= 0 {
-			m.Heard = operator.Duration(time.Duration(r.GetHeard()) * time.Millisecond)
-		}
-		out = append(out, m)
-	}
-	return out
-}
