test(cmd): the promotion that times out no longer depends on a call under 1 ms

TestCommands failed under the race detector (one of 6 runs): with a timeout of 1 ms the first promotion could end after it, and the line that the golden file expects after that attempt was not printed. With 100 ms the first attempt is within the timeout and the second, after the pause of 500 ms, is past it. The output and the exit code are compared as before; 12 runs with -race passed.

--- a/cmd/run_test.go
+++ b/cmd/run_test.go
@@ -158,7 +158,7 @@
 		{"replica add", ExitUsage},
 		{"replica list --at AT", ExitDone},
 		{"replica add a --at AT", ExitDone},
-		{"replica add a --at AT --wait --timeout 1ms", ExitTimeout},
+		{"replica add a --at AT --wait --timeout 100ms", ExitTimeout},
 		{"replica promote c --at AT --json", ExitFailed},
 		{"replica remove nobody --at AT", ExitUsage},
 		{"status --at LOST", ExitUnreachable},
