refactor: one table writer in cmd, refusals logged once by operator

A refusal of the member set is a problem with its own code; the server logged it as a failure and again as a refused request. Long lines of host and demo are cut.

--- a/cmd/connect.go
+++ b/cmd/connect.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"godwitspindle/io/operator"
@@ -68,6 +69,9 @@
 	_, _ = fmt.Fprintf(s.stdout, format, values...)
 }
 
+// table returns a writer that aligns columns separated by tabs; Flush prints them.
+func (s *session) table() *tabwriter.Writer { return tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0) }
+
 // short rounds a duration for people.
 func short(d operator.Duration) string {
 	t := time.Duration(d)
--- a/cmd/history.go
+++ b/cmd/history.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"text/tabwriter"
 )
 
 // historyCommand lists accepted changes, newest last.
@@ -24,7 +23,7 @@
 	if c.JSON {
 		return s.print(h)
 	}
-	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	w := s.table()
 	_, _ = fmt.Fprintln(w, "VERSION\tTIME\tAUTHOR\tPART\tDIFFERENCES\tREASON")
 	for _, a := range h.Changes {
 		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%d\t%s\n", a.Version, a.Time.Format(timeFormat), a.Author, a.Part, len(a.Differences), a.Reason)
--- a/cmd/replica.go
+++ b/cmd/replica.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"strconv"
-	"text/tabwriter"
 	"time"
 
 	"godwitspindle/io/operator"
@@ -134,7 +133,7 @@
 	if asJSON {
 		return s.print(list)
 	}
-	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	w := s.table()
 	_, _ = fmt.Fprintln(w, "REPLICA\tROLE\tBEHIND\tHEARD\tIDENTITY")
 	voters, gone := 0, 0
 	var absent []string
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"godwitspindle/io/operator"
@@ -86,7 +85,7 @@
 		leader = "none known"
 	}
 	s.printf("leader %s, replicas %s\n", leader, strings.Join(names, ", "))
-	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	w := s.table()
 	if len(v.Behind) > 0 {
 		_, _ = fmt.Fprintln(w, "\nBEHIND\tVERSION\tREASON\tHEARD")
 	}
@@ -94,7 +93,7 @@
 		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", b.Node, b.Version, b.Reason, ago(b.Heard))
 	}
 	_ = w.Flush()
-	w = tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	w = s.table()
 	_, _ = fmt.Fprintln(w, "\nSERVICE\tENDPOINTS\tSLOTS")
 	for _, u := range v.Services {
 		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", u.Name, u.Endpoints, u.Slots)
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	startTime = 20 * time.Second
+	startTime = 20 * time.Second // for the start of all nodes, and for one change
 	callTime  = 5 * time.Second
 	lookups   = 200
 	purchases = 20
@@ -105,10 +105,12 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	if err := s.mesh.Await(ctx, func(h *host.Host) bool { return h.Serving() && len(h.View().Table.Nodes()) == len(s.mesh.Hosts) }); err != nil {
-		return fmt.Errorf("wait for %d nodes: %w", len(s.mesh.Hosts), err)
+	nodes := len(s.mesh.Hosts)
+	if err := s.mesh.Await(ctx, func(h *host.Host) bool { return h.Serving() && len(h.View().Table.Nodes()) == nodes }); err != nil {
+		return fmt.Errorf("wait for %d nodes: %w", nodes, err)
 	}
-	s.say("started    %d nodes in 3 failure domains, 3 of them control replicas, in %s\n", len(s.mesh.Hosts), time.Since(began).Round(time.Millisecond))
+	took := time.Since(began).Round(time.Millisecond)
+	s.say("started    %d nodes in 3 failure domains, 3 of them control replicas, in %s\n", nodes, took)
 	return nil
 }
 
@@ -152,7 +154,8 @@
 			return err
 		}
 	}
-	s.say("called     %d fare lookups through %d nodes, each with its own whole answer, %s a call\n", lookups, len(s.mesh.Hosts), (time.Since(began) / lookups).Round(time.Microsecond))
+	each := (time.Since(began) / lookups).Round(time.Microsecond)
+	s.say("called     %d fare lookups through %d nodes, each with its own whole answer, %s a call\n", lookups, len(s.mesh.Hosts), each)
 	return nil
 }
 
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -56,7 +56,8 @@
 func (h *Host) observe(endpoint string, o caller.Observation) {
 	f := o.Failure
 	if f == nil {
-		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable})
+		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
+		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: failed})
 		return
 	}
 	notRun := f.Kind == outcome.NotRun
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -264,7 +264,8 @@
 		c.leases.Failed(m)
 		return
 	}
-	c.log.Info("membership committed", "joins", len(m.GetJoins()), "endpoints", len(m.GetEndpoints()), "leaves", len(m.GetLeaves()), "removed", len(m.GetRemoved()))
+	c.log.Info("membership committed", "joins", len(m.GetJoins()), "endpoints", len(m.GetEndpoints()),
+		"leaves", len(m.GetLeaves()), "removed", len(m.GetRemoved()))
 }
 
 // measure notes when versions come into force everywhere.
@@ -294,7 +295,8 @@
 		return nil, &agreement.NotLeaderError{Leader: st.Leader}
 	}
 	staged := c.leases.Announce(time.Now(), r.GetNode(), r.GetEndpoints(), r.GetLeaving())
-	c.log.V(1).Info("announcement", "node", r.GetNode().GetName(), "endpoints", len(r.GetEndpoints()), "leaving", r.GetLeaving(), "staged", staged)
+	c.log.V(1).Info("announcement", "node", r.GetNode().GetName(), "endpoints", len(r.GetEndpoints()),
+		"leaving", r.GetLeaving(), "staged", staged)
 	return &rpc.AnnounceResponse{Lease: c.leases.Lease().Milliseconds()}, nil
 }
 
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -12,6 +12,9 @@
 	"godwitspindle/io/hop"
 )
 
+// statusCanceled is the customary status for a caller that went away.
+const statusCanceled = 499
+
 // turnstile lets calls wait for the decisions of the admission gate of one endpoint.
 type turnstile struct {
 	mu      sync.Mutex // orders decisions with the registration of those who wait for them
@@ -67,9 +70,12 @@
 		t.deliver(t.gate.Cancel(now, call))
 	}
 	if ctx.Err() == context.DeadlineExceeded {
-		return &outcome.Failure{Code: outcome.Late, Kind: outcome.NotRun, Status: http.StatusGatewayTimeout, Detail: "the deadline passed in the queue", Call: call}
+		return &outcome.Failure{
+			Code: outcome.Late, Kind: outcome.NotRun, Status: http.StatusGatewayTimeout, Call: call,
+			Detail: "the deadline passed in the queue",
+		}
 	}
-	return &outcome.Failure{Code: outcome.Canceled, Kind: outcome.NotRun, Status: 499, Detail: "the caller went away", Call: call}
+	return &outcome.Failure{Code: outcome.Canceled, Kind: outcome.NotRun, Status: statusCanceled, Detail: "the caller went away", Call: call}
 }
 
 func (t *turnstile) leave(call string, r backend.Result) {
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -208,13 +208,13 @@
 
 // failed turns an error of a function field into a problem; the cause stays in the log.
 func (s *Server) failed(err error) *Problem {
+	if p, ok := errors.AsType[*Problem](err); ok {
+		return p // a refusal, which is logged once with its code
+	}
 	s.log.Error(err, "operator request failed")
 	if u, ok := errors.AsType[*UnavailableError](err); ok {
 		return unavailable(u.Outcome, u.Leader)
 	}
-	if p, ok := errors.AsType[*Problem](err); ok {
-		return p
-	}
 	if m, ok := errors.AsType[*MissingError](err); ok {
 		return missing(m.Error())
 	}
