--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -115,28 +115,72 @@
 	}
 }
 
+// reportRow is a case of a report made by a tracker of relay r that holds version 7.
+type reportRow struct {
+	name     string
+	setup    func(k *Tracker)
+	at       time.Duration
+	lowest   uint64
+	count    uint32
+	laggards string // NODE:VERSION:REASON
+	alive    string
+}
+
+// leaves makes x and y children that hold versions 7 and 5.
+func leaves(k *Tracker) {
+	k.Heard(start, "x", 7, nil)
+	k.Heard(start, "y", 5, nil)
+}
+
+func (c reportRow) check(t *testing.T) {
+	k := NewTracker("r", poll)
+	c.setup(k)
+	r := k.Report(start.Add(c.at), 7)
+	var behind []string
+	for _, l := range r.GetLaggards() {
+		behind = append(behind, fmt.Sprintf("%s:%d:%s", l.GetNode(), l.GetVersion(), strings.TrimPrefix(l.GetReason().String(), "REASON_")))
+	}
+	got := reportRow{lowest: r.GetLowest(), count: r.GetCount(), laggards: strings.Join(behind, " "), alive: strings.Join(r.GetAlive(), " ")}
+	if got.lowest != c.lowest || got.count != c.count || got.laggards != c.laggards || got.alive != c.alive {
+		t.Errorf("report: got lowest %d, count %d, laggards %q, alive %q; want %d, %d, %q, %q", got.lowest, got.count, got.laggards, got.alive, c.lowest, c.count, c.laggards, c.alive)
+	}
+}
+
 // Guards against counting a node twice or not at all when it moves, dies or lags, and against names sent too often.
 func TestTracker(t *testing.T) {
-	type row struct {
-		name     string
-		setup    func(k *Tracker)
-		at       time.Duration
-		lowest   uint64
-		count    uint32
-		laggards string // NODE:VERSION:REASON
-		alive    string
-	}
 	stale := &wire.Laggard{Node: "x", Version: 3, Reason: wire.Reason_REASON_REFUSED, Heard: 10}
-	leaves := func(k *Tracker) {
-		k.Heard(start, "x", 7, nil)
-		k.Heard(start, "y", 5, nil)
-	}
-	tests := []row{
+	tests := []reportRow{
 		{"alone", func(*Tracker) {}, 0, 7, 1, "", "r"},
 		{"leaves", leaves, 0, 5, 3, "y:5:STALE", "r x y"},
 		{"relay below", func(k *Tracker) {
 			k.Heard(start, "s", 7, &wire.Report{Lowest: 3, Count: 4, Laggards: []*wire.Laggard{stale}, Alive: []string{"s", "x", "z"}})
 		}, 0, 3, 5, "x:3:REFUSED", "r s x z"},
+		{"forgotten with those it named", func(k *Tracker) {
+			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
+			k.Forget(start, "s", Order{})
+		}, 0, 7, 1, "", "r"},
+		{"overtaken report", func(k *Tracker) {
+			k.HeardInOrder(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s"}}, Order{1, 9})
+			k.HeardInOrder(start, "s", 6, &wire.Report{Lowest: 5, Count: 1, Alive: []string{"y"}}, Order{1, 8})
+		}, 0, 7, 3, "", "r s y"},
+		{"silent for two polls", leaves, 2 * poll, 5, 3, "y:5:UNREACHABLE x:7:UNREACHABLE", "r x y"},
+		{"silent for a lease", leaves, 3 * poll, 7, 1, "", "r"},
+		{"refused names itself once", func(k *Tracker) {
+			k.Heard(start, "x", 3, &wire.Report{Lowest: 3, Count: 1, Laggards: []*wire.Laggard{stale}})
+		}, 0, 3, 2, "x:3:REFUSED", "r x"},
+		{"names within half a poll", func(k *Tracker) { leaves(k); k.Report(start, 7) }, poll/2 - 1, 5, 3, "y:5:STALE", ""},
+		{"names heard again", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Heard(start.Add(1), "x", 7, nil) }, poll / 2, 5, 3, "y:5:STALE", "r x"},
+		{"names of a lost report", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Lost() }, 1, 5, 3, "y:5:STALE", "r x y"},
+		{"forgotten", func(k *Tracker) { leaves(k); k.Forget(start, "y", Order{}) }, 0, 7, 2, "", "r x"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, c.check)
+	}
+}
+
+// Guards against counting a node twice, or as behind at its former upstream, when the messages of its move cross.
+func TestTrackerMoves(t *testing.T) {
+	tests := []reportRow{
 		{"moved below a relay", func(k *Tracker) {
 			leaves(k)
 			k.Forget(start, "y", Order{})
@@ -146,71 +190,42 @@
 			k.Heard(start, "y", 5, nil)
 			k.Heard(start.Add(1), "s", 7, &wire.Report{Lowest: 7, Count: 1, Alive: []string{"s", "y"}})
 		}, 0, 5, 3, "y:5:STALE", "r s y"},
-		{"moved and its farewell was lost", func(k *Tracker) {
+		{"moved and the notice was lost", func(k *Tracker) {
 			k.Heard(start, "y", 5, nil)
 			k.Heard(start.Add(2*poll), "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
 		}, 2 * poll, 7, 3, "", "r s y"},
-		{"late farewell of a node that came by another way", func(k *Tracker) {
+		{"late notice of a node that came by another way", func(k *Tracker) {
 			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
 			k.Forget(start, "y", Order{})
 		}, 0, 7, 3, "", "r s y"},
-		{"forgotten with those it named", func(k *Tracker) {
-			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
-			k.Forget(start, "s", Order{})
-		}, 0, 7, 1, "", "r"},
-		{"overtaken report", func(k *Tracker) {
-			k.HeardInOrder(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s"}}, Order{1, 9})
-			k.HeardInOrder(start, "s", 6, &wire.Report{Lowest: 5, Count: 1, Alive: []string{"y"}}, Order{1, 8})
-		}, 0, 7, 3, "", "r s y"},
 		{"restarted child counts anew", func(k *Tracker) {
 			k.HeardInOrder(start, "s", 7, nil, Order{1, 9})
 			k.HeardInOrder(start, "s", 5, nil, Order{2, 1})
 		}, 0, 5, 2, "s:5:STALE", "r s"},
-		{"silent for two polls", leaves, 2 * poll, 5, 3, "y:5:UNREACHABLE x:7:UNREACHABLE", "r x y"},
-		{"silent for a lease", leaves, 3 * poll, 7, 1, "", "r"},
-		{"refused names itself once", func(k *Tracker) {
-			k.Heard(start, "x", 3, &wire.Report{Lowest: 3, Count: 1, Laggards: []*wire.Laggard{stale}})
-		}, 0, 3, 2, "x:3:REFUSED", "r x"},
-		{"names within half a poll", func(k *Tracker) { leaves(k); k.Report(start, 7) }, poll/2 - 1, 5, 3, "y:5:STALE", ""},
-		{"names heard again", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Heard(start.Add(1), "x", 7, nil) }, poll / 2, 5, 3, "y:5:STALE", "r x"},
-		{"names of a lost report", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Lost() }, 1, 5, 3, "y:5:STALE", "r x y"},
-		{"a poll that its farewell overtook", func(k *Tracker) {
+		{"a poll that the notice of its move overtook", func(k *Tracker) {
 			leaves(k)
 			k.HeardInOrder(start, "y", 5, nil, Order{1, 7})
 			k.Forget(start, "y", Order{1, 9})
 			k.HeardInOrder(start.Add(1), "y", 5, nil, Order{1, 8})
 		}, 0, 7, 2, "", "r x"},
-		{"named by its new upstream before its farewell arrived", func(k *Tracker) {
+		{"named by its new upstream before the notice of its move arrived", func(k *Tracker) {
 			k.HeardInOrder(start, "y", 5, nil, Order{1, 7})
 			k.Heard(start, "s", 7, &wire.Report{Lowest: 7, Count: 2, Alive: []string{"s", "y"}})
 			k.Forget(start, "y", Order{1, 8})
 		}, 0, 7, 3, "", "r s y"},
-		{"came back before its farewell arrived", func(k *Tracker) {
+		{"came back before the notice of its move arrived", func(k *Tracker) {
 			leaves(k)
 			k.HeardInOrder(start, "y", 5, nil, Order{1, 10})
 			k.Forget(start, "y", Order{1, 9})
 		}, 0, 5, 3, "y:5:STALE", "r x y"},
-		{"restarted after its farewell", func(k *Tracker) {
+		{"restarted after its move", func(k *Tracker) {
 			leaves(k)
 			k.Forget(start, "y", Order{1, 9})
 			k.HeardInOrder(start.Add(1), "y", 6, nil, Order{2, 1})
 		}, 0, 6, 3, "y:6:STALE", "r x y"},
-		{"forgotten", func(k *Tracker) { leaves(k); k.Forget(start, "y", Order{}) }, 0, 7, 2, "", "r x"},
 	}
 	for _, c := range tests {
-		t.Run(c.name, func(t *testing.T) {
-			k := NewTracker("r", poll)
-			c.setup(k)
-			r := k.Report(start.Add(c.at), 7)
-			var behind []string
-			for _, l := range r.GetLaggards() {
-				behind = append(behind, fmt.Sprintf("%s:%d:%s", l.GetNode(), l.GetVersion(), strings.TrimPrefix(l.GetReason().String(), "REASON_")))
-			}
-			got := row{lowest: r.GetLowest(), count: r.GetCount(), laggards: strings.Join(behind, " "), alive: strings.Join(r.GetAlive(), " ")}
-			if got.lowest != c.lowest || got.count != c.count || got.laggards != c.laggards || got.alive != c.alive {
-				t.Errorf("report: got lowest %d, count %d, laggards %q, alive %q; want %d, %d, %q, %q", got.lowest, got.count, got.laggards, got.alive, c.lowest, c.count, c.laggards, c.alive)
-			}
-		})
+		t.Run(c.name, c.check)
 	}
 }
 
--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -25,10 +25,10 @@
 	mutex    sync.Mutex
 	children map[string]*child
 	names    map[string]*name
-	left     map[string]farewell // children that moved away
-	claims   map[string]claim    // children that another child names, until their farewell arrives
-	named    time.Time           // when names were last reported
-	previous time.Time           // the value of named before the last report, for Lost
+	left     map[string]departure // children that moved away
+	claims   map[string]claim     // children that another child names, until the notice of their move arrives
+	named    time.Time            // when names were last reported
+	previous time.Time            // the value of named before the last report, for Lost
 	last     []string
 }
 
@@ -46,8 +46,8 @@
 	at  time.Time
 }
 
-// farewell is when a child moved away; its polls from before may still arrive.
-type farewell struct {
+// departure is when a child moved away; its polls from before may still arrive.
+type departure struct {
 	order Order
 	at    time.Time
 }
@@ -72,7 +72,7 @@
 
 // NewTracker returns a Tracker for the named node; poll is the poll interval of the profile.
 func NewTracker(self string, poll time.Duration) *Tracker {
-	return &Tracker{self: self, poll: poll, children: map[string]*child{}, names: map[string]*name{}, left: map[string]farewell{}, claims: map[string]claim{}}
+	return &Tracker{self: self, poll: poll, children: map[string]*child{}, names: map[string]*name{}, left: map[string]departure{}, claims: map[string]claim{}}
 }
 
 // Heard records a poll of a child that holds the given version and reports whether any node below came by a new way, which
@@ -117,7 +117,7 @@
 		}
 		if d := t.children[n]; d != nil && now.Sub(d.heard) < quietPolls*t.poll {
 			t.claims[n] = claim{node, now}
-			continue // either the report is older than its move here, or its farewell is still under way
+			continue // either the report is older than its move here, or the notice of its move is still under way
 		}
 		joined = t.mark(n, node, now) || joined
 		delete(t.children, n) // it moved below this child; its own report would count it twice
@@ -141,14 +141,14 @@
 }
 
 // Forget drops a child that is known to have moved or left, with the nodes that were heard through it. A node that has
-// come by another way since is kept: the farewell to its former upstream may arrive late.
+// come by another way since is kept: the notice to its former upstream may arrive late.
 func (t *Tracker) Forget(now time.Time, node string, o Order) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if c := t.children[node]; c != nil && o.before(c.order) {
 		return // it has come back since
 	}
-	t.left[node] = farewell{o, now}
+	t.left[node] = departure{o, now}
 	delete(t.children, node)
 	for k, n := range t.names {
 		if n.via == node {
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -56,7 +56,8 @@
 func (h *Host) observe(endpoint string, o caller.Observation) {
 	f := o.Failure
 	if f == nil {
-		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable})
+		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
+		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: failed})
 		return
 	}
 	notRun := f.Kind == outcome.NotRun
@@ -176,6 +177,7 @@
 // ClaimError reports a claim operation that the agreed table refused.
 type ClaimError struct{ State wire.ClaimState }
 
+// Error names the state.
 func (e *ClaimError) Error() string { return "claim refused: " + claimLabel(e.State) }
 
 func claimLabel(s wire.ClaimState) string {
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -233,32 +234,16 @@
 }
 
 func (h *Host) askReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
-	var last error = &peer.NoParentError{}
 	if h.Leads() {
-		resp, err := h.control.replicas(ctx, request)
-		if err == nil {
+		if resp, err := h.control.replicas(ctx, request); err == nil {
 			return resp, nil
 		}
-		last = err
 	}
-	for _, a := range h.upstream.replicas() {
-		resp, err := h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
-		if err == nil {
-			return resp.Msg, nil
-		}
-		last = err
-	}
-	return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: last}
-}
-
-func members(list []*rpc.Replica) []operator.Member {
-	out := make([]operator.Member, 0, len(list))
-	for _, r := range list {
-		m := operator.Member{Name: agreement.Name(r.GetIdentity()), Role: r.GetRole(), Identity: r.GetIdentity(), Behind: r.GetBehind(), Heard: -1}
-		if r.GetHeard() >= 0 {
-			m.Heard = operator.Duration(time.Duration(r.GetHeard()) * time.Millisecond)
-		}
-		out = append(out, m)
+	resp, err := peer.InTurn(h.upstream.replicas(), func(a netip.AddrPort) (*connect.Response[rpc.ReplicasResponse], error) {
+		return h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
+	})
+	if err != nil {
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
 	}
-	return out
+	return resp.Msg, nil
 }
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -55,7 +55,7 @@
 		peer.WithPoll(pollOf(h.settings.Profile)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithTaken(h.taken),
-		peer.WithSynced(h.synced),
+		peer.WithSynced(h.upstream.learn),
 		peer.WithFollowerLog(h.log.WithName("follower")),
 	}
 	if h.control != nil {
@@ -66,19 +66,19 @@
 		return err
 	}
 	h.follower.Store(f)
-	h.announce.Store(newAnnouncer(
-		func() *rpc.AnnounceRequest { return h.announcement(false) },
-		h.proposer.Announce,
-		func() *config.Snapshot { return h.holder.View().Snapshot },
-		func(err error) { h.log.Info("not announced", "error", err.Error()) },
-	))
+	h.announce.Store(newAnnouncer(announcerParts{
+		current: func() *rpc.AnnounceRequest { return h.announcement(false) },
+		agreed:  func() *config.Snapshot { return h.holder.View().Snapshot },
+		send:    h.proposer.Announce,
+		log:     h.log,
+	}))
 	return nil
 }
 
 // parents returns the upstreams; the leader has none, since all others take from it.
 func (h *Host) parents() []netip.AddrPort {
 	if h.control != nil {
-		h.upstream.lead(h.control.leader(), h.holder.View())
+		h.upstream.lead(h.control.leaderName(), h.holder.View())
 	}
 	if h.Leads() {
 		return nil
@@ -89,7 +89,7 @@
 // leader returns the name of the leading replica as far as this node knows.
 func (h *Host) leader() string {
 	if h.control != nil {
-		return h.control.leader()
+		return h.control.leaderName()
 	}
 	return h.upstream.known()
 }
@@ -189,11 +189,6 @@
 	return h.tracker.Report(time.Now(), held)
 }
 
-// synced follows an answered poll.
-func (h *Host) synced(r *rpc.SyncResponse, v peer.View) {
-	h.upstream.learn(r, v)
-}
-
 // readFloor reads a quorum-confirmed version: from this replica if it leads, else from the replicas in turn.
 func (h *Host) readFloor(ctx context.Context) (uint64, error) {
 	if h.control != nil {
@@ -212,15 +207,13 @@
 
 // askFloor asks the replicas in turn, the leader first; only the leader answers.
 func (h *Host) askFloor(ctx context.Context) (uint64, error) {
-	var last error = &peer.NoParentError{}
-	for _, a := range h.upstream.replicas() {
+	return peer.InTurn(h.upstream.replicas(), func(a netip.AddrPort) (uint64, error) {
 		resp, err := h.clients.At(a).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
-		if err == nil {
-			return resp.Msg.GetVersion(), nil
+		if err != nil {
+			return 0, fmt.Errorf("read the floor from %s: %w", a, err)
 		}
-		last = fmt.Errorf("read the floor from %s: %w", a, err)
-	}
-	return 0, last
+		return resp.Msg.GetVersion(), nil
+	})
 }
 
 // propose commits a command on this replica if it leads.
