test(demo): callers send a keyed request again after a refusal for want of a proven version

Cause: such a refusal of a keyed request says unknown now, so the load of TestProcesses and TestRollingRestart gave up where it used to send again. Conclusion: the check stays whole answer or failure; sending the same key again is what the answer tells callers to do.

--- a/io/demo/rig_test.go
+++ b/io/demo/rig_test.go
@@ -151,9 +151,11 @@
 	err     error
 }
 
-// again reports whether a caller may send the request again: it was refused as not run, or nothing took its connection.
+// again reports whether a caller may send the request again: it was refused as not run, nothing took its connection, or a
+// node without a proven version refused it, which is unknown to a keyed request only for the sake of earlier attempts.
 func (a answer) again() bool {
-	return errors.Is(a.err, syscall.ECONNREFUSED) || a.err == nil && a.outcome == operator.NotRun
+	refused := a.outcome == operator.NotRun || a.code == "unproven"
+	return errors.Is(a.err, syscall.ECONNREFUSED) || a.err == nil && refused
 }
 
 // send makes one attempt. The body cannot be sent again, so that net/http does not retry on its own.
