fix(relay): a lost report makes a relay name all its nodes again

Cause: a push and a long poll can both be lost, and only the names of the later one were told again; the leader then counted a node at its former relay, behind, for a poll interval. The new row of TestTracker fails with the old rule.

--- a/core/relay/below.go
+++ b/core/relay/below.go
@@ -31,12 +31,15 @@
 	}
 }
 
-// Retell makes the next report name every node that was heard lately, for an upstream that knows none of them.
-func (t *Tracker) Retell() {
+// Retell makes the next report name every node that was heard lately, for an upstream that knows none of them or that may
+// have missed a report. Two reports can be under way at once, so all names are told again and not only those of the last.
+func (t *Tracker) Retell(now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, n := range t.names {
-		n.fresh, n.told = true, false
+		if now.Sub(n.heard) < quietPolls*t.poll {
+			n.fresh, n.told = true, false
+		}
 	}
 	t.named = time.Time{}
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -170,7 +170,20 @@
 		}, 0, 3, 2, "x:3:REFUSED", "r x"},
 		{"names within half a poll", func(k *Tracker) { leaves(k); k.Report(start, 7) }, poll/2 - 1, 5, 3, "y:5:STALE", ""},
 		{"names heard again", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Heard(start.Add(1), "x", 7, nil) }, poll / 2, 5, 3, "y:5:STALE", "r x"},
-		{"names of a lost report", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Lost() }, 1, 5, 3, "y:5:STALE", "r x y"},
+		{"names of a lost report", func(k *Tracker) { leaves(k); k.Report(start, 7); k.Retell(start) }, 1, 5, 3, "y:5:STALE", "r x y"},
+		{"names of two lost reports", func(k *Tracker) {
+			leaves(k)
+			k.Report(start, 7)
+			k.Heard(start, "z", 7, nil)
+			k.Report(start, 7)
+			k.Retell(start)
+		}, 1, 5, 4, "y:5:STALE", "r x y z"},
+		{"name of a silent node is not told again", func(k *Tracker) {
+			leaves(k)
+			k.Report(start, 7)
+			k.Heard(start.Add(2*poll), "x", 7, nil)
+			k.Retell(start.Add(2 * poll))
+		}, 2 * poll, 5, 3, "y:5:UNREACHABLE", "r x"},
 		{"forgotten", func(k *Tracker) { leaves(k); k.Forget(start, "y", Order{}) }, 0, 7, 2, "", "r x"},
 	}
 	for _, c := range tests {
--- a/core/relay/tracker.go
+++ b/core/relay/tracker.go
@@ -28,8 +28,6 @@
 	left     map[string]departure // children that moved away
 	claims   map[string]claim     // children that another child names, until the notice of their move arrives
 	named    time.Time            // when names were last reported
-	previous time.Time            // the value of named before the last report, for Lost
-	last     []string
 }
 
 // Order numbers the polls of one process; a zero number stands for an unknown one.
@@ -175,7 +173,6 @@
 		r.Laggards = append(r.Laggards, t.behind(now, k, c, held)...)
 	}
 	r.Laggards = worst(r.Laggards)
-	t.last = nil
 	t.name(now, r)
 	return r
 }
@@ -184,7 +181,6 @@
 // once, since until then the upstream believes them to be elsewhere.
 func (t *Tracker) name(now time.Time, r *wire.Report) {
 	all := t.named.IsZero() || now.Sub(t.named) >= t.poll/2
-	t.previous = t.named
 	if all {
 		t.named = now
 		r.Alive = append(r.Alive, t.self)
@@ -193,25 +189,9 @@
 		n := t.names[k]
 		if n.fresh && (all || !n.told) {
 			n.fresh, n.told = false, true
-			t.last = append(t.last, k)
+			r.Alive = append(r.Alive, k)
 		}
 	}
-	r.Alive = append(r.Alive, t.last...)
-}
-
-// Lost takes back the names of the last report, which did not reach the upstream.
-func (t *Tracker) Lost() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.last == nil {
-		return
-	}
-	for _, k := range t.last {
-		if n := t.names[k]; n != nil {
-			n.fresh, n.told = true, false
-		}
-	}
-	t.named, t.last = t.previous, nil
 }
 
 // behind returns the laggards at and below a child, seen from a node that holds the given version.
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -50,8 +50,8 @@
 		peer.WithFollowerDomain(h.settings.Domain),
 		peer.WithParents(h.parents),
 		peer.WithReports(h.report),
-		peer.WithLost(h.lost),
-		peer.WithMoved(h.moved),
+		peer.WithLost(h.retell),
+		peer.WithMoved(h.retell),
 		peer.WithPoll(pollOf(h.settings.Profile)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithTaken(h.taken),
@@ -143,16 +143,10 @@
 	h.metrics.Deltas.Inc()
 }
 
-// lost takes back a report that did not reach the upstream.
-func (h *Host) lost() {
+// retell prepares the reports for an upstream that knows nothing of what was told before, or that may have missed a report.
+func (h *Host) retell() {
 	h.reported.Store(0)
-	h.tracker.Lost()
-}
-
-// moved prepares the reports for another upstream, which knows nothing of what the former one was told.
-func (h *Host) moved() {
-	h.reported.Store(0)
-	h.tracker.Retell()
+	h.tracker.Retell(time.Now())
 }
 
 // acknowledged sends the report upward as soon as every node below holds the version.
