--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -276,8 +276,10 @@
 	if b.Wait(ctx) == nil {
 		t.Error("Wait returned with a call in flight")
 	}
-	if err := b.Wait(context.Background()); err != nil {
-		t.Error(err)
+	ctx, cancel = context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := b.Wait(ctx); err != nil {
+		t.Fatal(err)
 	}
 	if err := <-answered; err != nil {
 		t.Errorf("the call in flight was cut: %v", err)
--- a/io/peer/choose.go
+++ b/io/peer/choose.go
@@ -24,7 +24,7 @@
 func (f *Follower) pollParents(ctx context.Context) error {
 	parents := f.ordered()
 	if len(parents) == 0 {
-		sleep(ctx, minBackoff) // the leading replica takes versions from its own log
+		sleep(ctx, startWait) // the leading replica takes versions from its own log
 		return nil
 	}
 	var last error
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -16,6 +16,7 @@
 	"github.com/klauspost/compress/zstd"
 
 	"godwitspindle/core/config"
+	"godwitspindle/core/relay"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/rpc"
 )
@@ -24,8 +25,7 @@
 const headerNumber = "Mesh-Number"
 
 const (
-	minBackoff  = 100 * time.Millisecond
-	maxBackoff  = 10 * time.Second
+	startWait   = 100 * time.Millisecond // between polls until a version is held and proven
 	readTimeout = 3 * time.Second
 	syncSlack   = 3 * time.Second // on top of the poll interval before a Sync counts as failed
 	nudgePause  = 50 * time.Millisecond
@@ -194,27 +194,23 @@
 
 // run polls without end, with a growing delay after failures.
 func (f *Follower) run(ctx context.Context) {
-	for attempt := 0; ctx.Err() == nil; {
+	for b := newBackoff(); ctx.Err() == nil; {
 		err := f.pollParents(ctx)
 		if err == nil {
-			attempt = 0
+			b.Reset()
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		attempt++
-		delay := backoff(attempt)
-		f.log.Info("sync failed", "error", err.Error(), "attempt", attempt, "delay", delay.String())
+		delay := b.Next(0)
+		f.log.Info("sync failed", "error", err.Error(), "delay", delay.String())
 		sleep(ctx, delay)
 	}
 }
 
-// backoff returns a full-jitter delay for the given attempt, counted from 1.
-func backoff(attempt int) time.Duration {
-	top := min(minBackoff<<min(attempt, 10), maxBackoff)
-	return rand.N(top) + time.Millisecond
-}
+// newBackoff returns the delays between attempts of one loop.
+func newBackoff() *relay.Backoff { return &relay.Backoff{Random: rand.Int64N} }
 
 func sleep(ctx context.Context, t time.Duration) {
 	timer := time.NewTimer(t)
@@ -257,7 +253,7 @@
 func (f *Follower) sync(ctx context.Context, parent netip.AddrPort) error {
 	wait := f.pollWait(parent)
 	if !f.holder.Proven() || f.holder.View().Snapshot.Version() == 0 {
-		wait = minBackoff
+		wait = startWait
 	}
 	polling, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -271,7 +267,7 @@
 		return err
 	}
 	if after := resp.GetAfter(); after > 0 {
-		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(minBackoff))
+		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(startWait))
 		return nil
 	}
 	if resp.GetDelta() != nil || len(resp.GetPacked()) > 0 {
--- a/io/peer/holder_test.go
+++ b/io/peer/holder_test.go
@@ -121,11 +121,15 @@
 
 // Guards against a reconnect storm in step: nodes that lost their upstream together must not come back together.
 func TestFollowerBackoff(t *testing.T) {
-	for attempt, bound := range map[int]time.Duration{1: 200 * time.Millisecond, 4: 1600 * time.Millisecond, 30: 10 * time.Second} {
+	for attempt, bound := range map[int]time.Duration{1: 100 * time.Millisecond, 4: 800 * time.Millisecond, 30: 10 * time.Second} {
 		var quarters [4]int
 		for range 1000 {
-			d := backoff(attempt)
-			if d <= 0 || d > bound+time.Millisecond {
+			b := newBackoff()
+			for range attempt - 1 {
+				b.Next(0)
+			}
+			d := b.Next(0)
+			if d < 0 || d > bound {
 				t.Fatalf("attempt %d: got %s, want up to %s", attempt, d, bound)
 			}
 			quarters[min(int(4*d/bound), 3)]++
--- a/io/peer/proposer.go
+++ b/io/peer/proposer.go
@@ -178,13 +178,13 @@
 // Announce tells the replicas about the node and its endpoints until one accepts or ctx ends, and returns the lease.
 func (p *Proposer) Announce(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error) {
 	var last error = &NoParentError{}
-	for attempt := 1; ctx.Err() == nil; attempt++ {
+	for b := newBackoff(); ctx.Err() == nil; {
 		lease, err := InTurn(p.replicas(), func(a netip.AddrPort) (time.Duration, error) { return p.announce(ctx, a, r) })
 		if err == nil {
 			return lease, nil
 		}
 		last = err
-		sleep(ctx, min(backoff(attempt), time.Second))
+		sleep(ctx, min(b.Next(0), time.Second))
 	}
 	return 0, last
 }
--- a/io/peer/prove.go
+++ b/io/peer/prove.go
@@ -13,7 +13,7 @@
 
 // prove reads the floor until that succeeds.
 func (f *Follower) prove(ctx context.Context) {
-	for attempt := 1; ctx.Err() == nil && !f.holder.Proven(); attempt++ {
+	for b := newBackoff(); ctx.Err() == nil && !f.holder.Proven(); {
 		floor, err := f.floor(ctx)
 		if err == nil {
 			f.holder.Prove(floor)
@@ -22,7 +22,7 @@
 			return
 		}
 		f.log.V(1).Info("floor not proven", "error", err.Error())
-		sleep(ctx, min(backoff(attempt), maxFloorPause))
+		sleep(ctx, min(b.Next(0), maxFloorPause))
 	}
 }
 
--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -159,13 +159,15 @@
 	old := g.leader()
 	g.propose(old, 3)
 	g.isolate(agreement.Name(old.ID()), true)
-	_, err := old.Propose(t.Context(), &wire.Command{})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second) // many elections; without a step down neither call would end
+	defer cancel()
+	_, err := old.Propose(ctx, &wire.Command{})
 	var doubt *DoubtError
-	if !errors.As(err, &doubt) {
-		t.Fatalf("Propose behind the partition: got %v, want *DoubtError", err)
+	if !errors.As(err, &doubt) || ctx.Err() != nil {
+		t.Fatalf("Propose behind the partition: got %v (%v), want *DoubtError in time", err, ctx.Err())
 	}
-	if _, err := old.Read(t.Context()); err == nil {
-		t.Fatal("Read behind the partition: got no error")
+	if _, err := old.Read(ctx); err == nil || ctx.Err() != nil {
+		t.Fatalf("Read behind the partition: got %v (%v), want an error in time", err, ctx.Err())
 	}
 	l := g.leader()
 	if l == old {
