--- a/cmd/check.go
+++ b/cmd/check.go
@@ -5,7 +5,7 @@
 	"os"
 
 	"godwitspindle/core/wire"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // checkCommand reports every fault of the named files.
@@ -19,10 +19,10 @@
 	if c.File == "" && c.Register == "" && c.Rules == "" {
 		return &InputError{Name: "FILE", Expected: "a file to check"}
 	}
-	var faults []platform.Fault
+	var faults []process.Fault
 	if c.File != "" {
-		_, err := platform.Load(c.File)
-		if e, ok := errors.AsType[*platform.SettingsError](err); ok {
+		_, err := process.Load(c.File)
+		if e, ok := errors.AsType[*process.SettingsError](err); ok {
 			faults = append(faults, e.Faults...)
 		}
 	}
@@ -34,8 +34,8 @@
 }
 
 // faults checks a register and a rules file; an empty name is skipped.
-func (s *session) faults(register, rules string) []platform.Fault {
-	var list []platform.Fault
+func (s *session) faults(register, rules string) []process.Fault {
+	var list []process.Fault
 	if register != "" && s.ParseRegister != nil {
 		list = s.parse(register, func(data []byte) error {
 			_, err := s.ParseRegister(data)
@@ -51,10 +51,10 @@
 	return list
 }
 
-func (s *session) parse(file string, f func([]byte) error) []platform.Fault {
+func (s *session) parse(file string, f func([]byte) error) []process.Fault {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return []platform.Fault{{File: file, Expected: "a readable file"}}
+		return []process.Fault{{File: file, Expected: "a readable file"}}
 	}
 	err = f(data)
 	if err == nil {
@@ -65,11 +65,11 @@
 		faults = s.Faults(err)
 	}
 	if len(faults) == 0 {
-		return []platform.Fault{{File: file, Expected: "valid content: " + err.Error()}}
+		return []process.Fault{{File: file, Expected: "valid content: " + err.Error()}}
 	}
-	list := make([]platform.Fault, 0, len(faults))
+	list := make([]process.Fault, 0, len(faults))
 	for _, f := range faults {
-		list = append(list, platform.Fault{File: file, Field: f.GetField(), Expected: f.GetExpected()})
+		list = append(list, process.Fault{File: file, Field: f.GetField(), Expected: f.GetExpected()})
 	}
 	return list
 }
--- a/cmd/connect.go
+++ b/cmd/connect.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // timeFormat shows times to people, in UTC.
@@ -30,7 +30,7 @@
 func (c *Connection) client() (*operator.Client, error) {
 	at := c.At
 	if len(at) == 0 {
-		at = []netip.AddrPort{platform.Default().Listen.Operator}
+		at = []netip.AddrPort{process.Default().Listen.Operator}
 	}
 	opts := []operator.ClientOption{operator.WithAddresses(at...)}
 	if c.Key != "" {
@@ -40,14 +40,14 @@
 		}
 		opts = append(opts, operator.WithClientKey(strings.TrimSpace(string(data))))
 	}
-	files := platform.Files{Cert: c.Cert, Key: c.Certkey, CA: c.CA}
-	if files == (platform.Files{}) {
+	files := process.Files{Cert: c.Cert, Key: c.Certkey, CA: c.CA}
+	if files == (process.Files{}) {
 		return operator.NewClient(opts...), nil
 	}
 	if !files.Enabled() {
 		return nil, &InputError{Name: "--cert", Expected: "--cert, --certkey and --ca together"}
 	}
-	t, err := platform.NewTLS(files)
+	t, err := process.NewTLS(files)
 	if err != nil {
 		return nil, fmt.Errorf("client certificate: %w", err)
 	}
--- a/cmd/failure.go
+++ b/cmd/failure.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // failure is the JSON form of an error, on standard error.
@@ -69,11 +69,11 @@
 
 // faultsOf lists the faults of files.
 func faultsOf(err error) []operator.Fault {
-	var faults []platform.Fault
+	var faults []process.Fault
 	if e, ok := errors.AsType[*FaultsError](err); ok {
 		faults = e.Faults
 	}
-	if e, ok := errors.AsType[*platform.SettingsError](err); ok {
+	if e, ok := errors.AsType[*process.SettingsError](err); ok {
 		faults = e.Faults
 	}
 	var list []operator.Fault
@@ -93,7 +93,7 @@
 
 // errorExit returns the exit code for an error that is not a problem.
 func errorExit(err error) int {
-	_, settings := errors.AsType[*platform.SettingsError](err)
+	_, settings := errors.AsType[*process.SettingsError](err)
 	_, faults := errors.AsType[*FaultsError](err)
 	_, input := errors.AsType[*InputError](err)
 	if settings || faults || input {
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // nodeCommand runs one node until SIGTERM or SIGINT.
@@ -13,16 +13,16 @@
 }
 
 func (c *nodeCommand) run(s *session) error {
-	settings, err := platform.Load(c.File)
+	settings, err := process.Load(c.File)
 	if err != nil {
 		return err
 	}
 	if s.Node == nil {
 		return &MissingPartError{Command: "node"}
 	}
-	ctx, stop := platform.Signals(s.ctx)
+	ctx, stop := process.Signals(s.ctx)
 	defer stop()
-	log := platform.NewLogger(s.stderr, settings.Log.Level)
+	log := process.NewLogger(s.stderr, settings.Log.Level)
 	err = s.Node(ctx, settings, log)
 	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
 		return nil
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -12,7 +12,7 @@
 
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // Exit codes of every command.
@@ -27,7 +27,8 @@
 
 // Program holds what the commands call; a command whose function is nil says that it is not part of this build.
 type Program struct {
-	Node          func(ctx context.Context, s *platform.Settings, log logr.Logger) error
+	Node          func(ctx context.Context, s *process.Settings, log logr.Logger) error
+	Platform      func(ctx context.Context, stdout io.Writer) error
 	Demo          func(ctx context.Context, keep bool, stdout, stderr io.Writer) error
 	ParseRegister func(data []byte) (*wire.Register, error)
 	ParseRules    func(data []byte) (*wire.RuleSet, error)
@@ -36,17 +37,18 @@
 
 // arguments is the command table.
 type arguments struct {
-	Node    *nodeCommand    `arg:"subcommand:node" help:"run a node"`
-	Apply   *applyCommand   `arg:"subcommand:apply" help:"propose a register or a rule set"`
-	Plan    *planCommand    `arg:"subcommand:plan" help:"show what apply would change"`
-	History *historyCommand `arg:"subcommand:history" help:"list accepted changes"`
-	Show    *showCommand    `arg:"subcommand:show" help:"print register and rules as files"`
-	Status  *statusCommand  `arg:"subcommand:status" help:"show versions, replicas and endpoints"`
-	Wait    *waitCommand    `arg:"subcommand:wait" help:"wait until a version is in force everywhere"`
-	Replica *replicaCommand `arg:"subcommand:replica" help:"list, add, promote or remove control replicas"`
-	Revert  *revertCommand  `arg:"subcommand:revert" help:"propose the content of an earlier version"`
-	Check   *checkCommand   `arg:"subcommand:check" help:"check settings, register and rules files"`
-	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a small mesh in one process on loopback"`
+	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
+	Apply    *applyCommand    `arg:"subcommand:apply" help:"propose a register or a rule set"`
+	Plan     *planCommand     `arg:"subcommand:plan" help:"show what apply would change"`
+	History  *historyCommand  `arg:"subcommand:history" help:"list accepted changes"`
+	Show     *showCommand     `arg:"subcommand:show" help:"print register and rules as files"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show versions, replicas and endpoints"`
+	Wait     *waitCommand     `arg:"subcommand:wait" help:"wait until a version is in force everywhere"`
+	Replica  *replicaCommand  `arg:"subcommand:replica" help:"list, add, promote or remove control replicas"`
+	Revert   *revertCommand   `arg:"subcommand:revert" help:"propose the content of an earlier version"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"check settings, register and rules files"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"run a process on the users' platform, with the settings file that GODWITSPINDLE_CONFIG names"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a small mesh in one process on loopback"`
 }
 
 // Description opens the help text.
@@ -85,10 +87,10 @@
 func (e *InputError) Error() string { return e.Name + ": expected " + e.Expected }
 
 // FaultsError reports every fault of checked files.
-type FaultsError struct{ Faults []platform.Fault }
+type FaultsError struct{ Faults []process.Fault }
 
 // Error lists the faults, one a line.
-func (e *FaultsError) Error() string { return (&platform.SettingsError{Faults: e.Faults}).Error() }
+func (e *FaultsError) Error() string { return (&process.SettingsError{Faults: e.Faults}).Error() }
 
 // Run executes the command named by args and returns its exit code.
 func (p *Program) Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
@@ -137,6 +139,8 @@
 		return a.Revert.run(s)
 	case a.Check != nil:
 		return a.Check.run(s)
+	case a.Platform != nil:
+		return a.Platform.run(s)
 	}
 	return a.Demo.run(s)
 }
--- a/cmd/run_test.go
+++ b/cmd/run_test.go
@@ -16,7 +16,7 @@
 
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 var update = flag.Bool("update", false, "rewrite golden files")
@@ -34,7 +34,7 @@
 		return nil
 	}
 	return &Program{
-		Node:          func(context.Context, *platform.Settings, logr.Logger) error { return nil },
+		Node:          func(context.Context, *process.Settings, logr.Logger) error { return nil },
 		ParseRegister: func(data []byte) (*wire.Register, error) { return &wire.Register{}, check(data) },
 		ParseRules:    func(data []byte) (*wire.RuleSet, error) { return &wire.RuleSet{}, check(data) },
 		Faults: func(error) []*wire.Fault {
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // statusCommand shows the mesh at a glance.
@@ -25,7 +25,7 @@
 	if !c.Watch {
 		return c.once(s.ctx, s, client)
 	}
-	ctx, stop := platform.Signals(s.ctx)
+	ctx, stop := process.Signals(s.ctx)
 	defer stop()
 	for {
 		if !c.JSON {
--- a/core/config/entry.go
+++ b/core/config/entry.go
@@ -22,6 +22,7 @@
 	kindNode     = "node"
 	kindEndpoint = "endpoint"
 	kindSuspect  = "suspect"
+	kindBounds   = "bounds"
 )
 
 // Entry is one keyed record of a snapshot with the version that last changed it.
@@ -94,6 +95,8 @@
 		m = new(wire.Endpoint)
 	case kindSuspect:
 		m = new(wire.Suspect)
+	case kindBounds:
+		m = new(wire.Bounds)
 	default:
 		return nil
 	}
@@ -120,6 +123,8 @@
 		return kindNode + "/" + m.GetName()
 	case *wire.Endpoint:
 		return kindEndpoint + "/" + m.GetService() + "/" + m.GetName()
+	case *wire.Bounds:
+		return kindBounds + "/" + m.GetName()
 	case *wire.Suspect:
 		return kindSuspect + "/" + hex.EncodeToString(m.GetFingerprint())
 	}
--- a/core/config/table.go
+++ b/core/config/table.go
@@ -15,6 +15,7 @@
 	Domain      string         // failure domain
 	Region      string
 	Incarnation uint64
+	Replica     string // identity of its control replica; empty without one
 }
 
 // Table is the immutable routing view of a snapshot.
@@ -26,8 +27,12 @@
 	nodes    []Node
 	byName   map[string]int
 	suspects map[string]*wire.Suspect
+	bounds   *Bounds
 }
 
+// CallerBounds is the name of the bounds on what callers send.
+const CallerBounds = "callers"
+
 // builder holds what is only needed while a table is built.
 type builder struct {
 	*Table
@@ -80,6 +85,9 @@
 			Internal:    m.GetInternal(),
 			Slots:       int(m.GetSlots()),
 			Connections: int(m.GetConnections()),
+			Probe:       m.GetProbe(),
+			Protocol:    m.GetProtocol(),
+			TLS:         m.GetTls(),
 		}
 		b.services[s.Name] = s
 		b.sorted = append(b.sorted, s)
@@ -95,6 +103,7 @@
 			Domain:      m.GetDomain(),
 			Region:      m.GetRegion(),
 			Incarnation: m.GetIncarnation(),
+			Replica:     m.GetReplica(),
 		})
 	case *wire.Endpoint:
 		b.counts[m.GetService()]++
@@ -103,6 +112,10 @@
 		b.ordered = append(b.ordered, m)
 	case *wire.Drain:
 		b.drains = append(b.drains, m)
+	case *wire.Bounds:
+		if m.GetName() == CallerBounds {
+			b.bounds = boundsOf(m)
+		}
 	case *wire.Suspect:
 		b.suspects[string(m.GetFingerprint())] = m
 	}
@@ -121,11 +134,38 @@
 	}
 }
 
+func boundsOf(m *wire.Bounds) *Bounds {
+	return &Bounds{
+		Header:  int(m.GetHeader()),
+		Body:    int64(m.GetBody()),
+		Reading: time.Duration(m.GetReading()) * time.Millisecond,
+		Idle:    time.Duration(m.GetIdle()) * time.Millisecond,
+	}
+}
+
+// splits reads the shares of a route and reports whether all its services exist.
+func (b *builder) splits(m *wire.Route) ([]Split, bool) {
+	var list []Split
+	whole := true
+	for _, s := range m.GetSplits() {
+		if b.services[s.GetService()] == nil {
+			b.add(KeyOf(m)+".splits", "services of the snapshot, not %q", s.GetService())
+			whole = false
+		}
+		list = append(list, Split{Service: s.GetService(), Weight: int(s.GetWeight())})
+	}
+	return list, whole
+}
+
 func (b *builder) route(m *wire.Route) {
-	if b.services[m.GetService()] == nil {
+	splits, whole := b.splits(m)
+	if len(splits) == 0 && b.services[m.GetService()] == nil {
 		b.add(KeyOf(m)+".service", "a service of the snapshot, not %q", m.GetService())
 		return
 	}
+	if !whole {
+		return
+	}
 	paths := b.routes[m.GetHost()]
 	if paths == nil {
 		paths = make(map[string][]*Route)
@@ -143,6 +183,9 @@
 		Deadline:   time.Duration(m.GetDeadline()) * time.Millisecond,
 		Retries:    int(m.GetRetries()),
 		Set:        m.GetSet(),
+		Splits:     splits,
+		Latency:    time.Duration(m.GetLatency()) * time.Millisecond,
+		Attempts:   int(m.GetAttempts()),
 	})
 }
 
@@ -212,8 +255,17 @@
 // Version returns the version of the snapshot that the table was built from.
 func (t *Table) Version() uint64 { return t.version }
 
+// Bounds returns the limits on what callers send, when there are any.
+func (t *Table) Bounds() (Bounds, bool) {
+	if t.bounds == nil {
+		return Bounds{}, false
+	}
+	return *t.bounds, true
+}
+
 // Match returns the route of a request: an exact host goes before any host, then the longest path prefix at a segment
-// border whose route takes the method. The host may carry a port and is compared without regard to case.
+// border whose route takes the method. A prefix that ends in a slash matches only what follows the slash. The host may
+// carry a port and is compared without regard to case.
 func (t *Table) Match(host, path, method string) (*Route, bool) {
 	if host != "" {
 		if r := match(t.routes[hostname(host)], path, method); r != nil {
@@ -234,14 +286,23 @@
 		if path == "" || path == "/" {
 			return nil
 		}
-		path = path[:max(strings.LastIndexByte(path, '/'), 0)]
-		if path == "" {
-			path = "/"
-		}
+		path = shorter(path)
 	}
 	return nil
 }
 
+// shorter returns the next shorter prefix of a path: "/a/b", "/a/", "/a", "/".
+func shorter(path string) string {
+	at := strings.LastIndexByte(path, '/')
+	if at > 0 && at == len(path)-1 {
+		return path[:at]
+	}
+	if at < 0 {
+		return "/"
+	}
+	return path[:at+1]
+}
+
 func takes(r *Route, method string) bool {
 	for _, m := range r.Methods {
 		if m == method {
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -25,6 +25,10 @@
 	MaxRetries     = 3
 	MaxDeadline    = 5 * time.Minute
 	MinDeadline    = time.Millisecond
+	MaxSplits      = 16        // services of one route
+	MaxWeight      = 1_000_000 // of one service of a route
+	MaxAttempts    = 100       // of one request
+	MaxBody        = 1 << 40   // bytes of a request's body
 )
 
 const expectedName = "a name of 1 to 64 lower-case letters, digits, '-', '_' or '.', beginning with a letter or digit"
@@ -47,6 +51,7 @@
 	checkRegister(&f, c.GetRegister())
 	checkRules(&f, c.GetSets())
 	checkReferences(&f, c)
+	checkBounds(&f, c.GetBounds())
 	return f.err()
 }
 
@@ -152,14 +157,16 @@
 }
 
 func checkRoute(f *faults, key string, r *wire.Route) {
-	if r.GetService() == "" {
-		f.add(key+".service", "the name of a service")
+	if (r.GetService() == "") == (len(r.GetSplits()) == 0) {
+		f.add(key+".service", "the name of a service, or splits in its place")
 	}
+	checkSplits(f, key, r.GetSplits())
+	f.within(key+".attempts", r.GetAttempts(), MaxAttempts)
 	if !validHost(r.GetHost()) {
 		f.add(key+".host", "a host name or IP address in lower case without a port, or empty for any")
 	}
 	if !validPath(r.GetPath()) {
-		f.add(key+".path", "a path prefix such as /passes, with no empty, '.' or '..' segment and no slash at its end")
+		f.add(key+".path", "a path prefix such as /passes or /passes/, with no empty, '.' or '..' segment")
 	}
 	for i, m := range r.GetMethods() {
 		if !validMethod(m) {
@@ -179,6 +186,38 @@
 	}
 }
 
+func checkSplits(f *faults, key string, splits []*wire.Split) {
+	if len(splits) == 0 {
+		return
+	}
+	if len(splits) > MaxSplits {
+		f.add(key+".splits", "at most %d services", MaxSplits)
+	}
+	total := uint32(0)
+	for _, s := range splits {
+		f.within(key+".splits", s.GetWeight(), MaxWeight)
+		total += min(s.GetWeight(), MaxWeight)
+	}
+	if total == 0 {
+		f.add(key+".splits", "weights that do not add up to 0")
+	}
+}
+
+func checkBounds(f *faults, b *wire.Bounds) {
+	if b == nil {
+		return
+	}
+	if b.GetName() != CallerBounds {
+		f.add("bounds.name", "%s", CallerBounds)
+	}
+	if b.GetBody() > MaxBody {
+		f.add("bounds.body", "at most %d bytes", MaxBody)
+	}
+	if b.GetReading() < 0 || b.GetIdle() < 0 {
+		f.add("bounds", "times of 0 or more")
+	}
+}
+
 func validMethod(m string) bool {
 	for i := range len(m) {
 		if m[i] < 'A' || m[i] > 'Z' {
@@ -213,7 +252,7 @@
 	if len(path) > 1024 || !strings.HasPrefix(path, "/") {
 		return false
 	}
-	for segment := range strings.SplitSeq(path[1:], "/") {
+	for segment := range strings.SplitSeq(strings.TrimSuffix(path[1:], "/"), "/") {
 		if segment == "" || segment == "." || segment == ".." || strings.ContainsAny(segment, "?# \t\r\n\x00") {
 			return false
 		}
@@ -264,6 +303,12 @@
 		where := "rules/" + s.GetSet() + "/"
 		for _, r := range s.GetRoutes() {
 			need(where+KeyOf(r), r.GetService())
+			for _, p := range r.GetSplits() {
+				if p.GetService() == "" {
+					f.add(where+KeyOf(r)+".splits", "the name of each service")
+				}
+				need(where+KeyOf(r), p.GetService())
+			}
 		}
 		for _, l := range s.GetLimits() {
 			if l.GetService() == "" {
--- a/core/store/change.go
+++ b/core/store/change.go
@@ -83,6 +83,8 @@
 		Time:        s.time,
 		Part:        p.part,
 		Differences: p.differences,
+		Number:      s.number(c),
+		Builds:      c.GetBuilds(),
 	}
 }
 
@@ -107,6 +109,9 @@
 		}
 		return nil, accept(a.accepted)
 	}
+	if c.GetNumber() > 0 {
+		return s.decideNumbered(c)
+	}
 	if c.GetBase() > s.snapshot.Version() {
 		return nil, refuse(Invalid, &wire.Fault{Field: "base", Expected: fmt.Sprintf(
 			"a version up to the current %d", s.snapshot.Version())})
@@ -160,7 +165,7 @@
 	switch b := c.GetBody().(type) {
 	case *wire.Change_Register:
 		p.part = "register"
-		p.content = newContent(b.Register, base.sets)
+		p.content = newContent(b.Register, base.sets, base.bounds)
 	case *wire.Change_Rules:
 		p.part = "rules/" + b.Rules.GetSet()
 		// Checked here as well, since an empty set is removed and so never reaches the validation below.
@@ -168,6 +173,12 @@
 			return nil, refuse(Invalid, &wire.Fault{Field: "set", Expected: "the name of a rule set"})
 		}
 		p.content = base.withRules(normal(b.Rules))
+	case *wire.Change_Content:
+		p.part = "content"
+		if faults := checkSets(b.Content.GetSets()); len(faults) > 0 {
+			return nil, refuse(Invalid, faults...)
+		}
+		p.content = whole(b.Content)
 	case *wire.Change_Revert:
 		p.part = fmt.Sprintf("revert/%d", b.Revert)
 		for _, r := range s.history {
@@ -180,7 +191,7 @@
 				"the version of a change whose content is kept, not %d", b.Revert)})
 		}
 	default:
-		return nil, refuse(Invalid, &wire.Fault{Field: "body", Expected: "a register, rules or a version to revert to"})
+		return nil, refuse(Invalid, &wire.Fault{Field: "body", Expected: "a register, rules, a whole content or a version to revert to"})
 	}
 	if err := config.Validate(p.content.wire()); err != nil {
 		return nil, refuse(Invalid, faultsOf(err)...)
@@ -215,7 +226,7 @@
 
 // sum identifies the content of a change; the base is left out, since a tool that resends may have read a newer one.
 func sum(c *wire.Change) string {
-	body := &wire.Change{Body: c.GetBody()}
+	body := &wire.Change{Body: c.GetBody(), Number: c.GetNumber(), Builds: c.GetBuilds()}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(body)
 	if err != nil {
 		return ""
--- a/core/store/content.go
+++ b/core/store/content.go
@@ -16,11 +16,12 @@
 type content struct {
 	register *wire.Register
 	sets     []*wire.RuleSet // by name
+	bounds   *wire.Bounds    // on what callers send; nil for none
 	entries  map[string]proto.Message
 }
 
-func newContent(register *wire.Register, sets []*wire.RuleSet) *content {
-	c := &content{register: register, sets: sets, entries: make(map[string]proto.Message)}
+func newContent(register *wire.Register, sets []*wire.RuleSet, bounds *wire.Bounds) *content {
+	c := &content{register: register, sets: sets, bounds: bounds, entries: make(map[string]proto.Message)}
 	put := func(m proto.Message) { c.entries[config.KeyOf(m)] = m }
 	for _, s := range register.GetServices() {
 		put(s)
@@ -28,6 +29,9 @@
 	for _, d := range register.GetDomains() {
 		put(d)
 	}
+	if bounds != nil {
+		put(bounds)
+	}
 	for _, s := range sets {
 		for _, r := range s.GetRoutes() {
 			put(r)
@@ -43,21 +47,28 @@
 }
 
 // bare returns the content without its entries, which would take about 50 KB for each kept version of the design size.
-func (c *content) bare() *content { return &content{register: c.register, sets: c.sets} }
+func (c *content) bare() *content {
+	return &content{register: c.register, sets: c.sets, bounds: c.bounds}
+}
 
 // full returns the content with its entries.
 func (c *content) full() *content {
 	if c.entries != nil {
 		return c
 	}
-	return newContent(c.register, c.sets)
+	return newContent(c.register, c.sets, c.bounds)
 }
 
-func (c *content) wire() *wire.Content { return &wire.Content{Register: c.register, Sets: c.sets} }
+func (c *content) wire() *wire.Content {
+	return &wire.Content{Register: c.register, Sets: c.sets, Bounds: c.bounds}
+}
 
-// parts returns the register and the rule sets, which versions share.
+// parts returns the register, the rule sets and the bounds, which versions share.
 func (c *content) parts() []proto.Message {
 	list := []proto.Message{c.register}
+	if c.bounds != nil {
+		list = append(list, c.bounds)
+	}
 	for _, r := range c.sets {
 		list = append(list, r)
 	}
@@ -79,7 +90,7 @@
 	case !empty:
 		sets = slices.Insert(sets, at, r)
 	}
-	return newContent(c.register, sets)
+	return newContent(c.register, sets, c.bounds)
 }
 
 // normal returns a copy of a rule set whose rules all name it; operators' tools may leave that out.
--- a/core/store/history.go
+++ b/core/store/history.go
@@ -14,6 +14,10 @@
 		s.history = append([]*record(nil), s.history[over:]...)
 	}
 	switch b := r.content; {
+	case r.accepted.GetPart() == "content":
+		for _, p := range b.parts() {
+			s.kept += proto.Size(p)
+		}
 	case strings.HasPrefix(r.accepted.GetPart(), "register"):
 		s.kept += proto.Size(b.register)
 	case strings.HasPrefix(r.accepted.GetPart(), "rules/"):
--- a/core/store/state.go
+++ b/core/store/state.go
@@ -68,8 +68,7 @@
 	}
 	w.Uint(uint64(len(parts)))
 	for _, p := range parts {
-		_, register := p.(*wire.Register)
-		w.Bool(register)
+		w.Uint(kindOf(p))
 		if err := w.Message(p); err != nil {
 			return err
 		}
@@ -153,9 +152,10 @@
 func (s *Store) readHistory(r *pack.Reader) {
 	var parts []proto.Message
 	for range r.Count() {
-		var m proto.Message = new(wire.RuleSet)
-		if r.Bool() {
-			m = new(wire.Register)
+		m := partOf(r.Uint())
+		if m == nil {
+			r.Fail("known kind of part expected")
+			return
 		}
 		r.Message(m)
 		parts = append(parts, m)
@@ -193,6 +193,7 @@
 func readContent(r *pack.Reader, parts []proto.Message) *content {
 	var register *wire.Register
 	var sets []*wire.RuleSet
+	var bounds *wire.Bounds
 	count := r.Count()
 	for range count {
 		n := r.Uint()
@@ -205,12 +206,14 @@
 			register = p
 		case *wire.RuleSet:
 			sets = append(sets, p)
+		case *wire.Bounds:
+			bounds = p
 		}
 	}
 	if count == 0 {
 		return nil
 	}
-	return &content{register: register, sets: sets}
+	return &content{register: register, sets: sets, bounds: bounds}
 }
 
 func (m *members) marshal() ([]byte, error) {
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -92,6 +92,11 @@
 		b.mu.Unlock()
 		return &outcome.Failure{Code: outcome.Draining, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Detail: "the node is leaving"}
 	}
+	if b.outdated(key, a) {
+		b.mu.Unlock()
+		b.log.Info("old announcement ignored", "endpoint", key, "incarnation", a.Incarnation, "sequence", a.Sequence)
+		return nil
+	}
 	e := b.endpoints[key]
 	if e == nil && len(b.endpoints) >= maxEndpoints && !b.forget() {
 		b.mu.Unlock()
@@ -102,16 +107,21 @@
 	var old *pool
 	switch {
 	case e == nil:
-		e = &endpoint{key: key, pool: newPool(a), running: map[*run]struct{}{}}
+		e = &endpoint{key: key, pool: b.newPool(a), running: map[*run]struct{}{}}
 		b.endpoints[key] = e
 	case e.leaving || e.ann.Address != a.Address || e.ann.Connections != a.Connections || e.ann.Incarnation != a.Incarnation:
 		crash = e.replaced(a.Incarnation, now)
-		old, e.pool = e.pool, newPool(a)
+		old, e.pool = e.pool, b.newPool(a)
 	default:
 		e.alive(now)
 	}
 	e.ann, e.renewed, e.leaving = a, now, false
+	delete(b.gone, key)
+	former := b.superseded(a)
 	b.mu.Unlock()
+	for _, k := range former {
+		b.leave(k, "another process has its address")
+	}
 	if old != nil {
 		old.sweep(now, true)
 	}
@@ -155,7 +165,7 @@
 
 // differs compares all but the load, which changes with each renewal.
 func (a *Announcement) differs(n Announcement) bool {
-	n.Load = a.Load
+	n.Load, n.Sequence = a.Load, a.Sequence
 	return *a != n
 }
 
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -18,6 +18,9 @@
 	missedRenews = 3 // an endpoint that misses this many leaves
 )
 
+// notRenewed is the reason of a leave after which the same process may announce itself again.
+const notRenewed = "not renewed"
+
 // Backend knows the endpoints beside the node and forwards calls to them.
 type Backend struct {
 	announced func(Announcement)
@@ -28,12 +31,17 @@
 	guard     func(context.Context, string, hop.Meta) (func(Result), *outcome.Failure)
 	crashed   func(Crash)
 	context   func(hop.Meta, time.Time) string
+	headers   func(http.Header, hop.Meta, time.Time)
+	foreign   func(*http.Request, *http.Response) bool
+	judge     func(*http.Response) *outcome.Failure
+	whole     int64
 	renew     time.Duration
 	now       func() time.Time
 	log       logr.Logger
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	gone      map[string]order // of endpoints that left, by key
 	draining  bool
 	running   int           // calls in flight
 	idle      chan struct{} // closed when the last call in flight ends; nil when nobody waits
@@ -56,8 +64,12 @@
 		renew:     renewPeriod,
 		now:       time.Now,
 		log:       logr.Discard(),
+		foreign:   func(*http.Request, *http.Response) bool { return false },
+		judge:     func(*http.Response) *outcome.Failure { return nil },
 		endpoints: map[string]*endpoint{},
+		gone:      map[string]order{},
 	}
+	b.headers = b.meshHeaders
 	for _, o := range opts {
 		o(b)
 	}
@@ -133,7 +145,7 @@
 		case <-t.C:
 		}
 		for _, k := range b.expired() {
-			b.leave(k, "not renewed")
+			b.leave(k, notRenewed)
 		}
 	}
 }
@@ -161,6 +173,9 @@
 		return false
 	}
 	e.leaving = true
+	if reason != notRenewed {
+		b.retire(key, e.ann)
+	}
 	p := e.pool
 	b.mu.Unlock()
 	p.sweep(b.now(), true)
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -23,6 +24,8 @@
 	since  time.Time // when it became idle
 	peek   func(fd uintptr) bool
 	peeked error // of the last peek
+	// foreign recognizes the answer to another request.
+	foreign func(*http.Request, *http.Response) bool
 }
 
 // wire notes writes, by which a request that broke is proven not to have been sent, and bounds the head of an answer.
@@ -41,6 +44,18 @@
 	return fmt.Sprintf("head of the answer: want at most %d bytes", e.Limit)
 }
 
+// Bounds of answers to other requests that are passed over on one connection.
+const (
+	maxForeign      = 4
+	maxForeignBytes = 1 << 20
+)
+
+// ForeignError says that a connection brought only answers to other requests.
+type ForeignError struct{}
+
+// Error says so.
+func (*ForeignError) Error() string { return "too many answers to other requests" }
+
 // Write notes that bytes may leave before it writes them.
 func (w *wire) Write(b []byte) (int, error) {
 	w.wrote.Store(true)
@@ -68,13 +83,13 @@
 }
 
 // newConn returns a connection without a request.
-func newConn(n *net.TCPConn) (*conn, error) {
+func newConn(n *net.TCPConn, foreign func(*http.Request, *http.Response) bool) (*conn, error) {
 	raw, err := n.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
 	w := &wire{Conn: n}
-	c := &conn{wire: w, raw: raw, reader: bufio.NewReaderSize(w, bufferBytes), writer: bufio.NewWriterSize(w, bufferBytes)}
+	c := &conn{foreign: foreign, wire: w, raw: raw, reader: bufio.NewReaderSize(w, bufferBytes), writer: bufio.NewWriterSize(w, bufferBytes)}
 	b := make([]byte, 1)
 	c.peek = func(fd uintptr) bool {
 		_, _, c.peeked = syscall.Recvfrom(int(fd), b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -129,19 +144,31 @@
 	return x.conn.writer.Flush()
 }
 
-// head reads up to the first final answer.
+// head reads up to the first final answer to the request. A backend server may send the answer to an earlier request once
+// more where the next one is due.
 func (x *exchange) head() (*http.Response, error) {
 	w := x.conn.wire
 	w.heading, w.left = true, maxHeaderBytes
 	defer func() { w.heading = false }()
-	for {
+	for passed := 0; ; {
 		p, err := http.ReadResponse(x.conn.reader, x.request)
 		if err != nil {
 			return nil, err
 		}
-		if p.StatusCode >= http.StatusOK || p.StatusCode == http.StatusSwitchingProtocols {
+		if p.StatusCode < http.StatusOK && p.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if !x.conn.foreign(x.request, p) {
 			return p, nil
 		}
+		if passed++; passed > maxForeign {
+			return nil, &ForeignError{}
+		}
+		w.heading = false
+		if _, err := io.Copy(io.Discard, io.LimitReader(p.Body, maxForeignBytes)); err != nil {
+			return nil, err
+		}
+		w.heading, w.left = true, maxHeaderBytes
 	}
 }
 
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -116,6 +117,12 @@
 		return nil, f
 	}
 	l.status = p.StatusCode
+	if l.backend.whole > 0 {
+		p, err = l.readWhole(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+	}
 	if p.StatusCode == http.StatusSwitchingProtocols {
 		l.end(false, false)
 		return nil, l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the backend server switched protocols unasked", nil)
@@ -138,13 +145,8 @@
 	for k, v := range r.Header {
 		h[k] = v
 	}
-	h[outcome.HeaderCall] = []string{l.meta.Call}
-	if d, ok := ctx.Deadline(); ok {
-		h[headerDeadline] = []string{strconv.FormatInt(max(time.Until(d).Milliseconds(), 0), 10)}
-		if c := l.backend.context(l.meta, d); c != "" {
-			h[headerContext] = []string{c}
-		}
-	}
+	d, _ := ctx.Deadline()
+	l.backend.headers(h, l.meta, d)
 	out := hop.Rebuild(ctx, r, "http", l.pool.address)
 	out.Header = h
 	if len(r.Trailer) > 0 && r.Body != nil {
@@ -153,6 +155,58 @@
 	return out
 }
 
+// meshHeaders sets the headers that a backend server of the mesh's own interface gets.
+func (b *Backend) meshHeaders(h http.Header, m hop.Meta, deadline time.Time) {
+	h[outcome.HeaderCall] = []string{m.Call}
+	if deadline.IsZero() {
+		return
+	}
+	h[headerDeadline] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 0), 10)}
+	if c := b.context(m, deadline); c != "" {
+		h[headerContext] = []string{c}
+	}
+}
+
+// readWhole reads an answer up to the bound before any of it is passed on, and ends the call when the answer is whole.
+func (l *flight) readWhole(ctx context.Context, p *http.Response) (*http.Response, error) {
+	limit := l.backend.whole
+	head, err := io.ReadAll(io.LimitReader(p.Body, limit+1))
+	if err != nil {
+		f := l.classify(ctx, err, true)
+		if f.Code == outcome.Reset {
+			f.Code, f.Detail = outcome.Truncated, "the answer of the backend server broke off"
+		}
+		l.end(ctx.Err() == nil, false)
+		return nil, f
+	}
+	if f := l.backend.judge(p); f != nil {
+		f.Call = l.meta.Call
+		l.end(false, int64(len(head)) <= limit && f.Kind == outcome.NotRun)
+		return nil, f
+	}
+	rest := p.Body
+	if int64(len(head)) > limit || len(p.Trailer) > 0 {
+		p.Body = joinedBody{Reader: io.MultiReader(bytes.NewReader(head), rest), Closer: rest}
+		return p, nil
+	}
+	l.end(false, true)
+	if p.ContentLength < 0 && p.Body != http.NoBody {
+		p.ContentLength = int64(len(head))
+		p.Header.Set("Content-Length", strconv.Itoa(len(head)))
+	}
+	p.Body = io.NopCloser(bytes.NewReader(head))
+	if len(head) == 0 {
+		p.Body = http.NoBody
+	}
+	return p, nil
+}
+
+// joinedBody reads from one source and closes another.
+type joinedBody struct {
+	io.Reader
+	io.Closer
+}
+
 func (l *flight) failure(code outcome.Code, kind outcome.Kind, status int, detail string, err error) *outcome.Failure {
 	return &outcome.Failure{Code: code, Kind: kind, Status: status, Detail: detail, Call: l.meta.Call, Err: err}
 }
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -31,6 +32,7 @@
 // which hands each call to two further goroutines.
 type pool struct {
 	address string
+	foreign func(*http.Request, *http.Response) bool
 	tokens  chan struct{} // one for each connection in use
 
 	mu     sync.Mutex
@@ -38,8 +40,8 @@
 	closed bool
 }
 
-func newPool(a Announcement) *pool {
-	return &pool{address: a.Address.String(), tokens: make(chan struct{}, a.Connections)}
+func (b *Backend) newPool(a Announcement) *pool {
+	return &pool{address: a.Address.String(), foreign: b.foreign, tokens: make(chan struct{}, a.Connections)}
 }
 
 // acquire returns a connection that is reserved for one request. An error means that nothing was sent.
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := newConn(n.(*net.TCPConn))
+	c, err := newConn(n.(*net.TCPConn), p.foreign)
 	if err != nil {
 		_ = n.Close()
 		return nil, err
--- a/io/backend/seams.go
+++ b/io/backend/seams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -20,6 +21,7 @@
 	Connections int            `json:"connections"`
 	Load        float64        `json:"load"`                  // 0 idle to 1 full; above 1 overloaded
 	Incarnation uint64         `json:"incarnation,omitempty"` // changes with each process; 0 when not stated
+	Sequence    uint64         `json:"sequence,omitempty"`    // grows with each announcement of a process whose incarnations grow; 0 when not stated
 }
 
 // Key returns SERVICE/ENDPOINT.
@@ -78,6 +80,25 @@
 	return func(b *Backend) { b.context = f }
 }
 
+// WithHeaders replaces the headers that a backend server gets besides those of its caller.
+func WithHeaders(f func(h http.Header, m hop.Meta, deadline time.Time)) Option {
+	return func(b *Backend) { b.headers = f }
+}
+
+// WithForeign sets the function that recognizes the answer to another request, which is passed over.
+func WithForeign(f func(r *http.Request, p *http.Response) bool) Option {
+	return func(b *Backend) { b.foreign = f }
+}
+
+// WithJudge sets the function that finds a failure in the head of an answer; nil passes the answer on.
+func WithJudge(f func(p *http.Response) *outcome.Failure) Option {
+	return func(b *Backend) { b.judge = f }
+}
+
+// WithWhole makes answers up to n bytes be read whole before they are passed on, so that one which breaks off is a failure
+// and not a broken answer.
+func WithWhole(n int64) Option { return func(b *Backend) { b.whole = n } }
+
 // WithRenew sets the period after which endpoints renew (2 s); an endpoint that misses three leaves.
 func WithRenew(d time.Duration) Option { return func(b *Backend) { b.renew = d } }
 
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -54,7 +55,7 @@
 
 // prepare checks the request and fills the call; nothing has run when it fails.
 func (c *call) prepare() *outcome.Failure {
-	passed := c.r.Header.Values(HeaderContext)
+	passed, asked := c.r.Header.Values(HeaderContext), c.r.Header.Get(HeaderDeadline)
 	hop.Strip(c.r.Header)
 	if hop.IsUpgrade(c.r) {
 		return c.fail(outcome.Refused, http.StatusNotImplemented, "upgrades and tunnels are not supported", nil)
@@ -62,7 +63,7 @@
 	if f := c.route(); f != nil {
 		return f
 	}
-	if f := c.inherit(passed); f != nil {
+	if f := c.inherit(passed, asked); f != nil {
 		return f
 	}
 	if f := c.readKey(); f != nil {
@@ -98,19 +99,20 @@
 	return nil
 }
 
-// inherit takes depth, deadline and budget from the call that this one is made for.
-func (c *call) inherit(passed []string) *outcome.Failure {
+// inherit takes depth, deadline and budget from the call that this one is made for, and the time that the caller waits.
+func (c *call) inherit(passed []string, asked string) *outcome.Failure {
 	route := c.match.Route
-	c.depth, c.deadline, c.budget = 1, c.began.Add(min(route.Deadline, hop.MaxDeadline)), retry.Initial(route.Retries)
+	c.depth, c.deadline, c.budget = 1, c.began.Add(min(route.Deadline, hop.MaxDeadline)), retry.Initial(max(route.Retries, route.Attempts-1))
+	if ms, err := strconv.ParseInt(asked, 10, 64); err == nil && ms >= 0 && ms < hop.MaxDeadline.Milliseconds() {
+		c.deadline = earlier(c.deadline, c.began.Add(time.Duration(ms)*time.Millisecond))
+	}
 	if c.handler.local && len(passed) > 0 {
 		above, err := ParseContext(passed[0])
 		if err != nil || len(passed) > 1 {
 			return c.fail(outcome.Depth, http.StatusBadRequest, "the header Mesh-Context was altered", err)
 		}
 		c.depth, c.budget = above.Depth+1, min(c.budget, above.Budget)
-		if above.Deadline.Before(c.deadline) {
-			c.deadline = above.Deadline
-		}
+		c.deadline = earlier(c.deadline, above.Deadline)
 	}
 	if c.depth > outcome.MaxDepth {
 		return c.fail(outcome.Depth, http.StatusLoopDetected, fmt.Sprintf("the call chain is deeper than %d", outcome.MaxDepth), nil)
@@ -125,6 +127,13 @@
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (c *call) readKey() *outcome.Failure {
 	keys := c.r.Header.Values(headerKey)
 	if c.match.Route.Idempotent || len(keys) == 0 {
@@ -170,11 +179,11 @@
 }
 
 func (c *call) fill() {
-	route := c.match.Route
+	route, service := c.match.Route, c.match.Service.Name
 	u := c.r.URL
-	identity := hop.Identity{Service: route.Service, Method: c.r.Method, Path: u.Path, Query: u.RawQuery, Key: c.key, Body: c.body.head}
+	identity := hop.Identity{Service: service, Method: c.r.Method, Path: u.Path, Query: u.RawQuery, Key: c.key, Body: c.body.head}
 	c.meta = hop.Meta{
-		Call: c.id, Service: route.Service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
+		Call: c.id, Service: service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
 		Priority: route.Priority, Caller: c.peer(), Print: identity.Print(),
 	}
 	c.out = &http.Request{Method: c.r.Method, URL: u, Host: c.r.Host, Header: hop.Outbound(c.r), Trailer: c.r.Trailer}
--- a/io/caller/context.go
+++ b/io/caller/context.go
@@ -12,6 +12,9 @@
 // HeaderContext is the header that a backend server copies from a request to the calls that it makes for it.
 const HeaderContext = "Mesh-Context"
 
+// HeaderDeadline is the header in which a caller says for how many milliseconds it waits; a route's own deadline also holds.
+const HeaderDeadline = "Mesh-Deadline"
+
 // contextVersion starts the value, so that its form can change.
 const contextVersion = "1"
 
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -39,7 +39,7 @@
 	finish   func(context.Context, Claim, *Answer) error
 	release  func(context.Context, Claim) error
 
-	identify func() string
+	identify func(r *http.Request) string
 	leaving  func() bool
 	now      func() time.Time
 	log      logr.Logger
@@ -76,7 +76,7 @@
 	if h.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{handler: h, w: w, r: r, id: h.identify(), began: h.now()}
+	c := &call{handler: h, w: w, r: r, id: h.identify(r), began: h.now()}
 	defer func() { c.cancel() }()
 	c.cancel = func() {}
 	if f := c.prepare(); f != nil {
@@ -116,10 +116,10 @@
 }
 
 // identifier returns a source of ids: a random prefix for the process and a counter.
-func identifier() func() string {
+func identifier() func(*http.Request) string {
 	var prefix [8]byte
 	_, _ = rand.Read(prefix[:]) // never fails, by its documentation
 	start := hex.EncodeToString(prefix[:]) + "-"
 	var n atomic.Uint64
-	return func() string { return start + strconv.FormatUint(n.Add(1), 36) }
+	return func(*http.Request) string { return start + strconv.FormatUint(n.Add(1), 36) }
 }
--- a/io/caller/seams.go
+++ b/io/caller/seams.go
@@ -142,7 +142,7 @@
 }
 
 // WithIdentify sets the source of call ids, which must not repeat.
-func WithIdentify(f func() string) Option { return func(h *Handler) { h.identify = f } }
+func WithIdentify(f func(r *http.Request) string) Option { return func(h *Handler) { h.identify = f } }
 
 // WithLog sets the log and the choice of successes that are logged.
 func WithLog(log logr.Logger, sample func() bool) Option {
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -15,7 +15,7 @@
 	"godwitspindle/examples"
 	"godwitspindle/io/host"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 	"godwitspindle/io/standin"
 )
 
@@ -70,9 +70,9 @@
 // Run shows a mesh from its start to a changed rule, and ends; with keep it stays until SIGINT or SIGTERM. Errors of the nodes
 // are logged to stderr.
 func Run(ctx context.Context, keep bool, stdout, stderr io.Writer) error {
-	ctx, stop := platform.Signals(ctx)
+	ctx, stop := process.Signals(ctx)
 	defer stop()
-	log := platform.NewLogger(stderr, slog.LevelError)
+	log := process.NewLogger(stderr, slog.LevelError)
 	folder, err := os.MkdirTemp("", "godwitspindle-demo-")
 	if err != nil {
 		return fmt.Errorf("make the data folder: %w", err)
--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -18,7 +18,7 @@
 
 	"godwitspindle/io/host"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 	"godwitspindle/io/standin"
 )
 
@@ -36,7 +36,7 @@
 	Hosts    []*host.Host // in the order of the places; nil while a node is stopped
 	Backends []*standin.Server
 	places   []Place
-	settings []*platform.Settings
+	settings []*process.Settings
 	folder   string
 	log      logr.Logger
 	cuts     cuts
@@ -47,15 +47,15 @@
 type Option func(*meshOptions)
 
 type meshOptions struct {
-	profile platform.Profile
+	profile process.Profile
 	latency time.Duration
 	slots   int
-	tls     func(name string) platform.Files
+	tls     func(name string) process.Files
 	standin func(i int) []standin.Option
 }
 
 // WithProfile sets the distribution profile of all nodes.
-func WithProfile(p platform.Profile) Option { return func(o *meshOptions) { o.profile = p } }
+func WithProfile(p process.Profile) Option { return func(o *meshOptions) { o.profile = p } }
 
 // WithLatency sets how long the backend servers take for a request.
 func WithLatency(t time.Duration) Option { return func(o *meshOptions) { o.latency = t } }
@@ -64,7 +64,7 @@
 func WithSlots(n int) Option { return func(o *meshOptions) { o.slots = n } }
 
 // WithTLS sets the TLS files of each node by its name; peer and operator listeners then demand mutual TLS.
-func WithTLS(files func(name string) platform.Files) Option {
+func WithTLS(files func(name string) process.Files) Option {
 	return func(o *meshOptions) { o.tls = files }
 }
 
@@ -75,7 +75,7 @@
 
 // New starts nodes and backend servers; data folders are made below folder.
 func New(folder string, places []Place, log logr.Logger, opts ...Option) (*Mesh, error) {
-	o := meshOptions{profile: platform.Fast, latency: time.Millisecond, slots: 12, standin: func(int) []standin.Option { return nil }}
+	o := meshOptions{profile: process.Fast, latency: time.Millisecond, slots: 12, standin: func(int) []standin.Option { return nil }}
 	for _, f := range opts {
 		f(&o)
 	}
@@ -107,21 +107,21 @@
 	if err != nil {
 		return err
 	}
-	var replicas []platform.Replica
+	var replicas []process.Replica
 	for i, p := range m.places {
 		if p.Replica {
-			replicas = append(replicas, platform.Replica{Name: p.Name, Address: addresses[3*i]})
+			replicas = append(replicas, process.Replica{Name: p.Name, Address: addresses[3*i]})
 		}
 	}
 	for i, p := range m.places {
-		s := platform.Default()
+		s := process.Default()
 		s.Name, s.Region, s.Domain, s.Replicas, s.Profile = p.Name, p.Region, p.Domain, replicas, o.profile
 		if o.tls != nil {
 			s.TLS = o.tls(p.Name)
 		}
 		s.Log.Sample = 0
 		free := loopback(0) // a port that the system chooses
-		s.Listen = platform.Listen{
+		s.Listen = process.Listen{
 			Peer: addresses[3*i], Caller: addresses[3*i+1], Backend: addresses[3*i+2], Local: free, Operator: free, Metrics: free,
 		}
 		if p.Replica {
--- a/io/demo/process_test.go
+++ b/io/demo/process_test.go
@@ -18,14 +18,14 @@
 	"godwitspindle/io/standin"
 )
 
-// process is one node as a real process, with a backend server in the test process.
-type process struct {
+// program is one node as a real process, with a backend server in the test process.
+type program struct {
 	file    string
 	listen  map[string]string
 	command *exec.Cmd
 }
 
-func (p *process) start(t *testing.T, binary string) {
+func (p *program) start(t *testing.T, binary string) {
 	t.Helper()
 	p.command = exec.Command(binary, "node", p.file)
 	if err := p.command.Start(); err != nil {
@@ -34,9 +34,9 @@
 }
 
 // settle writes the settings of three replicas.
-func settle(t *testing.T, folder string) []*process {
+func settle(t *testing.T, folder string) []*program {
 	t.Helper()
-	list := make([]*process, 3)
+	list := make([]*program, 3)
 	listeners := []string{"caller", "local", "backend", "peer", "operator", "metrics"}
 	addresses, err := freeAddresses(len(list) * len(listeners))
 	if err != nil {
@@ -44,7 +44,7 @@
 	}
 	var replicas []map[string]string
 	for i := range list {
-		list[i] = &process{file: filepath.Join(folder, fmt.Sprintf("n%d.json", i)), listen: map[string]string{}}
+		list[i] = &program{file: filepath.Join(folder, fmt.Sprintf("n%d.json", i)), listen: map[string]string{}}
 		for j, k := range listeners {
 			list[i].listen[k] = addresses[i*len(listeners)+j].String()
 		}
@@ -66,7 +66,7 @@
 }
 
 // launch starts three nodes with a backend server each.
-func launch(t *testing.T, folder, binary string) ([]*process, *rig) {
+func launch(t *testing.T, folder, binary string) ([]*program, *rig) {
 	t.Helper()
 	nodes := settle(t, folder)
 	r := &rig{T: t, Mesh: &Mesh{}}
--- a/io/demo/replace_test.go
+++ b/io/demo/replace_test.go
@@ -12,7 +12,7 @@
 
 	"godwitspindle/io/host"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // A mesh of replicas and one node without a control replica.
@@ -98,7 +98,7 @@
 				t.Errorf("add while the node is down: got %s, want %s", got, operator.CodeSilent)
 			}
 			peer := m.settings[lost].Listen.Peer
-			m.settings[lost].Listen = platform.Listen{Caller: loopback(0), Local: loopback(0), Backend: loopback(0), Peer: peer, Operator: loopback(0), Metrics: loopback(0)}
+			m.settings[lost].Listen = process.Listen{Caller: loopback(0), Local: loopback(0), Backend: loopback(0), Peer: peer, Operator: loopback(0), Metrics: loopback(0)}
 			if err := m.Start(lost); err != nil {
 				t.Fatalf("start r1 anew: %v", err)
 			}
--- a/io/demo/tls_test.go
+++ b/io/demo/tls_test.go
@@ -21,7 +21,7 @@
 
 	"godwitspindle/io/host"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // authority issues certificates for 127.0.0.1.
@@ -42,7 +42,7 @@
 	return &authority{key: key, certificate: c}
 }
 
-func (a *authority) issue(t *testing.T, f platform.Files, serial int64) {
+func (a *authority) issue(t *testing.T, f process.Files, serial int64) {
 	t.Helper()
 	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	c := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
@@ -78,9 +78,9 @@
 // the exchange of all files for those of another authority, both ends of a new connection must use the new ones.
 func TestMutualTLS(t *testing.T) {
 	folder := t.TempDir()
-	files := func(name string) platform.Files {
+	files := func(name string) process.Files {
 		p := filepath.Join(folder, name)
-		return platform.Files{Cert: p + ".cert", Key: p + ".key", CA: p + ".ca"}
+		return process.Files{Cert: p + ".cert", Key: p + ".key", CA: p + ".ca"}
 	}
 	names := []string{"entry", "desk", "operator"}
 	renew := func(serial int64) {
@@ -90,7 +90,7 @@
 		}
 	}
 	renew(10)
-	own, err := platform.NewTLS(files("operator"))
+	own, err := process.NewTLS(files("operator"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -38,7 +38,7 @@
 // WithKey sets the key shared by all nodes.
 func WithKey(key string) Option { return func(c *Client) { c.key = key } }
 
-// WithDialTLS makes the client use HTTP/2 over TLS connections that dial opens, as platform.TLS offers it; dial must offer h2.
+// WithDialTLS makes the client use HTTP/2 over TLS connections that dial opens, as process.TLS offers it; dial must offer h2.
 func WithDialTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(c *Client) { c.dialTLS = dial }
 }
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -35,7 +35,7 @@
 	if !ok {
 		return caller.Match{}, nil
 	}
-	s, ok := t.Service(r.Service)
+	s, ok := t.Service(h.turns.service(r))
 	if !ok {
 		return caller.Match{}, nil
 	}
@@ -86,7 +86,7 @@
 		Kind:       a.Failure.Kind,
 		Code:       a.Failure.Code,
 		Idempotent: a.Route.Idempotent,
-		Retries:    a.Route.Retries,
+		Retries:    retries(a),
 		Used:       a.Retries,
 		Repicks:    a.Repicks,
 		Share:      a.Budget,
@@ -107,6 +107,14 @@
 	return verdict
 }
 
+// retries returns how often a request may be sent again: one that did not run, as far as the route allows attempts.
+func retries(a caller.Attempt) int {
+	if a.Failure.Kind == outcome.NotRun {
+		return max(a.Route.Retries, a.Route.Attempts-1)
+	}
+	return a.Route.Retries
+}
+
 func claimOf(kind wire.ClaimKind, c caller.Claim) *wire.Claim {
 	return &wire.Claim{
 		Kind:        kind,
--- a/io/host/capacity_test.go
+++ b/io/host/capacity_test.go
@@ -10,7 +10,7 @@
 	"godwitspindle/core/config"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/peer"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 	"godwitspindle/io/rpc"
 )
 
@@ -40,11 +40,11 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		settings := &platform.Settings{Name: "node-0100", Domain: "domain-4", Region: "region-0"}
+		settings := &process.Settings{Name: "node-0100", Domain: "domain-4", Region: "region-0"}
 		for i := range 7 {
-			settings.Replicas = append(settings.Replicas, platform.Replica{Name: fmt.Sprintf("node-%04d", i), Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i))})
+			settings.Replicas = append(settings.Replicas, process.Replica{Name: fmt.Sprintf("node-%04d", i), Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7000", i))})
 		}
-		u := newUpstream(settings)
+		u := newUpstream(settings, newDirectory(settings))
 		mine := &rpc.AnnounceRequest{Node: &wire.Node{Name: "node-0100", Address: "10.0.0.100:7000", Domain: "domain-4", Region: "region-0", Incarnation: 100 << 40}}
 		for _, c := range []struct {
 			name string
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -16,7 +15,7 @@
 	"godwitspindle/core/wire"
 	"godwitspindle/io/disk"
 	"godwitspindle/io/peer"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 	"godwitspindle/io/replica"
 	"godwitspindle/io/rpc"
 )
@@ -35,7 +34,8 @@
 	courier       *peer.Courier
 	holder        *peer.Holder
 	tracker       *relay.Tracker
-	metrics       *platform.Metrics
+	known         *directory
+	metrics       *process.Metrics
 	leaderChanged func() // called when another replica leads
 	log           logr.Logger
 }
@@ -44,8 +44,7 @@
 type control struct {
 	controlParts
 	name    string
-	names   []string // of the replicas in the settings
-	address func(id string) (netip.AddrPort, bool)
+	losses  int // replicas that may be lost at once with their data
 	replica *replica.Replica
 	leases  *lease.Table
 
@@ -66,22 +65,19 @@
 }
 
 // newControl starts the control replica on the data folder.
-func newControl(s *platform.Settings, p controlParts) (*control, error) {
+func newControl(s *process.Settings, p controlParts) (*control, error) {
 	c := &control{
 		controlParts: p,
 		name:         s.Name,
-		address:      replicaAddress(s),
-		leases:       lease.New(lease.WithLease(leasePolls * pollOf(s.Profile))),
+		losses:       s.Seeds.Losses,
+		leases:       lease.New(lease.WithLease(leaseOf(s))),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
 	}
-	for _, r := range s.Replicas {
-		c.names = append(c.names, r.Name)
-	}
 	r, err := replica.New(
 		replica.WithFolder(s.Data),
 		replica.WithName(s.Name),
-		replica.WithNames(c.names...),
+		replica.WithNames(p.known.founders()...),
 		replica.WithDisk(disk.WithSync(timed(p.metrics.Sync.Observe))),
 		replica.WithSend(p.courier.Send),
 		replica.WithApply(c.apply),
@@ -100,6 +96,9 @@
 	c.stop = stop
 	c.wait.Go(func() { c.publish(ctx) })
 	c.wait.Go(func() { c.duties(ctx) })
+	if p.known.seeded() {
+		c.wait.Go(func() { c.steward(ctx) })
+	}
 	return c, nil
 }
 
@@ -333,15 +332,3 @@
 	}
 	return names
 }
-
-// replicaAddress maps a replica identity or name to its peer listener.
-func replicaAddress(s *platform.Settings) func(id string) (netip.AddrPort, bool) {
-	byName := map[string]netip.AddrPort{}
-	for _, r := range s.Replicas {
-		byName[r.Name] = r.Address
-	}
-	return func(id string) (netip.AddrPort, bool) {
-		a, ok := byName[agreement.Name(id)]
-		return a, ok
-	}
-}
--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 const (
@@ -29,7 +29,11 @@
 		defer close(reported)
 		h.reportLeave()
 	}()
-	time.Sleep(moveTime)
+	move := moveTime
+	if h.settings.Move > 0 {
+		move = h.settings.Move
+	}
+	time.Sleep(move)
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace)
 	defer cancel()
 	err := h.quiesce(ctx)
@@ -60,7 +64,7 @@
 	return errors.Join(err, shutdown(ctx, h.servers["peer"]), shutdown(ctx, h.servers["operator"]))
 }
 
-func shutdown(ctx context.Context, s *platform.Server) error {
+func shutdown(ctx context.Context, s *process.Server) error {
 	if s == nil {
 		return nil
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -21,20 +22,21 @@
 	"godwitspindle/io/disk"
 	"godwitspindle/io/hop"
 	"godwitspindle/io/peer"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // Host is one running process.
 type Host struct {
-	settings    *platform.Settings
+	settings    *process.Settings
 	log         logr.Logger
-	metrics     *platform.Metrics
+	metrics     *process.Metrics
 	incarnation uint64
 
 	clients  *peer.Clients
 	holder   *peer.Holder
 	feed     *peer.Feed
 	tracker  *relay.Tracker
+	known    *directory
 	upstream *upstream
 	proposer *peer.Proposer
 	courier  *peer.Courier
@@ -48,20 +50,26 @@
 
 	picker  *routing.Picker
 	budget  *retry.Budget
+	turns   *turns
 	hops    *hop.Client
 	backend *backend.Backend
 	callers *caller.Handler
 	locally *caller.Handler
 
-	peers   *platform.Server
-	servers map[string]*platform.Server // by listener
-	bound   map[string]netip.AddrPort   // by listener
-	tls     *platform.TLS
+	peers   *process.Server
+	servers map[string]*process.Server // by listener
+	bound   map[string]netip.AddrPort  // by listener
+	tls     *process.TLS
 	leaving atomic.Bool
 	// reported is the version for which the nodes below were last reported complete.
 	reported atomic.Uint64
 	dial     Dial
-	started  time.Time
+	// What adapters to other interfaces add.
+	wrap      func(next http.Handler) http.Handler
+	identify  []caller.Option
+	toBackend []backend.Option
+	extra     []extra
+	started   time.Time
 	// redirected is used on replicas only.
 	redirected redirects
 
@@ -78,24 +86,57 @@
 // WithDial replaces the function that opens connections to other nodes, for tests of partitions.
 func WithDial(d Dial) Option { return func(h *Host) { h.dial = d } }
 
+// WithCallers wraps the handler of callers, for callers that speak another interface than the mesh's own.
+func WithCallers(wrap func(next http.Handler) http.Handler) Option {
+	return func(h *Host) { h.wrap = wrap }
+}
+
+// WithIdentify sets the source of call ids, which must not repeat.
+func WithIdentify(f func(r *http.Request) string) Option {
+	return func(h *Host) { h.identify = append(h.identify, caller.WithIdentify(f)) }
+}
+
+// WithBackend adds options for the side of the backend servers.
+func WithBackend(opts ...backend.Option) Option {
+	return func(h *Host) { h.toBackend = append(h.toBackend, opts...) }
+}
+
+// WithListener opens one more listener; its handler is made when the process is complete.
+func WithListener(name string, address netip.AddrPort, handler func(h *Host) http.Handler) Option {
+	return func(h *Host) { h.extra = append(h.extra, extra{name: name, address: address, handler: handler}) }
+}
+
+// extra is a listener of an adapter.
+type extra struct {
+	name    string
+	address netip.AddrPort
+	handler func(h *Host) http.Handler
+}
+
 // New starts a process with checked settings; Run waits for its end and Close ends it at once.
-func New(s *platform.Settings, log logr.Logger, opts ...Option) (*Host, error) {
+func New(s *process.Settings, log logr.Logger, opts ...Option) (*Host, error) {
 	h := &Host{
 		settings:    s,
 		log:         log.WithValues("node", s.Name),
-		metrics:     platform.NewMetrics(),
+		metrics:     process.NewMetrics(),
 		incarnation: rand.Uint64() | 1,
-		tracker:     relay.NewTracker(s.Name, pollOf(s.Profile)),
-		upstream:    newUpstream(s),
+		tracker:     relay.NewTracker(s.Name, pollOf(s)),
+		known:       newDirectory(s),
 		budget:      retry.NewBudget(),
 		locals:      map[string]*local{},
+		turns:       newTurns(),
+		wrap:        func(next http.Handler) http.Handler { return next },
 		bound:       map[string]netip.AddrPort{},
-		servers:     map[string]*platform.Server{},
+		servers:     map[string]*process.Server{},
 		started:     time.Now(),
 	}
 	for _, o := range opts {
 		o(h)
 	}
+	h.upstream = newUpstream(s, h.known)
+	if h.dial == nil && s.Timing.Silence > 0 {
+		h.dial = process.Dial(s.Timing.Silence)
+	}
 	// Each step uses the parts that the steps before it made.
 	steps := []func() error{
 		h.startTransport,
@@ -121,7 +162,7 @@
 	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl), peer.WithClientDial(h.dial)}
 	hopOptions := []hop.Option{hop.WithKey(h.settings.Key), hop.WithDial(h.dial), hop.WithCrossed(h.metrics.Crossed.Inc)}
 	if h.settings.TLS.Enabled() {
-		t, err := platform.NewTLS(h.settings.TLS, platform.WithTLSLogger(h.log))
+		t, err := process.NewTLS(h.settings.TLS, process.WithTLSLogger(h.log))
 		if err != nil {
 			return err
 		}
@@ -160,12 +201,13 @@
 	if !h.settings.IsReplica() {
 		return nil
 	}
-	h.courier = peer.NewCourier(h.clients, replicaAddress(h.settings), h.log.WithName("courier"))
+	h.courier = peer.NewCourier(h.clients, h.known.address, h.log.WithName("courier"))
 	c, err := newControl(h.settings, controlParts{
 		clients:       h.clients,
 		courier:       h.courier,
 		holder:        h.holder,
 		tracker:       h.tracker,
+		known:         h.known,
 		metrics:       h.metrics,
 		leaderChanged: h.leaderChanged,
 		log:           h.log.WithName("control"),
@@ -187,9 +229,9 @@
 func (h *Host) startCalls() error {
 	h.backend = newBackend(h)
 	log := h.log.WithName("caller")
-	sampled := platform.NewSampled(log, h.settings.Log.Sample)
+	sampled := process.NewSampled(log, h.settings.Log.Sample)
 	options := func(local bool) []caller.Option {
-		return []caller.Option{
+		return append([]caller.Option{
 			caller.WithLocal(local),
 			caller.WithMaxBody(callBytes),
 			caller.WithMatch(h.match),
@@ -201,7 +243,7 @@
 			caller.WithClaim(h.claim, h.finish, h.release),
 			caller.WithLog(log, sampled.Next),
 			caller.WithLeaving(h.leaving.Load),
-		}
+		}, h.identify...)
 	}
 	h.callers = caller.New(options(false)...)
 	h.locally = caller.New(options(true)...)
@@ -237,11 +279,11 @@
 }
 
 // Metrics returns the collectors of the process.
-func (h *Host) Metrics() *platform.Metrics { return h.metrics }
+func (h *Host) Metrics() *process.Metrics { return h.metrics }
 
 // Listen returns the bound addresses of all listeners; one that is not open is the zero value.
-func (h *Host) Listen() platform.Listen {
-	return platform.Listen{
+func (h *Host) Listen() process.Listen {
+	return process.Listen{
 		Caller:   h.bound["caller"],
 		Local:    h.bound["local"],
 		Backend:  h.bound["backend"],
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -9,7 +9,7 @@
 	"godwitspindle/io/hop"
 	"godwitspindle/io/operator"
 	"godwitspindle/io/peer"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 const (
@@ -25,8 +25,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, peer.Authorize(h.settings.Key, handler))
 	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.inner), hop.WithNext(mux), hop.WithMaxBody(callBytes))
-	s, err := h.listen("listen.peer", h.settings.Listen.Peer, calls, platform.Limits{Body: peerBytes, Connections: peerConns},
-		platform.WithServer(hop.HTTPServer(calls)), platform.WithH2C(), platform.WithTLS(h.serverTLS()))
+	s, err := h.listen("listen.peer", h.settings.Listen.Peer, calls, process.Limits{Body: peerBytes, Connections: peerConns},
+		process.WithServer(hop.HTTPServer(calls)), process.WithH2C(), process.WithTLS(h.serverTLS()))
 	h.peers = s
 	return err
 }
@@ -34,40 +34,48 @@
 // startListeners opens all other listeners.
 func (h *Host) startListeners() error {
 	l := h.settings.Listen
-	calls := platform.Limits{Body: -1, Connections: callerConns} // the handler bounds bodies by itself
+	calls := process.Limits{Body: -1, Connections: callerConns} // the handler bounds bodies by itself
 	list := []struct {
 		name    string
 		address netip.AddrPort
 		handler http.Handler
-		limits  platform.Limits
+		limits  process.Limits
 		base    *http.Server
 	}{
-		{"listen.caller", l.Caller, h.callers, calls, caller.HTTPServer(h.callers)},
+		{"listen.caller", l.Caller, h.wrap(h.callers), calls, caller.HTTPServer(h.callers)},
 		{"listen.local", l.Local, h.locally, calls, caller.HTTPServer(h.locally)},
-		{"listen.backend", l.Backend, h.backend.Handler(), platform.DefaultLimits(), nil},
-		{"listen.metrics", l.Metrics, h.scraped(), platform.DefaultLimits(), nil},
+		{"listen.backend", l.Backend, h.backend.Handler(), process.DefaultLimits(), nil},
+		{"listen.metrics", l.Metrics, h.scraped(), process.DefaultLimits(), nil},
 	}
 	for _, e := range list {
-		if _, err := h.listen(e.name, e.address, e.handler, e.limits, platform.WithServer(e.base)); err != nil {
+		if !e.address.IsValid() {
+			continue
+		}
+		if _, err := h.listen(e.name, e.address, e.handler, e.limits, process.WithServer(e.base)); err != nil {
+			return err
+		}
+	}
+	for _, e := range h.extra {
+		if _, err := h.listen(e.name, e.address, e.handler(h), process.DefaultLimits()); err != nil {
 			return err
 		}
 	}
-	if h.control == nil {
+	if h.control == nil || !l.Operator.IsValid() {
 		return nil
 	}
-	_, err := h.listen("listen.operator", l.Operator, h.operators(), operator.Limits(), platform.WithTLS(h.serverTLS()))
+	_, err := h.listen("listen.operator", l.Operator, h.operators(), operator.Limits(), process.WithTLS(h.serverTLS()))
 	return err
 }
 
-func (h *Host) listen(name string, address netip.AddrPort, handler http.Handler, limits platform.Limits, more ...platform.ServerOption) (*platform.Server, error) {
+func (h *Host) listen(name string, address netip.AddrPort, handler http.Handler, limits process.Limits, more ...process.ServerOption) (*process.Server, error) {
 	_, label, _ := strings.Cut(name, ".")
-	options := append([]platform.ServerOption{
-		platform.WithName(name),
-		platform.WithLimits(limits),
-		platform.WithLogger(h.log.WithName(label)),
-		platform.WithRefused(h.metrics.RefusedOpens.WithLabelValues(label).Inc),
+	options := append([]process.ServerOption{
+		process.WithName(name),
+		process.WithLimits(limits),
+		process.WithLogger(h.log.WithName(label)),
+		process.WithRefused(h.metrics.RefusedOpens.WithLabelValues(label).Inc),
 	}, more...)
-	s, err := platform.NewServer(address, handler, options...)
+	s, err := process.NewServer(address, handler, options...)
 	if err != nil {
 		return nil, err
 	}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -96,7 +96,7 @@
 }
 
 func newBackend(h *Host) *backend.Backend {
-	return backend.New(
+	return backend.New(append([]backend.Option{
 		backend.WithAnnounced(h.announced),
 		backend.WithLeft(h.left),
 		backend.WithHint(h.picker.Hint),
@@ -108,7 +108,15 @@
 			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: m.Budget}.String()
 		}),
 		backend.WithLog(h.log.WithName("backend")),
-	)
+	}, h.toBackend...)...)
+}
+
+// identity returns the identity of the control replica of this process, or an empty string.
+func (h *Host) identity() string {
+	if h.control == nil || !h.known.seeded() {
+		return ""
+	}
+	return h.control.replica.ID()
 }
 
 // announcement returns what the node announces about itself.
@@ -120,6 +128,7 @@
 			Domain:      h.settings.Domain,
 			Region:      h.settings.Region,
 			Incarnation: h.incarnation,
+			Replica:     h.identity(),
 		},
 		Leaving: leaving,
 	}
--- a/io/host/node.go
+++ b/io/host/node.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-logr/logr"
 
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // Garbage collection of a node. With Go's defaults the heap of a node, 4 MB, is collected seven times a second at 3,000 calls/s.
@@ -18,8 +18,8 @@
 )
 
 // RunNode runs one process with the given settings until ctx ends, and then stops it gracefully.
-func RunNode(ctx context.Context, s *platform.Settings, log logr.Logger) error {
-	tune(s.IsReplica())
+func RunNode(ctx context.Context, s *process.Settings, log logr.Logger) error {
+	Tune(s.IsReplica())
 	h, err := New(s, log)
 	if err != nil {
 		return err
@@ -27,9 +27,9 @@
 	return h.Run(ctx)
 }
 
-// tune sets the garbage collection unless the environment does. A replica holds the log and gets no limit, since a heap above
+// Tune sets the garbage collection unless the environment does. A replica holds the log and gets no limit, since a heap above
 // the limit would be collected without end.
-func tune(replica bool) {
+func Tune(replica bool) {
 	if os.Getenv("GOGC") != "" || os.Getenv("GOMEMLIMIT") != "" || replica {
 		return
 	}
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -72,7 +72,7 @@
 
 // confirmed waits until the store of this replica is current as of the call.
 func (h *Host) confirmed(ctx context.Context) error {
-	if st := h.control.replica.Status(); st.Role == agreement.Waiting && h.upstream.known() != "" {
+	if st := h.control.replica.Status(); st.Role == agreement.Waiting && h.upstream.leading() != "" {
 		return operator.WaitingProblem(h.settings.Name)
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
--- a/io/host/redirect.go
+++ b/io/host/redirect.go
@@ -34,11 +34,11 @@
 func (h *Host) redirect(node, domain string) []string {
 	now := time.Now()
 	alive := h.tracker.Fresh(now)
-	if now.Sub(h.started) < 2*pollOf(h.settings.Profile) {
+	if now.Sub(h.started) < 2*pollOf(h.settings) {
 		alive = nil
 	}
 	var list []string
-	for _, n := range relay.Relays(relayNodes(h.holder.View().Table, h.settings), domain, alive) {
+	for _, n := range relay.Relays(relayNodes(h.holder.View().Table, h.known), domain, alive) {
 		if n.Name == node {
 			return nil
 		}
@@ -46,7 +46,7 @@
 			list = append(list, n.Address.String())
 		}
 	}
-	if len(list) == 0 || !h.redirected.first(node, now, pollOf(h.settings.Profile)) {
+	if len(list) == 0 || !h.redirected.first(node, now, pollOf(h.settings)) {
 		return nil
 	}
 	return list
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -67,7 +67,7 @@
 	if action == actionList {
 		return nil
 	}
-	if _, ok := c.address(name); !ok && len(c.identities(name)) == 0 {
+	if _, ok := c.known.address(name); !ok && len(c.identities(name)) == 0 {
 		return &refusalError{operator.CodeNoReplica, name + " is neither in the setting replicas nor a member"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -162,7 +162,7 @@
 	if name == c.name {
 		return c.replica.ID(), false, nil
 	}
-	a, ok := c.address(name)
+	a, ok := c.known.address(name)
 	if !ok {
 		return "", false, &peer.NoParentError{}
 	}
@@ -206,11 +206,12 @@
 
 // waiting asks the replicas of the settings for identities that are not members, such as one that lost its data folder.
 func (c *control) waiting(ctx context.Context, m agreement.Members) []*rpc.Replica {
-	found := make([]*rpc.Replica, len(c.names))
+	replicas := c.known.replicas()
+	found := make([]*rpc.Replica, len(replicas))
 	var wait sync.WaitGroup
-	for i, name := range c.names {
+	for i, r := range replicas {
 		wait.Go(func() {
-			id, _, err := c.identity(ctx, name)
+			id, _, err := c.identity(ctx, r.Name)
 			if err == nil && !m.Has(id) {
 				found[i] = &rpc.Replica{Identity: id, Role: "waiting", Behind: -1}
 			}
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -13,7 +13,7 @@
 	"godwitspindle/core/relay"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/peer"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 	"godwitspindle/io/rpc"
 )
 
@@ -35,7 +35,7 @@
 	if h.control != nil {
 		options = append(options, peer.WithRedirect(h.redirect))
 	}
-	if h.settings.Profile == platform.Thrifty {
+	if h.settings.Profile == process.Thrifty {
 		options = append(options, peer.WithCoalesce(thriftyCoalesce))
 	}
 	feed, err := peer.NewFeed(h.holder, options...)
@@ -52,12 +52,15 @@
 		peer.WithReports(h.report),
 		peer.WithLost(h.retell),
 		peer.WithMoved(h.retell),
-		peer.WithPoll(pollOf(h.settings.Profile)),
+		peer.WithPoll(pollOf(h.settings)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithTaken(h.taken),
 		peer.WithSynced(h.upstream.learn),
 		peer.WithFollowerLog(h.log.WithName("follower")),
 	}
+	if slack := h.settings.Timing.Slack; slack > 0 {
+		options = append(options, peer.WithSlack(slack))
+	}
 	if h.control != nil {
 		options = append(options, peer.WithFloor(h.current))
 	}
@@ -91,7 +94,7 @@
 	if h.control != nil {
 		return h.control.leaderName()
 	}
-	return h.upstream.known()
+	return h.upstream.leading()
 }
 
 // age returns the time since the last quorum confirmation that this node knows of.
@@ -212,6 +215,9 @@
 
 // propose commits a command on this replica if it leads.
 func (h *Host) propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
+	if c.GetChange() != nil && !h.control.durable() {
+		return nil, &FormingError{Losses: h.control.losses}
+	}
 	return h.control.replica.Propose(ctx, c)
 }
 
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -8,7 +8,7 @@
 	"godwitspindle/core/config"
 	"godwitspindle/core/relay"
 	"godwitspindle/io/peer"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 	"godwitspindle/io/rpc"
 )
 
@@ -25,16 +25,28 @@
 	replicaTransfer = 16
 )
 
-func pollOf(p platform.Profile) time.Duration {
-	if p == platform.Thrifty {
+func pollOf(s *process.Settings) time.Duration {
+	if s.Timing.Poll > 0 {
+		return s.Timing.Poll
+	}
+	if s.Profile == process.Thrifty {
 		return thriftyPoll
 	}
 	return fastPoll
 }
 
+// leaseOf returns the time without a sign of life after which an announcement is withdrawn.
+func leaseOf(s *process.Settings) time.Duration {
+	if s.Timing.Lease > 0 {
+		return s.Timing.Lease
+	}
+	return leasePolls * pollOf(s)
+}
+
 // upstream knows from whom this node takes its configuration and to whom it sends proposals.
 type upstream struct {
-	settings *platform.Settings
+	settings *process.Settings
+	known    *directory
 	mu       sync.Mutex
 	leader   string
 	relay    bool // of the failure domain, by the version in force
@@ -43,8 +55,8 @@
 	until    time.Time        // when redirect ends
 }
 
-func newUpstream(s *platform.Settings) *upstream {
-	u := &upstream{settings: s}
+func newUpstream(s *process.Settings, known *directory) *upstream {
+	u := &upstream{settings: s, known: known}
 	u.parents = u.replicasFrom("")
 	return u
 }
@@ -54,6 +66,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.redirect = nil
+	u.known.update(v.Table)
 	u.compute(v)
 }
 
@@ -90,7 +103,7 @@
 
 // compute derives the upstreams from the version in force and the leader.
 func (u *upstream) compute(v peer.View) {
-	nodes := relayNodes(v.Table, u.settings)
+	nodes := relayNodes(v.Table, u.known)
 	u.relay = isRelay(nodes, u.settings)
 	self := relay.Node{Name: u.settings.Name, Domain: u.settings.Domain, Replica: u.settings.IsReplica()}
 	var addresses []netip.AddrPort
@@ -100,8 +113,8 @@
 	u.parents = addresses
 }
 
-// known returns the leader's name, or an empty string.
-func (u *upstream) known() string {
+// leading returns the leader's name, or an empty string.
+func (u *upstream) leading() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.leader
@@ -111,7 +124,7 @@
 func (u *upstream) reportsTo(parent netip.AddrPort) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, r := range u.settings.Replicas {
+	for _, r := range u.known.replicas() {
 		if r.Address == parent {
 			return !u.settings.IsReplica() || r.Name == u.leader
 		}
@@ -138,7 +151,7 @@
 
 func (u *upstream) replicasFrom(leader string) []netip.AddrPort {
 	var list []netip.AddrPort
-	for _, r := range u.settings.Replicas {
+	for _, r := range u.known.replicas() {
 		if r.Name == leader {
 			list = append([]netip.AddrPort{r.Address}, list...)
 			continue
@@ -148,18 +161,19 @@
 	return list
 }
 
-// relayNodes lists the agreed nodes and the replicas of the settings, which serve before they are agreed.
-func relayNodes(t *config.Table, s *platform.Settings) []relay.Node {
-	isReplica := make(map[string]bool, len(s.Replicas))
-	for _, r := range s.Replicas {
+// relayNodes lists the agreed nodes and the known replicas, which serve before they are agreed.
+func relayNodes(t *config.Table, known *directory) []relay.Node {
+	replicas := known.replicas()
+	isReplica := make(map[string]bool, len(replicas))
+	for _, r := range replicas {
 		isReplica[r.Name] = true
 	}
-	nodes := make([]relay.Node, 0, len(t.Nodes())+len(s.Replicas))
+	nodes := make([]relay.Node, 0, len(t.Nodes())+len(replicas))
 	for _, n := range t.Nodes() {
 		nodes = append(nodes, relay.Node{Name: n.Name, Domain: n.Domain, Address: n.Address, Replica: isReplica[n.Name]})
 	}
-	for _, r := range s.Replicas {
-		if _, known := t.Node(r.Name); !known {
+	for _, r := range replicas {
+		if _, agreed := t.Node(r.Name); !agreed {
 			nodes = append(nodes, relay.Node{Name: r.Name, Address: r.Address, Replica: true})
 		}
 	}
@@ -167,7 +181,7 @@
 }
 
 // isRelay reports whether this node is a relay of its failure domain.
-func isRelay(nodes []relay.Node, s *platform.Settings) bool {
+func isRelay(nodes []relay.Node, s *process.Settings) bool {
 	for _, n := range relay.Relays(nodes, s.Domain, nil) {
 		if n.Name == s.Name {
 			return true
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -100,7 +100,7 @@
 // WithTimeout bounds one operation with all its attempts, but Wait.
 func WithTimeout(d time.Duration) ClientOption { return func(c *Client) { c.timeout = d } }
 
-// WithDial opens TLS connections with dial, as platform.TLS offers it.
+// WithDial opens TLS connections with dial, as process.TLS offers it.
 func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientOption {
 	return func(c *Client) {
 		c.scheme = "https"
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -16,7 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"godwitspindle/core/wire"
-	"godwitspindle/io/platform"
+	"godwitspindle/io/process"
 )
 
 // Bounds of the server.
@@ -111,8 +111,8 @@
 }
 
 // Limits returns the limits for the operators' listener.
-func Limits() platform.Limits {
-	l := platform.DefaultLimits()
+func Limits() process.Limits {
+	l := process.DefaultLimits()
 	l.Body = maxBody
 	l.Connections = 64
 	return l
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -41,7 +41,7 @@
 // WithClientKey sets the shared key sent with each call.
 func WithClientKey(key string) ClientsOption { return func(c *Clients) { c.key = key } }
 
-// WithClientDialTLS opens TLS connections with dial, as platform.TLS offers it; without one calls use cleartext HTTP/2.
+// WithClientDialTLS opens TLS connections with dial, as process.TLS offers it; without one calls use cleartext HTTP/2.
 func WithClientDialTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) ClientsOption {
 	return func(c *Clients) {
 		c.scheme = "https"
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -55,6 +55,7 @@
 	parents     func() []netip.AddrPort // in order of preference
 	report      func(parent netip.AddrPort, held uint64) *wire.Report
 	poll        time.Duration
+	slack       time.Duration
 	log         logr.Logger
 	mismatch    func()
 	taken       func(whole bool)
@@ -103,6 +104,9 @@
 // WithPoll sets the poll interval.
 func WithPoll(t time.Duration) FollowerOption { return func(f *Follower) { f.poll = t } }
 
+// WithSlack sets the time on top of a poll's wait before the poll counts as failed.
+func WithSlack(t time.Duration) FollowerOption { return func(f *Follower) { f.slack = t } }
+
 // WithMismatch sets a function that counts digest mismatches.
 func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
 
@@ -143,6 +147,7 @@
 		parents:  func() []netip.AddrPort { return nil },
 		report:   func(netip.AddrPort, uint64) *wire.Report { return nil },
 		poll:     5 * time.Second,
+		slack:    syncSlack,
 		log:      logr.Discard(),
 		mismatch: func() {},
 		taken:    func(bool) {},
@@ -285,7 +290,7 @@
 
 // ask sends one Sync that may wait for a newer version.
 func (f *Follower) ask(ctx context.Context, parent netip.AddrPort, wait time.Duration) (*rpc.SyncResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+syncSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.slack)
 	defer cancel()
 	req, number := f.request(parent, wait)
 	resp, err := f.clients.At(parent).Sync(ctx, numbered(req, number))
--- a/io/platform/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package platform holds what every part of a process shares: settings, logging, metrics, limited listeners, TLS and signals.
-package platform
--- a/io/platform/log.go
+++ b/io/process/log.go
@@ -1,4 +1,4 @@
-package platform
+package process
 
 import (
 	"context"
--- a/io/platform/settings.go
+++ b/io/process/settings.go
@@ -1,4 +1,4 @@
-package platform
+package process
 
 import (
 	"fmt"
@@ -68,6 +68,26 @@
 	Profile  Profile
 	Log      Log
 	Grace    time.Duration // longest wait for calls in flight at a planned stop
+	Move     time.Duration // at a planned stop, callers are served and told to move for this long; 0 for the default
+	Seeds    Seeds         // in place of Replicas where no list of them can be given
+	Timing   Timing
+}
+
+// Seeds lets nodes find the control replicas where settings cannot list them. The name of a node with a control replica is
+// then its IP address, and all peer listeners have the same port.
+type Seeds struct {
+	Peers   []netip.AddrPort // peer listeners of some nodes with control replicas
+	Found   bool             // the first start of the whole mesh: the seeds are the first members
+	Replica bool             // this node runs a control replica
+	Losses  int              // replicas that may be lost at once with their data
+}
+
+// Timing replaces the times of the profile; a field that is 0 leaves the profile's.
+type Timing struct {
+	Poll    time.Duration // longest wait for a newer version at an upstream
+	Slack   time.Duration // on top of Poll before an upstream counts as failed
+	Lease   time.Duration // of an announcement
+	Silence time.Duration // after which an unanswered connection to another node is given up
 }
 
 // Fault is one thing that is wrong with an input file.
@@ -99,6 +119,9 @@
 
 // IsReplica reports whether the node is listed as a control replica.
 func (s *Settings) IsReplica() bool {
+	if s.Seeds.Replica {
+		return true
+	}
 	for _, r := range s.Replicas {
 		if r.Name == s.Name {
 			return true
--- a/main.go
+++ b/main.go
@@ -9,11 +9,13 @@
 	"godwitspindle/core/config"
 	"godwitspindle/io/demo"
 	"godwitspindle/io/host"
+	"godwitspindle/platform"
 )
 
 func main() {
 	p := cmd.Program{
 		Node:          host.RunNode,
+		Platform:      platform.Run,
 		Demo:          demo.Run,
 		ParseRegister: config.ParseRegister,
 		ParseRules:    config.ParseRules,
