--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -21,6 +21,7 @@
 type Request struct {
 	Call       string // call id, unique among the calls of this gate
 	Caller     string // who sent it, for fairness
+	Kind       string // requests of one kind take similar times
 	Priority   int    // 0 (shed first) to 9 (shed last)
 	Deadline   time.Time
 	Idempotent bool
@@ -74,6 +75,7 @@
 
 type run struct {
 	caller  string
+	kind    string
 	suspect bool
 }
 
@@ -97,6 +99,10 @@
 // WithConnections sets the number of open connections at most; the default is no bound. Running calls never exceed it.
 func WithConnections(n int) Option { return func(g *Gate) { g.connections = max(n, 0) } }
 
+// WithFixed keeps the limit at the stated slots, for a backend server whose slots do not slow each other down: with fewer
+// calls it would only serve fewer.
+func WithFixed() Option { return func(g *Gate) { g.limit.fixed = true } }
+
 // New returns a Gate.
 func New(opts ...Option) *Gate {
 	g := &Gate{slots: 1, depth: -1, running: map[string]run{}, callers: map[string]use{}}
@@ -124,7 +130,7 @@
 	if _, ok := g.running[r.Call]; ok || g.find(r.Call) >= 0 {
 		return g.refuse(r.Call, outcome.Refused, 0)
 	}
-	service := g.limit.service()
+	service := g.limit.service(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
 		return g.refuse(r.Call, outcome.Late, 0)
 	}
@@ -134,7 +140,7 @@
 	}
 	w := waiting{Request: r, arrived: now, sequence: g.sequence}
 	g.sequence++
-	wait := g.wait(now, w, service)
+	wait := g.wait(now, w)
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
 		return g.refuse(r.Call, outcome.Late, wait)
 	}
@@ -160,11 +166,12 @@
 func (g *Gate) Done(now time.Time, call string, took time.Duration, ok bool) []Decision {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if !g.release(call) {
+	r, known := g.running[call]
+	if !known || !g.release(call) {
 		return nil
 	}
 	if ok {
-		g.limit.observe(took, len(g.running)+1)
+		g.limit.observe(r.kind, took, len(g.running)+1)
 	}
 	return g.start(now)
 }
@@ -285,7 +292,7 @@
 	defer g.mutex.Unlock()
 	s := g.stats
 	s.Slots, s.Limit, s.Running, s.Queued, s.Open = g.slots, g.limit.value(), len(g.running), len(g.queue), g.open
-	s.Service, s.Baseline = g.limit.service(), time.Duration(g.limit.baseline)
+	s.Service, s.Baseline = g.limit.average(), g.limit.lowest()
 	s.Paused, s.Draining = g.paused, g.draining
 	return s
 }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -16,10 +16,9 @@
 // start refuses queued calls that cannot make their deadline and admits others while slots are free.
 func (g *Gate) start(now time.Time) []Decision {
 	var out []Decision
-	service := g.limit.service()
 	for i := 0; i < len(g.queue); {
 		d := g.queue[i].Deadline
-		if d.IsZero() || !now.Add(service).After(d) {
+		if d.IsZero() || !now.Add(g.limit.service(g.queue[i].Kind)).After(d) {
 			i++
 			continue
 		}
@@ -166,19 +165,19 @@
 }
 
 // wait estimates when the call would start: the calls ahead of it leave at the rate of the limit by the service time.
-func (g *Gate) wait(now time.Time, w waiting, service time.Duration) time.Duration {
+func (g *Gate) wait(now time.Time, w waiting) time.Duration {
 	ahead := 0
 	for ahead < len(g.queue) && before(&g.queue[ahead], &w) {
 		ahead++
 	}
 	l := g.limit.value()
 	excess := max(len(g.running)-l, 0)
-	d := service * time.Duration(ahead+1+excess) / time.Duration(l)
+	d := g.limit.average() * time.Duration(ahead+1+excess) / time.Duration(l)
 	return d + max(g.paused.Sub(now), 0)
 }
 
 func (g *Gate) admit(r Request, waited time.Duration) Decision {
-	g.running[r.Call] = run{caller: r.Caller, suspect: r.Suspect}
+	g.running[r.Call] = run{caller: r.Caller, kind: r.Kind, suspect: r.Suspect}
 	if r.Suspect {
 		g.suspects++
 	}
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -109,7 +109,19 @@
 		m.retire(key, held.GetIncarnation())
 	}
 	m.nodes[n.GetName()], _ = proto.Clone(n).(*wire.Node)
-	return []string{key}
+	return append(m.evict(n), key)
+}
+
+// evict removes the nodes that another process had at the address of a joining node. Hosts are replaced and addresses used
+// again, and calls and polls meant for the former node would reach the new one.
+func (m *members) evict(n *wire.Node) []string {
+	var dirty []string
+	for name, held := range m.nodes {
+		if name != n.GetName() && held.GetAddress() == n.GetAddress() {
+			dirty = append(dirty, m.leave(name)...)
+		}
+	}
+	return dirty
 }
 
 // label64 accepts an empty failure domain or region, or a name.
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -184,7 +184,7 @@
 	identity := hop.Identity{Service: service, Method: c.r.Method, Path: u.Path, Query: u.RawQuery, Key: c.key, Body: c.body.head}
 	c.meta = hop.Meta{
 		Call: c.id, Service: service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
-		Priority: route.Priority, Caller: c.peer(), Print: identity.Print(),
+		Priority: route.Priority, Caller: c.peer(), Print: identity.Print(), Route: route.Name,
 	}
 	c.out = &http.Request{Method: c.r.Method, URL: u, Host: c.r.Host, Header: hop.Outbound(c.r), Trailer: c.r.Trailer}
 }
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -20,6 +20,8 @@
 	headerKey  = "Mesh-Key"
 	headerMeta = "Mesh-Meta"
 	headerTook = "Mesh-Took" // of an answer: what the backend server took, in microseconds
+	// headerRoute is apart from Mesh-Meta, since a header that repeats takes one byte on a connection of HTTP/2.
+	headerRoute = "Mesh-Route"
 )
 
 // Form of Mesh-Meta: the version and the other fields, separated by one space and in the order of the field constants; only
@@ -71,6 +73,7 @@
 	Priority   int  // 0 to 9
 	Caller     string
 	Print      Print
+	Route      string // name of the route; empty from a node that does not send it
 }
 
 // MetaError says which metadata header, or field of Mesh-Meta, is missing or out of range.
@@ -99,6 +102,9 @@
 	b = hex.AppendEncode(append(b, ' '), m.Print[:])
 	values := []string{m.Call, string(b)} // one allocation holds both
 	h[headerCall], h[headerMeta] = values[0:1:1], values[1:2:2]
+	if m.Route != "" {
+		h[headerRoute] = []string{m.Route}
+	}
 }
 
 // Decode reads the metadata headers and checks their ranges; the error is a *MetaError.
@@ -125,6 +131,9 @@
 	m.Remaining = time.Duration(ms) * time.Millisecond
 	m.Idempotent, m.Late = d.class(fields[fieldClass])
 	m.Print = d.print(fields[fieldPrint])
+	if route := h[headerRoute]; len(route) > 0 {
+		m.Route = d.name(headerRoute, route[0])
+	}
 	return m, d.err
 }
 
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -23,9 +23,9 @@
 	timer   *time.Timer
 }
 
-func newTurnstile(slots, connections int) *turnstile {
+func newTurnstile(slots, connections int, opts ...admission.Option) *turnstile {
 	t := &turnstile{
-		gate:    admission.New(admission.WithSlots(slots), admission.WithConnections(connections)),
+		gate:    admission.New(append([]admission.Option{admission.WithSlots(slots), admission.WithConnections(connections)}, opts...)...),
 		waiting: map[string]chan admission.Decision{},
 	}
 	t.timer = time.AfterFunc(time.Hour, t.tick)
@@ -147,6 +147,7 @@
 	return admission.Request{
 		Call:       m.Call,
 		Caller:     m.Caller,
+		Kind:       m.Route,
 		Priority:   m.Priority,
 		Deadline:   deadline,
 		Idempotent: m.Idempotent,
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	"godwitspindle/core/admission"
 	"godwitspindle/core/relay"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
@@ -68,6 +69,7 @@
 	wrap      func(next http.Handler) http.Handler
 	identify  []caller.Option
 	toBackend []backend.Option
+	toGate    []admission.Option
 	extra     []extra
 	started   time.Time
 	// redirected is used on replicas only.
@@ -101,6 +103,11 @@
 	return func(h *Host) { h.toBackend = append(h.toBackend, opts...) }
 }
 
+// WithAdmission adds options for the admission of each endpoint beside the node.
+func WithAdmission(opts ...admission.Option) Option {
+	return func(h *Host) { h.toGate = append(h.toGate, opts...) }
+}
+
 // WithListener opens one more listener; its handler is made when the process is complete.
 func WithListener(name string, address netip.AddrPort, handler func(h *Host) http.Handler) Option {
 	return func(h *Host) { h.extra = append(h.extra, extra{name: name, address: address, handler: handler}) }
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -27,7 +27,7 @@
 	defer h.mu.Unlock()
 	l, ok := h.locals[key]
 	if !ok {
-		l = &local{turnstile: newTurnstile(1, 0), guard: newGuard(key, h.holder.View().Table.Suspect)}
+		l = &local{turnstile: newTurnstile(1, 0, h.toGate...), guard: newGuard(key, h.holder.View().Table.Suspect)}
 		h.locals[key] = l
 	}
 	return l
--- a/io/host/redirect.go
+++ b/io/host/redirect.go
@@ -32,13 +32,17 @@
 // does not take all its snapshots from the replicas. A replica that has just started has heard nobody, so it takes every
 // agreed node for live; a node whose relays do not answer asks again and is served here.
 func (h *Host) redirect(node, domain string) []string {
+	nodes := relayNodes(h.holder.View().Table, h.known)
+	if _, direct := h.upstream.direct(relay.Node{Domain: domain}, nodes); direct {
+		return nil
+	}
 	now := time.Now()
 	alive := h.tracker.Fresh(now)
 	if now.Sub(h.started) < 2*pollOf(h.settings) {
 		alive = nil
 	}
 	var list []string
-	for _, n := range relay.Relays(relayNodes(h.holder.View().Table, h.known), domain, alive) {
+	for _, n := range relay.Relays(nodes, domain, alive) {
 		if n.Name == node {
 			return nil
 		}
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -61,6 +61,9 @@
 	if slack := h.settings.Timing.Slack; slack > 0 {
 		options = append(options, peer.WithSlack(slack))
 	}
+	if stale := h.settings.Timing.Stale; stale > 0 {
+		options = append(options, peer.WithStale(stale))
+	}
 	if h.control != nil {
 		options = append(options, peer.WithFloor(h.current))
 	}
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -106,13 +106,27 @@
 	nodes := relayNodes(v.Table, u.known)
 	u.relay = isRelay(nodes, u.settings)
 	self := relay.Node{Name: u.settings.Name, Domain: u.settings.Domain, Replica: u.settings.IsReplica()}
+	parents, direct := u.direct(self, nodes)
+	if !direct {
+		parents = relay.Parents(self, nodes, u.leader, nil)
+	}
 	var addresses []netip.AddrPort
-	for _, n := range relay.Parents(self, nodes, u.leader, nil) {
-		addresses = append(addresses, n.Address)
+	for _, n := range parents {
+		if n.Address != u.settings.Listen.Peer { // a former node may have had the address of this one
+			addresses = append(addresses, n.Address)
+		}
 	}
 	u.parents = addresses
 }
 
+// direct returns the upstreams without relays, where the mesh is small enough for that and finds its replicas by itself.
+func (u *upstream) direct(self relay.Node, nodes []relay.Node) ([]relay.Node, bool) {
+	if !u.known.seeded() {
+		return nil, false
+	}
+	return relay.Direct(self, nodes, u.leader)
+}
+
 // leading returns the leader's name, or an empty string.
 func (u *upstream) leading() string {
 	u.mu.Lock()
--- a/io/peer/choose.go
+++ b/io/peer/choose.go
@@ -33,7 +33,6 @@
 		began := time.Now()
 		last = f.sync(ctx, p)
 		if last == nil {
-			delete(f.failed, p)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -54,6 +53,20 @@
 	f.failed[p] = failure{at: time.Now(), pause: pause}
 }
 
+// noteAge makes an upstream that has long had no confirmation of a quorum be tried last for a while. It still serves when
+// all are in the same state, so that nodes help each other while the source is out.
+func (f *Follower) noteAge(p netip.AddrPort, ms int64) {
+	age := time.Duration(ms) * time.Millisecond
+	if f.stale == 0 || ms >= 0 && age <= f.stale {
+		delete(f.failed, p)
+		return
+	}
+	if _, noted := f.failed[p]; !noted {
+		f.log.Info("upstream is not current", "upstream", p.String(), "age", age.String())
+	}
+	f.failed[p] = failure{at: time.Now(), pause: f.stale}
+}
+
 // Repoll ends the poll in progress, so that a better upstream is taken at once.
 func (f *Follower) Repoll() {
 	if cancel := f.cancelPoll.Load(); cancel != nil {
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -56,6 +56,7 @@
 	report      func(parent netip.AddrPort, held uint64) *wire.Report
 	poll        time.Duration
 	slack       time.Duration
+	stale       time.Duration
 	log         logr.Logger
 	mismatch    func()
 	taken       func(whole bool)
@@ -107,6 +108,10 @@
 // WithSlack sets the time on top of a poll's wait before the poll counts as failed.
 func WithSlack(t time.Duration) FollowerOption { return func(f *Follower) { f.slack = t } }
 
+// WithStale sets the age of the last quorum confirmation from which an upstream is tried last, since it may be cut off from
+// the source; 0 for no limit.
+func WithStale(t time.Duration) FollowerOption { return func(f *Follower) { f.stale = t } }
+
 // WithMismatch sets a function that counts digest mismatches.
 func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
 
@@ -285,6 +290,7 @@
 		f.confirm(time.Now().Add(-time.Duration(age) * time.Millisecond))
 	}
 	f.synced(resp, f.holder.View())
+	f.noteAge(parent, resp.GetAge())
 	return nil
 }
 
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -87,6 +87,7 @@
 	Poll    time.Duration // longest wait for a newer version at an upstream
 	Slack   time.Duration // on top of Poll before an upstream counts as failed
 	Lease   time.Duration // of an announcement
+	Stale   time.Duration // age of the last quorum confirmation from which an upstream is avoided
 	Silence time.Duration // after which an unanswered connection to another node is given up
 }
 
