--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -24,6 +24,8 @@
 	Kind       string // requests of one kind take similar times
 	Priority   int    // 0 (shed first) to 9 (shed last)
 	Deadline   time.Time
+	Objective  time.Time // an answer after it has little worth; zero for none
+	Again      bool      // its caller was refused before and comes again
 	Idempotent bool
 	Late       bool // a late answer is tolerated, so it gives way first
 	Suspect    bool // may crash the backend server; at most one such call runs at a time
@@ -85,6 +87,7 @@
 	Request
 	arrived  time.Time
 	sequence uint64
+	overdue  bool // the objective is already missed, so it starts after those that can meet theirs
 }
 
 // Option sets up a Gate.
@@ -141,6 +144,13 @@
 	w := waiting{Request: r, arrived: now, sequence: g.sequence}
 	g.sequence++
 	wait := g.wait(now, w)
+	w.overdue = !r.Objective.IsZero() && now.Add(wait+service).After(r.Objective)
+	if w.overdue {
+		wait = g.wait(now, w)
+	}
+	if excess := w.excess(now, wait, service); excess > 0 {
+		return g.refuse(r.Call, outcome.Busy, excess)
+	}
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
 		return g.refuse(r.Call, outcome.Late, wait)
 	}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -113,11 +113,30 @@
 	return a.Priority <= b.Priority
 }
 
-// before is the order of the queue: priority, deadline (none is last), arrival.
+// overdueWaits is how much longer a call that has missed its objective is assumed to wait than the queue shows, since calls
+// that come later start before it.
+const overdueWaits = 2
+
+// excess returns by how much a call with an objective would miss the time that decides whether it may wait: its objective
+// or, for one that comes again and would otherwise be refused twice, its deadline. It is negative for a call that may wait.
+func (w *waiting) excess(now time.Time, wait, service time.Duration) time.Duration {
+	if w.Objective.IsZero() || !w.overdue {
+		return -1
+	}
+	if w.Again && !w.Deadline.IsZero() {
+		return now.Add(overdueWaits*wait + service).Sub(w.Deadline)
+	}
+	return now.Add(wait + service).Sub(w.Objective)
+}
+
+// before is the order of the queue: priority, calls that can meet their objective, deadline (none is last), arrival.
 func before(a, b *waiting) bool {
 	if a.Priority != b.Priority {
 		return a.Priority > b.Priority
 	}
+	if a.overdue != b.overdue {
+		return b.overdue
+	}
 	if !a.Deadline.Equal(b.Deadline) {
 		if a.Deadline.IsZero() || b.Deadline.IsZero() {
 			return b.Deadline.IsZero()
@@ -213,6 +232,9 @@
 	case outcome.Late:
 		f.Status = http.StatusGatewayTimeout
 		f.Detail = "The call cannot be answered before its deadline."
+	case outcome.Busy:
+		f.After = max(after, leastAfter)
+		f.Detail = "The endpoint is busy and cannot answer within the objective."
 	case outcome.Overload:
 		f.After = max(after, leastAfter)
 		f.Detail = "Slots and queue of the endpoint are full."
--- a/core/outcome/failure.go
+++ b/core/outcome/failure.go
@@ -28,6 +28,7 @@
 	NoEndpoint  Code = "noendpoint"  // the service has no usable endpoint
 	Refused     Code = "refused"     // the stream or connection was refused before the request was read
 	Overload    Code = "overload"    // slots and queue are full
+	Busy        Code = "busy"        // the endpoint cannot answer within the objective; nothing was sent to it
 	Late        Code = "deadline"    // the deadline passed or cannot be met
 	Draining    Code = "draining"    // the endpoint or node is leaving
 	Quarantined Code = "quarantined" // the request crashed backend servers before
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -12,10 +12,12 @@
 	least   = 3  // retries that are always allowed in one second
 )
 
-// Budget limits the retries of a node to 10% of the calls of the last 10 s, with at least 3 a second; it is safe for
-// concurrent use, and counting a call takes one atomic addition.
+// Budget limits the retries of a node to a share of the calls of the last 10 s, by default 10% with at least 3 a second; it
+// is safe for concurrent use, and counting a call takes one atomic addition.
 type Budget struct {
-	mutex   sync.Mutex // held by Take and on the first call of a second
+	percent int64
+	least   func() int64 // retries allowed in the last 10 s whatever the calls; nil for the default of each second
+	mutex   sync.Mutex   // held by Take and on the first call of a second
 	buckets [window]bucket
 }
 
@@ -25,8 +27,23 @@
 	retries int64
 }
 
+// BudgetOption sets up a Budget.
+type BudgetOption func(*Budget)
+
+// WithPercent sets the retries for each 100 recent calls.
+func WithPercent(n int) BudgetOption { return func(b *Budget) { b.percent = int64(n) } }
+
+// WithLeast sets how many retries are allowed in 10 s whatever the calls.
+func WithLeast(f func() int64) BudgetOption { return func(b *Budget) { b.least = f } }
+
 // NewBudget returns an empty budget.
-func NewBudget() *Budget { return &Budget{} }
+func NewBudget(opts ...BudgetOption) *Budget {
+	b := &Budget{percent: percent}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
+}
 
 // Count counts one first attempt of a call.
 func (b *Budget) Count(now time.Time) {
@@ -55,13 +72,24 @@
 			retries += c.retries
 		}
 	}
-	if k.retries >= least && (retries+1)*100 > calls*percent {
+	if !b.granted(calls, retries, k.retries) {
 		return false
 	}
 	k.retries++
 	return true
 }
 
+// granted decides on one more retry by the calls and retries of the window and the retries of this second.
+func (b *Budget) granted(calls, retries, current int64) bool {
+	if (retries+1)*100 <= calls*b.percent {
+		return true
+	}
+	if b.least != nil {
+		return retries < b.least()
+	}
+	return current < least
+}
+
 // turn empties a bucket that belongs to an earlier second; a clock that steps back adds to the newer one.
 func (b *Budget) turn(k *bucket, s int64) {
 	if k.second.Load() >= s {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -19,12 +19,17 @@
 // MaxRepicks is the number of repicks of one call.
 const MaxRepicks = 3
 
+// MaxSpills is the number of further endpoints that are asked after one that is busy. Nothing was sent to its backend server.
+const MaxSpills = 2
+
 // MaxShare is the largest number of retries that may travel with a call.
 const MaxShare = 3
 
 // Reasons of a verdict, for the log line.
 const (
 	ReasonMoved    = "moved"    // the endpoint is draining, unreachable or not there
+	ReasonBusy     = "busy"     // the endpoint is busy, and another one may not be
+	ReasonSpills   = "spills"   // MaxSpills are used
 	ReasonNotRun   = "notrun"   // proven not to have run
 	ReasonSafe     = "safe"     // may have run, and is idempotent
 	ReasonAnswered = "answered" // the backend server answered
@@ -82,6 +87,12 @@
 		}
 		return Verdict{Repick, ReasonMoved}
 	}
+	if a.Kind == outcome.NotRun && a.Code == outcome.Busy {
+		if a.Repicks >= MaxSpills {
+			return Verdict{Stop, ReasonSpills}
+		}
+		return Verdict{Repick, ReasonBusy}
+	}
 	if a.Used >= a.Retries {
 		return Verdict{Stop, ReasonRetries}
 	}
@@ -103,8 +114,8 @@
 	return c == outcome.Draining || c == outcome.Unreachable || c == outcome.Refused || c == outcome.NoEndpoint
 }
 
-// final reports whether every endpoint would refuse as well; only overload is worth another attempt besides moved.
-func final(c outcome.Code) bool { return c != outcome.Overload && !moved(c) }
+// final reports whether every endpoint would refuse as well; only overload and busy are worth another attempt besides moved.
+func final(c outcome.Code) bool { return c != outcome.Overload && c != outcome.Busy && !moved(c) }
 
 // Initial returns the share of a call that comes from outside the mesh.
 func Initial(retries int) int { return min(max(retries, 0), MaxShare) }
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -15,13 +15,16 @@
 	hintWeight  = 0.5             // a reported load counts at most half of an own observation, and never lowers a score
 	hintMemory  = 2 * time.Second // age at which a hint counts half
 	hintLongest = 10 * time.Second
+
+	occupiedMemory  = 500 * time.Millisecond // age at which a told load counts half: a few service times
+	occupiedLongest = 5 * time.Second
 )
 
 // score rates a member: own outstanding calls for each slot, times recent latency, errors, reported load, locality and
 // slow start. A latency that is not known, or that is old, is taken from the other candidate.
 func (p *Picker) score(m, other *member, c Class, domain string, now int64) float64 {
 	t := m.state
-	s := float64(t.outstanding.Load()+1) / float64(max(m.endpoint.Slots, 1))
+	s := taken(m, now)
 	fresh := recent(now - t.seen.Load())
 	s *= expected(m, other, fresh)
 	w := errorWeight
@@ -47,6 +50,19 @@
 	return s
 }
 
+// taken is the share of the endpoint's slots that is taken once this call is there: by the node's own calls or, where that
+// is more, by those of all nodes as the endpoint's node told lately.
+func taken(m *member, now int64) float64 {
+	slots := float64(max(m.endpoint.Slots, 1))
+	own := float64(m.state.outstanding.Load()+1) / slots
+	at := m.state.occupiedAt.Load()
+	if at == 0 || now-at > int64(occupiedLongest) {
+		return own
+	}
+	told := math.Float64frombits(m.state.occupied.Load()) * fade(now-at, occupiedMemory)
+	return max(own, told+1/slots)
+}
+
 func expected(m, other *member, fresh float64) float64 {
 	own := math.Float64frombits(m.state.latency.Load())
 	if other == nil {
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -29,6 +29,8 @@
 	seen        atomic.Int64  // last observation, Unix nanoseconds
 	hint        atomic.Uint64 // float64 bits, 0 to 1
 	hinted      atomic.Int64
+	occupied    atomic.Uint64 // float64 bits, calls at the endpoint as a share of its slots
+	occupiedAt  atomic.Int64
 	avoid       atomic.Int64 // avoided until, Unix nanoseconds
 	eject       atomic.Int64 // ejected until, Unix nanoseconds
 	since       atomic.Int64 // start of the slow start; 0 when warm
@@ -87,6 +89,7 @@
 	t.latency.Store(0)
 	t.errors.Store(0)
 	t.hinted.Store(0)
+	t.occupiedAt.Store(0)
 	return t
 }
 
@@ -166,6 +169,18 @@
 	t.hinted.Store(n)
 }
 
+// Occupied records how many calls of all nodes run and wait at the endpoint, as a share of its slots, as the node beside it
+// told with an answer.
+func (p *Picker) Occupied(endpoint string, share float64, now time.Time) {
+	n := p.advance(now)
+	t := p.find(endpoint)
+	if t == nil || math.IsNaN(share) || share < 0 {
+		return
+	}
+	t.occupied.Store(math.Float64bits(share))
+	t.occupiedAt.Store(n)
+}
+
 // Avoid takes the endpoint out of choice until the given time, after a drain or refusal seen locally.
 func (p *Picker) Avoid(endpoint string, until time.Time, reason string) {
 	t := p.find(endpoint)
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -96,6 +96,9 @@
 	begin := h.now()
 	m := c.meta
 	m.Endpoint, m.Remaining = e.Name, c.deadline.Sub(begin)
+	if !c.aim.IsZero() {
+		m.Aim, m.Again = c.aim.Sub(begin), c.again
+	}
 	m.Budget, c.budget = retry.Split(c.budget)
 	r := *c.out
 	r.Body, r.ContentLength = c.body.attempt(c.r.ContentLength)
@@ -112,6 +115,9 @@
 		return nil, o.Failure
 	}
 	o.Status = p.StatusCode
+	if load, ok := hop.Load(p); ok {
+		o.Load = load
+	}
 	c.added = -1
 	if took, ok := hop.Took(p); ok {
 		c.added = max(o.At.Sub(c.began)-took, 0)
@@ -132,7 +138,7 @@
 func (c *call) judge(f *outcome.Failure) Verdict {
 	whole := c.body.whole()
 	v := c.handler.decide(Attempt{
-		Route: c.match.Route, Failure: f, Endpoint: c.endpoint, Repicks: c.repicks, Retries: c.retries, Budget: c.budget,
+		Route: c.match.Route, Service: c.match.Service.Name, Failure: f, Endpoint: c.endpoint, Repicks: c.repicks, Retries: c.retries, Budget: c.budget,
 		Resend: whole, Deadline: c.deadline, Now: c.handler.now(),
 	})
 	safe := f.Kind == outcome.NotRun || (c.match.Route.Idempotent && f.Kind == outcome.Unknown)
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -31,7 +31,9 @@
 	match    Match
 	deadline time.Time
 	depth    int
-	budget   int // retries left to this node; what attempts took along is no longer in it
+	aim      time.Time // objective; zero for none
+	again    bool      // the caller sends the request again
+	budget   int       // retries left to this node; what attempts took along is no longer in it
 	body     *body
 	key      string // idempotency key of a request that may run only once
 	granted  bool   // the claim on the key is held, so no other attempt has run or runs
@@ -114,6 +116,7 @@
 		c.depth, c.budget = above.Depth+1, min(c.budget, above.Budget)
 		c.deadline = earlier(c.deadline, above.Deadline)
 	}
+	c.objective(asked)
 	if c.depth > outcome.MaxDepth {
 		return c.fail(outcome.Depth, http.StatusLoopDetected, fmt.Sprintf("the call chain is deeper than %d", outcome.MaxDepth), nil)
 	}
@@ -127,6 +130,20 @@
 	return nil
 }
 
+// objective sets the time by which the answer has its full worth, counted from the caller's first attempt.
+func (c *call) objective(asked string) {
+	route := c.match.Route
+	if route.Latency <= 0 {
+		return
+	}
+	c.aim = c.began.Add(route.Latency)
+	if asked == "" {
+		return
+	}
+	elapsed, again := c.handler.patience.Elapsed(route.Name, c.deadline.Sub(c.began))
+	c.aim, c.again = c.aim.Add(-elapsed), again
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -12,6 +12,7 @@
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/retry"
 	"godwitspindle/io/hop"
 
 	"github.com/go-logr/logr"
@@ -40,6 +41,7 @@
 	release  func(context.Context, Claim) error
 
 	identify func(r *http.Request) string
+	patience *retry.Patience
 	leaving  func() bool
 	now      func() time.Time
 	log      logr.Logger
@@ -59,6 +61,7 @@
 		finished: func(Finished) {},
 		decide:   func(Attempt) Verdict { return Verdict{} },
 		identify: identifier(),
+		patience: retry.NewPatience(),
 		leaving:  func() bool { return false },
 		now:      time.Now,
 		log:      logr.Discard(),
--- a/io/caller/seams.go
+++ b/io/caller/seams.go
@@ -32,6 +32,7 @@
 	Status  int           // 0 without an answer
 	Failure *outcome.Failure
 	At      time.Time
+	Load    float64 // calls at the endpoint as a share of its slots; 0 when not known
 }
 
 // Finished is a request that was answered.
@@ -45,6 +46,7 @@
 // Attempt describes a failed attempt to the retry decision.
 type Attempt struct {
 	Route    *config.Route
+	Service  string
 	Failure  *outcome.Failure
 	Endpoint string
 	Repicks  int  // repicks made for this request
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -152,10 +152,14 @@
 		return nil, c.count(c.refusal(p, m.Call))
 	}
 	took, noted := p.Header[headerTook]
+	load, loaded := p.Header[headerLoad]
 	Strip(p.Header)
 	if noted {
 		p.Header[headerTook] = took
 	}
+	if loaded {
+		p.Header[headerLoad] = load
+	}
 	return p, nil
 }
 
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -101,6 +101,21 @@
 	return time.Duration(n) * time.Microsecond, err == nil
 }
 
+// SetLoad notes on an answer how much of an endpoint is taken: calls running and waiting, as a share of its slots.
+func SetLoad(p *http.Response, share float64) {
+	p.Header[headerLoad] = []string{strconv.Itoa(int(share * 100))}
+}
+
+// Load returns what SetLoad noted; it reports false without a note.
+func Load(p *http.Response) (float64, bool) {
+	values := p.Header[headerLoad]
+	if len(values) != 1 {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(values[0], 10, 16)
+	return float64(n) / 100, err == nil
+}
+
 // blank is copied for each forwarded request; net/http has no way to make a request with a context in one step.
 var blank http.Request
 
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -22,6 +22,8 @@
 	headerTook = "Mesh-Took" // of an answer: what the backend server took, in microseconds
 	// headerRoute is apart from Mesh-Meta, since a header that repeats takes one byte on a connection of HTTP/2.
 	headerRoute = "Mesh-Route"
+	headerAim   = "Mesh-Aim"  // time left to the objective in milliseconds, and "again" for a request that comes again
+	headerLoad  = "Mesh-Load" // of an answer: calls running and waiting at the endpoint, in hundredths of its slots
 )
 
 // Form of Mesh-Meta: the version and the other fields, separated by one space and in the order of the field constants; only
@@ -73,7 +75,9 @@
 	Priority   int  // 0 to 9
 	Caller     string
 	Print      Print
-	Route      string // name of the route; empty from a node that does not send it
+	Route      string        // name of the route; empty from a node that does not send it
+	Aim        time.Duration // time left to the objective, negative when it is missed; 0 for none
+	Again      bool          // the caller sends the request again
 }
 
 // MetaError says which metadata header, or field of Mesh-Meta, is missing or out of range.
@@ -105,6 +109,9 @@
 	if m.Route != "" {
 		h[headerRoute] = []string{m.Route}
 	}
+	if m.Aim != 0 {
+		h[headerAim] = []string{m.aim()}
+	}
 }
 
 // Decode reads the metadata headers and checks their ranges; the error is a *MetaError.
@@ -134,6 +141,9 @@
 	if route := h[headerRoute]; len(route) > 0 {
 		m.Route = d.name(headerRoute, route[0])
 	}
+	if aim := h[headerAim]; len(aim) > 0 {
+		m.Aim, m.Again = d.aim(aim[0])
+	}
 	return m, d.err
 }
 
@@ -219,6 +229,26 @@
 	return false, false
 }
 
+const aimAgain = ",again"
+
+func (m *Meta) aim() string {
+	text := strconv.FormatInt(m.Aim.Milliseconds(), 10)
+	if m.Again {
+		text += aimAgain
+	}
+	return text
+}
+
+func (d *decoder) aim(value string) (left time.Duration, again bool) {
+	text, again := strings.CutSuffix(value, aimAgain)
+	bound := int(MaxDeadline / time.Millisecond)
+	left = time.Duration(d.number(headerAim, text, -bound, bound)) * time.Millisecond
+	if left == 0 {
+		left = -time.Millisecond // less than a millisecond is left
+	}
+	return left, again
+}
+
 func (d *decoder) print(value string) (p Print) {
 	if len(value) != hex.EncodedLen(len(p)) {
 		d.fail("print", value)
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -104,8 +104,10 @@
 		return
 	}
 	w.Header()[headerCall] = []string{call}
-	if took, ok := p.Header[headerTook]; ok {
-		w.Header()[headerTook] = took
+	for _, k := range []string{headerTook, headerLoad} {
+		if v, ok := p.Header[k]; ok {
+			w.Header()[k] = v
+		}
 	}
 	if err := Copy(w, p); err != nil {
 		panic(http.ErrAbortHandler) // resets the stream, so that the peer sees a broken answer
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -17,6 +17,8 @@
 const (
 	avoidDraining    = 5 * time.Second // a leave is agreed and distributed well within this
 	avoidUnreachable = time.Second
+	// busyLoad is the load of an endpoint that refused a call: all slots are taken and as many calls wait.
+	busyLoad = 2.0
 	// resetDelay is the wait before a retry after a broken connection. A request that crashed a backend server is marked within
 	// it (20 ms to detect, then a commit and its distribution); a retry without the wait crashes one more.
 	resetDelay = 100 * time.Millisecond
@@ -44,7 +46,9 @@
 
 // pick chooses an endpoint.
 func (h *Host) pick(p caller.Pick) (config.Endpoint, string, error) {
-	h.budget.Count(p.Now)
+	if len(p.Tried) == 0 {
+		h.budgets.Of(p.Service.Name).Count(p.Now)
+	}
 	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now})
 	if err != nil {
 		return config.Endpoint{}, "", err
@@ -56,6 +60,7 @@
 func (h *Host) observe(endpoint string, o caller.Observation) {
 	f := o.Failure
 	if f == nil {
+		h.picker.Occupied(endpoint, o.Load, o.At)
 		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
 		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: failed})
 		return
@@ -65,6 +70,8 @@
 	canceled := f.Code == outcome.Canceled
 	h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: unreachable || !notRun && !canceled, NotRun: notRun})
 	switch f.Code {
+	case outcome.Busy:
+		h.picker.Occupied(endpoint, busyLoad, o.At)
 	case outcome.Draining, outcome.NoEndpoint:
 		h.picker.Avoid(endpoint, o.At.Add(avoidDraining), string(f.Code))
 	case outcome.Unreachable:
@@ -75,7 +82,7 @@
 // send carries an attempt to its endpoint, past the inner hop when it is beside this node.
 func (h *Host) send(ctx context.Context, e config.Endpoint, m hop.Meta, r *http.Request) (*http.Response, error) {
 	if e.Node == h.settings.Name {
-		return h.backend.Do(ctx, m, r)
+		return h.do(ctx, m, r)
 	}
 	return h.hops.Call(ctx, e.Address, m, r)
 }
@@ -92,7 +99,7 @@
 		Share:      a.Budget,
 		Now:        a.Now,
 		Deadline:   a.Deadline,
-	}, h.budget)
+	}, h.budgets.Of(a.Service))
 	verdict := caller.Verdict{Again: v.Action != retry.Stop, Repick: v.Action == retry.Repick, Reason: v.Reason}
 	if v.Action == retry.Retry {
 		verdict.Wait = a.Failure.After
@@ -107,6 +114,16 @@
 	return verdict
 }
 
+// newBudgets returns the budgets of retries: those of the settings, which all nodes share, or the node's own.
+func (h *Host) newBudgets() *retry.Budgets {
+	r := h.settings.Retries
+	if r.Percent == 0 {
+		return retry.NewBudgets()
+	}
+	least := func() int64 { return retry.Share(r.Slack, len(h.holder.View().Table.Nodes())) }
+	return retry.NewBudgets(retry.WithPercent(r.Percent), retry.WithLeast(least))
+}
+
 // retries returns how often a request may be sent again: one that did not run, as far as the route allows attempts.
 func retries(a caller.Attempt) int {
 	if a.Failure.Kind == outcome.NotRun {
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -109,6 +109,12 @@
 	t.gate.Resume()
 }
 
+// occupied returns the calls that run and wait as a share of the slots.
+func (t *turnstile) occupied() float64 {
+	s := t.gate.Stats()
+	return float64(s.Running+s.Queued) / float64(max(s.Slots, 1))
+}
+
 // queued returns the number of calls that wait.
 func (t *turnstile) queued() int {
 	t.mu.Lock()
@@ -144,7 +150,13 @@
 
 func requestOf(ctx context.Context, m hop.Meta) admission.Request {
 	deadline, _ := ctx.Deadline()
+	var objective time.Time
+	if m.Aim != 0 {
+		objective = time.Now().Add(m.Aim)
+	}
 	return admission.Request{
+		Objective:  objective,
+		Again:      m.Again,
 		Call:       m.Call,
 		Caller:     m.Caller,
 		Kind:       m.Route,
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -50,7 +50,7 @@
 	announce atomic.Pointer[announcer]
 
 	picker  *routing.Picker
-	budget  *retry.Budget
+	budgets *retry.Budgets
 	turns   *turns
 	hops    *hop.Client
 	backend *backend.Backend
@@ -129,7 +129,6 @@
 		incarnation: rand.Uint64() | 1,
 		tracker:     relay.NewTracker(s.Name, pollOf(s)),
 		known:       newDirectory(s),
-		budget:      retry.NewBudget(),
 		locals:      map[string]*local{},
 		turns:       newTurns(),
 		wrap:        func(next http.Handler) http.Handler { return next },
@@ -141,6 +140,7 @@
 		o(h)
 	}
 	h.upstream = newUpstream(s, h.known)
+	h.budgets = h.newBudgets()
 	if h.dial == nil && s.Timing.Silence > 0 {
 		h.dial = process.Dial(s.Timing.Silence)
 	}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -70,6 +71,9 @@
 func (h *Host) admit(ctx context.Context, endpoint string, m hop.Meta) (func(backend.Result), *outcome.Failure) {
 	t := h.endpoint(endpoint).turnstile
 	if f := t.enter(ctx, requestOf(ctx, m)); f != nil {
+		if f.Code == outcome.Busy {
+			f.After += rand.N(f.After/2 + 1) // callers that were refused together do not return together
+		}
 		h.metrics.Refusals.WithLabelValues(string(f.Code)).Inc()
 		return nil, f
 	}
@@ -149,10 +153,19 @@
 	return r
 }
 
+// do runs a call at an endpoint beside the node and notes on the answer how much of the endpoint is taken.
+func (h *Host) do(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
+	p, err := h.backend.Do(ctx, m, r)
+	if err == nil {
+		hop.SetLoad(p, h.endpoint(m.Service+"/"+m.Endpoint).turnstile.occupied())
+	}
+	return p, err
+}
+
 // inner runs a call from another node. A failure is logged here, where its cause is known; for calls from this node io/caller
 // logs it.
 func (h *Host) inner(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
-	p, err := h.backend.Do(ctx, m, r)
+	p, err := h.do(ctx, m, r)
 	if err != nil {
 		f := hop.AsFailure(err, m.Call)
 		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -71,6 +71,13 @@
 	Move     time.Duration // at a planned stop, callers are served and told to move for this long; 0 for the default
 	Seeds    Seeds         // in place of Replicas where no list of them can be given
 	Timing   Timing
+	Retries  Retries
+}
+
+// Retries bounds the retries of all nodes together for each service, in 10 s; without a percentage each node bounds its own.
+type Retries struct {
+	Percent int // of the calls
+	Slack   int // allowed whatever the calls
 }
 
 // Seeds lets nodes find the control replicas where settings cannot list them. The name of a node with a control replica is
