--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -87,6 +87,8 @@
 	domain string
 	region string
 	subset int
+	remote float64 // penalty of other failure domains of the region
+	near   bool    // two endpoints of the caller's failure domain are compared before one of another
 
 	clock  atomic.Int64 // latest time seen, Unix nanoseconds; Done carries no time
 	seed   atomic.Uint64
@@ -117,9 +119,15 @@
 	return func(p *Picker) { p.subset = min(max(n, minSubset), maxSubset) }
 }
 
+// WithNear makes calls stay in the failure domain of their caller until its endpoints score worse by a factor, for meshes
+// whose links between failure domains are thin; the default factor is 1.5.
+func WithNear(factor float64) Option {
+	return func(p *Picker) { p.remote, p.near = max(factor, 1), true }
+}
+
 // New returns a Picker.
 func New(opts ...Option) *Picker {
-	p := &Picker{subset: defaultSubset}
+	p := &Picker{subset: defaultSubset, remote: otherDomain}
 	p.random = p.sequence
 	for i := range p.shards {
 		p.shards[i].states = map[string]*state{}
@@ -159,6 +167,9 @@
 	if first == nil {
 		return p.resort(v, c, domain, now)
 	}
+	if p.near {
+		first = p.better(first, p.draw(v, local, c.Tried, now, first), c.Class, domain, now)
+	}
 	second := p.draw(v, v.all, c.Tried, now, first)
 	if second == nil {
 		return Choice{Endpoint: first.endpoint, Reason: ReasonOnly, Score: p.score(first, nil, c.Class, domain, now)}, nil
@@ -178,6 +189,14 @@
 	return Choice{Endpoint: best.endpoint, Reason: reason, Score: score}, nil
 }
 
+// better returns the candidate with the lower score; the second may be nil.
+func (p *Picker) better(a, b *member, class Class, domain string, now int64) *member {
+	if b == nil || p.score(a, b, class, domain, now) <= p.score(b, a, class, domain, now) {
+		return a
+	}
+	return b
+}
+
 // draw returns a random usable member other than the given one, or nil; from a random start it takes the next usable one.
 func (p *Picker) draw(v *view, from []int, tried []string, now int64, other *member) *member {
 	if len(from) == 0 {
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -39,7 +39,7 @@
 		if p.region != "" && m.endpoint.Region != p.region {
 			s *= otherRegion
 		} else {
-			s *= otherDomain
+			s *= p.remote
 		}
 	}
 	if since := t.since.Load(); since != 0 {
--- a/io/disk/file.go
+++ b/io/disk/file.go
@@ -134,6 +134,22 @@
 	return id, s.replace(path, "identity", []byte(id))
 }
 
+// probeBytes is the room that Probe asks for: more than a few records and less than any disk of use.
+const probeBytes = 256 << 10
+
+// Probe reports whether a folder takes new bytes; it fails with *FullError, *SyncError or *FileError.
+func Probe(folder string) error {
+	path := filepath.Join(folder, "probe")
+	if err := realSeams().replace(path, "probe", make([]byte, probeBytes)); err != nil {
+		_ = os.Remove(path + ".new") // the failure of the write says what is wrong
+		return err
+	}
+	if err := os.Remove(path); err != nil {
+		return &FileError{Operation: "removal of", Path: path, Err: err}
+	}
+	return nil
+}
+
 // SaveFloor makes the lowest version that this node may serve durable.
 func SaveFloor(folder string, version uint64) error {
 	return realSeams().replace(filepath.Join(folder, "floor"), "floor", binary.AppendUvarint(nil, version))
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -87,6 +87,7 @@
 		replica.WithStateTime(c.stateTime),
 		replica.WithClocks(p.courier.Clock),
 		replica.WithApplied(func(uint64) { c.signal() }),
+		replica.WithPaused(c.paused),
 	)
 	if err != nil {
 		return nil, err
@@ -102,6 +103,15 @@
 	return c, nil
 }
 
+// paused logs that the replica takes no part while its disk is full.
+func (c *control) paused(err error) {
+	if err != nil {
+		c.log.Error(err, "control replica paused")
+		return
+	}
+	c.log.Info("control replica goes on")
+}
+
 // close stops the duties and the replica.
 func (c *control) close() error {
 	c.stop()
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -70,6 +70,7 @@
 	identify  []caller.Option
 	toBackend []backend.Option
 	toGate    []admission.Option
+	toPicker  []routing.Option
 	extra     []extra
 	started   time.Time
 	// redirected is used on replicas only.
@@ -108,6 +109,11 @@
 	return func(h *Host) { h.toGate = append(h.toGate, opts...) }
 }
 
+// WithRouting adds options for the choice of endpoints.
+func WithRouting(opts ...routing.Option) Option {
+	return func(h *Host) { h.toPicker = append(h.toPicker, opts...) }
+}
+
 // WithListener opens one more listener; its handler is made when the process is complete.
 func WithListener(name string, address netip.AddrPort, handler func(h *Host) http.Handler) Option {
 	return func(h *Host) { h.extra = append(h.extra, extra{name: name, address: address, handler: handler}) }
@@ -193,12 +199,12 @@
 		}
 		options = append(options, peer.WithSavedFloor(floor, func(v uint64) error { return disk.SaveFloor(h.settings.Data, v) }))
 	}
-	h.picker = routing.New(
+	h.picker = routing.New(append([]routing.Option{
 		routing.WithRandom(rand.IntN),
 		routing.WithDomain(h.settings.Domain),
 		routing.WithRegion(h.settings.Region),
 		routing.WithNode(h.settings.Name),
-	)
+	}, h.toPicker...)...)
 	holder, err := peer.NewHolder(options...)
 	h.holder = holder
 	return err
--- a/io/replica/option.go
+++ b/io/replica/option.go
@@ -12,9 +12,10 @@
 const (
 	compactEntries = 20_000
 	compactBytes   = 16 << 20
-	inboxLimit     = 1024 // events waiting for the loop
-	roundLimit     = 512  // events taken in one round, which share one sync
-	waitingLimit   = 8192 // proposals without a result
+	inboxLimit     = 1024                   // events waiting for the loop
+	roundLimit     = 512                    // events taken in one round, which share one sync
+	waitingLimit   = 8192                   // proposals without a result
+	fullPause      = 250 * time.Millisecond // between attempts to go on after a full disk
 )
 
 type settings struct {
@@ -32,6 +33,7 @@
 	applied             func(version uint64)
 	clock               func(name string) (time.Time, bool)
 	stateTime           func() time.Time
+	paused              func(err error)
 	entries, bytes      int
 }
 
@@ -44,6 +46,7 @@
 		applied:   func(uint64) {},
 		clock:     func(string) (time.Time, bool) { return time.Time{}, false },
 		stateTime: func() time.Time { return time.Time{} },
+		paused:    func(error) {},
 		entries:   compactEntries, bytes: compactBytes,
 	}
 }
@@ -115,6 +118,10 @@
 // WithStateTime sets the source of the state machine's time after a restore.
 func WithStateTime(f func() time.Time) Option { return func(s *settings) { s.stateTime = f } }
 
+// WithPaused sets a function that is called with the failure when the replica pauses since its disk is full, and with nil when
+// it goes on.
+func WithPaused(f func(err error)) Option { return func(s *settings) { s.paused = f } }
+
 // WithCompaction sets after how many applied entries or bytes of them a snapshot replaces the log.
 func WithCompaction(entries, bytes int) Option {
 	return func(s *settings) { s.entries, s.bytes = entries, bytes }
--- /dev/null
+++ b/io/replica/pause_test.go
@@ -0,0 +1,78 @@
+package replica
+
+import (
+	"context"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/disk"
+)
+
+// Guards against a process that ends, a group that stops, or an acknowledged command that is lost when the disk of the leader
+// or of a follower is full for a while. The bound for a new leader is two election timeouts of the group and its proposals.
+func TestFullDisk(t *testing.T) {
+	for _, who := range []string{"leader", "follower"} {
+		t.Run(who, func(t *testing.T) {
+			var full atomic.Pointer[string] // name of the replica whose disk is full
+			var pauses, resumes atomic.Int64
+			g := newGroup(t, nil)
+			g.names = three
+			for _, n := range g.names {
+				var applied atomic.Uint64 // as the agreed state, which ignores commands that it holds
+				g.opts = []Option{
+					WithApply(func(index uint64, _ *wire.Command) *wire.Result {
+						applied.Store(max(applied.Load(), index))
+						return &wire.Result{Version: applied.Load()}
+					}),
+					WithVersion(applied.Load),
+					WithPaused(func(err error) {
+						if err != nil {
+							pauses.Add(1)
+							return
+						}
+						resumes.Add(1)
+					}),
+					WithDisk(disk.WithWrite(func(f *os.File, b []byte) (int, error) {
+						if name := full.Load(); name != nil && *name == n {
+							return 0, syscall.ENOSPC
+						}
+						return f.Write(b)
+					})),
+				}
+				g.start(n, t.TempDir())
+			}
+			first := g.leader()
+			g.propose(first, 3)
+			name := agreement.Name(first.ID())
+			if who == "follower" {
+				name = map[string]string{"a": "b", "b": "c", "c": "a"}[name]
+			}
+			full.Store(&name)
+			var version uint64
+			g.await("a proposal is accepted by the others", func() bool {
+				for n, r := range g.members {
+					ctx, stop := context.WithTimeout(t.Context(), 200*time.Millisecond)
+					a, err := r.Propose(ctx, &wire.Command{})
+					stop()
+					if err == nil && n != name {
+						version = a.GetVersion()
+						return true
+					}
+				}
+				return false
+			})
+			g.await("the replica pauses", func() bool { return pauses.Load() > 0 })
+			full.Store(nil)
+			r := g.members[name]
+			g.await("the replica has caught up", func() bool { return resumes.Load() > 0 && r.Status().Commit >= version })
+			if err := r.Err(); err != nil {
+				t.Errorf("the replica with the full disk: got %v, want it to go on", err)
+			}
+		})
+	}
+}
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -87,7 +87,7 @@
 	r.publish()
 	go func() {
 		defer close(r.done)
-		r.err = r.run()
+		r.err = r.persist()
 		r.abandon()
 		_ = r.log.Close()
 	}()
