--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -177,7 +177,7 @@
 	a := p.score(first, second, c.Class, domain, now)
 	b := p.score(second, first, c.Class, domain, now)
 	best, score := first, a
-	if b < a {
+	if b < a && !p.stays(first, second, c.Class, domain, now) {
 		best, score = second, b
 	}
 	reason := ReasonScore
@@ -189,6 +189,15 @@
 	return Choice{Endpoint: best.endpoint, Reason: reason, Score: score}, nil
 }
 
+// stays reports whether a call stays in its failure domain although the other endpoint scores better: the local endpoint has
+// room and is not much slower or less reliable.
+func (p *Picker) stays(local, other *member, class Class, domain string, now int64) bool {
+	if !p.near || local.endpoint.Domain != domain || other.endpoint.Domain == domain {
+		return false
+	}
+	return taken(local, now) < roomy && p.pace(local, other, class, now) <= slower*p.pace(other, local, class, now)
+}
+
 // better returns the candidate with the lower score; the second may be nil.
 func (p *Picker) better(a, b *member, class Class, domain string, now int64) *member {
 	if b == nil || p.score(a, b, class, domain, now) <= p.score(b, a, class, domain, now) {
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -8,7 +8,9 @@
 const (
 	otherDomain = 1.5 // penalty: a local endpoint takes half as many calls again before another failure domain is chosen
 	otherRegion = 4.0
-	coldPenalty = 4.0 // added to the factor 1 at the start of a slow start
+	roomy       = 0.85 // share of its slots below which a local endpoint counts as having room
+	slower      = 3.0  // a local endpoint that is slower or fails more by this factor is not preferred
+	coldPenalty = 4.0  // added to the factor 1 at the start of a slow start
 	slowStart   = 10 * time.Second
 	errorWeight = 8.0
 	onceWeight  = 24.0            // error weight for calls that cannot be repeated
@@ -24,14 +26,7 @@
 // slow start. A latency that is not known, or that is old, is taken from the other candidate.
 func (p *Picker) score(m, other *member, c Class, domain string, now int64) float64 {
 	t := m.state
-	s := taken(m, now)
-	fresh := recent(now - t.seen.Load())
-	s *= expected(m, other, fresh)
-	w := errorWeight
-	if c == Once {
-		w = onceWeight
-	}
-	s *= 1 + w*math.Float64frombits(t.errors.Load())*fresh
+	s := taken(m, now) * p.pace(m, other, c, now)
 	if at := t.hinted.Load(); at != 0 && now-at < int64(hintLongest) {
 		s *= 1 + hintWeight*math.Float64frombits(t.hint.Load())*fade(now-at, hintMemory)
 	}
@@ -42,6 +37,19 @@
 			s *= p.remote
 		}
 	}
+	return s
+}
+
+// pace rates a member without its load: recent latency, errors and slow start.
+func (p *Picker) pace(m, other *member, c Class, now int64) float64 {
+	t := m.state
+	fresh := recent(now - t.seen.Load())
+	s := expected(m, other, fresh)
+	w := errorWeight
+	if c == Once {
+		w = onceWeight
+	}
+	s *= 1 + w*math.Float64frombits(t.errors.Load())*fresh
 	if since := t.since.Load(); since != 0 {
 		if left := 1 - float64(now-since)/float64(slowStart); left > 0 {
 			s *= 1 + coldPenalty*min(left, 1)
