--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -29,6 +29,7 @@
 	readTimeout = 3 * time.Second
 	syncSlack   = 3 * time.Second // on top of the poll interval before a Sync counts as failed
 	nudgePause  = 50 * time.Millisecond
+	renudge     = 250 * time.Millisecond // before a report that did not reach the upstream is sent again
 
 	// A version that follows another closely waits until this multiple of the time of the last swap has passed. A swap costs the
 	// process about four times what it takes here (collection, routing), so a burst stays under two percent of a core. A
@@ -247,16 +248,27 @@
 			return
 		case <-f.nudges:
 		}
-		p := f.parent.Load()
-		if p == nil {
+		if f.tell(ctx) {
+			sleep(ctx, nudgePause)
 			continue
 		}
-		if _, err := f.ask(ctx, *p, 0); err != nil {
-			f.log.V(1).Info("report not sent", "parent", p.String(), "error", err.Error())
-			f.lost()
-		}
-		sleep(ctx, nudgePause)
+		sleep(ctx, renudge)
+		f.Nudge() // else the report would wait for the end of the long poll
+	}
+}
+
+// tell sends the report to the upstream and reports whether it arrived; without an upstream it did not.
+func (f *Follower) tell(ctx context.Context) bool {
+	p := f.parent.Load()
+	if p == nil {
+		return false
+	}
+	if _, err := f.ask(ctx, *p, 0); err != nil {
+		f.log.V(1).Info("report not sent", "parent", p.String(), "error", err.Error())
+		f.lost()
+		return false
 	}
+	return true
 }
 
 // sync makes one long poll and applies its answer.
