--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -26,6 +26,7 @@
 	Deadline   time.Time
 	Objective  time.Time // an answer after it has little worth; zero for none
 	Again      bool      // its caller was refused before and comes again
+	Final      bool      // its caller does not come again when it is refused
 	Idempotent bool
 	Late       bool // a late answer is tolerated, so it gives way first
 	Suspect    bool // may crash the backend server; at most one such call runs at a time
@@ -61,6 +62,7 @@
 	depth       int  // longest queue
 	derived     bool // depth follows slots
 	connections int
+	alike       bool // callers are not told apart
 
 	mutex    sync.Mutex
 	running  map[string]run
@@ -108,6 +110,9 @@
 // calls it would only serve fewer.
 func WithFixed() Option { return func(g *Gate) { g.limit.fixed = true } }
 
+// WithAlike treats all callers as one, where their names say nothing about who they are.
+func WithAlike() Option { return func(g *Gate) { g.alike = true } }
+
 // New returns a Gate.
 func New(opts ...Option) *Gate {
 	g := &Gate{slots: 1, depth: -1, running: map[string]run{}, callers: map[string]use{}}
@@ -129,6 +134,9 @@
 func (g *Gate) Decide(now time.Time, r Request) Decision {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if g.alike {
+		r.Caller = ""
+	}
 	if g.draining {
 		return g.refuse(r.Call, outcome.Draining, 0)
 	}
@@ -146,7 +154,7 @@
 	w := waiting{Request: r, arrived: now, sequence: g.sequence}
 	g.sequence++
 	wait := g.expected(now, &w)
-	w.overdue = !r.Objective.IsZero() && now.Add(wait+service).After(r.Objective)
+	w.overdue = !r.Final && !r.Objective.IsZero() && now.Add(wait+service).After(r.Objective)
 	if w.overdue {
 		wait = g.expected(now, &w)
 	}
@@ -162,6 +170,9 @@
 	var displaced *Decision
 	if len(g.queue) >= g.depth {
 		i := g.victim(r)
+		if i < 0 && !r.Objective.IsZero() {
+			return g.refuse(r.Call, outcome.Busy, wait)
+		}
 		if i < 0 {
 			return g.refuse(r.Call, outcome.Overload, wait)
 		}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -92,6 +92,12 @@
 		if w.Priority > r.Priority {
 			continue
 		}
+		if w.Priority == r.Priority && r.Final && !w.Final {
+			if best < 0 || weaker(w, &g.queue[best]) {
+				best = i
+			}
+			continue
+		}
 		if w.Priority == r.Priority && (!w.Late || r.Late) && (rich || w.Caller == r.Caller || !g.over(w.Caller)) {
 			continue
 		}
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -79,6 +79,7 @@
 	confirmed       time.Time
 	votes           map[string]bool
 	pre             bool // the campaign is a pre-vote
+	settled         bool // a leader was known since the start
 	promises        map[string]string
 	progress        map[string]*progress
 	rounds          []round
@@ -214,7 +215,18 @@
 	}
 }
 
-func (r *Replica) rearm() { r.deadline = r.now.Add(r.election + r.random(r.election)) }
+// rearm sets the time of the next campaign. Until a replica has known a leader since its start it waits less: after a loss of
+// power of the whole group there is none, and a pre-vote does not disturb one that lives.
+func (r *Replica) rearm() {
+	if r.leader != "" || r.role == Leader {
+		r.settled = true
+	}
+	wait := r.random(r.election)
+	if r.settled {
+		wait += r.election
+	}
+	r.deadline = r.now.Add(max(wait, r.heartbeat))
+}
 
 // Status describes the replica.
 func (r *Replica) Status() Status {
--- a/core/relay/pace.go
+++ b/core/relay/pace.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -14,12 +15,13 @@
 // that doubles from 100 ms to 10 s.
 type Backoff struct {
 	Random   func(n int64) int64 // in [0, n)
+	Most     time.Duration       // largest bound; 0 for 10 s
 	attempts int
 }
 
 // Next returns the wait before the next attempt; after is what the server asked for, 0 for none, and is waited in full.
 func (b *Backoff) Next(after time.Duration) time.Duration {
-	bound := min(backoffLeast<<min(b.attempts, 16), backoffMost)
+	bound := min(backoffLeast<<min(b.attempts, 16), cmp.Or(b.Most, backoffMost))
 	b.attempts++
 	return max(after, 0) + time.Duration(b.Random(int64(bound)+1))
 }
--- a/core/retry/patience_test.go
+++ b/core/retry/patience_test.go
@@ -30,6 +30,38 @@
 	}
 }
 
+// Guards against calls of backend servers that are refused as if they could come again, which fails the request that they
+// are made for, and against callers that do return being taken for such.
+func TestReturns(t *testing.T) {
+	tests := []struct {
+		name  string
+		again int // of each ten that were refused
+		want  bool
+	}{
+		{"nobody returns", 0, false},
+		{"a few are late", 1, false},
+		{"most return", 9, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := NewPatience()
+			p.Elapsed("a", time.Second)
+			if !p.Returns("a") {
+				t.Error("before any refusal: got false, want true")
+			}
+			for i := range 500 {
+				p.Refused("a")
+				if i%10 < c.again {
+					p.Elapsed("a", 500*time.Millisecond)
+				}
+			}
+			if got := p.Returns("a"); got != c.want {
+				t.Errorf("after 500 refusals: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against retries of all nodes together above what the services bear: 17 nodes, each with its own budget.
 func TestSharedBudget(t *testing.T) {
 	const nodes, slack, ratio = 17, 62, 0.2
--- a/io/backend/order.go
+++ b/io/backend/order.go
@@ -1,6 +1,9 @@
 package backend
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // order is the place of an announcement among those for one address.
 type order struct {
@@ -57,6 +60,25 @@
 	return true
 }
 
+// Adopt takes up an endpoint that this node had before a restart, until its backend server announces itself or the window
+// ends. The agreed set still names it, so calls arrive before its next announcement.
+func (b *Backend) Adopt(a Announcement, window time.Duration) {
+	key, now := a.Key(), b.now()
+	b.mu.Lock()
+	_, known := b.endpoints[key]
+	_, left := b.gone[key]
+	if known || left || b.draining || len(b.endpoints) >= maxEndpoints {
+		b.mu.Unlock()
+		return
+	}
+	b.endpoints[key] = &endpoint{
+		key: key, ann: a, pool: b.newPool(a), running: map[*run]struct{}{}, renewed: now.Add(window - missedRenews*b.renew),
+	}
+	b.mu.Unlock()
+	b.log.Info("endpoint adopted", "endpoint", key, "address", a.Address.String(), "incarnation", a.Incarnation, "window", window.String())
+	b.announced(a)
+}
+
 // superseded returns the endpoints at the address of an announcement that an earlier process announced under another name.
 func (b *Backend) superseded(a Announcement) []string {
 	var keys []string
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -97,7 +97,7 @@
 	m := c.meta
 	m.Endpoint, m.Remaining = e.Name, c.deadline.Sub(begin)
 	if !c.aim.IsZero() {
-		m.Aim, m.Again = c.aim.Sub(begin), c.again
+		m.Aim, m.Again, m.Final = c.aim.Sub(begin), c.again, c.final
 	}
 	m.Budget, c.budget = retry.Split(c.budget)
 	r := *c.out
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -33,6 +33,7 @@
 	depth    int
 	aim      time.Time // objective; zero for none
 	again    bool      // the caller sends the request again
+	final    bool      // its callers do not return when they are refused
 	budget   int       // retries left to this node; what attempts took along is no longer in it
 	body     *body
 	key      string // idempotency key of a request that may run only once
@@ -142,6 +143,7 @@
 	}
 	elapsed, again := c.handler.patience.Elapsed(route.Name, c.deadline.Sub(c.began))
 	c.aim, c.again = c.aim.Add(-elapsed), again
+	c.final = !c.handler.patience.Returns(route.Name)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -221,6 +223,9 @@
 	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
 		"outcome", f.Kind, "reason", f.Detail, "retry", c.verdict, "error", cause(f), "took", c.took())
 	c.handler.finished(Finished{Route: c.match.Route, Code: f.Code, Kind: f.Kind, Added: -1})
+	if c.match.Route != nil && f.Kind == outcome.NotRun {
+		c.handler.patience.Refused(c.match.Route.Name)
+	}
 	hop.Strip(c.w.Header())
 	f.Write(c.w)
 }
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -22,7 +22,7 @@
 	headerTook = "Mesh-Took" // of an answer: what the backend server took, in microseconds
 	// headerRoute is apart from Mesh-Meta, since a header that repeats takes one byte on a connection of HTTP/2.
 	headerRoute = "Mesh-Route"
-	headerAim   = "Mesh-Aim"  // time left to the objective in milliseconds, and "again" for a request that comes again
+	headerAim   = "Mesh-Aim"  // time left to the objective in milliseconds, with ",again" or ",final", see Meta
 	headerLoad  = "Mesh-Load" // of an answer: calls running and waiting at the endpoint, in hundredths of its slots
 )
 
@@ -78,6 +78,7 @@
 	Route      string        // name of the route; empty from a node that does not send it
 	Aim        time.Duration // time left to the objective, negative when it is missed; 0 for none
 	Again      bool          // the caller sends the request again
+	Final      bool          // the caller does not return when it is refused
 }
 
 // MetaError says which metadata header, or field of Mesh-Meta, is missing or out of range.
@@ -142,7 +143,7 @@
 		m.Route = d.name(headerRoute, route[0])
 	}
 	if aim := h[headerAim]; len(aim) > 0 {
-		m.Aim, m.Again = d.aim(aim[0])
+		d.aim(aim[0], &m)
 	}
 	return m, d.err
 }
@@ -229,24 +230,32 @@
 	return false, false
 }
 
-const aimAgain = ",again"
+// Suffixes of Mesh-Aim.
+const (
+	aimAgain = ",again"
+	aimFinal = ",final"
+)
 
 func (m *Meta) aim() string {
 	text := strconv.FormatInt(m.Aim.Milliseconds(), 10)
-	if m.Again {
+	switch {
+	case m.Final:
+		text += aimFinal
+	case m.Again:
 		text += aimAgain
 	}
 	return text
 }
 
-func (d *decoder) aim(value string) (left time.Duration, again bool) {
+func (d *decoder) aim(value string, m *Meta) {
 	text, again := strings.CutSuffix(value, aimAgain)
+	text, final := strings.CutSuffix(text, aimFinal)
 	bound := int(MaxDeadline / time.Millisecond)
-	left = time.Duration(d.number(headerAim, text, -bound, bound)) * time.Millisecond
+	left := time.Duration(d.number(headerAim, text, -bound, bound)) * time.Millisecond
 	if left == 0 {
 		left = -time.Millisecond // less than a millisecond is left
 	}
-	return left, again
+	m.Aim, m.Again, m.Final = left, again, final
 }
 
 func (d *decoder) print(value string) (p Print) {
--- a/io/host/adapter.go
+++ b/io/host/adapter.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/wire"
@@ -22,6 +25,35 @@
 // Leave refuses new work for an endpoint beside the node; it reports false for a leave that a later process overtook.
 func (h *Host) Leave(a backend.Announcement) bool { return h.backend.Leave(a) }
 
+// LeaveAgreed is Leave, and waits until the version in force no longer names the endpoint. A node that restarts takes up the
+// endpoints that the agreed set names, so only then may the leave be acknowledged. It reports false when ctx ends first.
+func (h *Host) LeaveAgreed(ctx context.Context, a backend.Announcement) bool {
+	if !h.backend.Leave(a) {
+		return true // a later process has its place
+	}
+	for ; ; time.Sleep(agreePause) {
+		e, named := h.holder.View().Snapshot.Get("endpoint/" + a.Key())
+		if !named || !sameProcess(e.Value, a) {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+// agreePause is the time between two looks at the version in force.
+const agreePause = 10 * time.Millisecond
+
+// sameProcess reports whether an agreed endpoint is the one that leaves, and not a later process of its name.
+func sameProcess(value []byte, a backend.Announcement) bool {
+	var e wire.Endpoint
+	if err := proto.Unmarshal(value, &e); err != nil {
+		return true
+	}
+	return a.Incarnation == 0 || e.GetIncarnation() <= a.Incarnation
+}
+
 // Reseed replaces the seeds after a change of the settings.
 func (h *Host) Reseed(seeds []netip.AddrPort) { h.known.reseed(seeds) }
 
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -74,7 +74,7 @@
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
 	}
-	r, err := replica.New(
+	options := []replica.Option{
 		replica.WithFolder(s.Data),
 		replica.WithName(s.Name),
 		replica.WithNames(p.known.founders()...),
@@ -88,7 +88,11 @@
 		replica.WithClocks(p.courier.Clock),
 		replica.WithApplied(func(uint64) { c.signal() }),
 		replica.WithPaused(c.paused),
-	)
+	}
+	if s.Timing.Election > 0 {
+		options = append(options, replica.WithElection(s.Timing.Election, s.Timing.Heartbeat))
+	}
+	r, err := replica.New(options...)
 	if err != nil {
 		return nil, err
 	}
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -157,6 +157,7 @@
 	return admission.Request{
 		Objective:  objective,
 		Again:      m.Again,
+		Final:      m.Final,
 		Call:       m.Call,
 		Caller:     m.Caller,
 		Kind:       m.Route,
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -72,6 +72,7 @@
 	toGate    []admission.Option
 	toPicker  []routing.Option
 	extra     []extra
+	adopted   adoption
 	started   time.Time
 	// redirected is used on replicas only.
 	redirected redirects
@@ -114,6 +115,38 @@
 	return func(h *Host) { h.toPicker = append(h.toPicker, opts...) }
 }
 
+// WithAdopted makes the node take up its endpoints at an address after a restart, before their backend server announces
+// itself: those that the agreed set still names as its own, for a window. Each call must name the process that may run it.
+func WithAdopted(address netip.AddrPort, window time.Duration) Option {
+	return func(h *Host) { h.adopted.address, h.adopted.window = address, window }
+}
+
+// adoption is what WithAdopted sets.
+type adoption struct {
+	address netip.AddrPort
+	window  time.Duration
+	once    sync.Once
+}
+
+// adopt takes up the node's endpoints of the first version that it serves.
+func (h *Host) adopt(v peer.View) {
+	if h.adopted.window == 0 || !h.holder.Serving() {
+		return
+	}
+	h.adopted.once.Do(func() {
+		_, endpoints := v.Snapshot.Members()
+		for _, e := range endpoints {
+			if e.GetNode() != h.settings.Name {
+				continue
+			}
+			h.backend.Adopt(backend.Announcement{
+				Service: e.GetService(), Endpoint: e.GetName(), Address: h.adopted.address, Slots: int(e.GetSlots()),
+				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(),
+			}, h.adopted.window)
+		}
+	})
+}
+
 // WithListener opens one more listener; its handler is made when the process is complete.
 func WithListener(name string, address netip.AddrPort, handler func(h *Host) http.Handler) Option {
 	return func(h *Host) { h.extra = append(h.extra, extra{name: name, address: address, handler: handler}) }
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -55,12 +55,15 @@
 		peer.WithPoll(pollOf(h.settings)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithTaken(h.taken),
-		peer.WithSynced(h.upstream.learn),
+		peer.WithSynced(h.synced),
 		peer.WithFollowerLog(h.log.WithName("follower")),
 	}
 	if slack := h.settings.Timing.Slack; slack > 0 {
 		options = append(options, peer.WithSlack(slack))
 	}
+	if b := h.settings.Timing.Backoff; b > 0 {
+		options = append(options, peer.WithBackoff(b))
+	}
 	if stale := h.settings.Timing.Stale; stale > 0 {
 		options = append(options, peer.WithStale(stale))
 	}
@@ -81,6 +84,12 @@
 	return nil
 }
 
+// synced follows an answered poll.
+func (h *Host) synced(r *rpc.SyncResponse, v peer.View) {
+	h.upstream.learn(r, v)
+	h.adopt(v)
+}
+
 // parents returns the upstreams; the leader has none, since all others take from it.
 func (h *Host) parents() []netip.AddrPort {
 	if h.control != nil {
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -58,6 +58,7 @@
 	poll        time.Duration
 	slack       time.Duration
 	stale       time.Duration
+	backoff     time.Duration // longest; 0 for the default
 	log         logr.Logger
 	mismatch    func()
 	taken       func(whole bool)
@@ -113,6 +114,9 @@
 // the source; 0 for no limit.
 func WithStale(t time.Duration) FollowerOption { return func(f *Follower) { f.stale = t } }
 
+// WithBackoff sets the longest wait after a failure.
+func WithBackoff(t time.Duration) FollowerOption { return func(f *Follower) { f.backoff = t } }
+
 // WithMismatch sets a function that counts digest mismatches.
 func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
 
@@ -205,7 +209,7 @@
 
 // run polls without end, with a growing delay after failures.
 func (f *Follower) run(ctx context.Context) {
-	for b := newBackoff(); ctx.Err() == nil; {
+	for b := newBackoff(f.backoff); ctx.Err() == nil; {
 		err := f.pollParents(ctx)
 		if err == nil {
 			b.Reset()
@@ -220,8 +224,10 @@
 	}
 }
 
-// newBackoff returns the delays between attempts of one loop.
-func newBackoff() *relay.Backoff { return &relay.Backoff{Random: rand.Int64N} }
+// newBackoff returns the delays between attempts of one loop; most is 0 for the default.
+func newBackoff(most time.Duration) *relay.Backoff {
+	return &relay.Backoff{Random: rand.Int64N, Most: most}
+}
 
 func sleep(ctx context.Context, t time.Duration) {
 	timer := time.NewTimer(t)
--- a/io/peer/holder_test.go
+++ b/io/peer/holder_test.go
@@ -124,7 +124,7 @@
 	for attempt, bound := range map[int]time.Duration{1: 100 * time.Millisecond, 4: 800 * time.Millisecond, 30: 10 * time.Second} {
 		var quarters [4]int
 		for range 1000 {
-			b := newBackoff()
+			b := newBackoff(0)
 			for range attempt - 1 {
 				b.Next(0)
 			}
--- a/io/peer/proposer.go
+++ b/io/peer/proposer.go
@@ -178,7 +178,7 @@
 // Announce tells the replicas about the node and its endpoints until one accepts or ctx ends, and returns the lease.
 func (p *Proposer) Announce(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error) {
 	var last error = &NoParentError{}
-	for b := newBackoff(); ctx.Err() == nil; {
+	for b := newBackoff(0); ctx.Err() == nil; {
 		lease, err := InTurn(p.replicas(), func(a netip.AddrPort) (time.Duration, error) { return p.announce(ctx, a, r) })
 		if err == nil {
 			return lease, nil
--- a/io/peer/prove.go
+++ b/io/peer/prove.go
@@ -13,7 +13,7 @@
 
 // prove reads the floor until that succeeds.
 func (f *Follower) prove(ctx context.Context) {
-	for b := newBackoff(); ctx.Err() == nil && !f.holder.Proven(); {
+	for b := newBackoff(f.backoff); ctx.Err() == nil && !f.holder.Proven(); {
 		floor, err := f.floor(ctx)
 		if err == nil {
 			f.holder.Prove(floor)
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -95,7 +95,10 @@
 	Slack   time.Duration // on top of Poll before an upstream counts as failed
 	Lease   time.Duration // of an announcement
 	Stale   time.Duration // age of the last quorum confirmation from which an upstream is avoided
-	Silence time.Duration // after which an unanswered connection to another node is given up
+	Backoff time.Duration // longest wait before an upstream that failed is asked again
+	// Election and Heartbeat are those of the control replicas; both or none are set.
+	Election, Heartbeat time.Duration
+	Silence             time.Duration // after which an unanswered connection to another node is given up
 }
 
 // Fault is one thing that is wrong with an input file.
