--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -34,6 +34,7 @@
 	headers   func(http.Header, hop.Meta, time.Time)
 	foreign   func(*http.Request, *http.Response) bool
 	judge     func(*http.Response) *outcome.Failure
+	named     func(http.Header) string // nil when requests are not named
 	whole     int64
 	renew     time.Duration
 	now       func() time.Time
@@ -41,7 +42,8 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
-	gone      map[string]order // of endpoints that left, by key
+	contexts  map[string]string // of running requests, by their id
+	gone      map[string]order  // of endpoints that left, by key
 	draining  bool
 	running   int           // calls in flight
 	idle      chan struct{} // closed when the last call in flight ends; nil when nobody waits
@@ -68,6 +70,7 @@
 		judge:     func(*http.Response) *outcome.Failure { return nil },
 		endpoints: map[string]*endpoint{},
 		gone:      map[string]order{},
+		contexts:  map[string]string{},
 	}
 	b.headers = b.meshHeaders
 	for _, o := range opts {
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -98,6 +98,7 @@
 	release  func(Result)
 	unguard  func(Result)
 	status   int
+	id       string // by which calls for this request name it; empty when they do not
 	once     sync.Once
 }
 
@@ -146,6 +147,7 @@
 		h[k] = v
 	}
 	d, _ := ctx.Deadline()
+	l.name(h, d)
 	l.backend.headers(h, l.meta, d)
 	out := hop.Rebuild(ctx, r, "http", l.pool.address)
 	out.Header = h
@@ -155,6 +157,30 @@
 	return out
 }
 
+// name keeps the context of the request for the calls that name it.
+func (l *flight) name(h http.Header, deadline time.Time) {
+	b := l.backend
+	if b.named == nil || deadline.IsZero() {
+		return
+	}
+	l.id = b.named(h)
+	if l.id == "" {
+		return
+	}
+	context := b.context(l.meta, deadline)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.contexts[l.id] = context
+}
+
+// Context returns the context of a request that runs at a backend server beside the node, by its id.
+func (b *Backend) Context(id string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, ok := b.contexts[id]
+	return c, ok
+}
+
 // meshHeaders sets the headers that a backend server of the mesh's own interface gets.
 func (b *Backend) meshHeaders(h http.Header, m hop.Meta, deadline time.Time) {
 	h[outcome.HeaderCall] = []string{m.Call}
@@ -241,6 +267,9 @@
 		}
 		b.mu.Lock()
 		delete(l.endpoint.running, l.run)
+		if l.id != "" {
+			delete(b.contexts, l.id)
+		}
 		b.running--
 		if b.running == 0 && b.idle != nil {
 			close(b.idle)
--- a/io/backend/seams.go
+++ b/io/backend/seams.go
@@ -95,6 +95,10 @@
 	return func(b *Backend) { b.judge = f }
 }
 
+// WithNamed sets how the id of a request is read from its headers, for backend servers that name a request in the calls that
+// they make for it; see Context.
+func WithNamed(f func(h http.Header) string) Option { return func(b *Backend) { b.named = f } }
+
 // WithWhole makes answers up to n bytes be read whole before they are passed on, so that one which breaks off is a failure
 // and not a broken answer.
 func WithWhole(n int64) Option { return func(b *Backend) { b.whole = n } }
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -138,8 +138,8 @@
 		return
 	}
 	c.aim = c.began.Add(route.Latency)
-	if asked == "" {
-		return
+	if asked == "" || c.depth > 1 {
+		return // a call of a backend server may be sent late in the time of the request that it is made for
 	}
 	elapsed, again := c.handler.patience.Elapsed(route.Name, c.deadline.Sub(c.began))
 	c.aim, c.again = c.aim.Add(-elapsed), again
--- a/io/host/adapter.go
+++ b/io/host/adapter.go
@@ -54,6 +54,10 @@
 	return a.Incarnation == 0 || e.GetIncarnation() <= a.Incarnation
 }
 
+// Context returns the context of a request that runs at the backend server beside the node, by its id; see
+// backend.WithNamed.
+func (h *Host) Context(id string) (string, bool) { return h.backend.Context(id) }
+
 // Reseed replaces the seeds after a change of the settings.
 func (h *Host) Reseed(seeds []netip.AddrPort) { h.known.reseed(seeds) }
 
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"godwitspindle/core/admission"
+	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/hop"
@@ -154,14 +155,19 @@
 	if m.Aim != 0 {
 		objective = time.Now().Add(m.Aim)
 	}
+	priority := m.Priority
+	inner := m.Depth > 1 // made for a request that runs, whose work would be lost
+	if inner {
+		priority = config.MaxPriority
+	}
 	return admission.Request{
 		Objective:  objective,
 		Again:      m.Again,
-		Final:      m.Final,
+		Final:      m.Final || inner && m.Aim != 0,
 		Call:       m.Call,
 		Caller:     m.Caller,
 		Kind:       m.Route,
-		Priority:   m.Priority,
+		Priority:   priority,
 		Deadline:   deadline,
 		Idempotent: m.Idempotent,
 		Late:       m.Late,
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -66,7 +66,7 @@
 	reported atomic.Uint64
 	dial     Dial
 	// What adapters to other interfaces add.
-	wrap      func(next http.Handler) http.Handler
+	wrap      func(h *Host, callers, local http.Handler) http.Handler
 	identify  []caller.Option
 	toBackend []backend.Option
 	toGate    []admission.Option
@@ -90,8 +90,9 @@
 // WithDial replaces the function that opens connections to other nodes, for tests of partitions.
 func WithDial(d Dial) Option { return func(h *Host) { h.dial = d } }
 
-// WithCallers wraps the handler of callers, for callers that speak another interface than the mesh's own.
-func WithCallers(wrap func(next http.Handler) http.Handler) Option {
+// WithCallers replaces the handler of the listener for callers by one that passes on to the mesh's own two: that for callers
+// and that for calls of backend servers beside the node.
+func WithCallers(wrap func(h *Host, callers, local http.Handler) http.Handler) Option {
 	return func(h *Host) { h.wrap = wrap }
 }
 
@@ -170,7 +171,7 @@
 		known:       newDirectory(s),
 		locals:      map[string]*local{},
 		turns:       newTurns(),
-		wrap:        func(next http.Handler) http.Handler { return next },
+		wrap:        func(_ *Host, callers, _ http.Handler) http.Handler { return callers },
 		bound:       map[string]netip.AddrPort{},
 		servers:     map[string]*process.Server{},
 		started:     time.Now(),
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -42,7 +42,7 @@
 		limits  process.Limits
 		base    *http.Server
 	}{
-		{"listen.caller", l.Caller, h.wrap(h.callers), calls, caller.HTTPServer(h.callers)},
+		{"listen.caller", l.Caller, h.wrap(h, h.callers, h.locally), calls, caller.HTTPServer(h.callers)},
 		{"listen.local", l.Local, h.locally, calls, caller.HTTPServer(h.locally)},
 		{"listen.backend", l.Backend, h.backend.Handler(), process.DefaultLimits(), nil},
 		{"listen.metrics", l.Metrics, h.scraped(), process.DefaultLimits(), nil},
