--- a/cmd/run.go
+++ b/cmd/run.go
@@ -48,6 +48,7 @@
 	Revert   *revertCommand   `arg:"subcommand:revert" help:"propose the content of an earlier version"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"check settings, register and rules files"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run a process on the users' platform, with the settings file that GODWITSPINDLE_CONFIG names"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the way of one request through logs"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a small mesh in one process on loopback"`
 }
 
@@ -139,6 +140,8 @@
 		return a.Revert.run(s)
 	case a.Check != nil:
 		return a.Check.run(s)
+	case a.Explain != nil:
+		return a.Explain.run(s)
 	case a.Platform != nil:
 		return a.Platform.run(s)
 	}
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -159,7 +159,7 @@
 		wait = g.expected(now, &w)
 	}
 	if excess := w.excess(now, wait, service); excess > 0 {
-		return g.refuse(r.Call, outcome.Busy, excess)
+		return g.refuse(r.Call, outcome.Busy, w.back(now, excess, service))
 	}
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
 		return g.refuse(r.Call, outcome.Late, wait)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -11,6 +11,7 @@
 const (
 	longestPause = 30 * time.Second      // a Retry-After above this is a fault of the backend server
 	leastAfter   = 50 * time.Millisecond // shortest suggested wait after an overload
+	backShare    = 70                    // percent of the time that is left until the answer must begin
 )
 
 // start refuses queued calls that cannot make their deadline and admits others while slots are free.
@@ -133,6 +134,15 @@
 	return now.Add(wait + service).Sub(w.Objective)
 }
 
+// back returns when a refused caller should come again: when the queue has shortened enough or, if that is later, while an
+// answer within the objective is still possible.
+func (w *waiting) back(now time.Time, excess, service time.Duration) time.Duration {
+	if left := w.Objective.Sub(now) - service; left > 0 && !w.Again {
+		return min(excess, left*backShare/100)
+	}
+	return excess
+}
+
 // before is the order of the queue: priority, calls that can meet their objective, deadline (none is last), arrival.
 func before(a, b *waiting) bool {
 	if a.Priority != b.Priority {
--- a/core/outcome/failure.go
+++ b/core/outcome/failure.go
@@ -19,7 +19,7 @@
 // Code is a stable machine-readable reason for a failure.
 type Code string
 
-// Codes of failure; docs/operations.md says what to do about each.
+// Codes of failure; docs/OPERATIONS.md says what to do about each.
 const (
 	NoRoute     Code = "noroute"     // no route matches
 	Internal    Code = "internal"    // the service is internal and the caller is not
--- a/core/outcome/page_test.go
+++ b/core/outcome/page_test.go
@@ -39,7 +39,7 @@
 // Guards against a code that an operator or caller meets and the page does not explain, and against a code of the page
 // that the program does not use.
 func TestPageListsCodes(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -222,7 +222,7 @@
 	return nil
 }
 
-// resort takes the best ejected endpoint, since an endpoint that may fail is better than a certain refusal.
+// resort takes the best endpoint that is ejected or was not reached lately, since an endpoint that may fail is better than a certain refusal.
 func (p *Picker) resort(v *view, c Call, domain string, now int64) (Choice, error) {
 	e := &NoEndpointError{Service: c.Service.Name, Endpoints: len(v.members)}
 	var best *member
@@ -233,7 +233,7 @@
 			e.Tried++
 			continue
 		}
-		if until := m.state.avoid.Load(); until > now {
+		if until := m.state.avoid.Load(); until > now && !m.state.doubtful() {
 			e.Avoided++
 			if d := time.Duration(until - now); e.After == 0 || d < e.After {
 				e.After = d
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -93,6 +93,16 @@
 	return t
 }
 
+// Unreachable is the reason of an avoidance that is a guess: the endpoint may be back.
+const Unreachable = "unreachable"
+
+// doubtful reports whether the endpoint is avoided only since it was not reached.
+func (t *state) doubtful() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.reason == Unreachable
+}
+
 func (t *state) usable(now int64) bool { return t.avoid.Load() <= now && t.eject.Load() <= now }
 
 // Start records that a call to the endpoint (key SERVICE/NAME) begins; each Start needs one Done.
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -221,8 +221,8 @@
 func (c *call) refuse(f *outcome.Failure) {
 	f = c.wholeKey(hop.AsFailure(f, c.id))
 	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
-		"outcome", f.Kind, "reason", f.Detail, "retry", c.verdict, "error", cause(f), "took", c.took())
-	c.handler.finished(Finished{Route: c.match.Route, Code: f.Code, Kind: f.Kind, Added: -1})
+		"outcome", f.Kind, "version", c.match.Version, "reason", f.Detail, "retry", c.verdict, "after", f.After.String(), "error", cause(f), "took", c.took())
+	c.handler.finished(Finished{Route: c.match.Route, Code: f.Code, Kind: f.Kind, Added: -1, Took: c.handler.now().Sub(c.began)})
 	if c.match.Route != nil && f.Kind == outcome.NotRun {
 		c.handler.patience.Refused(c.match.Route.Name)
 	}
@@ -244,17 +244,17 @@
 }
 
 func (c *call) succeeded(status int) {
-	c.handler.finished(Finished{Route: c.match.Route, Added: c.added})
+	c.handler.finished(Finished{Route: c.match.Route, Added: c.added, Took: c.handler.now().Sub(c.began)})
 	if !c.shed && !c.handler.sample() {
 		return
 	}
 	c.handler.log.Info("request answered", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "status", status,
-		"reason", c.reason, "retry", c.verdict, "took", c.took())
+		"version", c.match.Version, "reason", c.reason, "retry", c.verdict, "took", c.took())
 }
 
 func (c *call) broken(err error) {
 	c.handler.log.Info("answer broke off", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "error", err.Error(),
-		"reason", c.reason, "took", c.took())
+		"version", c.match.Version, "reason", c.reason, "took", c.took())
 	c.handler.finished(Finished{Route: c.match.Route, Code: outcome.Truncated, Kind: outcome.Lost, Added: -1})
 }
 
--- a/io/caller/seams.go
+++ b/io/caller/seams.go
@@ -16,6 +16,7 @@
 type Match struct {
 	Route   *config.Route
 	Service *config.Service
+	Version uint64 // of the configuration that they belong to
 }
 
 // Pick asks for an endpoint.
@@ -40,6 +41,7 @@
 	Route *config.Route // nil when none matched
 	Code  outcome.Code  // empty when the backend server answered
 	Kind  outcome.Kind  // outcome.None when the backend server answered
+	Took  time.Duration // from the arrival of the request to its answer
 	Added time.Duration // time until the head of the answer that the backend server did not take; negative when not known
 }
 
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -35,13 +35,13 @@
 	t := h.holder.View().Table
 	r, ok := t.Match(host, path, method)
 	if !ok {
-		return caller.Match{}, nil
+		return caller.Match{Version: t.Version()}, nil
 	}
 	s, ok := t.Service(h.turns.service(r))
 	if !ok {
 		return caller.Match{}, nil
 	}
-	return caller.Match{Route: r, Service: s}, nil
+	return caller.Match{Route: r, Service: s, Version: t.Version()}, nil
 }
 
 // pick chooses an endpoint.
@@ -75,7 +75,7 @@
 	case outcome.Draining, outcome.NoEndpoint:
 		h.picker.Avoid(endpoint, o.At.Add(avoidDraining), string(f.Code))
 	case outcome.Unreachable:
-		h.picker.Avoid(endpoint, o.At.Add(avoidUnreachable), string(f.Code))
+		h.picker.Avoid(endpoint, o.At.Add(avoidUnreachable), routing.Unreachable)
 	}
 }
 
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -217,6 +217,9 @@
 		clientOptions = append(clientOptions, peer.WithClientDialTLS(t.Dial))
 		hopOptions = append(hopOptions, hop.WithDialTLS(t.Dial))
 	}
+	if d := h.settings.Timing.Dial; d > 0 {
+		hopOptions = append(hopOptions, hop.WithDialTimeout(d))
+	}
 	h.clients = peer.NewClients(clientOptions...)
 	h.hops = hop.New(hopOptions...)
 	h.proposer = peer.NewProposer(h.clients, h.upstream.replicas, h.log.WithName("proposer"))
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/retry"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/caller"
@@ -109,7 +110,11 @@
 		backend.WithGuard(h.protect),
 		backend.WithCrashed(h.crashed),
 		backend.WithContext(func(m hop.Meta, deadline time.Time) string {
-			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: m.Budget}.String()
+			share := m.Budget
+			if h.settings.Retries.Percent > 0 {
+				share = retry.MaxShare // the budget that all nodes share bounds the retries of calls below, too
+			}
+			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share}.String()
 		}),
 		backend.WithLog(h.log.WithName("backend")),
 	}, h.toBackend...)...)
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -13,6 +13,7 @@
 // finished counts the outcome of a call at the node that took it from its caller.
 func (h *Host) finished(f caller.Finished) {
 	h.metrics.Calls.WithLabelValues(string(f.Kind), string(f.Code), classLabel(f.Route)).Inc()
+	h.metrics.Requests.WithLabelValues(string(f.Kind), classLabel(f.Route)).Observe(f.Took.Seconds())
 	if f.Added >= 0 {
 		h.metrics.Added.Observe(f.Added.Seconds())
 	}
--- a/io/operator/problem.go
+++ b/io/operator/problem.go
@@ -9,7 +9,7 @@
 	"godwitspindle/core/wire"
 )
 
-// Stable codes of problems; docs/operations.md says what to do about each.
+// Stable codes of problems; docs/OPERATIONS.md says what to do about each.
 const (
 	CodeConflict     = "conflict"     // another change was accepted above the base
 	CodeInvalid      = "invalid"      // the content has faults
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -137,7 +137,7 @@
 			p.write(w)
 			return
 		}
-		p := &Problem{Title: "no such path or method", Status: http.StatusNotFound, Code: CodeNoPath, Detail: r.Method + " " + r.URL.Path, Next: "see docs/operations.md"}
+		p := &Problem{Title: "no such path or method", Status: http.StatusNotFound, Code: CodeNoPath, Detail: r.Method + " " + r.URL.Path, Next: "see docs/OPERATIONS.md"}
 		p.write(w)
 	})
 	return s
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -12,29 +12,30 @@
 type Metrics struct {
 	Registry *prometheus.Registry
 
-	Calls         *prometheus.CounterVec // outcome, code, class
-	Added         prometheus.Histogram   // seconds added to a call by the mesh
-	Retries       *prometheus.CounterVec // kind: retry, repick
-	Crossed       prometheus.Counter     // answers dropped because their call id did not match
-	Running       prometheus.Gauge       // calls admitted and running at this node's backend server
-	Queued        prometheus.Gauge       // calls waiting for a slot
-	Refusals      *prometheus.CounterVec // code
-	Claims        *prometheus.CounterVec // state
-	Quarantine    prometheus.Gauge       // fingerprints in quarantine
-	ControlBytes  *prometheus.CounterVec // message, direction: sent, received
-	Convergence   prometheus.Histogram   // seconds from accepted to in force everywhere
-	Version       prometheus.Gauge       // snapshot version in force on this node
-	Age           prometheus.Gauge       // seconds since the last quorum confirmation; negative when never
-	Whole         prometheus.Counter     // full snapshots taken
-	Deltas        prometheus.Counter     // deltas taken
-	Given         prometheus.Counter     // full snapshots given to other nodes
-	Mismatches    prometheus.Counter     // digest mismatches
-	Commits       prometheus.Counter     // commands of the agreed log applied
-	Term          prometheus.Gauge       // current term
-	Leader        prometheus.Gauge       // 1 on the leader
-	Sync          prometheus.Histogram   // seconds of one fsync of the log
-	RefusedOpens  *prometheus.CounterVec // listener: connections closed over the limit
-	OperatorCalls *prometheus.CounterVec // path, status
+	Calls         *prometheus.CounterVec   // outcome, code, class
+	Requests      *prometheus.HistogramVec // seconds; outcome, class
+	Added         prometheus.Histogram     // seconds added to a call by the mesh
+	Retries       *prometheus.CounterVec   // kind: retry, repick
+	Crossed       prometheus.Counter       // answers dropped because their call id did not match
+	Running       prometheus.Gauge         // calls admitted and running at this node's backend server
+	Queued        prometheus.Gauge         // calls waiting for a slot
+	Refusals      *prometheus.CounterVec   // code
+	Claims        *prometheus.CounterVec   // state
+	Quarantine    prometheus.Gauge         // fingerprints in quarantine
+	ControlBytes  *prometheus.CounterVec   // message, direction: sent, received
+	Convergence   prometheus.Histogram     // seconds from accepted to in force everywhere
+	Version       prometheus.Gauge         // snapshot version in force on this node
+	Age           prometheus.Gauge         // seconds since the last quorum confirmation; negative when never
+	Whole         prometheus.Counter       // full snapshots taken
+	Deltas        prometheus.Counter       // deltas taken
+	Given         prometheus.Counter       // full snapshots given to other nodes
+	Mismatches    prometheus.Counter       // digest mismatches
+	Commits       prometheus.Counter       // commands of the agreed log applied
+	Term          prometheus.Gauge         // current term
+	Leader        prometheus.Gauge         // 1 on the leader
+	Sync          prometheus.Histogram     // seconds of one fsync of the log
+	RefusedOpens  *prometheus.CounterVec   // listener: connections closed over the limit
+	OperatorCalls *prometheus.CounterVec   // path, status
 }
 
 const space = "godwitspindle"
@@ -61,8 +62,12 @@
 // NewMetrics returns registered collectors.
 func NewMetrics() *Metrics {
 	m := &Metrics{
-		Registry:     prometheus.NewRegistry(),
-		Calls:        counters("calls_total", "Calls answered, by outcome (empty for an answer of the backend server), code and class.", "outcome", "code", "class"),
+		Registry: prometheus.NewRegistry(),
+		Calls:    counters("calls_total", "Calls answered, by outcome (empty for an answer of the backend server), code and class.", "outcome", "code", "class"),
+		Requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: space, Name: "request_seconds", Help: "Time from a request's arrival to its answer, by outcome and class.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 13),
+		}, []string{"outcome", "class"}),
 		Added:        histogram("added_seconds", "Time until the head of an answer that the backend server did not take.", 0.00005, 2, 14),
 		Retries:      counters("retries_total", "Attempts after the first, by kind (retry or repick).", "kind"),
 		Crossed:      counter("crossed_answers_total", "Answers dropped because their call id did not match."),
@@ -88,7 +93,7 @@
 		OperatorCalls: counters("operator_requests_total", "Requests of operators, by path and status.", "path", "status"),
 	}
 	m.Registry.MustRegister(
-		m.Calls, m.Added, m.Retries, m.Crossed, m.Running, m.Queued, m.Refusals, m.Claims, m.Quarantine,
+		m.Calls, m.Requests, m.Added, m.Retries, m.Crossed, m.Running, m.Queued, m.Refusals, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.Age, m.Whole, m.Deltas, m.Given, m.Mismatches,
 		m.Commits, m.Term, m.Leader, m.Sync, m.RefusedOpens, m.OperatorCalls,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -96,6 +96,7 @@
 	Lease   time.Duration // of an announcement
 	Stale   time.Duration // age of the last quorum confirmation from which an upstream is avoided
 	Backoff time.Duration // longest wait before an upstream that failed is asked again
+	Dial    time.Duration // longest time to open a connection for a call
 	// Election and Heartbeat are those of the control replicas; both or none are set.
 	Election, Heartbeat time.Duration
 	Silence             time.Duration // after which an unanswered connection to another node is given up
--- a/io/process/settings_test.go
+++ b/io/process/settings_test.go
@@ -67,7 +67,7 @@
 
 // Guards against documentation that names another field, unit or default than the code has.
 func TestDocumentation(t *testing.T) {
-	data, err := os.ReadFile("../../docs/operations.md")
+	data, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,7 +81,7 @@
 		}
 		want := "| `" + f.Path + "` | " + f.Unit + " | " + def + " |"
 		if !strings.Contains(string(data), want) {
-			t.Errorf("got no row %q in docs/operations.md", want)
+			t.Errorf("got no row %q in docs/OPERATIONS.md", want)
 		}
 	}
 	rows := strings.Count(string(data), "\n| `") - strings.Count(string(data[strings.Index(string(data), "<!-- end of settings -->"):]), "\n| `")
