--- a/core/admission/objective_test.go
+++ b/core/admission/objective_test.go
@@ -208,3 +208,29 @@
 		t.Errorf("limit: got %d, want 12", got)
 	}
 }
+
+// Load pattern: requests whose runs call the same service that other callers use. Guards against calls of running requests
+// that wait behind new requests of the same priority, which loses the work that was done for them, and against calls that go
+// before more urgent requests.
+func TestCallsOfRunningRequestsFirst(t *testing.T) {
+	g := New(WithSlots(1), WithQueue(8), WithFixed())
+	ask := func(call string, priority int, final bool) {
+		g.Decide(start, Request{Call: call, Kind: call[:1], Priority: priority, Final: final, Objective: start.Add(time.Second), Deadline: start.Add(2 * time.Second)})
+	}
+	ask("running", 5, false)
+	ask("new", 5, false)
+	ask("call", 5, true)
+	ask("urgent", 9, false)
+	var got []string
+	for call := "running"; call != ""; {
+		next := ""
+		for _, d := range g.Done(start.Add(time.Millisecond), call, time.Millisecond, true) {
+			got = append(got, d.Call)
+			next = d.Call
+		}
+		call = next
+	}
+	if want := "[urgent call new]"; fmt.Sprint(got) != want {
+		t.Errorf("order: got %v, want %s", got, want)
+	}
+}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -143,11 +143,15 @@
 	return excess
 }
 
-// before is the order of the queue: priority, calls that can meet their objective, deadline (none is last), arrival.
+// before is the order of the queue: priority, calls whose refusal would be final, calls that can meet their objective,
+// deadline (none is last), arrival.
 func before(a, b *waiting) bool {
 	if a.Priority != b.Priority {
 		return a.Priority > b.Priority
 	}
+	if a.Final != b.Final {
+		return a.Final
+	}
 	if a.overdue != b.overdue {
 		return b.overdue
 	}
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"godwitspindle/core/admission"
-	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/hop"
@@ -155,11 +154,7 @@
 	if m.Aim != 0 {
 		objective = time.Now().Add(m.Aim)
 	}
-	priority := m.Priority
 	inner := m.Depth > 1 // made for a request that runs, whose work would be lost
-	if inner {
-		priority = config.MaxPriority
-	}
 	return admission.Request{
 		Objective:  objective,
 		Again:      m.Again,
@@ -167,7 +162,7 @@
 		Call:       m.Call,
 		Caller:     m.Caller,
 		Kind:       m.Route,
-		Priority:   priority,
+		Priority:   m.Priority,
 		Deadline:   deadline,
 		Idempotent: m.Idempotent,
 		Late:       m.Late,
