--- /dev/null
+++ b/io/backend/foreign_test.go
@@ -0,0 +1,150 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"godwitspindle/core/outcome"
+)
+
+const echoed = "Attempt"
+
+// Guards against an answer that reaches another caller: a backend server sends the answer to an earlier request once more where
+// the next one is due, on a connection that is kept. The answer that follows belongs to the request.
+func TestForeignAnswer(t *testing.T) {
+	tests := []struct {
+		name  string
+		extra func(id string) string // sent before the answer to the second request
+		want  string                 // body or code of failure
+	}{
+		{"nothing", func(string) string { return "" }, "second"},
+		{"the first answer again", func(id string) string { return answerText(id, "first") }, "second"},
+		{"several", func(id string) string { return answerText(id, "first") + answerText("other", "odd") }, "second"},
+		{"only others", func(id string) string {
+			text := ""
+			for range maxForeign + 1 {
+				text += answerText(id, "first")
+			}
+			return text
+		}, string(outcome.Reset)},
+		{"bytes that are no answer", func(string) string { return "\x00\x01 odd bytes\r\n\r\n" }, string(outcome.Reset)},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go serveTwice(l, c.extra)
+			b := New(
+				WithForeign(func(r *http.Request, p *http.Response) bool { return p.Header.Get(echoed) != r.Header.Get(echoed) }),
+				WithWhole(1<<10),
+			)
+			defer func() { _ = b.Close() }()
+			a := Announcement{Service: "counter", Endpoint: "a", Address: netip.MustParseAddrPort(l.Addr().String()), Slots: 2, Connections: 1}
+			if f := b.Announce(a); f != nil {
+				t.Fatal(f)
+			}
+			if got := bodyOrCode(t, b, "1"); got != "first" {
+				t.Fatalf("first request: got %q, want first", got)
+			}
+			time.Sleep(20 * time.Millisecond) // else the extra bytes are there before the connection is used again
+			if got := bodyOrCode(t, b, "2"); got != c.want {
+				t.Errorf("second request: got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func answerText(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", echoed, id, len(body), body)
+}
+
+// serveTwice answers two requests on one connection, with extra bytes before the second answer.
+func serveTwice(l net.Listener, extra func(id string) string) {
+	n, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = n.Close() }()
+	in := bufio.NewReader(n)
+	for _, body := range []string{"first", "second"} {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		text := answerText(r.Header.Get(echoed), body)
+		if body == "second" {
+			text = extra("1") + text
+		}
+		_, _ = io.WriteString(n, text)
+	}
+	_, _ = in.ReadByte() // until the other side closes
+}
+
+func bodyOrCode(t *testing.T, b *Backend, id string) string {
+	t.Helper()
+	p, err := b.Do(t.Context(), testMeta(id), call("/x", echoed, id))
+	var f *outcome.Failure
+	if err != nil {
+		f, _ = err.(*outcome.Failure)
+		return string(f.Code)
+	}
+	defer func() { _ = p.Body.Close() }()
+	body, err := io.ReadAll(p.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+// Guards against announcements and leaves that overtake each other: a late one must not bring back a process that left, nor
+// replace one that started later.
+func TestAnnouncementOrder(t *testing.T) {
+	b := New()
+	defer func() { _ = b.Close() }()
+	at := netip.MustParseAddrPort("127.0.0.1:9")
+	say := func(id string, born, sequence uint64) func() {
+		return func() {
+			_ = b.Announce(Announcement{Service: "counter", Endpoint: id, Address: at, Slots: 1, Connections: 1, Incarnation: born, Sequence: sequence})
+		}
+	}
+	leave := func(id string, born uint64) func() {
+		return func() { b.Leave(Announcement{Service: "counter", Endpoint: id, Address: at, Incarnation: born}) }
+	}
+	for _, c := range []struct {
+		name string
+		do   func()
+		want string // endpoints with their start and sequence
+	}{
+		{"first", say("a", 100, 1), "a/100/1"},
+		{"next", say("a", 100, 3), "a/100/3"},
+		{"late", say("a", 100, 2), "a/100/3"},
+		{"leave", leave("a", 100), ""},
+		{"late after the leave", say("a", 100, 4), ""},
+		{"later start, same name", say("a", 200, 1), "a/200/1"},
+		{"leave of the earlier start", leave("a", 100), "a/200/1"},
+		{"earlier start", say("a", 100, 9), "a/200/1"},
+		{"later start, other name", say("b", 300, 1), "b/300/1"},
+		{"late, of the former name", say("a", 200, 2), "b/300/1"},
+		{"leave before any word", leave("c", 400), "b/300/1"},
+		{"word after that leave", say("c", 400, 1), "b/300/1"},
+	} {
+		c.do()
+		got := ""
+		for _, a := range b.Endpoints() {
+			got += fmt.Sprintf("%s/%d/%d", a.Endpoint, a.Incarnation, a.Sequence)
+		}
+		if got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
