--- a/core/admission/objective_test.go
+++ b/core/admission/objective_test.go
@@ -45,83 +45,97 @@
 // tally counts what the callers of one kind got.
 type tally struct{ asked, onTime, late, refused, held int }
 
-// overload plays callers against one endpoint. Callers that are refused return once, after the time that they are told.
-func overload(t *testing.T, slots int, arrivals []visitor) map[string]*tally {
-	t.Helper()
-	g := New(WithSlots(slots), WithFixed())
-	results := map[string]*tally{}
-	running := map[string]*visitor{}
-	var queue visits
-	seq := 0
-	push := func(at time.Duration, call string, in *visitor) {
-		heap.Push(&queue, visit{at: at, seq: seq, call: call, in: in})
-		seq++
+// play is callers against one endpoint. Callers that are refused return once, after the time that they are told.
+type play struct {
+	gate    *Gate
+	results map[string]*tally
+	waiting map[string]*visitor
+	running map[string]*visitor
+	queue   visits
+	seq     int
+}
+
+func (p *play) push(at time.Duration, call string, in *visitor) {
+	heap.Push(&p.queue, visit{at: at, seq: p.seq, call: call, in: in})
+	p.seq++
+}
+
+// settle follows decisions on calls that waited.
+func (p *play) settle(now time.Duration, list []Decision) {
+	for _, d := range list {
+		v := p.waiting[d.Call]
+		if v == nil || d.Action == Queue {
+			continue
+		}
+		delete(p.waiting, d.Call)
+		if d.Action == Refuse {
+			p.refused(now, d, v)
+			continue
+		}
+		p.running[d.Call] = v
+		p.push(now+v.work, d.Call, nil)
+	}
+}
+
+func (p *play) refused(now time.Duration, d Decision, v *visitor) {
+	if now-v.at > v.objective/8 {
+		p.results[v.kind].held++
+	}
+	back := max(d.Failure.After, 50*time.Millisecond)
+	if v.again || now+back+v.work >= v.first+v.patience {
+		p.results[v.kind].refused++
+		return
+	}
+	n := *v
+	n.at, n.again = now+back, true
+	p.push(n.at, d.Call+"r", &n)
+}
+
+func (p *play) ended(at time.Duration, call string) {
+	v := p.running[call]
+	delete(p.running, call)
+	if at-v.first <= v.objective {
+		p.results[v.kind].onTime++
+	} else {
+		p.results[v.kind].late++
+	}
+	p.settle(at, p.gate.Done(start.Add(at), call, v.work, true))
+}
+
+func (p *play) arrived(at time.Duration, call string, v *visitor) {
+	now := start.Add(at)
+	p.waiting[call] = v
+	d := p.gate.Decide(now, Request{
+		Call: call, Kind: v.kind, Priority: v.priority, Again: v.again,
+		Objective: start.Add(v.first + v.objective), Deadline: start.Add(v.first + v.patience),
+	})
+	if d.Displaced != nil {
+		p.settle(at, []Decision{*d.Displaced})
 	}
+	p.settle(at, []Decision{d})
+	p.settle(at, p.gate.Tick(now))
+}
+
+// overload plays all arrivals and returns what the callers of each kind got.
+func overload(slots int, arrivals []visitor) map[string]*tally {
+	p := &play{gate: New(WithSlots(slots), WithFixed()), results: map[string]*tally{}, waiting: map[string]*visitor{}, running: map[string]*visitor{}}
 	for i := range arrivals {
 		v := &arrivals[i]
-		if results[v.kind] == nil {
-			results[v.kind] = &tally{}
-		}
-		results[v.kind].asked++
-		push(v.at, fmt.Sprint("c", i), v)
-	}
-	waiting := map[string]*visitor{}
-	settle := func(now time.Duration, list []Decision) {
-		for _, d := range list {
-			v := waiting[d.Call]
-			if v == nil {
-				continue
-			}
-			r := results[v.kind]
-			switch d.Action {
-			case Admit:
-				delete(waiting, d.Call)
-				running[d.Call] = v
-				push(now+v.work, d.Call, nil)
-			case Refuse:
-				delete(waiting, d.Call)
-				if now-v.at > v.objective/8 {
-					r.held++
-				}
-				back := max(d.Failure.After, 50*time.Millisecond)
-				if v.again || now+back+v.work >= v.first+v.patience {
-					r.refused++
-					continue
-				}
-				n := *v
-				n.at, n.again = now+back, true
-				push(n.at, d.Call+"r", &n)
-			case Queue:
-			}
+		if p.results[v.kind] == nil {
+			p.results[v.kind] = &tally{}
 		}
+		p.results[v.kind].asked++
+		p.push(v.at, fmt.Sprint("c", i), v)
 	}
-	for len(queue) > 0 {
-		e := heap.Pop(&queue).(visit)
-		now := start.Add(e.at)
+	for len(p.queue) > 0 {
+		e := heap.Pop(&p.queue).(visit)
 		if e.in == nil {
-			v := running[e.call]
-			delete(running, e.call)
-			if e.at-v.first <= v.objective {
-				results[v.kind].onTime++
-			} else {
-				results[v.kind].late++
-			}
-			settle(e.at, g.Done(now, e.call, v.work, true))
+			p.ended(e.at, e.call)
 			continue
 		}
-		v := e.in
-		waiting[e.call] = v
-		d := g.Decide(now, Request{
-			Call: e.call, Kind: v.kind, Priority: v.priority, Again: v.again,
-			Objective: start.Add(v.first + v.objective), Deadline: start.Add(v.first + v.patience),
-		})
-		if d.Displaced != nil {
-			settle(e.at, []Decision{*d.Displaced})
-		}
-		settle(e.at, []Decision{d})
-		settle(e.at, g.Tick(now))
+		p.arrived(e.at, e.call, e.in)
 	}
-	return results
+	return p.results
 }
 
 // arrivals draws Poisson arrivals of two kinds at a multiple of the capacity of 12 slots: urgent and short ones take a third of
@@ -160,7 +174,7 @@
 		t.Run(fmt.Sprint(c.load), func(t *testing.T) {
 			for seed := range uint64(5) {
 				const length = 20 * time.Second
-				r := overload(t, 12, arrivals(seed, c.load, length))
+				r := overload(12, arrivals(seed, c.load, length))
 				work := r["purchase"].onTime*150 + r["history"].onTime*220 // milliseconds
 				capacity := min(c.load, 1) * 12 * float64(length.Milliseconds())
 				if got := float64(work) / capacity; got < c.useful {
--- a/core/config/split_test.go
+++ b/core/config/split_test.go
@@ -62,8 +62,19 @@
 		t.Fatal(err)
 	}
 	tests := []struct{ path, want string }{
-		{"/x/1", "short"}, {"/x/", "short"}, {"/x", ""}, {"/x/y", "short"}, {"/x/y/", "long"}, {"/x/y/z/q", "long"},
-		{"/x/yy/1", "short"}, {"/z", "plain"}, {"/z/", "plain"}, {"/z/1", "plain"}, {"/zz", ""}, {"/", ""}, {"*", ""},
+		{"/x/1", "short"},
+		{"/x/", "short"},
+		{"/x", ""},
+		{"/x/y", "short"},
+		{"/x/y/", "long"},
+		{"/x/y/z/q", "long"},
+		{"/x/yy/1", "short"},
+		{"/z", "plain"},
+		{"/z/", "plain"},
+		{"/z/1", "plain"},
+		{"/zz", ""},
+		{"/", ""},
+		{"*", ""},
 	}
 	for _, c := range tests {
 		got := ""
--- a/core/relay/direct_test.go
+++ b/core/relay/direct_test.go
@@ -9,8 +9,12 @@
 // one, and against a large mesh whose nodes all ask the replicas.
 func TestDirect(t *testing.T) {
 	nodes := []Node{
-		{Name: "r1", Domain: "a", Replica: true}, {Name: "r2", Domain: "a", Replica: true}, {Name: "r3", Domain: "b", Replica: true},
-		{Name: "n1", Domain: "a"}, {Name: "n2", Domain: "b"}, {Name: "n3", Domain: "c"},
+		{Name: "r1", Domain: "a", Replica: true},
+		{Name: "r2", Domain: "a", Replica: true},
+		{Name: "r3", Domain: "b", Replica: true},
+		{Name: "n1", Domain: "a"},
+		{Name: "n2", Domain: "b"},
+		{Name: "n3", Domain: "c"},
 	}
 	tests := []struct {
 		self  Node
--- a/io/host/directory.go
+++ b/io/host/directory.go
@@ -74,11 +74,6 @@
 	return d.list
 }
 
-// has reports whether a name is that of a known replica.
-func (d *directory) has(name string) bool {
-	return slices.ContainsFunc(d.replicas(), func(r process.Replica) bool { return r.Name == name })
-}
-
 // address maps a replica identity or name to its peer listener.
 func (d *directory) address(id string) (netip.AddrPort, bool) {
 	name := agreement.Name(id)
