--- a/io/backend/foreign_test.go
+++ b/io/backend/foreign_test.go
@@ -120,6 +120,11 @@
 	leave := func(id string, born uint64) func() {
 		return func() { b.Leave(Announcement{Service: "counter", Endpoint: id, Address: at, Incarnation: born}) }
 	}
+	adopt := func(id string, born uint64) func() {
+		return func() {
+			b.Adopt(Announcement{Service: "counter", Endpoint: id, Address: at, Slots: 1, Connections: 1, Incarnation: born}, time.Second)
+		}
+	}
 	for _, c := range []struct {
 		name string
 		do   func()
@@ -137,6 +142,9 @@
 		{"late, of the former name", say("a", 200, 2), "b/300/1"},
 		{"leave before any word", leave("c", 400), "b/300/1"},
 		{"word after that leave", say("c", 400, 1), "b/300/1"},
+		{"adoption of an earlier start", adopt("a", 200), "b/300/1"},
+		{"leave of the last one", leave("b", 300), ""},
+		{"adoption of one that left", adopt("b", 300), ""},
 	} {
 		c.do()
 		got := ""
--- a/io/backend/order.go
+++ b/io/backend/order.go
@@ -67,7 +67,7 @@
 	b.mu.Lock()
 	_, known := b.endpoints[key]
 	_, left := b.gone[key]
-	if known || left || b.draining || len(b.endpoints) >= maxEndpoints {
+	if known || left || b.draining || b.taken(a) || len(b.endpoints) >= maxEndpoints {
 		b.mu.Unlock()
 		return
 	}
@@ -79,6 +79,16 @@
 	b.announced(a)
 }
 
+// taken reports whether a later process has announced itself at the address; the mutex is held.
+func (b *Backend) taken(a Announcement) bool {
+	for _, e := range b.endpoints {
+		if e.ann.Address == a.Address && e.ann.Incarnation >= a.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // superseded returns the endpoints at the address of an announcement that an earlier process announced under another name.
 func (b *Backend) superseded(a Announcement) []string {
 	var keys []string
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -222,7 +222,7 @@
 	}
 	h.clients = peer.NewClients(clientOptions...)
 	h.hops = hop.New(hopOptions...)
-	h.proposer = peer.NewProposer(h.clients, h.upstream.replicas, h.log.WithName("proposer"))
+	h.proposer = peer.NewProposer(h.clients, h.upstream.replicas, h.log.WithName("proposer"), peer.WithAnnounceBackoff(h.settings.Timing.Backoff))
 	h.marker = newMarker(h.proposer.Propose)
 	return nil
 }
--- a/io/peer/proposer.go
+++ b/io/peer/proposer.go
@@ -44,11 +44,20 @@
 	replicas func() []netip.AddrPort // leader first
 	log      logr.Logger
 	claims   chan pendingClaim
+	backoff  time.Duration // longest wait between rounds of announcements; 0 for the default
 	ctx      context.Context
 	stop     context.CancelFunc
 	wait     sync.WaitGroup
 }
 
+// ProposerOption configures a Proposer.
+type ProposerOption func(*Proposer)
+
+// WithAnnounceBackoff sets the longest wait after an announcement that no replica accepted.
+func WithAnnounceBackoff(t time.Duration) ProposerOption {
+	return func(p *Proposer) { p.backoff = t }
+}
+
 type pendingClaim struct {
 	ctx    context.Context
 	claim  *wire.Claim
@@ -61,7 +70,7 @@
 }
 
 // NewProposer starts the claim batchers; Close stops them.
-func NewProposer(clients *Clients, replicas func() []netip.AddrPort, log logr.Logger) *Proposer {
+func NewProposer(clients *Clients, replicas func() []netip.AddrPort, log logr.Logger, opts ...ProposerOption) *Proposer {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Proposer{
 		clients:  clients,
@@ -71,6 +80,9 @@
 		ctx:      ctx,
 		stop:     stop,
 	}
+	for _, o := range opts {
+		o(p)
+	}
 	for range claimRounds {
 		p.wait.Go(p.sendBatches)
 	}
@@ -178,7 +190,7 @@
 // Announce tells the replicas about the node and its endpoints until one accepts or ctx ends, and returns the lease.
 func (p *Proposer) Announce(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error) {
 	var last error = &NoParentError{}
-	for b := newBackoff(0); ctx.Err() == nil; {
+	for b := newBackoff(p.backoff); ctx.Err() == nil; {
 		lease, err := InTurn(p.replicas(), func(a netip.AddrPort) (time.Duration, error) { return p.announce(ctx, a, r) })
 		if err == nil {
 			return lease, nil
