--- a/core/admission/objective_test.go
+++ b/core/admission/objective_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"godwitspindle/core/outcome"
 )
 
 // visitor is one request of a caller in a simulated overload.
@@ -248,3 +250,39 @@
 		t.Errorf("order: got %v, want %s", got, want)
 	}
 }
+
+// Guards against a call that waits although no answer within its objective is possible here, while another endpoint may be
+// free, and against one that is refused although that would be for good.
+func TestObjectiveDecisions(t *testing.T) {
+	const work = 100 * time.Millisecond
+	tests := []struct {
+		name    string
+		request Request
+		want    Action
+		back    time.Duration // longest time to return after a refusal
+	}{
+		{"objective can be met", Request{Objective: start.Add(4 * work), Deadline: start.Add(9 * work)}, Queue, 0},
+		{"objective cannot be met", Request{Objective: start.Add(2 * work), Deadline: start.Add(9 * work)}, Refuse, work},
+		{"comes again, deadline can be met", Request{Objective: start.Add(work), Deadline: start.Add(9 * work), Again: true}, Queue, 0},
+		{"comes again, deadline cannot be met", Request{Objective: start.Add(work), Deadline: start.Add(2 * work), Again: true}, Refuse, 9 * work},
+		{"does not come again", Request{Objective: start.Add(work), Deadline: start.Add(9 * work), Final: true}, Queue, 0},
+		{"no objective", Request{Deadline: start.Add(9 * work)}, Queue, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			g := New(WithSlots(1), WithQueue(8), WithFixed())
+			g.Decide(start, Request{Call: "first"})
+			g.Done(start, "first", work, true) // the time of a call is known
+			g.Decide(start, Request{Call: "running"})
+			g.Decide(start, Request{Call: "waiting", Objective: start.Add(9 * work), Deadline: start.Add(9 * work)})
+			c.request.Call = "asked"
+			d := g.Decide(start, c.request)
+			if d.Action != c.want {
+				t.Fatalf("got action %d (%v), want %d", d.Action, d.Failure, c.want)
+			}
+			if c.want == Refuse && (d.Failure.Code != outcome.Busy || d.Failure.After <= 0 || d.Failure.After > c.back) {
+				t.Errorf("refusal: got %v after %s, want busy after at most %s", d.Failure, d.Failure.After, c.back)
+			}
+		})
+	}
+}
--- a/core/config/split_test.go
+++ b/core/config/split_test.go
@@ -34,6 +34,9 @@
 				for i := range uint64(requests) {
 					counts[r.ServiceOf(first+i)]++
 				}
+				if got := farthest(r, first, total); got > 2.5 {
+					t.Errorf("from %d on: got %.1f requests off the weights within 20, want at most 2.5", first, got)
+				}
 				for _, s := range r.Splits {
 					want := float64(s.Weight) * requests / float64(total)
 					if got := float64(counts[s.Service]); math.Abs(got-want) > 4 {
@@ -45,6 +48,22 @@
 	}
 }
 
+// farthest returns the largest distance from the weights in any 20 requests that follow each other.
+func farthest(r *Route, first uint64, total int) float64 {
+	const window = 20
+	worst := 0.0
+	for from := range uint64(100) {
+		counts := map[string]int{}
+		for i := range uint64(window) {
+			counts[r.ServiceOf(first+from+i)]++
+		}
+		for _, s := range r.Splits {
+			worst = max(worst, math.Abs(float64(counts[s.Service])-float64(s.Weight)*window/float64(total)))
+		}
+	}
+	return worst
+}
+
 // Guards against a prefix that ends in a slash and takes the path without it, and against one that is shorter and wins.
 func TestSlashedPrefix(t *testing.T) {
 	s := NewSnapshot()
--- /dev/null
+++ b/io/host/budget_test.go
@@ -0,0 +1,41 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"godwitspindle/io/peer"
+	"godwitspindle/io/process"
+)
+
+// Guards against a node that bounds its retries by itself where all nodes share one budget: with no calls it may make its part
+// of half the slack in 10 s, and without a shared budget 3 in a second.
+func TestSharedBudgetOfSettings(t *testing.T) {
+	tests := []struct {
+		name    string
+		retries process.Retries
+		want    int
+	}{
+		{"shared", process.Retries{Percent: 10, Slack: 62}, 31},
+		{"the node's own", process.Retries{}, 3},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			holder, err := peer.NewHolder()
+			if err != nil {
+				t.Fatal(err)
+			}
+			h := &Host{settings: &process.Settings{Retries: c.retries}, holder: holder}
+			b := h.newBudgets().Of("archive")
+			got := 0
+			for range 100 {
+				if b.Take(time.Unix(1_700_000_000, 0)) {
+					got++
+				}
+			}
+			if got != c.want {
+				t.Errorf("retries granted in one second: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
