--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -9,8 +9,8 @@
 	otherDomain = 1.5 // penalty: a local endpoint takes half as many calls again before another failure domain is chosen
 	otherRegion = 4.0
 	roomy       = 1.0 // share of its slots below which a local endpoint counts as having room
-	slower      = 3.0  // a local endpoint that is slower or fails more by this factor is not preferred
-	coldPenalty = 4.0  // added to the factor 1 at the start of a slow start
+	slower      = 3.0 // a local endpoint that is slower or fails more by this factor is not preferred
+	coldPenalty = 4.0 // added to the factor 1 at the start of a slow start
 	slowStart   = 10 * time.Second
 	errorWeight = 8.0
 	onceWeight  = 24.0            // error weight for calls that cannot be repeated
--- a/io/host/announcer.go
+++ b/io/host/announcer.go
@@ -19,7 +19,7 @@
 
 // announcerParts are the parts of the process that its announcer uses.
 type announcerParts struct {
-	current func() *rpc.AnnounceRequest // what the node announces now
+	current func() *rpc.AnnounceRequest // what the node announces now; nil for nothing yet
 	agreed  func() *config.Snapshot     // the version in force
 	send    func(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error)
 	log     logr.Logger
@@ -58,7 +58,7 @@
 	defer timer.Stop()
 	for {
 		r := a.current()
-		if differs(a.agreed(), r) {
+		if r != nil && differs(a.agreed(), r) {
 			a.announce(ctx, r)
 		}
 		select {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -145,6 +145,7 @@
 				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(),
 			}, h.adopted.window)
 		}
+		h.changed()
 	})
 }
 
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -76,7 +76,7 @@
 	}
 	h.follower.Store(f)
 	h.announce.Store(newAnnouncer(announcerParts{
-		current: func() *rpc.AnnounceRequest { return h.announcement(false) },
+		current: h.announceable,
 		agreed:  func() *config.Snapshot { return h.holder.View().Snapshot },
 		send:    h.proposer.Announce,
 		log:     h.log,
@@ -90,6 +90,18 @@
 	h.adopt(v)
 }
 
+// announceable returns what the node announces now, or nil while it may still have to take up endpoints that the agreed set
+// names: an announcement without them would remove them.
+func (h *Host) announceable() *rpc.AnnounceRequest {
+	if h.adopted.window > 0 {
+		if !h.holder.Serving() {
+			return nil
+		}
+		h.adopt(h.holder.View())
+	}
+	return h.announcement(false)
+}
+
 // parents returns the upstreams; the leader has none, since all others take from it.
 func (h *Host) parents() []netip.AddrPort {
 	if h.control != nil {
