--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -17,11 +17,15 @@
 
 // Drain stops the process gracefully. The node's own endpoints refuse new work first, and the leave is reported. The
 // listener for callers goes on forwarding to other endpoints for a second, with Connection: close, and stops accepting
-// then. The listeners that calls in flight need stay open until these have ended: the local one for calls of backend
+// then. With the setting Move, callers are given that time, and the endpoints, whose backend servers go on running, take new
+// work until its end, so that a restart of the node alone takes them away for as short as possible. The listeners that calls in flight need stay open until these have ended: the local one for calls of backend
 // servers, the peer one for claims' outcomes.
 func (h *Host) Drain() error {
 	h.log.Info("draining", "grace", h.settings.Grace.String())
 	h.leaving.Store(true)
+	if h.settings.Move > 0 {
+		time.Sleep(h.settings.Move)
+	}
 	h.backend.Drain()
 	h.announce.Load().close()
 	reported := make(chan struct{})
@@ -29,11 +33,9 @@
 		defer close(reported)
 		h.reportLeave()
 	}()
-	move := moveTime
-	if h.settings.Move > 0 {
-		move = h.settings.Move
+	if h.settings.Move == 0 {
+		time.Sleep(moveTime)
 	}
-	time.Sleep(move)
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace)
 	defer cancel()
 	err := h.quiesce(ctx)
