--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -17,6 +17,9 @@
 const (
 	avoidDraining    = 5 * time.Second // a leave is agreed and distributed well within this
 	avoidUnreachable = time.Second
+	// avoidMissing covers the moments in which a node that has just started does not yet know its endpoints; one that is gone
+	// for good leaves the agreed set.
+	avoidMissing = 300 * time.Millisecond
 	// busyLoad is the load of an endpoint that refused a call: all slots are taken and as many calls wait.
 	busyLoad = 2.0
 	// resetDelay is the wait before a retry after a broken connection. A request that crashed a backend server is marked within
@@ -72,8 +75,10 @@
 	switch f.Code {
 	case outcome.Busy:
 		h.picker.Occupied(endpoint, busyLoad, o.At)
-	case outcome.Draining, outcome.NoEndpoint:
+	case outcome.Draining:
 		h.picker.Avoid(endpoint, o.At.Add(avoidDraining), string(f.Code))
+	case outcome.NoEndpoint:
+		h.picker.Avoid(endpoint, o.At.Add(avoidMissing), routing.Unreachable)
 	case outcome.Unreachable:
 		h.picker.Avoid(endpoint, o.At.Add(avoidUnreachable), routing.Unreachable)
 	}
