--- a/io/peer/capacity_test.go
+++ b/io/peer/capacity_test.go
@@ -339,7 +339,7 @@
 }
 
 // Guards against a burst of versions that costs a node one table each, and against a last version that is left out.
-func TestBurst(t *testing.T) {
+func TestVersionBurst(t *testing.T) {
 	const burst, most = 50, 4 // a swap of 2 ms allows two in a second; the burst lasts under one
 	source := newMember(t, "source", profiles[0], 16, func(View) {})
 	_ = source.holder.Offer(fleet(15))
