--- /dev/null
+++ b/io/caller/again_test.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/outcome"
+	"godwitspindle/io/hop"
+)
+
+// Load pattern: refused callers that return, on a route whose own deadline is shorter than the time that callers wait. Guards
+// against returning callers that are taken for new ones, and against callers that are taken never to return, whose requests
+// would wait to their deadline and be answered late.
+func TestAgainOnShortRoute(t *testing.T) {
+	const latency = 600 * time.Millisecond
+	tests := []struct {
+		name  string
+		route time.Duration // the route's own deadline
+		left  time.Duration // what the caller says that it still waits
+		again bool
+		aim   time.Duration
+	}{
+		{"first attempt", 1200 * time.Millisecond, 2500 * time.Millisecond, false, latency},
+		{"returns while it waits longer than the route allows", 1200 * time.Millisecond, 2100 * time.Millisecond, true, latency - 400*time.Millisecond},
+		{"first attempt after the route's deadline fell", 800 * time.Millisecond, 2500 * time.Millisecond, false, latency},
+		{"returns with little time", 800 * time.Millisecond, 700 * time.Millisecond, true, latency - 1800*time.Millisecond},
+	}
+	route := config.Route{Name: "r", Service: "archive", Idempotent: true, Latency: latency}
+	var sent hop.Meta
+	h := New(
+		WithMatch(func(string, string, string) (Match, *outcome.Failure) {
+			return Match{Route: &route, Service: &config.Service{Name: "archive"}}, nil
+		}),
+		WithPick(func(Pick) (config.Endpoint, string, error) { return config.Endpoint{Name: "e"}, "only", nil }),
+		WithSend(func(_ context.Context, _ config.Endpoint, m hop.Meta, _ *http.Request) (*http.Response, error) {
+			sent = m
+			return nil, &outcome.Failure{Code: outcome.Busy, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable}
+		}),
+		WithDecide(func(Attempt) Verdict { return Verdict{} }),
+	)
+	ask := func(left time.Duration) {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+		h.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			route.Deadline = c.route
+			ask(c.left)
+			if off := sent.Aim - c.aim; sent.Again != c.again || off > 0 || off < -100*time.Millisecond {
+				t.Errorf("got again %v with %v to the objective, want %v with %v", sent.Again, sent.Aim, c.again, c.aim)
+			}
+		})
+	}
+	for range 100 {
+		ask(2500 * time.Millisecond)
+		ask(2100 * time.Millisecond)
+	}
+	if sent.Final {
+		t.Error("callers that return: got final, want not")
+	}
+}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -106,8 +106,9 @@
 func (c *call) inherit(passed []string, asked string) *outcome.Failure {
 	route := c.match.Route
 	c.depth, c.deadline, c.budget = 1, c.began.Add(min(route.Deadline, hop.MaxDeadline)), retry.Initial(max(route.Retries, route.Attempts-1))
-	if ms, err := strconv.ParseInt(asked, 10, 64); err == nil && ms >= 0 && ms < hop.MaxDeadline.Milliseconds() {
-		c.deadline = earlier(c.deadline, c.began.Add(time.Duration(ms)*time.Millisecond))
+	wait, stated := parseWait(asked)
+	if stated {
+		c.deadline = earlier(c.deadline, c.began.Add(wait))
 	}
 	if c.handler.local && len(passed) > 0 {
 		above, err := ParseContext(passed[0])
@@ -117,7 +118,7 @@
 		c.depth, c.budget = above.Depth+1, min(c.budget, above.Budget)
 		c.deadline = earlier(c.deadline, above.Deadline)
 	}
-	c.objective(asked)
+	c.objective(wait, stated)
 	if c.depth > outcome.MaxDepth {
 		return c.fail(outcome.Depth, http.StatusLoopDetected, fmt.Sprintf("the call chain is deeper than %d", outcome.MaxDepth), nil)
 	}
@@ -131,17 +132,27 @@
 	return nil
 }
 
-// objective sets the time by which the answer has its full worth, counted from the caller's first attempt.
-func (c *call) objective(asked string) {
+// parseWait reads for how long a caller says that it waits.
+func parseWait(asked string) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(asked, 10, 64)
+	if err != nil || ms < 0 || ms >= hop.MaxDeadline.Milliseconds() {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// objective sets the time by which the answer has its full worth, counted from the caller's first attempt. What the caller
+// waits in all tells which attempt this is, also where the route's own deadline is shorter.
+func (c *call) objective(wait time.Duration, stated bool) {
 	route := c.match.Route
 	if route.Latency <= 0 {
 		return
 	}
 	c.aim = c.began.Add(route.Latency)
-	if asked == "" || c.depth > 1 {
+	if !stated || c.depth > 1 {
 		return // a call of a backend server may be sent late in the time of the request that it is made for
 	}
-	elapsed, again := c.handler.patience.Elapsed(route.Name, c.deadline.Sub(c.began))
+	elapsed, again := c.handler.patience.Elapsed(route.Name, wait)
 	c.aim, c.again = c.aim.Add(-elapsed), again
 	c.final = !c.handler.patience.Returns(route.Name)
 }
