feat(admission): each priority gets a share of the slots while they are short

Returning callers who had missed their objective filled the queue, so that calls of running requests were refused as busy (322 of 742 in 4 s). While slots are short the priority that got least of what it asked for starts next, urgent ones with a lead of a tenth for each step; calls of running requests go first; calls that have missed their objective go last and give way in a full queue. It is an option that the platform sets, since its rules demand that no kind starves; the default stays strict priority.

--- a/core/admission/delay.go
+++ b/core/admission/delay.go
@@ -11,15 +11,15 @@
 )
 
 // delays learns by how much calls wait longer than the queue at their arrival shows, since calls of higher priority come
-// after them and start before them. It is kept for each priority, and apart for calls that have missed their objective.
-type delays [priorities][2]float64
+// after them and start before them. It is kept for each rank, and apart for calls that have missed their objective.
+type delays [ranks][2]float64
 
 func (d *delays) at(w *waiting) *float64 {
 	over := 0
 	if w.overdue {
 		over = 1
 	}
-	return &d[min(max(w.Priority, 0), priorities-1)][over]
+	return &d[w.rank()][over]
 }
 
 // factor returns the multiple of the estimate that calls like this one wait, at least 1.
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -27,6 +27,7 @@
 	Objective  time.Time // an answer after it has little worth; zero for none
 	Again      bool      // its caller was refused before and comes again
 	Final      bool      // its caller does not come again when it is refused
+	Inner      bool      // made for a request that runs, whose work is lost with a refusal
 	Idempotent bool
 	Late       bool // a late answer is tolerated, so it gives way first
 	Suspect    bool // may crash the backend server; at most one such call runs at a time
@@ -63,6 +64,7 @@
 	derived     bool // depth follows slots
 	connections int
 	alike       bool // callers are not told apart
+	shared      bool // while slots are short, each priority gets a share of them
 
 	mutex    sync.Mutex
 	running  map[string]run
@@ -73,6 +75,7 @@
 	sequence uint64
 	limit    adaptive
 	delays   delays
+	shares   shares
 	paused   time.Time
 	draining bool
 	stats    Stats
@@ -113,6 +116,10 @@
 // WithAlike treats all callers as one, where their names say nothing about who they are.
 func WithAlike() Option { return func(g *Gate) { g.alike = true } }
 
+// WithShares gives each priority a share of the slots while they are short: higher priorities are served more often than lower
+// ones, but none goes without, and calls of running requests are served first. The default is strict priority.
+func WithShares() Option { return func(g *Gate) { g.shared = true } }
+
 // New returns a Gate.
 func New(opts ...Option) *Gate {
 	g := &Gate{slots: 1, depth: -1, running: map[string]run{}, callers: map[string]use{}}
@@ -143,6 +150,7 @@
 	if _, ok := g.running[r.Call]; ok || g.find(r.Call) >= 0 {
 		return g.refuse(r.Call, outcome.Refused, 0)
 	}
+	g.shares.ask(now, r.rank())
 	service := g.limit.service(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
 		return g.refuse(r.Call, outcome.Late, 0)
@@ -169,7 +177,7 @@
 	}
 	var displaced *Decision
 	if len(g.queue) >= g.depth {
-		i := g.victim(r)
+		i := g.victim(&w)
 		if i < 0 && !r.Objective.IsZero() {
 			return g.refuse(r.Call, outcome.Busy, wait)
 		}
--- a/core/admission/objective_test.go
+++ b/core/admission/objective_test.go
@@ -20,6 +20,7 @@
 	objective time.Duration // after the first attempt
 	patience  time.Duration // after the first attempt
 	again     bool
+	inner     bool // made for a running request; not sent again
 }
 
 type visit struct {
@@ -84,7 +85,7 @@
 		p.results[v.kind].held++
 	}
 	back := max(d.Failure.After, 50*time.Millisecond)
-	if v.again || now+back+v.work >= v.first+v.patience {
+	if v.inner || v.again || now+back+v.work >= v.first+v.patience {
 		p.results[v.kind].refused++
 		return
 	}
@@ -108,7 +109,7 @@
 	now := start.Add(at)
 	p.waiting[call] = v
 	d := p.gate.Decide(now, Request{
-		Call: call, Kind: v.kind, Priority: v.priority, Again: v.again,
+		Call: call, Kind: v.kind, Priority: v.priority, Again: v.again, Inner: v.inner, Final: v.inner,
 		Objective: start.Add(v.first + v.objective), Deadline: start.Add(v.first + v.patience),
 	})
 	if d.Displaced != nil {
@@ -119,8 +120,8 @@
 }
 
 // overload plays all arrivals and returns what the callers of each kind got.
-func overload(slots int, arrivals []visitor) map[string]*tally {
-	p := &play{gate: New(WithSlots(slots), WithFixed()), results: map[string]*tally{}, waiting: map[string]*visitor{}, running: map[string]*visitor{}}
+func overload(slots int, arrivals []visitor, opts ...Option) map[string]*tally {
+	p := &play{gate: New(append([]Option{WithSlots(slots), WithFixed()}, opts...)...), results: map[string]*tally{}, waiting: map[string]*visitor{}, running: map[string]*visitor{}}
 	for i := range arrivals {
 		v := &arrivals[i]
 		if p.results[v.kind] == nil {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -28,7 +28,7 @@
 		out = append(out, g.refuse(g.take(i).Call, outcome.Late, 0))
 	}
 	for len(g.running) < g.limit.value() && !now.Before(g.paused) {
-		i := g.next()
+		i := g.next(now)
 		if i < 0 {
 			break
 		}
@@ -41,7 +41,10 @@
 
 // next returns the queued call to start, or -1: the first in order, unless its caller already runs half of the slots and
 // a call of equal priority from a caller below that waits.
-func (g *Gate) next() int {
+func (g *Gate) next(now time.Time) int {
+	if g.shared {
+		return g.nextByShare(now)
+	}
 	first := -1
 	half := max(1, g.limit.value()/2)
 	for i := range g.queue {
@@ -85,7 +88,10 @@
 
 // victim returns the queued call that gives way to the new one, or -1. Late-tolerant calls go first, then low priority,
 // then the last in order. A call of equal rank gives way only when its caller holds more than half and the new one less.
-func (g *Gate) victim(r Request) int {
+func (g *Gate) victim(r *waiting) int {
+	if g.shared {
+		return g.victimByShare(r)
+	}
 	best := -1
 	rich := g.callers[r.Caller].running+g.callers[r.Caller].queued >= g.share()
 	for i := range g.queue {
@@ -203,16 +209,25 @@
 
 // wait estimates when the call would start: the calls ahead of it leave at the rate of the limit by the service time.
 func (g *Gate) wait(now time.Time, w waiting) time.Duration {
-	ahead := 0
-	for ahead < len(g.queue) && before(&g.queue[ahead], &w) {
-		ahead++
-	}
+	ahead := g.ahead(&w)
 	l := g.limit.value()
 	excess := max(len(g.running)-l, 0)
 	d := g.limit.average() * time.Duration(ahead+1+excess) / time.Duration(l)
 	return d + max(g.paused.Sub(now), 0)
 }
 
+// ahead estimates how many queued calls start before the call.
+func (g *Gate) ahead(w *waiting) int {
+	if g.shared {
+		return g.aheadByShare(w)
+	}
+	n := 0
+	for n < len(g.queue) && before(&g.queue[n], w) {
+		n++
+	}
+	return n
+}
+
 func (g *Gate) admit(r Request, waited time.Duration) Decision {
 	g.running[r.Call] = run{caller: r.Caller, kind: r.Kind, suspect: r.Suspect}
 	if r.Suspect {
@@ -222,6 +237,7 @@
 	u.running++
 	g.callers[r.Caller] = u
 	g.stats.Admitted++
+	g.shares.got[r.rank()]++
 	return Decision{Call: r.Call, Action: Admit, Wait: waited}
 }
 
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -159,6 +159,7 @@
 		Objective:  objective,
 		Again:      m.Again,
 		Final:      m.Final || inner && m.Aim != 0,
+		Inner:      inner,
 		Call:       m.Call,
 		Caller:     m.Caller,
 		Kind:       m.Route,
