--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -162,7 +162,8 @@
 			}
 			r.time.note(r.now(), r.stateTime())
 		}
-		r.snapshot, r.index, r.count, r.size = *s, s.Index, 0, 0
+		r.snapshot, r.index = *s, s.Index
+		r.count, r.size, r.spent = 0, 0, 0
 	}
 	own := uint64(0) // term that this replica leads
 	if len(e.Committed) > 0 {
@@ -170,11 +171,13 @@
 			own = s.Term
 		}
 	}
+	begin := r.now()
 	for _, n := range e.Committed {
 		if err := r.applyOne(n, own); err != nil {
 			return err
 		}
 	}
+	r.spent += r.now().Sub(begin)
 	if e.Snapshot != nil || len(e.Committed) > 0 {
 		r.applied(r.version())
 	}
@@ -240,7 +243,7 @@
 
 // Replaces the applied log by a snapshot when it has grown past the limits.
 func (r *Replica) compact() error {
-	if r.count < r.entries && r.size < r.bytes {
+	if r.count < r.entries && r.size < r.bytes && r.spent < r.replay {
 		return nil
 	}
 	s, ok := r.core.Point(r.index)
@@ -256,7 +259,8 @@
 		return err
 	}
 	r.core.Compact(r.index)
-	r.snapshot, r.count, r.size = s, 0, 0
+	r.snapshot = s
+	r.count, r.size, r.spent = 0, 0, 0
 	return nil
 }
 
--- a/io/replica/option.go
+++ b/io/replica/option.go
@@ -12,10 +12,12 @@
 const (
 	compactEntries = 20_000
 	compactBytes   = 16 << 20
-	inboxLimit     = 1024                   // events waiting for the loop
-	roundLimit     = 512                    // events taken in one round, which share one sync
-	waitingLimit   = 8192                   // proposals without a result
-	fullPause      = 250 * time.Millisecond // between attempts to go on after a full disk
+	// compactReplay bounds how long a restarted replica applies entries before it can answer; it stays below an election timeout.
+	compactReplay = 200 * time.Millisecond
+	inboxLimit    = 1024                   // events waiting for the loop
+	roundLimit    = 512                    // events taken in one round, which share one sync
+	waitingLimit  = 8192                   // proposals without a result
+	fullPause     = 250 * time.Millisecond // between attempts to go on after a full disk
 )
 
 type settings struct {
@@ -35,6 +37,7 @@
 	stateTime           func() time.Time
 	paused              func(err error)
 	entries, bytes      int
+	replay              time.Duration
 }
 
 func defaults() settings {
@@ -47,7 +50,7 @@
 		clock:     func(string) (time.Time, bool) { return time.Time{}, false },
 		stateTime: func() time.Time { return time.Time{} },
 		paused:    func(error) {},
-		entries:   compactEntries, bytes: compactBytes,
+		entries:   compactEntries, bytes: compactBytes, replay: compactReplay,
 	}
 }
 
@@ -122,6 +125,9 @@
 // it goes on.
 func WithPaused(f func(err error)) Option { return func(s *settings) { s.paused = f } }
 
+// WithReplay sets after how much time spent on applying entries a snapshot replaces the log.
+func WithReplay(d time.Duration) Option { return func(s *settings) { s.replay = d } }
+
 // WithCompaction sets after how many applied entries or bytes of them a snapshot replaces the log.
 func WithCompaction(entries, bytes int) Option {
 	return func(s *settings) { s.entries, s.bytes = entries, bytes }
--- /dev/null
+++ b/io/replica/replay_test.go
@@ -0,0 +1,41 @@
+package replica
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"godwitspindle/core/wire"
+)
+
+// Load pattern: all replicas lose power after a storm of large changes. Guards against a restart that applies so many entries
+// again that the replica answers nobody for seconds and loses the leadership that it has just won.
+func TestReplayIsShort(t *testing.T) {
+	const (
+		each   = 5 * time.Millisecond // to apply one command
+		limit  = 50 * time.Millisecond
+		stored = 60
+	)
+	var applied atomic.Int64
+	folder := t.TempDir()
+	g := newGroup(t, nil, WithReplay(limit), WithApply(func(uint64, *wire.Command) *wire.Result {
+		time.Sleep(each)
+		applied.Add(1)
+		return &wire.Result{Version: uint64(applied.Load())}
+	}))
+	g.names = []string{"a"}
+	g.start("a", folder)
+	l := g.leader()
+	for range stored {
+		if _, err := l.Propose(t.Context(), &wire.Command{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = g.members["a"].Close()
+	applied.Store(0)
+	g.start("a", folder)
+	g.leader()
+	if got, want := applied.Load(), int64(limit/each)+1; got > want {
+		t.Errorf("commands applied again after a restart: got %d of %d, want at most %d", got, stored, want)
+	}
+}
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -45,8 +45,9 @@
 
 	// Owned by the loop.
 	snapshot     agreement.Snapshot
-	index        uint64 // last applied
-	count, size  int    // applied since the last snapshot
+	index        uint64        // last applied
+	count, size  int           // applied since the last snapshot
+	spent        time.Duration // on applying them
 	waiting      map[uint64]waiter
 	reading      []chan reply // in the round that is being confirmed
 	queued       []chan reply // for the next round
