feat(recovery): nodes serve sooner after a loss of power

Replicas that have known no leader campaign within a third of the timeout; a node that learns of a leader reads the floor at once; versions up to the floor are taken without a pause, later ones after 100 ms at most; a backend server that has announced itself is announced to the leader before the version is proven; refused callers are told the usual time that is left.

--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -11,7 +11,9 @@
 	messageLimit     = 1 << 20                // bytes of entries in one message
 	entryCost        = 32                     // bytes counted for an entry's fixed fields
 	inflightLimit    = 16                     // unanswered appends for each follower
-	trailLimit       = 1024                   // entries kept below a snapshot, so that a follower slightly behind needs no snapshot
+	// unsettledShare is the part of the election timeout in which a replica campaigns that has known no leader since its start.
+	unsettledShare = 3
+	trailLimit     = 1024 // entries kept below a snapshot, so that a follower slightly behind needs no snapshot
 )
 
 // Option sets up a Replica.
@@ -221,9 +223,9 @@
 	if r.leader != "" || r.role == Leader {
 		r.settled = true
 	}
-	wait := r.random(r.election)
+	wait := r.random(r.election / unsettledShare)
 	if r.settled {
-		wait += r.election
+		wait = r.election + r.random(r.election)
 	}
 	r.deadline = r.now.Add(max(wait, r.heartbeat))
 }
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -17,6 +18,7 @@
 const (
 	avoidDraining    = 5 * time.Second // a leave is agreed and distributed well within this
 	avoidUnreachable = time.Second
+	leastUnready     = 300 * time.Millisecond
 	// avoidMissing covers the moments in which a node that has just started does not yet know its endpoints; one that is gone
 	// for good leaves the agreed set.
 	avoidMissing = 300 * time.Millisecond
@@ -31,7 +33,7 @@
 func (h *Host) match(host, path, method string) (caller.Match, *outcome.Failure) {
 	if !h.holder.Serving() {
 		return caller.Match{}, &outcome.Failure{
-			Code: outcome.Unproven, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, After: time.Second,
+			Code: outcome.Unproven, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, After: h.unready(time.Since(h.started)),
 			Detail: "the node has not yet proved that its configuration is current",
 		}
 	}
@@ -47,6 +49,16 @@
 	return caller.Match{Route: r, Service: s, Version: t.Version()}, nil
 }
 
+// unready returns when a caller should come again that was refused since the node has no proven version: when it usually has
+// one, a little spread out.
+func (h *Host) unready(up time.Duration) time.Duration {
+	usual := h.settings.Timing.Ready
+	if usual == 0 {
+		return time.Second
+	}
+	return max(usual-up, leastUnready) + rand.N(leastUnready/2)
+}
+
 // pick chooses an endpoint.
 func (h *Host) pick(p caller.Pick) (config.Endpoint, string, error) {
 	if len(p.Tried) == 0 {
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -64,6 +64,9 @@
 	if b := h.settings.Timing.Backoff; b > 0 {
 		options = append(options, peer.WithBackoff(b))
 	}
+	if pause := h.settings.Timing.Swap; pause > 0 {
+		options = append(options, peer.WithSwapPause(pause))
+	}
 	if stale := h.settings.Timing.Stale; stale > 0 {
 		options = append(options, peer.WithStale(stale))
 	}
@@ -91,10 +94,11 @@
 }
 
 // announceable returns what the node announces now, or nil while it may still have to take up endpoints that the agreed set
-// names: an announcement without them would remove them.
+// names: an announcement without them would remove them. A backend server that has announced itself since the start of the
+// node is all that there is.
 func (h *Host) announceable() *rpc.AnnounceRequest {
 	if h.adopted.window > 0 {
-		if !h.holder.Serving() {
+		if !h.holder.Serving() && len(h.backend.Endpoints()) == 0 {
 			return nil
 		}
 		h.adopt(h.holder.View())
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -59,6 +59,7 @@
 	slack       time.Duration
 	stale       time.Duration
 	backoff     time.Duration // longest; 0 for the default
+	swapPause   time.Duration // longest between two versions that follow each other
 	log         logr.Logger
 	mismatch    func()
 	taken       func(whole bool)
@@ -69,6 +70,7 @@
 	domain      string
 	decoder     *zstd.Decoder
 	nudges      chan struct{}
+	told        chan struct{}                      // signalled when an upstream names another leader
 	cancelPoll  atomic.Pointer[context.CancelFunc] // ends the poll in progress
 	confirmed   atomic.Int64                       // Unix nanoseconds of the last quorum confirmation; 0 for never
 	parent      atomic.Pointer[netip.AddrPort]     // polled last
@@ -76,6 +78,7 @@
 
 	// Used only by run.
 	failed    map[netip.AddrPort]failure
+	leader    string        // as the upstream that answered last names it
 	swapTook  time.Duration // of the last swap by a delta
 	swappedAt time.Time     // when it ended
 
@@ -117,6 +120,9 @@
 // WithBackoff sets the longest wait after a failure.
 func WithBackoff(t time.Duration) FollowerOption { return func(f *Follower) { f.backoff = t } }
 
+// WithSwapPause sets the longest pause between two versions that follow each other.
+func WithSwapPause(t time.Duration) FollowerOption { return func(f *Follower) { f.swapPause = t } }
+
 // WithMismatch sets a function that counts digest mismatches.
 func WithMismatch(m func()) FollowerOption { return func(f *Follower) { f.mismatch = m } }
 
@@ -152,21 +158,23 @@
 		return nil, fmt.Errorf("create the zstd decoder: %w", err)
 	}
 	f := &Follower{
-		holder:   holder,
-		clients:  clients,
-		parents:  func() []netip.AddrPort { return nil },
-		report:   func(netip.AddrPort, uint64) *wire.Report { return nil },
-		poll:     5 * time.Second,
-		slack:    syncSlack,
-		log:      logr.Discard(),
-		mismatch: func() {},
-		taken:    func(bool) {},
-		synced:   func(*rpc.SyncResponse, View) {},
-		lost:     func() {},
-		moved:    func() {},
-		decoder:  decoder,
-		nudges:   make(chan struct{}, 1),
-		failed:   map[netip.AddrPort]failure{},
+		holder:    holder,
+		clients:   clients,
+		parents:   func() []netip.AddrPort { return nil },
+		report:    func(netip.AddrPort, uint64) *wire.Report { return nil },
+		poll:      5 * time.Second,
+		slack:     syncSlack,
+		log:       logr.Discard(),
+		mismatch:  func() {},
+		taken:     func(bool) {},
+		synced:    func(*rpc.SyncResponse, View) {},
+		lost:      func() {},
+		moved:     func() {},
+		decoder:   decoder,
+		nudges:    make(chan struct{}, 1),
+		told:      make(chan struct{}, 1),
+		swapPause: maxSwapPause,
+		failed:    map[netip.AddrPort]failure{},
 	}
 	f.floor = f.askFloor
 	for _, o := range opts {
@@ -298,8 +306,11 @@
 		sleep(ctx, time.Duration(after)*time.Millisecond+rand.N(startWait))
 		return nil
 	}
-	if resp.GetDelta() != nil || len(resp.GetPacked()) > 0 {
-		sleep(ctx, time.Until(f.swappedAt.Add(min(f.swapTook*swapPauseFactor, maxSwapPause))))
+	f.noteLeader(resp.GetLeader())
+	// A node that only lacks a version at its floor takes it at once, since it serves nobody until then.
+	waits := f.holder.Serving() || !f.holder.Proven()
+	if waits && (resp.GetDelta() != nil || len(resp.GetPacked()) > 0) {
+		sleep(ctx, time.Until(f.swappedAt.Add(min(f.swapTook*swapPauseFactor, f.swapPause))))
 	}
 	if err := f.apply(resp); err != nil {
 		return fmt.Errorf("apply from %s: %w", parent, err)
--- a/io/peer/prove.go
+++ b/io/peer/prove.go
@@ -22,7 +22,30 @@
 			return
 		}
 		f.log.V(1).Info("floor not proven", "error", err.Error())
-		sleep(ctx, min(b.Next(0), maxFloorPause))
+		f.awaitLeader(ctx, min(b.Next(0), maxFloorPause))
+	}
+}
+
+// noteLeader ends the pause between two reads of the floor when another leader is known.
+func (f *Follower) noteLeader(name string) {
+	if name == "" || name == f.leader {
+		return
+	}
+	f.leader = name
+	select {
+	case f.told <- struct{}{}:
+	default:
+	}
+}
+
+// awaitLeader waits for a time or until another leader is known.
+func (f *Follower) awaitLeader(ctx context.Context, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.told:
 	}
 }
 
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -97,6 +97,8 @@
 	Stale   time.Duration // age of the last quorum confirmation from which an upstream is avoided
 	Backoff time.Duration // longest wait before an upstream that failed is asked again
 	Dial    time.Duration // longest time to open a connection for a call
+	Swap    time.Duration // longest pause between two versions that follow each other
+	Ready   time.Duration // usual time from the start of a process until its version is proven
 	// Election and Heartbeat are those of the control replicas; both or none are set.
 	Election, Heartbeat time.Duration
 	Silence             time.Duration // after which an unanswered connection to another node is given up
