fix(peer): a replica reports to a leader that it hears although a poll of it failed; refusals tell what they rest on

Cause (known red TestReportedInForce, traced with each report logged): a replica whose poll of the leader failed polled another replica for up to 10 s, which takes no reports from it, while it heard the leader's heartbeats all the time. The leader is now tried again after 500 ms at most. Refusals of the admission now name slots taken, calls waiting and the usual time of a call.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -256,6 +257,12 @@
 	return true
 }
 
+// load renders the figures that a refusal rests on, for the log line.
+func (g *Gate) load() string {
+	return fmt.Sprintf(": %d of %d slots taken, %d calls wait, a call takes %s.",
+		len(g.running), g.limit.value(), len(g.queue), g.limit.average().Round(time.Millisecond))
+}
+
 // refuse returns a refusal; the call has not run, so its kind is always notrun.
 func (g *Gate) refuse(call string, c outcome.Code, after time.Duration) Decision {
 	g.stats.Refused++
@@ -265,13 +272,13 @@
 		f.Detail = "The endpoint is leaving and takes no new calls."
 	case outcome.Late:
 		f.Status = http.StatusGatewayTimeout
-		f.Detail = "The call cannot be answered before its deadline."
+		f.Detail = "The call cannot be answered before its deadline" + g.load()
 	case outcome.Busy:
 		f.After = max(after, leastAfter)
-		f.Detail = "The endpoint is busy and cannot answer within the objective."
+		f.Detail = "The endpoint is busy and cannot answer within the objective" + g.load()
 	case outcome.Overload:
 		f.After = max(after, leastAfter)
-		f.Detail = "Slots and queue of the endpoint are full."
+		f.Detail = "Slots and queue of the endpoint are full" + g.load()
 	default:
 		f.Status = http.StatusConflict
 		f.Detail = "A call with the same id is running or queued here."
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -71,7 +71,7 @@
 		options = append(options, peer.WithStale(stale))
 	}
 	if h.control != nil {
-		options = append(options, peer.WithFloor(h.current))
+		options = append(options, peer.WithFloor(h.current), peer.WithLeading(h.leadsAt))
 	}
 	f, err := peer.NewFollower(h.holder, h.clients, options...)
 	if err != nil {
@@ -117,6 +117,17 @@
 	return h.upstream.order()
 }
 
+// leadsAt reports whether an address is that of the leader that the control replica of this process hears.
+func (h *Host) leadsAt(address netip.AddrPort) bool {
+	leader := h.control.leaderName()
+	for _, r := range h.known.replicas() {
+		if leader != "" && r.Name == leader {
+			return r.Address == address
+		}
+	}
+	return false
+}
+
 // leader returns the name of the leading replica as far as this node knows.
 func (h *Host) leader() string {
 	if h.control != nil {
--- a/io/peer/choose.go
+++ b/io/peer/choose.go
@@ -118,7 +118,11 @@
 	if !failed {
 		return 0
 	}
-	return time.Until(last.at.Add(last.pause))
+	pause := last.pause
+	if f.leads(p) {
+		pause = min(pause, refusedPause)
+	}
+	return time.Until(last.at.Add(pause))
 }
 
 // pollWait returns how long to poll an upstream: until a preferred one that failed may be tried again.
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -66,6 +66,7 @@
 	synced      func(r *rpc.SyncResponse, v View)
 	lost        func()
 	moved       func()
+	leads       func(p netip.AddrPort) bool // reports whether an upstream is the leader and known to be alive
 	floor       func(ctx context.Context) (uint64, error)
 	domain      string
 	decoder     *zstd.Decoder
@@ -140,6 +141,12 @@
 // WithMoved sets a function called before another upstream is polled, which knows nothing of earlier reports.
 func WithMoved(m func()) FollowerOption { return func(f *Follower) { f.moved = m } }
 
+// WithLeading sets the function that recognizes the upstream that leads and is known to be alive. Only it takes the reports of a
+// replica, so a failed poll keeps a replica away from it for a short time only.
+func WithLeading(l func(p netip.AddrPort) bool) FollowerOption {
+	return func(f *Follower) { f.leads = l }
+}
+
 // WithFloor replaces how a quorum-confirmed version is read; without it the upstreams are asked in order.
 func WithFloor(read func(ctx context.Context) (uint64, error)) FollowerOption {
 	return func(f *Follower) { f.floor = read }
@@ -170,6 +177,7 @@
 		synced:    func(*rpc.SyncResponse, View) {},
 		lost:      func() {},
 		moved:     func() {},
+		leads:     func(netip.AddrPort) bool { return false },
 		decoder:   decoder,
 		nudges:    make(chan struct{}, 1),
 		told:      make(chan struct{}, 1),
