--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -42,6 +42,7 @@
 
 // Reasons of a choice, for the log line.
 const (
+	ReasonOwn    = "own"    // beside this node
 	ReasonOnly   = "only"   // one usable endpoint
 	ReasonScore  = "score"  // lower score of two
 	ReasonLocal  = "local"  // lower score of two, and in the failure domain of the caller
@@ -119,8 +120,8 @@
 	return func(p *Picker) { p.subset = min(max(n, minSubset), maxSubset) }
 }
 
-// WithNear makes calls stay in the failure domain of their caller until its endpoints score worse by a factor, for meshes
-// whose links between failure domains are thin; the default factor is 1.5.
+// WithNear makes calls stay beside their node and in the failure domain of their caller until the endpoints there are full or
+// score worse by a factor, for meshes whose links are thin; the default factor is 1.5 and prefers no endpoint beside the node.
 func WithNear(factor float64) Option {
 	return func(p *Picker) { p.remote, p.near = max(factor, 1), true }
 }
@@ -167,6 +168,9 @@
 	if first == nil {
 		return p.resort(v, c, domain, now)
 	}
+	if p.near && p.suits(v.own, first, c, now) {
+		return Choice{Endpoint: v.own.endpoint, Reason: ReasonOwn, Score: p.score(v.own, first, c.Class, domain, now)}, nil
+	}
 	if p.near {
 		first = p.better(first, p.draw(v, local, c.Tried, now, first), c.Class, domain, now)
 	}
@@ -189,6 +193,15 @@
 	return Choice{Endpoint: best.endpoint, Reason: reason, Score: score}, nil
 }
 
+// suits reports whether a call goes to the endpoint beside this node, which takes nothing of the links between hosts: it has room
+// and is not much slower or less reliable than another one.
+func (p *Picker) suits(own, other *member, c Call, now int64) bool {
+	if own == nil || !own.state.usable(now) || slices.Contains(c.Tried, own.key) || taken(own, now) > roomy {
+		return false
+	}
+	return own == other || p.pace(own, other, c.Class, now) <= slower*p.pace(other, own, c.Class, now)
+}
+
 // stays reports whether a call stays in its failure domain although the other endpoint scores better: the local endpoint has
 // room and is not much slower or less reliable.
 func (p *Picker) stays(local, other *member, class Class, domain string, now int64) bool {
