fix(process): a planned stop never closes a connection whose request is in work

Ruled out: the grace time (2.5 s of 6 had passed). Now either the connection is closed and its request is not handled, or the request is handled and the connection closed after its answer. TestRequestCrossesClose fails without it.

--- /dev/null
+++ b/io/process/crossing_test.go
@@ -0,0 +1,110 @@
+package process
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards R8 where a request crosses the close of its connection by a planned stop: a request that was passed on although the
+// connection had been closed runs without its caller learning of it, and one in work loses its answer.
+func TestRequestCrossesClose(t *testing.T) {
+	tests := []struct {
+		name    string
+		orderly bool
+		states  []http.ConnState // before the connection is closed
+		passed  bool             // a request that is read from it then is handled
+		closed  bool             // at once
+	}{
+		{"idle", true, []http.ConnState{http.StateNew, http.StateActive, http.StateIdle}, false, true},
+		{"no request so far", true, []http.ConnState{http.StateNew}, false, true},
+		{"in work", true, []http.ConnState{http.StateNew, http.StateActive}, true, false},
+		{"in work, end of the grace time", false, []http.ConnState{http.StateNew, http.StateActive}, true, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			inner, far := net.Pipe()
+			defer func() { _ = far.Close() }()
+			released := 0
+			l := &countingListener{}
+			l.orderly.Store(c.orderly)
+			conn := &countedConn{Conn: inner, listener: l, release: func() { released++ }}
+			for _, s := range c.states {
+				l.track(conn, s)
+			}
+			_ = conn.Close()
+			if got := released > 0; got != c.closed {
+				t.Errorf("closed at once: got %v, want %v", got, c.closed)
+			}
+			l.track(conn, http.StateActive)
+			passed := false
+			func() {
+				defer func() { _ = recover() }() // net/http takes the panic as the end of the connection
+				r := httptest.NewRequest(http.MethodGet, "/", nil)
+				r = r.WithContext(context.WithValue(r.Context(), connKey{}, conn))
+				unlessGone(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed = true })).ServeHTTP(httptest.NewRecorder(), r)
+			}()
+			if passed != c.passed {
+				t.Errorf("request passed on: got %v, want %v", passed, c.passed)
+			}
+			l.track(conn, http.StateIdle)
+			if released == 0 {
+				t.Error("after the request: got an open connection, want it closed")
+			}
+		})
+	}
+}
+
+// Guards R8 under load: every request that reached the handler before or during a planned stop is answered on a connection that
+// callers keep.
+func TestShutdownOfKeptConnections(t *testing.T) {
+	for range 20 {
+		var mu sync.Mutex
+		handled := map[string]bool{}
+		s, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			id, _ := io.ReadAll(r.Body)
+			mu.Lock()
+			handled[string(id)] = true
+			mu.Unlock()
+			_, _ = w.Write(id)
+		}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var wait sync.WaitGroup
+		for n := range 16 {
+			wait.Go(func() {
+				c := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+				for i := 0; ; i++ {
+					id := strings.Repeat("x", n+1) + strings.Repeat("y", i%50) + time.Now().String()
+					p, err := c.Post("http://"+s.Address().String(), "text/plain", io.MultiReader(strings.NewReader(id)))
+					if err == nil {
+						_, err = io.ReadAll(p.Body)
+						_ = p.Body.Close()
+					}
+					if err == nil {
+						continue
+					}
+					mu.Lock()
+					if handled[id] {
+						t.Errorf("a request that was handled: got %v, want an answer", err)
+					}
+					mu.Unlock()
+					return
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Errorf("shutdown: got %v, want none", err)
+		}
+		wait.Wait()
+	}
+}
--- a/io/process/listener.go
+++ b/io/process/listener.go
@@ -29,7 +29,8 @@
 	last    atomic.Pointer[chan struct{}] // closed once the backlog is empty; nil before Quiesce
 	closed  chan struct{}
 	once    sync.Once
-	fresh   sync.Map // connections without a request so far
+	fresh   sync.Map    // connections without a request so far
+	orderly atomic.Bool // a shutdown closes connections, but none with a request in work
 }
 
 // deadliner is what TCP listeners add to net.Listener.
@@ -58,6 +59,9 @@
 
 // track follows the state of connections.
 func (l *countingListener) track(c net.Conn, s http.ConnState) {
+	if t, ok := c.(*countedConn); ok {
+		t.track(s)
+	}
 	if s == http.StateNew {
 		l.fresh.Store(c, true)
 		return
@@ -126,7 +130,7 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.limit {
-			return &countedConn{Conn: c, release: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+			return &countedConn{Conn: c, listener: l, release: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
 		}
 		l.open.Add(-1)
 		l.refused() // before the close, so that the count is not behind what the client sees
@@ -134,14 +138,70 @@
 	}
 }
 
-// countedConn gives its place back when it is closed for the first time.
+// countedConn gives its place back when it is closed for the first time. The shutdown of net/http closes connections that it
+// takes for idle although a request may just have been read from them; here either the connection is closed and the request
+// is not handled, or the request is handled and the connection is closed after its answer.
 type countedConn struct {
 	net.Conn
-	release func()
+	listener *countingListener
+	release  func()
+
+	mu        sync.Mutex
+	active    bool // a request is in work
+	pending   bool // to be closed once it is not
+	abandoned bool // closed while no request was in work
 }
 
-// Close closes the connection.
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Close closes the connection; during an orderly shutdown one with a request in work stays open until that has ended.
 func (c *countedConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active && c.listener.orderly.Load() {
+		c.pending = true
+		return nil
+	}
+	return c.end()
+}
+
+// end closes the connection; the mutex is held.
+func (c *countedConn) end() error {
+	c.abandoned = c.abandoned || !c.active
 	c.release()
 	return c.Conn.Close()
 }
+
+// track follows the state that net/http gives the connection.
+func (c *countedConn) track(s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateActive:
+		c.active = !c.abandoned
+	case http.StateIdle, http.StateClosed:
+		c.active = false
+		if c.pending || s == http.StateClosed {
+			_ = c.end()
+		}
+	}
+}
+
+// gone reports whether the connection was closed before its request was taken up.
+func (c *countedConn) gone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.abandoned
+}
+
+// unlessGone drops requests whose connection was closed before they were taken up: their callers know that nothing has run
+// and send them again, so they must not be passed on.
+func unlessGone(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*countedConn); ok && c.gone() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/io/process/server.go
+++ b/io/process/server.go
@@ -113,6 +113,10 @@
 		done:     make(chan struct{}),
 	}
 	s.http.ConnState = s.listener.track
+	if h1 := s.http.Protocols; !h1.HTTP2() && !h1.UnencryptedHTTP2() {
+		s.http.Handler = unlessGone(s.http.Handler)
+		s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	}
 	go func() {
 		defer close(s.done)
 		err := s.serve()
@@ -166,11 +170,13 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.listener.Quiesce()
 	if p := s.http.Protocols; !p.HTTP2() && !p.UnencryptedHTTP2() { // HTTP/2 tells its clients which requests it leaves out
+		s.listener.orderly.Store(true)
 		s.http.SetKeepAlivesEnabled(false)
 		s.listener.settle(ctx)
 	}
 	err := s.http.Shutdown(ctx)
 	if err != nil {
+		s.listener.orderly.Store(false)
 		_ = s.http.Close()
 	}
 	<-s.done
@@ -182,6 +188,7 @@
 
 // Close cuts every connection and waits for the accept loop.
 func (s *Server) Close() error {
+	s.listener.orderly.Store(false)
 	err := s.http.Close()
 	<-s.done
 	if err != nil {
