feat(admission): answers wait no longer for a thin link than their objective allows

A host knows the rate of its link and learns the size of answers by route; a call from another host whose answer would miss its objective at the link is refused at once. Ruled out: answers to callers of the host itself (50 kB a second more would not fit).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RED   := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP  := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: check test race bench capacity resident generate format
+.PHONY: check test race soak bench capacity resident generate format
 
 check:
 	@out="$$($(TOOL) gofumpt -l $(FILES))"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
@@ -21,6 +21,10 @@
 race:
 	go test -race -short $(SKIP) ./...
 
+# Plays fresh seeds of the fault soak for some minutes; a seed that fails belongs into soakFailed of io/demo/soak_test.go.
+soak:
+	go test ./io/demo -run 'TestSoak$$' -v -soak.first 0 -soak.seeds 10 -soak.length 20s -timeout 30m
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/cmd/check.go
+++ b/cmd/check.go
@@ -3,11 +3,15 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 
 	"godwitspindle/core/wire"
 	"godwitspindle/io/process"
 )
 
+// platformExtension is that of the settings files of the users' platform.
+const platformExtension = ".toml"
+
 // checkCommand reports every fault of the named files.
 type checkCommand struct {
 	File     string `arg:"positional" placeholder:"FILE" help:"settings"`
@@ -21,7 +25,7 @@
 	}
 	var faults []process.Fault
 	if c.File != "" {
-		_, err := process.Load(c.File)
+		err := s.load(c.File)
 		if e, ok := errors.AsType[*process.SettingsError](err); ok {
 			faults = append(faults, e.Faults...)
 		}
@@ -33,6 +37,15 @@
 	return nil
 }
 
+// load reads a settings file: one in TOML is the platform's, any other the product's own.
+func (s *session) load(path string) error {
+	if filepath.Ext(path) == platformExtension && s.CheckPlatform != nil {
+		return s.CheckPlatform(path)
+	}
+	_, err := process.Load(path)
+	return err
+}
+
 // faults checks a register and a rules file; an empty name is skipped.
 func (s *session) faults(register, rules string) []process.Fault {
 	var list []process.Fault
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -29,6 +29,7 @@
 type Program struct {
 	Node          func(ctx context.Context, s *process.Settings, log logr.Logger) error
 	Platform      func(ctx context.Context, stdout io.Writer) error
+	CheckPlatform func(path string) error // reads a settings file of the users' platform
 	Demo          func(ctx context.Context, keep bool, stdout, stderr io.Writer) error
 	ParseRegister func(data []byte) (*wire.Register, error)
 	ParseRules    func(data []byte) (*wire.RuleSet, error)
--- a/core/admission/burst_test.go
+++ b/core/admission/burst_test.go
@@ -32,12 +32,14 @@
 		{
 			"history gives way to lookups",
 			[]Request{{Caller: "a", Kind: "fares", Priority: 5}, {Caller: "b", Kind: "history", Priority: 5, Late: true}},
-			[]int{capacity * 3 / 4, capacity * 9 / 4}, 0.95, 0, 250 * time.Millisecond, 4,
+			[]int{capacity * 3 / 4, capacity * 9 / 4},
+			0.95, 0, 250 * time.Millisecond, 4,
 		},
 		{
 			"one caller does not take the service",
 			[]Request{{Caller: "greedy", Kind: "fares", Priority: 5}, {Caller: "modest", Kind: "fares", Priority: 5}},
-			[]int{3 * capacity, capacity / 4}, 0.9, 1, 250 * time.Millisecond, 1,
+			[]int{3 * capacity, capacity / 4},
+			0.9, 1, 250 * time.Millisecond, 1,
 		},
 	}
 	for _, c := range tests {
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -30,6 +30,7 @@
 	Inner      bool      // made for a request that runs, whose work is lost with a refusal
 	Idempotent bool
 	Late       bool // a late answer is tolerated, so it gives way first
+	Remote     bool // its answer leaves the host
 	Suspect    bool // may crash the backend server; at most one such call runs at a time
 }
 
@@ -76,6 +77,7 @@
 	limit    adaptive
 	delays   delays
 	shares   shares
+	link     *Link // of the host; nil when it is not watched
 	paused   time.Time
 	draining bool
 	stats    Stats
@@ -85,6 +87,7 @@
 	caller  string
 	kind    string
 	suspect bool
+	bytes   float64 // reserved at the link
 }
 
 type use struct{ running, queued int }
@@ -155,6 +158,10 @@
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
 		return g.refuse(r.Call, outcome.Late, 0)
 	}
+	transit := g.transit(now, &r, service)
+	if transit > 0 && r.misses(now.Add(service+transit)) {
+		return g.refuse(r.Call, outcome.Busy, transit)
+	}
 	free := len(g.running) < g.limit.value() && !now.Before(g.paused)
 	if free && (!r.Suspect || g.suspects == 0) && !g.blocked(r) {
 		return g.admit(r, 0)
@@ -192,6 +199,17 @@
 	return Decision{Call: r.Call, Action: Queue, Wait: wait, Displaced: displaced}
 }
 
+// misses reports whether an answer at a time is too late for a call that could still go elsewhere or come again.
+func (r *Request) misses(at time.Time) bool {
+	if r.Final {
+		return false
+	}
+	if r.Again && !r.Deadline.IsZero() {
+		return at.After(r.Deadline)
+	}
+	return at.After(r.Objective)
+}
+
 // Done frees the slot of a call that ran for the given time and returns the decisions on queued calls.
 // ok is false for an answer that says nothing about the speed of the backend server.
 func (g *Gate) Done(now time.Time, call string, took time.Duration, ok bool) []Decision {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -230,7 +230,11 @@
 }
 
 func (g *Gate) admit(r Request, waited time.Duration) Decision {
-	g.running[r.Call] = run{caller: r.Caller, kind: r.Kind, suspect: r.Suspect}
+	n := run{caller: r.Caller, kind: r.Kind, suspect: r.Suspect}
+	if g.link != nil && r.Remote {
+		n.bytes = g.link.reserve(r.Kind)
+	}
+	g.running[r.Call] = n
 	if r.Suspect {
 		g.suspects++
 	}
@@ -248,6 +252,9 @@
 		return false
 	}
 	delete(g.running, call)
+	if g.link != nil && r.bytes > 0 {
+		g.link.release(r.bytes)
+	}
 	if r.suspect {
 		g.suspects--
 	}
--- a/io/demo/soak_test.go
+++ b/io/demo/soak_test.go
@@ -45,6 +45,7 @@
 	soakHeal     = 30 * time.Second // until everything works again after the last fault
 	soakTimeout  = 4 * time.Second  // of one attempt of a caller
 	soakHistory  = 1000             // changes
+	soakLost     = 9                // one in so many answers is lost by its backend server
 )
 
 // soak is a mesh of real processes whose links lead through proxies, with what callers and operators were told.
@@ -290,9 +291,26 @@
 	}
 }
 
+// lostAnswers makes backend servers lose the answers of some requests that they have run.
+type lostAnswers struct {
+	next  *http.Transport
+	count int
+}
+
+// RoundTrip sends a request; only one goroutine uses it.
+func (l *lostAnswers) RoundTrip(r *http.Request) (*http.Response, error) {
+	if l.count++; l.count%soakLost == 0 {
+		r.Header.Set(standin.HeaderFault, standin.FaultReset)
+	}
+	return l.next.RoundTrip(r)
+}
+
+// CloseIdleConnections closes the connections that are kept.
+func (l *lostAnswers) CloseIdleConnections() { l.next.CloseIdleConnections() }
+
 // call sends keyed purchases and lookups through the nodes in turn until ctx ends, over connections that it keeps.
 func (s *soak) call(ctx context.Context, n int) {
-	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: soakTimeout}
+	c := &http.Client{Transport: &lostAnswers{next: &http.Transport{MaxIdleConnsPerHost: 2}}, Timeout: soakTimeout}
 	defer c.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		if i%2 == 0 {
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// remoteKey marks the context of a call from another node.
+type remoteKey struct{}
+
 func requestOf(ctx context.Context, m hop.Meta) admission.Request {
 	deadline, _ := ctx.Deadline()
 	var objective time.Time
@@ -160,6 +163,7 @@
 		Again:      m.Again,
 		Final:      m.Final || inner && m.Aim != 0,
 		Inner:      inner,
+		Remote:     ctx.Value(remoteKey{}) != nil,
 		Call:       m.Call,
 		Caller:     m.Caller,
 		Kind:       m.Route,
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -70,6 +70,7 @@
 	identify  []caller.Option
 	toBackend []backend.Option
 	toGate    []admission.Option
+	link      *admission.Link // of the host; nil when its rate is not known
 	toPicker  []routing.Option
 	extra     []extra
 	adopted   adoption
@@ -180,6 +181,10 @@
 	for _, o := range opts {
 		o(h)
 	}
+	if s.Link > 0 {
+		h.link = admission.NewLink(s.Link)
+		h.toGate = append(h.toGate, admission.WithLink(h.link))
+	}
 	h.upstream = newUpstream(s, h.known)
 	h.budgets = h.newBudgets()
 	if h.dial == nil && s.Timing.Silence > 0 {
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -170,7 +170,10 @@
 // inner runs a call from another node. A failure is logged here, where its cause is known; for calls from this node io/caller
 // logs it.
 func (h *Host) inner(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
-	p, err := h.do(ctx, m, r)
+	p, err := h.do(context.WithValue(ctx, remoteKey{}, true), m, r)
+	if err == nil && h.link != nil {
+		h.link.Sent(time.Now(), m.Route, p.ContentLength)
+	}
 	if err != nil {
 		f := hop.AsFailure(err, m.Call)
 		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
--- a/main.go
+++ b/main.go
@@ -16,6 +16,7 @@
 	p := cmd.Program{
 		Node:          host.RunNode,
 		Platform:      platform.Run,
+		CheckPlatform: platform.Check,
 		Demo:          demo.Run,
 		ParseRegister: config.ParseRegister,
 		ParseRules:    config.ParseRules,
