--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -17,9 +17,10 @@
 
 // Drain stops the process gracefully. The node's own endpoints refuse new work first, and the leave is reported. The
 // listener for callers goes on forwarding to other endpoints for a second, with Connection: close, and stops accepting
-// then. With the setting Move, callers are given that time, and the endpoints, whose backend servers go on running, take new
-// work until its end, so that a restart of the node alone takes them away for as short as possible. The listeners that calls in flight need stay open until these have ended: the local one for calls of backend
-// servers, the peer one for claims' outcomes.
+// then. With the setting Move, callers are given that time, and the endpoints, whose backend servers go on running, take
+// new work until its end, so that a restart of the node alone takes them away for as short as possible. The listeners that
+// calls in flight need stay open until these have ended: the local one for calls of backend servers, the peer one for
+// claims' outcomes.
 func (h *Host) Drain() error {
 	h.log.Info("draining", "grace", h.settings.Grace.String())
 	h.leaving.Store(true)
