feat(store): whole contents travel as edits of the newest one

Cause: an order carries every route (2,400 and more); the log sent all of it to each follower, and a follower that took the order sent it to the leader. A replica now proposes what differs from the newest content; the others rebuild the whole and prove it by the hash of the operator's change, which also recognizes a resend in either form. Where that fails nothing is changed and the whole content is proposed (counted and logged). Versions share the routes that no change touched, and comparisons skip those.

--- a/core/store/change.go
+++ b/core/store/change.go
@@ -179,6 +179,16 @@
 			return nil, refuse(Invalid, faults...)
 		}
 		p.content = whole(b.Content)
+	case *wire.Change_Edit:
+		p.part = "content"
+		w := base.expand(c)
+		if w == nil {
+			return nil, refuse(Mismatch, &wire.Fault{Field: "edit", Expected: "an edit of the newest content; send the whole one"})
+		}
+		if faults := checkSets(w.GetSets()); len(faults) > 0 {
+			return nil, refuse(Invalid, faults...)
+		}
+		p.content = whole(w)
 	case *wire.Change_Revert:
 		p.part = fmt.Sprintf("revert/%d", b.Revert)
 		for _, r := range s.history {
@@ -224,8 +234,11 @@
 	return faults
 }
 
-// sum identifies the content of a change; the base is left out, since a tool that resends may have read a newer one.
+// sum identifies the content of a change, also where an edit stands for it; the base is left out, since a tool that resends may have read a newer one.
 func sum(c *wire.Change) string {
+	if e := c.GetEdit(); e != nil {
+		return string(e.GetDigest())
+	}
 	body := &wire.Change{Body: c.GetBody(), Number: c.GetNumber(), Builds: c.GetBuilds()}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(body)
 	if err != nil {
--- a/core/store/content.go
+++ b/core/store/content.go
@@ -93,17 +93,26 @@
 	return newContent(c.register, sets, c.bounds)
 }
 
-// normal returns a copy of a rule set whose rules all name it; operators' tools may leave that out.
+// normal returns a rule set whose rules all name it; operators' tools may leave that out. Rules that do are shared with the
+// given set, so that versions share most of their routes.
 func normal(r *wire.RuleSet) *wire.RuleSet {
-	n, _ := proto.Clone(r).(*wire.RuleSet)
-	for _, r := range n.GetRoutes() {
-		r.Set = n.GetSet()
+	n := &wire.RuleSet{Set: r.GetSet()}
+	for _, m := range r.GetRoutes() {
+		if m.GetSet() != n.Set {
+			m = proto.CloneOf(m)
+			m.Set = n.Set
+		}
+		n.Routes = append(n.Routes, m)
 	}
-	for _, l := range n.GetLimits() {
-		l.Set = n.GetSet()
+	for _, m := range r.GetLimits() {
+		m = proto.CloneOf(m)
+		m.Set = n.Set
+		n.Limits = append(n.Limits, m)
 	}
-	for _, d := range n.GetDrains() {
-		d.Set = n.GetSet()
+	for _, m := range r.GetDrains() {
+		m = proto.CloneOf(m)
+		m.Set = n.Set
+		n.Drains = append(n.Drains, m)
 	}
 	return n
 }
@@ -128,7 +137,7 @@
 func changedKeys(before, after *content, m *members) []string {
 	var keys []string
 	for k, v := range after.entries {
-		if old := before.entries[k]; old == nil || !proto.Equal(old, v) {
+		if old := before.entries[k]; old != v && (old == nil || !proto.Equal(old, v)) {
 			keys = append(keys, k)
 		}
 	}
--- a/core/store/difference.go
+++ b/core/store/difference.go
@@ -32,6 +32,9 @@
 }
 
 func difference(key string, before, after proto.Message) []*wire.Difference {
+	if before == after {
+		return nil // versions share what no change touched
+	}
 	if before == nil {
 		return []*wire.Difference{{Key: key, After: summary(after)}}
 	}
--- /dev/null
+++ b/core/store/edit.go
@@ -0,0 +1,103 @@
+package store
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"godwitspindle/core/wire"
+)
+
+// Base is the newest content with the operator's number of its change; it does not change with the store.
+type Base struct {
+	number  uint64
+	content *content
+}
+
+// Base returns what a change with the operator's own number builds on.
+func (s *Store) Base() Base { return Base{number: s.newest().GetNumber(), content: s.content} }
+
+// Shorten returns the change with an edit in place of its whole content, so that the log carries only what differs. It returns
+// the change itself when that builds on another content, and when an edit would not be shorter or not exact.
+func (b Base) Shorten(c *wire.Change) *wire.Change {
+	w := c.GetContent()
+	if w == nil || b.number == 0 || c.GetBuilds() != b.number {
+		return c
+	}
+	e := &wire.Edit{Digest: []byte(sum(c)), Frame: &wire.Content{Register: w.GetRegister(), Bounds: w.GetBounds()}}
+	for i, r := range w.GetSets() {
+		e.Frame.Sets = append(e.Frame.Sets, &wire.RuleSet{Set: r.GetSet(), Limits: r.GetLimits(), Drains: r.GetDrains()})
+		e.Spans = append(e.Spans, spans(uint32(i), b.content.routes(r.GetSet()), r.GetRoutes())...)
+	}
+	short := &wire.Change{
+		Id: c.GetId(), Base: c.GetBase(), Author: c.GetAuthor(), Reason: c.GetReason(), Number: c.GetNumber(), Builds: c.GetBuilds(),
+		Body: &wire.Change_Edit{Edit: e},
+	}
+	if proto.Size(short) >= proto.Size(c) || b.content.expand(short) == nil {
+		return c
+	}
+	return short
+}
+
+// spans describes a list of routes by runs of the held list and routes of its own.
+func spans(set uint32, held, routes []*wire.Route) []*wire.Span {
+	places := make(map[string]int, len(held))
+	for i, r := range held {
+		places[r.GetName()] = i
+	}
+	var list []*wire.Span
+	var last *wire.Span
+	for _, r := range routes {
+		at, ok := places[r.GetName()]
+		ok = ok && proto.Equal(held[at], r)
+		switch {
+		case ok && last.GetCount() > 0 && int(last.GetFrom()+last.GetCount()) == at:
+			last.Count++
+			continue
+		case ok:
+			last = &wire.Span{Set: set, From: uint32(at), Count: 1}
+		case len(last.GetRoutes()) > 0:
+			last.Routes = append(last.Routes, r)
+			continue
+		default:
+			last = &wire.Span{Set: set, Routes: []*wire.Route{r}}
+		}
+		list = append(list, last)
+	}
+	return list
+}
+
+// routes returns the routes of a rule set.
+func (c *content) routes(set string) []*wire.Route {
+	for _, r := range c.sets {
+		if r.GetSet() == set {
+			return r.GetRoutes()
+		}
+	}
+	return nil
+}
+
+// expand returns the whole content that an edit of this one stands for, or nil when it leads to another one.
+func (c *content) expand(short *wire.Change) *wire.Content {
+	e := short.GetEdit()
+	w := &wire.Content{Register: e.GetFrame().GetRegister(), Bounds: e.GetFrame().GetBounds()}
+	for _, r := range e.GetFrame().GetSets() {
+		w.Sets = append(w.Sets, &wire.RuleSet{Set: r.GetSet(), Limits: r.GetLimits(), Drains: r.GetDrains()})
+	}
+	for _, s := range e.GetSpans() {
+		if int(s.GetSet()) >= len(w.GetSets()) {
+			return nil
+		}
+		r := w.GetSets()[s.GetSet()]
+		held := c.routes(r.GetSet())
+		first, end := uint64(s.GetFrom()), uint64(s.GetFrom())+uint64(s.GetCount())
+		if end > uint64(len(held)) {
+			return nil
+		}
+		r.Routes = append(r.Routes, held[first:end]...)
+		r.Routes = append(r.Routes, s.GetRoutes()...)
+	}
+	full := &wire.Change{Body: &wire.Change_Content{Content: w}, Number: short.GetNumber(), Builds: short.GetBuilds()}
+	if sum(full) != string(e.GetDigest()) {
+		return nil
+	}
+	return w
+}
--- /dev/null
+++ b/core/store/edit_test.go
@@ -0,0 +1,102 @@
+package store
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"godwitspindle/core/wire"
+)
+
+// routed is a numbered change with the given routes; the deadline of each tells its revision.
+func routed(number, builds uint64, names []string, revisions map[string]int64) *wire.Change {
+	c := numbered(number, builds, "archive")
+	routes := make([]*wire.Route, 0, len(names))
+	for _, n := range names {
+		routes = append(routes, &wire.Route{Name: n, Service: "archive", Path: "/" + n + "/", Deadline: 100 + revisions[n], Set: "main"})
+	}
+	c.GetContent().Sets[0].Routes = routes
+	return c
+}
+
+// Guards against an edit that leads replicas to another content than the operator sent, in another order, or to another answer
+// for a resend, also when replicas restart from a snapshot between an edit and its base.
+func TestEditsLeadToTheWholeContent(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		whole, short := New(), New()
+		revisions := map[string]int64{}
+		number := uint64(0)
+		for index := uint64(1); index < 8; index++ {
+			count := rapid.IntRange(1, 12).Draw(r, "routes")
+			var names []string
+			for _, i := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}).Draw(r, "order")[:count] {
+				names = append(names, fmt.Sprint("r", i))
+			}
+			revisions[names[0]]++
+			c := routed(number+1, number, names, revisions)
+			number++
+			edit := short.Base().Shorten(c)
+			for _, sent := range []*wire.Change{edit, c, edit} { // sent again in both forms
+				got, want := outcome(short.Apply(index, changed(sent))), outcome(whole.Apply(index, changed(c)))
+				if sent == edit && got != want {
+					r.Fatalf("change %d: got %s, want %s", number, got, want)
+				}
+			}
+			a, err := short.Content(index)
+			if err != nil {
+				r.Fatal(err)
+			}
+			if b, _ := whole.Content(index); !proto.Equal(a, b) {
+				r.Fatalf("content of change %d: got %v, want %v", number, a, b)
+			}
+			if got, want := short.Snapshot().Digest(), whole.Snapshot().Digest(); got != want {
+				r.Fatalf("digest of change %d: got %v, want %v", number, got, want)
+			}
+			if rapid.Bool().Draw(r, "restart") {
+				short = restore(r, short)
+			}
+		}
+	})
+}
+
+// Guards against a log that carries whole contents for small changes, and against an edit of a content that the replicas do not
+// hold: it must change nothing, and the whole content must still be accepted under the same id.
+func TestEditOfAnotherContent(t *testing.T) {
+	var names []string
+	for i := range 400 {
+		names = append(names, fmt.Sprintf("route-%03d", i))
+	}
+	s := New()
+	s.Apply(1, changed(routed(1, 0, names, nil)))
+	next := routed(2, 1, names, map[string]int64{"route-200": 1})
+	edit := s.Base().Shorten(next)
+	if got, want := proto.Size(edit), proto.Size(next)/50; got > want {
+		t.Errorf("size of an edit of one route: got %d bytes, want %d at most", got, want)
+	}
+	other := New()
+	other.Apply(1, changed(routed(1, 0, names[1:], nil)))
+	tests := []struct {
+		name   string
+		change *wire.Change
+		want   string
+	}{
+		{"edit of another content", edit, "mismatch edit"},
+		{"whole content after it", next, "accepted 3 content"},
+		{"edit of an older content", s.Base().Shorten(routed(9, 1, names[:9], nil)), "conflict 3 "},
+	}
+	for i, c := range tests {
+		if got := outcome(other.Apply(uint64(i+2), changed(c.change))); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+	damaged := proto.CloneOf(edit)
+	for _, p := range damaged.GetEdit().GetSpans() {
+		p.Set, p.From, p.Count = 7, 4_000_000_000, 4_000_000_000
+	}
+	if got := outcome(s.Apply(2, changed(damaged))); got != "mismatch edit" {
+		t.Errorf("damaged edit: got %s, want a mismatch", got)
+	}
+}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -26,10 +26,11 @@
 
 // Codes of refusal.
 const (
-	Invalid = "invalid"
-	Reused  = "reused"
-	Expired = "expired"
-	Missing = "missing"
+	Invalid  = "invalid"
+	Reused   = "reused"
+	Expired  = "expired"
+	Missing  = "missing"
+	Mismatch = "mismatch" // an edit does not lead to the content that it stands for; the whole content has to be sent
 )
 
 // Store is the agreed state; it is not safe for concurrent use, but the snapshots that it returns are.
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -139,6 +139,26 @@
 	return result
 }
 
+// shorten returns a change in its shortest form by what this replica holds.
+func (c *control) shorten(change *wire.Change) *wire.Change {
+	c.mu.Lock()
+	base := c.store.Base()
+	c.mu.Unlock()
+	short := base.Shorten(change)
+	if change.GetContent() != nil {
+		c.metrics.Edits.WithLabelValues(formOf(short)).Inc()
+	}
+	return short
+}
+
+// formOf names the form in which a whole content is proposed.
+func formOf(c *wire.Change) string {
+	if c.GetEdit() != nil {
+		return "edit"
+	}
+	return "whole"
+}
+
 func (c *control) marshal() ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -12,6 +12,7 @@
 
 	"godwitspindle/core/agreement"
 	"godwitspindle/core/config"
+	"godwitspindle/core/store"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
 	"godwitspindle/io/peer"
@@ -59,9 +60,16 @@
 	return h.tls.Server()
 }
 
-// change commits an operator's change through whichever replica leads.
+// change commits an operator's change through whichever replica leads. A whole content travels as an edit of the newest one,
+// and whole only where the replicas cannot rebuild it from that.
 func (h *Host) change(ctx context.Context, c *wire.Change) (*wire.Result, error) {
-	r, err := h.proposer.Propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: c}})
+	short := h.control.shorten(c)
+	r, err := h.proposer.Propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: short}})
+	if err == nil && short != c && r.GetRefusal().GetCode() == store.Mismatch {
+		h.metrics.Edits.WithLabelValues("mismatch").Inc()
+		h.log.Info("edit not applicable, the whole content is sent", "id", c.GetId(), "number", c.GetNumber(), "builds", c.GetBuilds())
+		r, err = h.proposer.Propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: c}})
+	}
 	if err != nil {
 		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
 	}
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -36,6 +36,7 @@
 	Sync          prometheus.Histogram     // seconds of one fsync of the log
 	RefusedOpens  *prometheus.CounterVec   // listener: connections closed over the limit
 	OperatorCalls *prometheus.CounterVec   // path, status
+	Edits         *prometheus.CounterVec   // form: edit, whole, mismatch
 }
 
 const space = "godwitspindle"
@@ -91,11 +92,12 @@
 		RefusedOpens: counters("connections_refused_total", "Connections closed over a listener's limit.", "listener"),
 
 		OperatorCalls: counters("operator_requests_total", "Requests of operators, by path and status.", "path", "status"),
+		Edits:         counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
 	}
 	m.Registry.MustRegister(
 		m.Calls, m.Requests, m.Added, m.Retries, m.Crossed, m.Running, m.Queued, m.Refusals, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.Age, m.Whole, m.Deltas, m.Given, m.Mismatches,
-		m.Commits, m.Term, m.Leader, m.Sync, m.RefusedOpens, m.OperatorCalls,
+		m.Commits, m.Term, m.Leader, m.Sync, m.RefusedOpens, m.OperatorCalls, m.Edits,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
