feat(relay): upstreams follow the links of hosts

Cause: above 32 nodes for each replica the nodes with the highest hash relayed, whatever their link: at 199 hosts nodes with 1 Mbit/s handed whole contents to twenty others, although each failure domain has a control host with 170 Mbit/s.

Tried and reverted: a relay that takes from the replica of its failure domain instead of the leader. The order of a relay's replicas in TestChoice changed only behind the leader. TestLoadFollowsLinks shows the load at 30 to 2,100 hosts with up to two replicas lost.

--- a/core/config/table.go
+++ b/core/config/table.go
@@ -16,6 +16,7 @@
 	Region      string
 	Incarnation uint64
 	Replica     string // identity of its control replica; empty without one
+	Link        uint64 // rate of the host's link, bytes per second; 0 when not known
 }
 
 // Table is the immutable routing view of a snapshot.
@@ -104,6 +105,7 @@
 			Region:      m.GetRegion(),
 			Incarnation: m.GetIncarnation(),
 			Replica:     m.GetReplica(),
+			Link:        m.GetLink(),
 		})
 	case *wire.Endpoint:
 		b.counts[m.GetService()]++
@@ -255,6 +257,9 @@
 // Version returns the version of the snapshot that the table was built from.
 func (t *Table) Version() uint64 { return t.version }
 
+// Configured reports whether an operator has described anything; before that, nobody knows which requests have a route.
+func (t *Table) Configured() bool { return len(t.routes)+len(t.services) > 0 }
+
 // Bounds returns the limits on what callers send, when there are any.
 func (t *Table) Bounds() (Bounds, bool) {
 	if t.bounds == nil {
--- a/core/relay/choice.go
+++ b/core/relay/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"net/netip"
 	"slices"
 
@@ -17,11 +18,15 @@
 	Domain  string
 	Address netip.AddrPort // peer listener
 	Replica bool
+	Link    uint64 // rate of the host's link, bytes per second; 0 when not known
 }
 
-// Relays returns the relays of a failure domain, the preferred one first: the live nodes with the highest rendezvous hash
-// of domain and name (Thaler and Ravishankar, 1998). Replicas become relays only where other nodes are missing, since
-// they serve every domain already. A nil alive counts every node as live.
+// class orders links by powers of two of a mebibyte per second; thin links and those of unknown rate are alike.
+func (n Node) class() int { return bits.Len64(n.Link >> 20) }
+
+// Relays returns the relays of a failure domain, the preferred one first: the live nodes with the widest links and, among
+// those, the highest rendezvous hash of domain and name (Thaler and Ravishankar, 1998). Replicas become relays only where
+// other nodes have thinner links or are missing, since they serve every domain already. A nil alive counts every node as live.
 func Relays(nodes []Node, domain string, alive func(name string) bool) []Node {
 	var b best
 	for _, n := range nodes {
@@ -58,6 +63,9 @@
 // before reports whether a node is preferred to the one at a place.
 func (b *best) before(n Node, w uint64, at int) bool {
 	o := &b.nodes[at]
+	if c := n.class() - o.class(); c != 0 {
+		return c > 0
+	}
 	if n.Replica != o.Replica {
 		return o.Replica
 	}
@@ -69,11 +77,12 @@
 
 func (b *best) list() []Node { return slices.Clone(b.nodes[:b.count]) }
 
-// Parents returns the upstreams of a node in the order in which it tries them. A relay takes from the leader, then the
-// other replicas, then relays of other domains, so that nodes help each other while the source is out. Other nodes take
-// from the relays of their failure domain, then other relays, then replicas. Ties are spread by the hash of the node.
+// Parents returns the upstreams of a node in the order in which it tries them. A relay takes from the leader, then the other
+// replicas, those of its failure domain first, then relays of other domains, so that nodes help each other while the source is
+// out. Other nodes take from the relays with the widest links, those of their failure
+// domain first, and then from the replicas. Ties are spread by the hash of the node.
 func Parents(self Node, nodes []Node, leader string, alive func(name string) bool) []Node {
-	var replicas, near, far []Node
+	var replicas, relays []Node
 	domains := map[string]*best{self.Domain: {}}
 	for _, n := range nodes {
 		if n.Replica && n.Name != self.Name {
@@ -86,26 +95,42 @@
 		}
 		b.offer(n, alive)
 	}
-	near = domains[self.Domain].list()
-	for d, b := range domains {
-		if d != self.Domain {
-			far = append(far, b.list()...)
-		}
+	for _, b := range domains {
+		relays = append(relays, b.list()...)
 	}
-	relay := slices.ContainsFunc(near, func(n Node) bool { return n.Name == self.Name })
-	near = slices.DeleteFunc(near, func(n Node) bool { return n.Name == self.Name })
-	spread := func(a, b Node) int { return order(self.Name, a, b) }
-	slices.SortFunc(near, spread)
-	slices.SortFunc(far, spread)
-	slices.SortFunc(replicas, spread)
-	if i := slices.IndexFunc(replicas, func(n Node) bool { return n.Name == leader }); (relay || self.Replica) && i > 0 {
-		l := replicas[i]
-		replicas = slices.Insert(slices.Delete(replicas, i, i+1), 0, l)
+	isSelf := func(n Node) bool { return n.Name == self.Name }
+	relay := slices.ContainsFunc(relays, isSelf)
+	relays = slices.DeleteFunc(relays, isSelf)
+	top := relay || self.Replica
+	slices.SortFunc(relays, func(a, b Node) int {
+		away := cmp.Compare(remote(self, a), remote(self, b))
+		if top {
+			away = -away // the other relay of the failure domain has the same upstreams
+		}
+		return cmp.Or(cmp.Compare(b.class(), a.class()), away, order(self.Name, a, b))
+	})
+	if top {
+		sortReplicas(self, replicas, leader)
+		return unique(replicas, relays)
 	}
-	if relay || self.Replica {
-		return unique(replicas, far, near)
+	slices.SortFunc(replicas, func(a, b Node) int { return order(self.Name, a, b) })
+	return unique(relays, replicas)
+}
+
+// sortReplicas orders the replicas for a node that takes from them: the named leader first, then those of the failure domain.
+func sortReplicas(self Node, replicas []Node, leader string) {
+	rank := func(n Node) int {
+		switch {
+		case n.Name == leader:
+			return 0
+		case n.Domain == self.Domain && !self.Replica:
+			return 1
+		}
+		return 2
 	}
-	return unique(near, far, replicas)
+	slices.SortFunc(replicas, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), order(self.Name, a, b))
+	})
 }
 
 func unique(lists ...[]Node) []Node {
--- /dev/null
+++ b/core/relay/links_test.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+// Rates of links, bytes per second: 1 Mbit/s and 170 Mbit/s.
+const (
+	thin = 125_000
+	wide = 21_250_000
+)
+
+// mesh returns nodes with thin links, spread over failure domains that have a replica with a wide link each.
+func mesh(nodes, domains, replicas int) []Node {
+	var list []Node
+	for i := range replicas {
+		list = append(list, Node{Name: fmt.Sprintf("r%d", i), Domain: fmt.Sprint("d", i%domains), Replica: true, Link: wide})
+	}
+	for i := range nodes {
+		list = append(list, Node{Name: fmt.Sprintf("n%04d", i), Domain: fmt.Sprint("d", i%domains), Link: thin})
+	}
+	return list
+}
+
+// load is what a mesh asks of its hosts when each node takes from its first upstream that lives.
+type load struct {
+	direct   bool
+	replica  int // most nodes below one replica
+	other    int // most nodes below one other node
+	crossing int // nodes that take from another failure domain
+}
+
+func loadOf(nodes []Node, leader string, dead map[string]bool) load {
+	var l load
+	byName, below := map[string]Node{}, map[string]int{}
+	for _, n := range nodes {
+		byName[n.Name] = n
+	}
+	for _, n := range nodes {
+		if n.Name == leader || dead[n.Name] {
+			continue
+		}
+		list, direct := Direct(n, nodes, leader)
+		if !direct {
+			list = Parents(n, nodes, leader, nil)
+		}
+		l.direct = direct
+		for _, p := range list {
+			if dead[p.Name] {
+				continue
+			}
+			below[p.Name]++
+			if p.Domain != n.Domain {
+				l.crossing++
+			}
+			break
+		}
+	}
+	for name, count := range below {
+		if byName[name].Replica {
+			l.replica = max(l.replica, count)
+			continue
+		}
+		l.other = max(l.other, count)
+	}
+	return l
+}
+
+// Guards against nodes with thin links that hand versions out while a host with a wide link could, against versions that cross
+// into a failure domain more often than needed, and against the nodes of a lost replica that all move to one other.
+func TestLoadFollowsLinks(t *testing.T) {
+	var b strings.Builder
+	for _, size := range []struct{ nodes, domains, replicas int }{{25, 5, 5}, {194, 5, 5}, {295, 5, 5}, {995, 5, 5}, {2093, 12, 7}} {
+		nodes := mesh(size.nodes, size.domains, size.replicas)
+		for _, lost := range []int{0, 1, 2} {
+			dead := map[string]bool{}
+			for i := range lost {
+				dead[fmt.Sprint("r", i)] = true
+			}
+			l := loadOf(nodes, "r4", dead)
+			fmt.Fprintf(&b, "nodes %4d  replicas %d  lost %d  direct %-5v  most below a replica %3d  below another node %3d  crossing %4d\n",
+				size.nodes, size.replicas, lost, l.direct, l.replica, l.other, l.crossing)
+			if l.replica > 2*directMost {
+				t.Errorf("%d nodes, %d lost: got %d below one replica, want %d at most", size.nodes, lost, l.replica, 2*directMost)
+			}
+		}
+	}
+	path := filepath.Join("testdata", "links.txt")
+	if *update {
+		if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.String() != string(want) {
+		t.Errorf("got\n%s\nwant\n%s", b.String(), want)
+	}
+}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -138,6 +138,7 @@
 			Region:      h.settings.Region,
 			Incarnation: h.incarnation,
 			Replica:     h.identity(),
+			Link:        uint64(h.settings.Link),
 		},
 		Leaving: leaving,
 	}
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -184,7 +184,7 @@
 	}
 	nodes := make([]relay.Node, 0, len(t.Nodes())+len(replicas))
 	for _, n := range t.Nodes() {
-		nodes = append(nodes, relay.Node{Name: n.Name, Domain: n.Domain, Address: n.Address, Replica: isReplica[n.Name]})
+		nodes = append(nodes, relay.Node{Name: n.Name, Domain: n.Domain, Address: n.Address, Replica: isReplica[n.Name], Link: n.Link})
 	}
 	for _, r := range replicas {
 		if _, agreed := t.Node(r.Name); !agreed {
