--- a/io/host/adapter.go
+++ b/io/host/adapter.go
@@ -17,7 +17,9 @@
 // These methods are for adapters that give a process another interface than the mesh's own.
 
 // Ready reports whether the node takes calls of callers: it serves and is not leaving.
-func (h *Host) Ready() bool { return h.Serving() && !h.leaving.Load() }
+func (h *Host) Ready() bool {
+	return h.Serving() && h.holder.View().Table.Configured() && !h.leaving.Load()
+}
 
 // Announce records an endpoint beside the node, or its renewal.
 func (h *Host) Announce(a backend.Announcement) *outcome.Failure { return h.backend.Announce(a) }
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -38,6 +38,12 @@
 		}
 	}
 	t := h.holder.View().Table
+	if !t.Configured() {
+		return caller.Match{}, &outcome.Failure{
+			Code: outcome.Unproven, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, After: h.unready(time.Since(h.started)),
+			Detail: "the node holds no operator's configuration yet",
+		}
+	}
 	r, ok := t.Match(host, path, method)
 	if !ok {
 		return caller.Match{Version: t.Version()}, nil
--- a/io/host/start_test.go
+++ b/io/host/start_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -8,6 +9,8 @@
 
 	"github.com/go-logr/logr"
 
+	"godwitspindle/core/config"
+	"godwitspindle/core/store"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/peer"
@@ -91,3 +94,58 @@
 		})
 	}
 }
+
+// Guards against a proper request that is told that it has no route, by a node whose proven version is older than the first
+// configuration of the operators.
+func TestNoConfigurationYet(t *testing.T) {
+	holder, err := peer.NewHolder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &Host{settings: &process.Settings{}, holder: holder, started: time.Now(), turns: newTurns()}
+	match := func() string {
+		m, f := h.match("fares.example", "/fares/", http.MethodGet)
+		switch {
+		case f != nil:
+			return fmt.Sprint(f.Code, " ", f.Kind, " ", f.Status)
+		case m.Route == nil:
+			return "no route"
+		}
+		return m.Route.Name
+	}
+	steps := []struct {
+		name string
+		do   func() error
+		want string
+	}{
+		{"not proven", func() error { return nil }, "unproven notrun 503"},
+		{"proven without a configuration", func() error { holder.Prove(0); return nil }, "unproven notrun 503"},
+		{"another host's route", func() error { return holder.Offer(routeTo("other.example")) }, "no route"},
+		{"the route", func() error { return holder.Offer(routeTo("fares.example")) }, "fares"},
+	}
+	for _, c := range steps {
+		if err := c.do(); err != nil {
+			t.Fatal(err)
+		}
+		if got := match(); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+var versions uint64
+
+// routeTo returns a newer snapshot with one route.
+func routeTo(host string) *config.Snapshot {
+	versions++
+	s := store.New()
+	s.Apply(versions, &wire.Command{Body: &wire.Command_Change{Change: &wire.Change{Id: "c", Number: 1, Body: &wire.Change_Content{
+		Content: &wire.Content{
+			Register: &wire.Register{Services: []*wire.Service{{Name: "counter", Slots: 1, Connections: 1}}},
+			Sets: []*wire.RuleSet{{Set: "main", Routes: []*wire.Route{
+				{Name: "fares", Set: "main", Service: "counter", Host: host, Path: "/fares/", Deadline: 1000},
+			}}},
+		},
+	}}}})
+	return s.Snapshot()
+}
