feat(process): requests sent behind others are begun at once

Cause: net/http serves the requests of a connection one after the other. The caller listener now gives net/http one request at a time, begins what may be repeated before its turn (8 a connection, 64 KiB of each answer), and ends all of it when the client goes. A request that may run only once waits for its turn. A planned stop answers what it began.

Ruled out: a server loop of our own, since net/http stays on both sides. Requests with a body are passed through as before.

--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -55,6 +55,16 @@
 	return caller.Match{Route: r, Service: s, Version: t.Version()}, nil
 }
 
+// ahead reports whether a request may be begun while its caller waits for earlier answers: where it may run more than once, since
+// the caller sends it again if the connection ends before its turn.
+func (h *Host) ahead(r *http.Request) bool {
+	if !h.holder.Serving() || h.leaving.Load() {
+		return false
+	}
+	route, ok := h.holder.View().Table.Match(r.Host, r.URL.Path, r.Method)
+	return ok && route.Idempotent
+}
+
 // unready returns when a caller should come again that was refused since the node has no proven version: when it usually has
 // one, a little spread out.
 func (h *Host) unready(up time.Duration) time.Duration {
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -51,7 +51,11 @@
 		if !e.address.IsValid() {
 			continue
 		}
-		if _, err := h.listen(e.name, e.address, e.handler, e.limits, process.WithServer(e.base)); err != nil {
+		options := []process.ServerOption{process.WithServer(e.base)}
+		if e.name == "listen.caller" {
+			options = append(options, process.WithAhead(h.ahead))
+		}
+		if _, err := h.listen(e.name, e.address, e.handler, e.limits, options...); err != nil {
 			return err
 		}
 	}
--- a/io/process/listener.go
+++ b/io/process/listener.go
@@ -31,6 +31,18 @@
 	once    sync.Once
 	fresh   sync.Map    // connections without a request so far
 	orderly atomic.Bool // a shutdown closes connections, but none with a request in work
+
+	line      func(c *countedConn) *pipeline // makes the pipeline of a connection; nil for none
+	ahead     atomic.Int64                   // requests begun before their turn and not yet answered
+	finishing atomic.Bool                    // no more are begun
+}
+
+// finish waits until every request that was begun before its turn is answered.
+func (l *countingListener) finish(ctx context.Context) {
+	l.finishing.Store(true)
+	for ctx.Err() == nil && l.ahead.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // deadliner is what TCP listeners add to net.Listener.
@@ -130,7 +142,11 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.limit {
-			return &countedConn{Conn: c, listener: l, release: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+			counted := &countedConn{Conn: c, listener: l, release: sync.OnceFunc(func() { l.open.Add(-1) })}
+			if l.line != nil {
+				counted.line = l.line(counted)
+			}
+			return counted, nil
 		}
 		l.open.Add(-1)
 		l.refused() // before the close, so that the count is not behind what the client sees
@@ -145,6 +161,7 @@
 	net.Conn
 	listener *countingListener
 	release  func()
+	line     *pipeline // nil for a connection whose requests are served one after the other
 
 	mu        sync.Mutex
 	active    bool // a request is in work
@@ -155,6 +172,14 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// Read reads from the connection, one request at a time where it has a pipeline.
+func (c *countedConn) Read(p []byte) (int, error) {
+	if c.line != nil {
+		return c.line.Read(p)
+	}
+	return c.Conn.Read(p)
+}
+
 // Close closes the connection; during an orderly shutdown one with a request in work stays open until that has ended.
 func (c *countedConn) Close() error {
 	c.mu.Lock()
@@ -170,6 +195,9 @@
 func (c *countedConn) end() error {
 	c.abandoned = c.abandoned || !c.active
 	c.release()
+	if c.line != nil {
+		c.line.end()
+	}
 	return c.Conn.Close()
 }
 
--- a/io/process/server.go
+++ b/io/process/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -55,6 +56,7 @@
 	http     *http.Server
 	listener *countingListener
 	done     chan struct{}
+	running  sync.WaitGroup // requests in work before their turn
 }
 
 type serverOptions struct {
@@ -67,6 +69,7 @@
 	log     logr.Logger
 	refused func()
 	context context.Context
+	ahead   func(r *http.Request) bool
 }
 
 // ServerOption changes one property of a Server.
@@ -94,6 +97,12 @@
 // WithRefused calls f for each connection that is closed over the limit.
 func WithRefused(f func()) ServerOption { return func(o *serverOptions) { o.refused = f } }
 
+// WithAhead begins requests that a client sends before earlier answers at once, as far as f allows it; without it such requests
+// are served one after the other. A request that is begun may run although its client sends it again. It needs HTTP/1.1 in cleartext.
+func WithAhead(f func(r *http.Request) bool) ServerOption {
+	return func(o *serverOptions) { o.ahead = f }
+}
+
 // WithContext sets the context that requests inherit.
 func WithContext(ctx context.Context) ServerOption { return func(o *serverOptions) { o.context = ctx } }
 
@@ -114,6 +123,9 @@
 	}
 	s.http.ConnState = s.listener.track
 	if h1 := s.http.Protocols; !h1.HTTP2() && !h1.UnencryptedHTTP2() {
+		if o.ahead != nil && o.tls == nil {
+			s.pipeline(o)
+		}
 		s.http.Handler = unlessGone(s.http.Handler)
 		s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	}
@@ -127,6 +139,14 @@
 	return s, nil
 }
 
+// pipeline makes the server take up requests before their turn.
+func (s *Server) pipeline(o serverOptions) {
+	handler := s.http.Handler
+	run := func(a *ahead) { s.running.Go(func() { a.run(handler) }) }
+	s.listener.line = func(c *countedConn) *pipeline { return newPipeline(o.context, c, run, o.ahead) }
+	s.http.Handler = inTurn(handler)
+}
+
 func newHTTP(o serverOptions) *http.Server {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
@@ -170,6 +190,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.listener.Quiesce()
 	if p := s.http.Protocols; !p.HTTP2() && !p.UnencryptedHTTP2() { // HTTP/2 tells its clients which requests it leaves out
+		s.listener.finish(ctx)
 		s.listener.orderly.Store(true)
 		s.http.SetKeepAlivesEnabled(false)
 		s.listener.settle(ctx)
@@ -180,6 +201,7 @@
 		_ = s.http.Close()
 	}
 	<-s.done
+	s.running.Wait()
 	if err != nil {
 		return fmt.Errorf("shutdown of %s: %w", s.Address(), err)
 	}
@@ -191,6 +213,7 @@
 	s.listener.orderly.Store(false)
 	err := s.http.Close()
 	<-s.done
+	s.running.Wait()
 	if err != nil {
 		return fmt.Errorf("close of %s: %w", s.Address(), err)
 	}
