test(backend): servers whose heads or bodies never end

Not possible here: a head, its interim answers included, is read up to 32 KiB and then the connection is closed, told as unknown; a body passes through 64 KiB buffers until the call's deadline, is told as broken, and its slot is free again. The tests keep that, with each form of head.

--- a/io/backend/exchange_test.go
+++ b/io/backend/exchange_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +47,24 @@
 		_, _ = io.WriteString(w, "/interim")
 	case "/head":
 		w.Header().Set("X-Long", strings.Repeat("x", 2*maxHeaderBytes))
+	case "/interims", "/fields", "/line":
+		// Bytes without end until the node closes the connection.
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		begin, more := "", "HTTP/1.1 102 Processing\r\n\r\n"
+		switch r.URL.Path {
+		case "/fields":
+			begin, more = "HTTP/1.1 200 OK\r\n", "X: y\r\n"
+		case "/line":
+			begin, more = "HTTP/1.1 2", "0"
+		}
+		_, err = io.WriteString(c, begin)
+		for more = strings.Repeat(more, 500); err == nil; {
+			_, err = io.WriteString(c, more)
+		}
+		_ = c.Close()
 	case "/surplus", "/late":
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -70,8 +89,8 @@
 	}
 }
 
-// TestExchange guards the edges of an exchange: an answer before the body is read, an interim answer, a head without end, an
-// answer that is given up, a stalled upload, and an answer that nobody asked for, together with one or after it (R4). A later call on the only connection must get its own whole answer, also after
+// TestExchange guards the edges of an exchange: an answer before the body is read, an interim answer, heads without end of several
+// forms, an answer that is given up, a stalled upload, and an answer that nobody asked for, together with one or after it (R4). A later call on the only connection must get its own whole answer, also after
 // the backend server closed the idle connection, which must not make the outcome unknown.
 func TestExchange(t *testing.T) {
 	s := httptest.NewUnstartedServer(http.HandlerFunc(serveEdges))
@@ -99,6 +118,9 @@
 		{name: "answer before the body", path: "/early", body: &endless{closed: make(chan struct{})}, status: 413, answer: "too large\n"},
 		{name: "interim answer", path: "/interim", status: 200, answer: "/interim"},
 		{name: "head without end", path: "/head", code: outcome.Reset, kind: outcome.Unknown},
+		{name: "interim answers without end", path: "/interims", code: outcome.Reset, kind: outcome.Unknown},
+		{name: "fields without end", path: "/fields", code: outcome.Reset, kind: outcome.Unknown},
+		{name: "a line without end", path: "/line", code: outcome.Reset, kind: outcome.Unknown},
 		{name: "answer given up", path: "/endless", status: 200, giveUp: true},
 		{name: "surplus answer", path: "/surplus", status: 200, answer: "mine"},
 		{name: "surplus answer later", path: "/late", status: 200, answer: "mine", idle: 60 * time.Millisecond},
@@ -139,3 +161,54 @@
 		})
 	}
 }
+
+// Guards against a body without end that takes memory with it, outlives the deadline of its call, keeps its slot, or is taken for a
+// whole answer.
+func TestEndlessBody(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(serveEdges))
+	defer s.Close()
+	b := New(WithWhole(64 << 10))
+	defer func() { _ = b.Close() }()
+	if f := b.Announce(Announcement{Service: "counter", Endpoint: "a", Address: netip.MustParseAddrPort(s.Listener.Addr().String()), Slots: 1, Connections: 1}); f != nil {
+		t.Fatal(f)
+	}
+	const deadline, slack = 200 * time.Millisecond, 2 * time.Second
+	const heldMost = 8 << 20 // bytes; the body brings hundreds of megabytes within the deadline
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	began := time.Now()
+	p, err := b.Do(ctx, testMeta("endless"), call("/endless"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	passed := int64(0)
+	most := uint64(0)
+	buffer := make([]byte, 32<<10)
+	for err == nil {
+		var n int
+		n, err = p.Body.Read(buffer)
+		if passed += int64(n); passed%(8<<20) < int64(len(buffer)) {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapAlloc)
+		}
+	}
+	if err == io.EOF {
+		t.Error("got a whole answer, want one that breaks off")
+	}
+	if got := time.Since(began); got > deadline+slack {
+		t.Errorf("ended after %s, want at the deadline of %s", got, deadline)
+	}
+	if passed == 0 || most > heldMost {
+		t.Errorf("got %d bytes passed on with %d held, want some with %d held at most", passed, most, heldMost)
+	}
+	next, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	p, err = b.Do(next, testMeta("next"), call("/next"))
+	if err != nil {
+		t.Fatalf("call that follows: got %v, want an answer", err)
+	}
+	if got, err := io.ReadAll(p.Body); string(got) != "/next" || err != nil {
+		t.Errorf("call that follows: got %q, %v, want /next", got, err)
+	}
+}
