fix(replica): a status holds every change that was answered

Cause of the known red TestNoAnswerBeforeSync (commit 3, want 2): a proposal was answered while its round went on, and the status was published only at the end of the round. The test read the commit of the round before as the one that must not move. The status is now published before the answers.

--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -171,6 +171,9 @@
 			own = s.Term
 		}
 	}
+	if len(r.waiting) > 0 && len(e.Committed) > 0 {
+		r.publish() // before the answers, so that whoever gets one finds its change in the status
+	}
 	begin := r.now()
 	for _, n := range e.Committed {
 		if err := r.applyOne(n, own); err != nil {
--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -308,3 +308,29 @@
 	slow.Store(false)
 	<-answered
 }
+
+// Guards against a status that lacks a change which was answered: it was published only after the whole round, so
+// TestNoAnswerBeforeSync could read the commit of the round before.
+func TestStatusHoldsWhatWasAnswered(t *testing.T) {
+	const slow = 20 * time.Millisecond // to apply each change that follows the first one of a round
+	g := newGroup(t, []string{"a"}, WithApply(func(uint64, *wire.Command) *wire.Result {
+		time.Sleep(slow)
+		return &wire.Result{}
+	}))
+	r := g.leader()
+	before := r.Status().Commit
+	var wait sync.WaitGroup
+	var answered atomic.Uint64
+	for range 8 {
+		wait.Go(func() {
+			if _, err := r.Propose(t.Context(), &wire.Command{}); err != nil {
+				t.Error(err)
+			}
+			want := before + answered.Add(1)
+			if got := r.Status().Commit; got < want {
+				t.Errorf("commit after an answered proposal: got %d, want at least %d", got, want)
+			}
+		})
+	}
+	wait.Wait()
+}
