fix(agreement): the first elections after a loss of power no longer split the votes

A replica without a leader campaigned after max(random(200 ms), 100 ms): half of them exactly at 100 ms, so votes were split and the next tries too.

--- a/core/agreement/cluster_test.go
+++ b/core/agreement/cluster_test.go
@@ -43,6 +43,7 @@
 	reads     map[uint64]uint64 // context to the highest index committed anywhere at the time of the call
 	done      map[uint64]bool   // contexts that were confirmed
 	top       uint64
+	options   []Option // for replicas that start from now on
 }
 
 func newCluster(t rapid.TB, n int, seed int64) *cluster {
@@ -76,8 +77,10 @@
 		names = append(names, Name(i))
 	}
 	s := c.stores[id]
-	r, err := New(WithID(id), WithFounders(slices.Compact(names)...), WithLog(s.state, s.snapshot, s.entries),
-		WithRandom(func(d time.Duration) time.Duration { return time.Duration(c.random.Int63n(int64(d))) }))
+	r, err := New(append([]Option{
+		WithID(id), WithFounders(slices.Compact(names)...), WithLog(s.state, s.snapshot, s.entries),
+		WithRandom(func(d time.Duration) time.Duration { return time.Duration(c.random.Int63n(int64(d))) }),
+	}, c.options...)...)
 	if err != nil {
 		c.t.Fatalf("New(%s): %v", id, err)
 	}
--- a/core/agreement/early_test.go
+++ b/core/agreement/early_test.go
@@ -61,3 +61,63 @@
 		}
 	}
 }
+
+// delay advances time until there is a leader; each replica ticks by a clock of its own, and messages are delivered after a time.
+func (c *cluster) delay(most, tick, transit time.Duration) {
+	const step = 5 * time.Millisecond
+	var sent []time.Duration // when each message of the network was sent
+	for passed := time.Duration(0); passed < most && c.leader() == ""; passed += step {
+		c.now = c.now.Add(step)
+		for i, id := range c.ids() {
+			if (passed+time.Duration(i)*step)%tick == 0 {
+				c.members[id].Tick(c.now)
+				c.settle(id)
+			}
+		}
+		for len(sent) < len(c.network) {
+			sent = append(sent, passed)
+		}
+		for len(sent) > 0 && sent[0]+transit <= passed {
+			sent = sent[1:]
+			c.deliver(0)
+		}
+	}
+}
+
+// Load pattern: all replicas lose power at once and start within a few milliseconds. Guards against replicas that campaign at the
+// same moment, split the votes, and try again at the same moment, while every node waits for a leader to prove its version.
+func TestFirstElectionAfterPowerLoss(t *testing.T) {
+	const election, heartbeat = 600 * time.Millisecond, 100 * time.Millisecond
+	const within = election / 2
+	const seeds = 100
+	tests := []struct {
+		name          string
+		tick, transit time.Duration // transit with the sync of a vote
+	}{
+		{"short ticks", 5 * time.Millisecond, 10 * time.Millisecond},
+		{"long ticks", 25 * time.Millisecond, 10 * time.Millisecond},
+		{"slow links", 5 * time.Millisecond, 20 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			slowest, total := time.Duration(0), time.Duration(0)
+			for seed := range int64(seeds) {
+				c := newCluster(t, 5, seed)
+				c.run(10 * time.Second)
+				c.options = []Option{WithElection(election), WithHeartbeat(heartbeat)}
+				for _, id := range c.ids() {
+					c.start(id)
+				}
+				c.network = nil
+				began := c.now
+				c.delay(10*election, tt.tick, tt.transit)
+				took := c.now.Sub(began)
+				slowest, total = max(slowest, took), total+took
+			}
+			t.Logf("a leader after %s on average, %s at most", total/seeds, slowest)
+			if slowest > within {
+				t.Errorf("slowest of %d: got a leader after %s, want %s at most", seeds, slowest, within)
+			}
+		})
+	}
+}
--- a/core/agreement/election.go
+++ b/core/agreement/election.go
@@ -65,7 +65,7 @@
 
 // Starts a pre-vote, which changes no state, or a vote.
 func (r *Replica) campaign(pre bool) {
-	r.role, r.leader, r.pre = Candidate, "", pre
+	r.role, r.leader, r.pre, r.campaigned = Candidate, "", pre, true
 	r.votes = map[string]bool{r.id: true}
 	term, kind := r.state.Term+1, PreVote
 	if !pre {
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -11,9 +11,13 @@
 	messageLimit     = 1 << 20                // bytes of entries in one message
 	entryCost        = 32                     // bytes counted for an entry's fixed fields
 	inflightLimit    = 16                     // unanswered appends for each follower
-	// unsettledShare is the part of the election timeout in which a replica campaigns that has known no leader since its start.
+	// unsettledShare is the part of the election timeout in which a replica campaigns again that has known no leader since its start.
 	unsettledShare = 3
-	trailLimit     = 1024 // entries kept below a snapshot, so that a follower slightly behind needs no snapshot
+	// campaignsPerHeartbeat spaces the first campaigns of a group that has known no leader since its start: each has half a heartbeat
+	// for two rounds of votes.
+	campaignsPerHeartbeat = 2
+	campaignSpread        = 8    // part of a heartbeat by which these campaigns vary
+	trailLimit            = 1024 // entries kept below a snapshot, so that a follower slightly behind needs no snapshot
 )
 
 // Option sets up a Replica.
@@ -82,6 +86,7 @@
 	votes           map[string]bool
 	pre             bool // the campaign is a pre-vote
 	settled         bool // a leader was known since the start
+	campaigned      bool // since the start
 	promises        map[string]string
 	progress        map[string]*progress
 	rounds          []round
@@ -218,16 +223,23 @@
 }
 
 // rearm sets the time of the next campaign. Until a replica has known a leader since its start it waits less: after a loss of
-// power of the whole group there is none, and a pre-vote does not disturb one that lives.
+// power of the whole group there is none, and a pre-vote does not disturb one that lives. The first campaigns come one after
+// the other in a fixed order, since replicas that start together would otherwise split the votes; later ones at random, since
+// the order may not suit the state of the group.
 func (r *Replica) rearm() {
 	if r.leader != "" || r.role == Leader {
 		r.settled = true
 	}
-	wait := r.random(r.election / unsettledShare)
-	if r.settled {
-		wait = r.election + r.random(r.election)
+	wait := r.election + r.random(r.election)
+	switch {
+	case r.settled:
+	case r.campaigned:
+		wait = max(r.random(r.election/unsettledShare), r.heartbeat)
+	default:
+		place := max(slices.Index(r.members().Voters, r.id), 0)
+		wait = r.heartbeat + time.Duration(place)*r.heartbeat/campaignsPerHeartbeat + r.random(r.heartbeat/campaignSpread)
 	}
-	r.deadline = r.now.Add(max(wait, r.heartbeat))
+	r.deadline = r.now.Add(wait)
 }
 
 // Status describes the replica.
