--- a/core/relay/links_test.go
+++ b/core/relay/links_test.go
@@ -17,6 +17,9 @@
 	wide = 21_250_000
 )
 
+// belowMost bounds the nodes of one replica while others are lost.
+const belowMost = 2 * directMost
+
 // mesh returns nodes with thin links, spread over failure domains that have a replica with a wide link each.
 func mesh(nodes, domains, replicas int) []Node {
 	var list []Node
@@ -90,8 +93,8 @@
 			l := loadOf(nodes, "r4", dead)
 			fmt.Fprintf(&b, "nodes %4d  replicas %d  lost %d  direct %-5v  most below a replica %3d  below another node %3d  crossing %4d\n",
 				size.nodes, size.replicas, lost, l.direct, l.replica, l.other, l.crossing)
-			if l.replica > 2*directMost {
-				t.Errorf("%d nodes, %d lost: got %d below one replica, want %d at most", size.nodes, lost, l.replica, 2*directMost)
+			if l.replica > belowMost {
+				t.Errorf("%d nodes, %d lost: got %d below one replica, want %d at most", size.nodes, lost, l.replica, belowMost)
 			}
 		}
 	}
@@ -109,3 +112,43 @@
 		t.Errorf("got\n%s\nwant\n%s", b.String(), want)
 	}
 }
+
+// Guards against a replica that is given more nodes than it bears when a mesh of the design size has fewer replicas than the seven
+// that it may have, and two of them are lost.
+func TestLoadOfFewReplicas(t *testing.T) {
+	nodes := mesh(2095, 5, 5)
+	l := loadOf(nodes, "r4", map[string]bool{"r0": true, "r1": true})
+	if l.replica > belowMost {
+		t.Errorf("got %d nodes below one replica, want %d at most", l.replica, belowMost)
+	}
+}
+
+// Guards against a thin host that relays although a host with a wide link lives, and against replicas that relay in a mesh whose
+// links are not known, where they serve every failure domain already.
+func TestWidestLinkRelays(t *testing.T) {
+	tests := []struct {
+		name          string
+		replica, node uint64 // rates of links
+		alive         func(string) bool
+		want          string
+	}{
+		{"wide replica", wide, thin, nil, "r0"},
+		{"links alike", wide, wide, nil, "n"},
+		{"links not known", 0, 0, nil, "n"},
+		{"wide replica lost", wide, thin, func(n string) bool { return n != "r0" }, "n"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			nodes := mesh(20, 2, 2)
+			for i := range nodes {
+				nodes[i].Link = c.node
+				if nodes[i].Replica {
+					nodes[i].Link = c.replica
+				}
+			}
+			if got := Relays(nodes, "d0", c.alive)[0].Name; got[:len(c.want)] != c.want {
+				t.Errorf("first relay: got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/core/store/edit_test.go
+++ b/core/store/edit_test.go
@@ -77,7 +77,7 @@
 		t.Errorf("size of an edit of one route: got %d bytes, want %d at most", got, want)
 	}
 	other := New()
-	other.Apply(1, changed(routed(1, 0, names[1:], nil)))
+	other.Apply(1, changed(routed(1, 0, names, map[string]int64{"route-000": 9})))
 	tests := []struct {
 		name   string
 		change *wire.Change
