--- a/core/relay/choice.go
+++ b/core/relay/choice.go
@@ -79,8 +79,8 @@
 
 // Parents returns the upstreams of a node in the order in which it tries them. A relay takes from the leader, then the other
 // replicas, those of its failure domain first, then relays of other domains, so that nodes help each other while the source is
-// out. Other nodes take from the relays with the widest links, those of their failure
-// domain first, and then from the replicas. Ties are spread by the hash of the node.
+// out. Other nodes take from the relays with the widest links, those of their failure domain first, and then from the replicas.
+// Ties are spread by the hash of the node.
 func Parents(self Node, nodes []Node, leader string, alive func(name string) bool) []Node {
 	var replicas, relays []Node
 	domains := map[string]*best{self.Domain: {}}
--- a/core/store/change.go
+++ b/core/store/change.go
@@ -234,7 +234,8 @@
 	return faults
 }
 
-// sum identifies the content of a change, also where an edit stands for it; the base is left out, since a tool that resends may have read a newer one.
+// sum identifies the content of a change, also where an edit stands for it; the base is left out, since a tool that resends may
+// have read a newer one.
 func sum(c *wire.Change) string {
 	if e := c.GetEdit(); e != nil {
 		return string(e.GetDigest())
