--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -49,6 +49,7 @@
 		peer.WithLost(h.retell),
 		peer.WithMoved(h.retell),
 		peer.WithPoll(pollOf(h.settings)),
+		peer.WithTransfer(transferTime(h.settings.Link)),
 		peer.WithMismatch(h.metrics.Mismatches.Inc),
 		peer.WithTaken(h.taken),
 		peer.WithSynced(h.synced),
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -25,8 +25,19 @@
 	replicaTransfer = 16
 	// transferRate is the part of a link that one whole snapshot takes, bytes per second: its receiver has a thin link.
 	transferRate = 128 << 10
+	// wholeBytes is more than a packed whole snapshot of the design size (85 KB), since other traffic shares the link.
+	wholeBytes      = 256 << 10
+	longestTransfer = 5 * time.Second
 )
 
+// transferTime returns how long a whole snapshot may take on a link in bytes per second, 0 for one that is not known.
+func transferTime(link float64) time.Duration {
+	if link <= 0 {
+		return 0
+	}
+	return min(time.Duration(wholeBytes/link*float64(time.Second)), longestTransfer)
+}
+
 // transfersOf returns how many whole snapshots a process gives at once.
 func transfersOf(s *process.Settings) int {
 	if s.IsReplica() {
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -57,6 +57,7 @@
 	report      func(parent netip.AddrPort, held uint64) *wire.Report
 	poll        time.Duration
 	slack       time.Duration
+	transfer    time.Duration // of a whole snapshot on the link of the host
 	stale       time.Duration
 	backoff     time.Duration // longest; 0 for the default
 	swapPause   time.Duration // longest between two versions that follow each other
@@ -115,6 +116,10 @@
 // WithSlack sets the time on top of a poll's wait before the poll counts as failed.
 func WithSlack(t time.Duration) FollowerOption { return func(f *Follower) { f.slack = t } }
 
+// WithTransfer sets the time that a whole snapshot takes on the link of the host. A poll that may be answered with one is given it
+// on top of the slack, since a thin link would never bring one whole otherwise.
+func WithTransfer(t time.Duration) FollowerOption { return func(f *Follower) { f.transfer = t } }
+
 // WithStale sets the age of the last quorum confirmation from which an upstream is tried last, since it may be cut off from
 // the source; 0 for no limit.
 func WithStale(t time.Duration) FollowerOption { return func(f *Follower) { f.stale = t } }
@@ -336,9 +341,9 @@
 
 // ask sends one Sync that may wait for a newer version.
 func (f *Follower) ask(ctx context.Context, parent netip.AddrPort, wait time.Duration) (*rpc.SyncResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.slack)
-	defer cancel()
 	req, number := f.request(parent, wait)
+	ctx, cancel := context.WithTimeout(ctx, f.patience(req, wait))
+	defer cancel()
 	resp, err := f.clients.At(parent).Sync(ctx, numbered(req, number))
 	if err != nil {
 		return nil, fmt.Errorf("sync with %s: %w", parent, err)
@@ -346,6 +351,14 @@
 	return resp.Msg, nil
 }
 
+// patience returns how long a poll may take.
+func (f *Follower) patience(r *rpc.SyncRequest, wait time.Duration) time.Duration {
+	if r.GetHeld() == 0 || r.GetWhole() {
+		return wait + f.slack + f.transfer
+	}
+	return wait + f.slack
+}
+
 // request makes a numbered poll: a push and a long poll may overtake each other on their way, and the older one must not
 // replace what the newer one reports.
 func (f *Follower) request(parent netip.AddrPort, wait time.Duration) (*rpc.SyncRequest, uint64) {
--- a/io/peer/sync_test.go
+++ b/io/peer/sync_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
@@ -133,3 +134,24 @@
 		}
 	}
 }
+
+// Load pattern: hundreds of nodes with thin links start. Guards against a poll that ends before a whole snapshot can have passed
+// the link, so that the node fetches it again and again, and against one that waits as long for a silent upstream of a running node.
+func TestPollWaitsForAWholeSnapshot(t *testing.T) {
+	const wait, slack, transfer = 100 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second
+	f := &Follower{slack: slack, transfer: transfer}
+	tests := []struct {
+		name    string
+		request *rpc.SyncRequest
+		want    time.Duration
+	}{
+		{"nothing held", &rpc.SyncRequest{}, wait + slack + transfer},
+		{"a whole one is asked for", &rpc.SyncRequest{Held: 7, Whole: true}, wait + slack + transfer},
+		{"a delta", &rpc.SyncRequest{Held: 7}, wait + slack},
+	}
+	for _, c := range tests {
+		if got := f.patience(c.request, wait); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
