feat(notice): limits that endpoints state are read, logged and counted

Change: core/notice parses a stated limit, with a named rule for each unusable one, and keeps it for each process of an endpoint; io/backend passes on what an answer states; io/host logs each change and exports it. Calls are not affected yet.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/hop"
 
@@ -27,6 +28,8 @@
 	onLeft          func(string, string)
 	onLoad          func(string, float64, time.Time)
 	onShed          func(string, time.Duration)
+	onNotice        func(Announcement, notice.Notice, time.Time)
+	readNotice      func(http.Header) notice.Notice
 	admit           func(context.Context, string, hop.Meta) (func(Result), *outcome.Failure)
 	checkQuarantine func(context.Context, string, hop.Meta) (func(Result), *outcome.Failure)
 	onCrash         func(Crash)
@@ -59,6 +62,8 @@
 		onLeft:          func(string, string) {},
 		onLoad:          func(string, float64, time.Time) {},
 		onShed:          func(string, time.Duration) {},
+		onNotice:        func(Announcement, notice.Notice, time.Time) {},
+		readNotice:      meshNotice,
 		admit:           pass,
 		checkQuarantine: pass,
 		onCrash:         func(Crash) {},
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -5,10 +5,12 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/hop"
 )
@@ -19,6 +21,12 @@
 	headerDeadline = "Mesh-Deadline" // remaining time in milliseconds
 )
 
+// Names of the headers by which a backend server states something about itself.
+const (
+	headerLimit   = "Mesh-Limit"   // requests per second that it takes, a decimal number
+	headerLeaving = "Mesh-Leaving" // 1 if it is about to end
+)
+
 // statusCancelled is the customary status for a request that its caller cancelled.
 const statusCancelled = 499
 
@@ -78,7 +86,7 @@
 	if f := b.refusalFor(e, l.meta.Call); f != nil {
 		return f
 	}
-	l.endpoint, l.pool = e, e.pool
+	l.endpoint, l.pool, l.announcement = e, e.pool, e.announcement
 	l.run = &runningCall{fingerprint: l.meta.Fingerprint, process: e.crashes}
 	e.running[l.run] = struct{}{}
 	b.running++
@@ -89,12 +97,15 @@
 type flight struct {
 	backend        *Backend
 	endpoint       *endpoint
+	announcement   Announcement // of the process that the call is sent to
 	pool           *pool
 	exchange       *exchange
 	answer         *http.Response
 	run            *runningCall
 	meta           hop.Meta
 	begin          time.Time
+	sent           time.Time     // time at which a connection was available
+	notice         notice.Notice // what the answer states about the endpoint
 	release        func(Result)
 	quarantineDone func(Result)
 	status         int
@@ -109,6 +120,7 @@
 		l.end(false, false)
 		return nil, f
 	}
+	l.sent = l.backend.now()
 	x, p, err := c.start(ctx, l.request(ctx, r))
 	l.exchange, l.answer = x, p
 	if err != nil {
@@ -118,6 +130,10 @@
 		return nil, f
 	}
 	l.status = p.StatusCode
+	l.notice = l.backend.readNotice(p.Header)
+	if l.notice.States() {
+		l.passNotice()
+	}
 	if l.backend.bufferLimit > 0 {
 		p, err = l.bufferAnswer(ctx, p)
 		if err != nil {
@@ -194,6 +210,22 @@
 	}
 }
 
+// meshNotice reads the default headers by which a backend server states something about itself; WithNoticeHeaders replaces it.
+func meshNotice(h http.Header) notice.Notice {
+	return notice.Notice{Limits: h[headerLimit], Leaving: slices.Contains(h[headerLeaving], "1")}
+}
+
+// passNotice passes on what the answer states, unless another process has taken over the endpoint meanwhile.
+func (l *flight) passNotice() {
+	b := l.backend
+	b.mu.Lock()
+	current := l.endpoint.announcement.Incarnation == l.announcement.Incarnation
+	b.mu.Unlock()
+	if current {
+		b.onNotice(l.announcement, l.notice, l.sent)
+	}
+}
+
 // bufferAnswer reads up to bufferLimit bytes of an answer before any of it is passed on, and ends the call if those bytes
 // are the complete answer and no trailers follow. An answer that breaks off within
 // those bytes, or that checkAnswer rejects, becomes a failure.
@@ -268,6 +300,9 @@
 		if broken {
 			b.recordBrokenCall(l.endpoint, l.run)
 		}
+		if complete && !l.notice.States() {
+			l.passNotice()
+		}
 		b.mu.Lock()
 		delete(l.endpoint.running, l.run)
 		if l.requestID != "" {
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/hop"
 
@@ -64,6 +65,17 @@
 	return func(b *Backend) { b.onShed = f }
 }
 
+// WithNotice sets the function that is called with what an answer states about its endpoint, and with the time at which its request
+// was sent. For an answer that states nothing it is called only if the whole answer has arrived.
+func WithNotice(f func(a Announcement, n notice.Notice, sent time.Time)) Option {
+	return func(b *Backend) { b.onNotice = f }
+}
+
+// WithNoticeHeaders replaces the function that reads from an answer's headers what its backend server states about itself.
+func WithNoticeHeaders(f func(h http.Header) notice.Notice) Option {
+	return func(b *Backend) { b.readNotice = f }
+}
+
 // WithAdmit sets the admission control, which may block until ctx ends; release is called once for each admitted call.
 func WithAdmit(f func(ctx context.Context, endpoint string, m hop.Meta) (release func(Result), refused *outcome.Failure)) Option {
 	return func(b *Backend) { b.admit = f }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"godwitspindle/core/admission"
+	"godwitspindle/core/notice"
 	"godwitspindle/core/relay"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
@@ -48,13 +50,16 @@
 	follower atomic.Pointer[peer.Follower]
 	announce atomic.Pointer[announcer]
 
-	picker       *routing.Picker
-	budgets      *retry.Budgets
-	splits       *splitCounter
-	hops         *hop.Client
-	backend      *backend.Backend
-	callers      *caller.Handler
-	localCallers *caller.Handler
+	picker  *routing.Picker
+	budgets *retry.Budgets
+	splits  *splitCounter
+	notices *notice.Table
+	// invalidLimits bounds the log lines about limits that are not valid.
+	invalidLimits rate.Sometimes
+	hops          *hop.Client
+	backend       *backend.Backend
+	callers       *caller.Handler
+	localCallers  *caller.Handler
 
 	peers   *process.Server
 	servers map[string]*process.Server // listeners by name, such as "peer"
@@ -120,10 +125,13 @@
 		directory:   newDirectory(s),
 		locals:      map[string]*localEndpoint{},
 		splits:      newSplitCounter(),
+		notices:     notice.NewTable(),
 		wrapCallers: func(_ *Host, callers, _ http.Handler) http.Handler { return callers },
 		bound:       map[string]netip.AddrPort{},
 		servers:     map[string]*process.Server{},
 		started:     time.Now(),
+
+		invalidLimits: rate.Sometimes{Interval: invalidLimitLogInterval},
 	}
 	for _, o := range opts {
 		o(h)
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -80,12 +80,24 @@
 		return nil, f
 	}
 	h.metrics.Running.Inc()
+	h.metrics.Sent.WithLabelValues(sentKind(m)).Inc()
 	return func(r backend.Result) {
 		h.metrics.Running.Dec()
 		q.leave(m.Call, r)
 	}, nil
 }
 
+// sentKind is the metrics label of a request that is sent to a backend server.
+func sentKind(m hop.Meta) string {
+	switch {
+	case m.Depth > 1:
+		return "nested"
+	case m.Resent:
+		return "resent"
+	}
+	return "first"
+}
+
 func (h *Host) checkQuarantine(_ context.Context, endpoint string, m hop.Meta) (func(backend.Result), *outcome.Failure) {
 	g := h.endpoint(endpoint).guard
 	if f := g.enter(m); f != nil {
@@ -107,6 +119,7 @@
 		backend.WithLeft(h.endpointLeft),
 		backend.WithLoad(h.picker.RecordLoad),
 		backend.WithShed(func(endpoint string, after time.Duration) { h.endpoint(endpoint).queue.shed(after) }),
+		backend.WithNotice(h.endpointNoticed),
 		backend.WithAdmit(h.admit),
 		backend.WithQuarantineCheck(h.checkQuarantine),
 		backend.WithCrashed(h.endpointCrashed),
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -20,6 +20,9 @@
 	Running            prometheus.Gauge         // calls running at a local backend server
 	Queued             prometheus.Gauge         // calls waiting for a slot
 	Refusals           *prometheus.CounterVec   // calls refused by admission or quarantine, by code
+	Sent               *prometheus.CounterVec   // calls admitted to a local backend server, by kind: first, resent or nested
+	Limit              *prometheus.GaugeVec     // limits in force that local endpoints state, in requests per second, by endpoint
+	InvalidLimits      prometheus.Counter       // limits of local endpoints that are not valid
 	Claims             *prometheus.CounterVec   // answers to claims, by state
 	Quarantine         prometheus.Gauge         // fingerprints in quarantine
 	ControlBytes       *prometheus.CounterVec   // bytes between nodes, by message and direction (sent or received)
@@ -69,12 +72,17 @@
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer, by outcome and class.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 13),
 		}, []string{"outcome", "class"}),
-		AddedTime:          histogram("added_seconds", "Time until the head of an answer that the backend server did not take.", 0.00005, 2, 14),
-		Retries:            counters("retries_total", "Attempts after the first, by kind (retry or repick).", "kind"),
-		CrossedAnswers:     counter("crossed_answers_total", "Answers dropped because their call id did not match."),
-		Running:            gauge("admission_running", "Calls running at the backend server."),
-		Queued:             gauge("admission_queued", "Calls waiting for a slot."),
-		Refusals:           counters("admission_refused_total", "Calls refused by admission, by code.", "code"),
+		AddedTime:      histogram("added_seconds", "Time until the head of an answer that the backend server did not take.", 0.00005, 2, 14),
+		Retries:        counters("retries_total", "Attempts after the first, by kind (retry or repick).", "kind"),
+		CrossedAnswers: counter("crossed_answers_total", "Answers dropped because their call id did not match."),
+		Running:        gauge("admission_running", "Calls running at the backend server."),
+		Queued:         gauge("admission_queued", "Calls waiting for a slot."),
+		Refusals:       counters("admission_refused_total", "Calls refused by admission, by code.", "code"),
+		Sent:           counters("admission_sent_total", "Calls admitted to a backend server, by kind (first, resent by the caller, or nested).", "kind"),
+		Limit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "limit_requests_per_second", Help: "Limit in force that the endpoint states.",
+		}, []string{"endpoint"}),
+		InvalidLimits:      counter("limits_invalid_total", "Answers with a limit that is not valid."),
 		Claims:             counters("claims_total", "Answers to claims, by state.", "state"),
 		Quarantine:         gauge("quarantine_fingerprints", "Requests in quarantine."),
 		ControlBytes:       counters("control_bytes_total", "Bytes of distribution, by message and direction.", "message", "direction"),
@@ -95,7 +103,7 @@
 		ContentChanges:   counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
 	}
 	m.Registry.MustRegister(
-		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Claims, m.Quarantine,
+		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.Commits, m.Term, m.Leader, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
