fix(admission): an endpoint gets no more requests than the limit that it states

Cause: no part read the limit; the node beside an endpoint, through which all its requests pass, admitted by slots alone. Change: the admission gate of that node spaces starts by the stated rate (token bucket, a burst of one second). The expected wait, the refusal (code limited, retried like busy) and the occupancy that calling nodes get all count the rate. Why it works: first attempts, resends, repeats and calls of backend servers pass one gate, whichever host they come from. Measured: TestLimitHoldsOverAllHosts failed before with 193 requests where 35 are allowed, and passes. TestRateLimit: 97% and more of each rate is used while callers wait.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -50,6 +50,8 @@
 	Running  int
 	Queued   int
 	Open     int           // open connections
+	Rate     float64       // calls per second that may start; 0 without a limit
+	Capacity float64       // calls that can run at once, by the slots and the rate
 	Service  time.Duration // mean service time
 	Baseline time.Duration // lowest recent mean service time of any request kind
 	Paused   time.Time     // time before which no call starts; zero if there was no pause
@@ -75,6 +77,7 @@
 	suspects        int // number of running suspects, 0 or 1
 	sequence        uint64
 	limit           adaptiveLimit
+	rate            rateLimit
 	waitFactors     waitFactors
 	shares          shares
 	link            *Link // network link of the host; nil if its load is not tracked
@@ -148,23 +151,22 @@
 		r.Caller = ""
 	}
 	if g.draining {
-		return g.refuse(r.Call, outcome.Draining, 0)
+		return g.refuse(now, r.Call, outcome.Draining, 0)
 	}
 	if _, ok := g.running[r.Call]; ok || g.queueIndex(r.Call) >= 0 {
-		return g.refuse(r.Call, outcome.Refused, 0)
+		return g.refuse(now, r.Call, outcome.Refused, 0)
 	}
 	g.shares.countRequest(now, r.rank())
 	service := g.limit.serviceTime(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
-		return g.refuse(r.Call, outcome.DeadlineExceeded, 0)
+		return g.refuse(now, r.Call, outcome.DeadlineExceeded, 0)
 	}
 	linkWait := g.linkWait(now, &r, service)
 	if linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
-		return g.refuse(r.Call, outcome.Busy, linkWait)
+		return g.refuse(now, r.Call, outcome.Busy, linkWait)
 	}
-	free := len(g.running) < g.limit.value() && !now.Before(g.paused)
-	if free && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
-		return g.admit(r, 0)
+	if g.mayStart(now) && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
+		return g.admit(now, r, 0)
 	}
 	w := queuedCall{Request: r, arrived: now, sequence: g.sequence}
 	g.sequence++
@@ -174,24 +176,24 @@
 		wait = g.expectedWait(now, &w)
 	}
 	if lateness := w.lateness(now, wait, service); lateness > 0 {
-		return g.refuse(r.Call, outcome.Busy, w.retryAfter(now, lateness, service))
+		return g.refuse(now, r.Call, g.busyCode(now, &w), w.retryAfter(now, lateness, service))
 	}
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
-		return g.refuse(r.Call, outcome.DeadlineExceeded, wait)
+		return g.refuse(now, r.Call, outcome.DeadlineExceeded, wait)
 	}
 	if g.exceedsCallerShare(r.Caller) {
-		return g.refuse(r.Call, outcome.Overload, wait)
+		return g.refuse(now, r.Call, outcome.Overload, wait)
 	}
 	var displaced *Decision
 	if len(g.queue) >= g.maxQueue {
 		i := g.victim(&w)
 		if i < 0 && !r.Objective.IsZero() {
-			return g.refuse(r.Call, outcome.Busy, wait)
+			return g.refuse(now, r.Call, g.busyCode(now, &w), wait)
 		}
 		if i < 0 {
-			return g.refuse(r.Call, outcome.Overload, wait)
+			return g.refuse(now, r.Call, outcome.Overload, wait)
 		}
-		d := g.refuse(g.dequeue(i).Call, outcome.Overload, wait)
+		d := g.refuse(now, g.dequeue(i).Call, outcome.Overload, wait)
 		g.stats.Displaced++
 		displaced = &d
 	}
@@ -251,9 +253,10 @@
 	return g.startQueued(now)
 }
 
-// Next returns the time at which Tick is due: the earlier of the first deadline in the queue and the end of the last pause, which
-// may have passed. The time is zero if no call is queued, or if no queued call has a deadline and there was no pause.
-func (g *Gate) Next() time.Time {
+// Next returns the time at which Tick is due: the earliest of the first deadline in the queue, the end of the last pause, which
+// may have passed, and the time at which the rate lets a call start. The time is zero if no call is queued, or if none of these
+// exists.
+func (g *Gate) Next(now time.Time) time.Time {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	var next time.Time
@@ -265,6 +268,12 @@
 	if len(g.queue) > 0 && !g.paused.IsZero() && (next.IsZero() || g.paused.Before(next)) {
 		next = g.paused
 	}
+	if len(g.queue) == 0 || g.rate.bucket == nil || len(g.running) >= g.limit.value() {
+		return next
+	}
+	if at := now.Add(g.rate.wait(now, 1)); next.IsZero() || at.Before(next) {
+		next = at
+	}
 	return next
 }
 
@@ -280,13 +289,13 @@
 }
 
 // Drain refuses new calls from now on and returns refusals for all queued calls; running calls continue.
-func (g *Gate) Drain(_ time.Time) []Decision {
+func (g *Gate) Drain(now time.Time) []Decision {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.draining = true
 	var out []Decision
 	for len(g.queue) > 0 {
-		out = append(out, g.refuse(g.dequeue(0).Call, outcome.Draining, 0))
+		out = append(out, g.refuse(now, g.dequeue(0).Call, outcome.Draining, 0))
 	}
 	return out
 }
@@ -348,5 +357,6 @@
 	s.Slots, s.Limit, s.Running, s.Queued, s.Open = g.slots, g.limit.value(), len(g.running), len(g.queue), g.openConnections
 	s.Service, s.Baseline = g.limit.meanServiceTime(), g.limit.minBaseline()
 	s.Paused, s.Draining = g.paused, g.draining
+	s.Rate, s.Capacity = g.rate.perSecond(), g.capacity()
 	return s
 }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -27,16 +27,16 @@
 		}
 		g.stats.Expired++
 		g.waitFactors.observe(&g.queue[i], now)
-		out = append(out, g.refuse(g.dequeue(i).Call, outcome.DeadlineExceeded, 0))
+		out = append(out, g.refuse(now, g.dequeue(i).Call, outcome.DeadlineExceeded, 0))
 	}
-	for len(g.running) < g.limit.value() && !now.Before(g.paused) {
+	for g.mayStart(now) {
 		i := g.next(now)
 		if i < 0 {
 			break
 		}
 		w := g.dequeue(i)
 		g.waitFactors.observe(&w, now)
-		out = append(out, g.admit(w.Request, now.Sub(w.arrived)))
+		out = append(out, g.admit(now, w.Request, now.Sub(w.arrived)))
 	}
 	return out
 }
@@ -214,13 +214,32 @@
 	return -1
 }
 
-// queueWait estimates the wait from the number of calls ahead, the mean service time and the limit, plus the remaining pause.
+// mayStart reports whether a slot is free and neither a pause nor the rate keeps a call from starting.
+func (g *Gate) mayStart(now time.Time) bool {
+	return len(g.running) < g.limit.value() && !now.Before(g.paused) && g.rate.allows(now)
+}
+
+// queueWait estimates the wait from the number of calls ahead and the longer of what the slots and the rate need for them, plus the
+// remaining pause.
 func (g *Gate) queueWait(now time.Time, w queuedCall) time.Duration {
 	ahead := g.ahead(&w)
+	return max(g.slotWait(ahead), g.rate.wait(now, ahead+1)) + max(g.paused.Sub(now), 0)
+}
+
+// slotWait estimates the wait for a slot from the number of calls ahead, the mean service time and the limit.
+func (g *Gate) slotWait(ahead int) time.Duration {
 	l := g.limit.value()
 	excess := max(len(g.running)-l, 0)
-	d := g.limit.meanServiceTime() * time.Duration(ahead+1+excess) / time.Duration(l)
-	return d + max(g.paused.Sub(now), 0)
+	return g.limit.meanServiceTime() * time.Duration(ahead+1+excess) / time.Duration(l)
+}
+
+// busyCode returns the code of a refusal because of the expected wait: Limited if the rate causes it, else Busy.
+func (g *Gate) busyCode(now time.Time, w *queuedCall) outcome.Code {
+	ahead := g.ahead(w)
+	if g.rate.wait(now, ahead+1) > g.slotWait(ahead) {
+		return outcome.Limited
+	}
+	return outcome.Busy
 }
 
 // ahead estimates how many queued calls start before w.
@@ -235,7 +254,7 @@
 	return n
 }
 
-func (g *Gate) admit(r Request, waited time.Duration) Decision {
+func (g *Gate) admit(now time.Time, r Request, waited time.Duration) Decision {
 	n := runningCall{caller: r.Caller, kind: r.Kind, suspect: r.Suspect}
 	if g.link != nil && r.Remote {
 		n.bytes = g.link.reserve(r.Kind)
@@ -248,6 +267,7 @@
 	u.running++
 	g.callers[r.Caller] = u
 	g.stats.Admitted++
+	g.rate.start(now)
 	g.shares.granted[r.rank()]++
 	return Decision{Call: r.Call, Action: Admit, Wait: waited}
 }
@@ -271,13 +291,17 @@
 }
 
 // loadDetail formats the load that caused a refusal, for the detail of the failure.
-func (g *Gate) loadDetail() string {
-	return fmt.Sprintf(": %d calls running with a limit of %d, %d calls queued, mean service time %s.",
+func (g *Gate) loadDetail(now time.Time) string {
+	text := fmt.Sprintf(": %d calls running with a limit of %d, %d calls queued, mean service time %s",
 		len(g.running), g.limit.value(), len(g.queue), g.limit.meanServiceTime().Round(time.Millisecond))
+	if r := g.rate.perSecond(); r > 0 {
+		text += fmt.Sprintf(", %.1f calls per second started with a limit of %.1f", g.rate.recent(now), r)
+	}
+	return text + "."
 }
 
 // refuse returns a refusal; the call has not run, so its kind is always notrun.
-func (g *Gate) refuse(call string, c outcome.Code, retryAfter time.Duration) Decision {
+func (g *Gate) refuse(now time.Time, call string, c outcome.Code, retryAfter time.Duration) Decision {
 	g.stats.Refused++
 	f := &outcome.Failure{Code: c, Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Call: call, RetryAfter: retryAfter}
 	switch c {
@@ -285,13 +309,16 @@
 		f.Detail = "The endpoint is draining and takes no new calls."
 	case outcome.DeadlineExceeded:
 		f.Status = http.StatusGatewayTimeout
-		f.Detail = "The call cannot be answered before its deadline" + g.loadDetail()
+		f.Detail = "The call cannot be answered before its deadline" + g.loadDetail(now)
 	case outcome.Busy:
 		f.RetryAfter = max(retryAfter, minRetryAfter)
-		f.Detail = "The endpoint is busy and cannot answer within the objective" + g.loadDetail()
+		f.Detail = "The endpoint is busy and cannot answer within the objective" + g.loadDetail(now)
+	case outcome.Limited:
+		f.RetryAfter = max(retryAfter, minRetryAfter)
+		f.Detail = "The rate limit of the endpoint does not allow an answer within the objective" + g.loadDetail(now)
 	case outcome.Overload:
 		f.RetryAfter = max(retryAfter, minRetryAfter)
-		f.Detail = "The slots and the queue of the endpoint are full" + g.loadDetail()
+		f.Detail = "The slots and the queue of the endpoint are full" + g.loadDetail(now)
 	default:
 		f.Status = http.StatusConflict
 		f.Detail = "A call with the same id is already running or queued at this endpoint."
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -88,7 +88,7 @@
 		}
 		return Verdict{Repick, ReasonUnavailable}
 	}
-	if a.Kind == outcome.NotRun && a.Code == outcome.Busy {
+	if a.Kind == outcome.NotRun && isBusy(a.Code) {
 		if a.Repicks >= MaxBusyRepicks {
 			return Verdict{Stop, ReasonBusyRepicks}
 		}
@@ -115,9 +115,12 @@
 	return c == outcome.Draining || c == outcome.Unreachable || c == outcome.Refused || c == outcome.NoEndpoint
 }
 
-// permanent reports whether another attempt would be refused too: true for all codes but overload, busy and those of freeRepick.
+// isBusy reports whether the endpoint cannot respond within the objective and its backend server got nothing.
+func isBusy(c outcome.Code) bool { return c == outcome.Busy || c == outcome.Limited }
+
+// permanent reports whether another attempt would be refused too: true for all codes but overload and those of isBusy and freeRepick.
 func permanent(c outcome.Code) bool {
-	return c != outcome.Overload && c != outcome.Busy && !freeRepick(c)
+	return c != outcome.Overload && !isBusy(c) && !freeRepick(c)
 }
 
 // Initial returns the share of a call that comes from outside the mesh: the retries of its route, at most MaxShare.
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -106,7 +106,7 @@
 	canceled := f.Code == outcome.Canceled
 	h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: unreachable || !notRun && !canceled, NotRun: notRun})
 	switch f.Code {
-	case outcome.Busy:
+	case outcome.Busy, outcome.Limited:
 		h.picker.RecordOccupancy(endpoint, busyLoad, o.At)
 	case outcome.Draining:
 		h.picker.Avoid(endpoint, o.At.Add(avoidDraining), string(f.Code))
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -12,6 +12,9 @@
 	"godwitspindle/io/hop"
 )
 
+// minCapacity keeps the occupancy of an endpoint with a low rate within what an answer can state.
+const minCapacity = 0.1
+
 // statusCanceled is the status that proxies commonly log when the client closed the request.
 const statusCanceled = 499
 
@@ -110,10 +113,20 @@
 	q.gate.Resume()
 }
 
-// occupancy returns the running and waiting calls divided by the number of slots.
+// setRate sets the number of calls that may start per second, 0 for no limit.
+func (q *admissionQueue) setRate(perSecond float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.gate.SetRate(time.Now(), perSecond))
+}
+
+// occupancy returns the running and waiting calls as a share of those that the endpoint can run at once.
 func (q *admissionQueue) occupancy() float64 {
 	s := q.gate.Stats()
-	return float64(s.Running+s.Queued) / float64(max(s.Slots, 1))
+	if s.Rate == 0 {
+		return float64(s.Running+s.Queued) / float64(max(s.Slots, 1))
+	}
+	return float64(s.Running+s.Queued) / max(s.Capacity, minCapacity)
 }
 
 // queued returns the number of waiting calls.
@@ -127,18 +140,19 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.deliver(q.gate.Tick(time.Now()))
-	q.rearm()
 }
 
 // rearm sets the timer to the next moment at which the passing of time changes a decision.
 func (q *admissionQueue) rearm() {
-	next := q.gate.Next()
+	next := q.gate.Next(time.Now())
 	if !next.IsZero() {
 		q.timer.Reset(max(time.Until(next), time.Millisecond))
 	}
 }
 
+// deliver hands decisions to the calls that wait for them. The state of the gate has changed, so the timer is set again.
 func (q *admissionQueue) deliver(list []admission.Decision) {
+	defer q.rearm()
 	for _, d := range list {
 		answer, ok := q.waiting[d.Call]
 		if !ok {
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -4,8 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/wire"
@@ -21,6 +23,8 @@
 	guard       *guard
 	slots       int // announced slots
 	connections int // maximum connections, as announced
+	process     notice.Process
+	limit       atomic.Pointer[notice.Limit] // last limit that was stated, with rate 0 once it is withdrawn; nil before the first
 }
 
 // endpoint returns the state of a local endpoint and creates it on first use.
@@ -37,10 +41,14 @@
 
 // endpointAnnounced handles a new or changed endpoint of a local backend server.
 func (h *Host) endpointAnnounced(a backend.Announcement) {
-	l := h.endpoint(a.Key())
+	l, p := h.endpoint(a.Key()), h.process(a)
 	h.mu.Lock()
-	l.slots, l.connections = a.Slots, a.Connections
+	changed := l.process != p
+	l.slots, l.connections, l.process = a.Slots, a.Connections, p
 	h.mu.Unlock()
+	if changed {
+		h.processChanged(p)
+	}
 	l.queue.resume()
 	h.resize()
 	h.notifyAnnouncer()
@@ -71,9 +79,11 @@
 }
 
 func (h *Host) admit(ctx context.Context, endpoint string, m hop.Meta) (func(backend.Result), *outcome.Failure) {
-	q := h.endpoint(endpoint).queue
+	l := h.endpoint(endpoint)
+	q := l.queue
 	if f := q.enter(ctx, admissionRequest(ctx, m)); f != nil {
-		if f.Code == outcome.Busy {
+		l.explainLimit(f)
+		if f.Code == outcome.Busy || f.Code == outcome.Limited {
 			f.RetryAfter += rand.N(f.RetryAfter/2 + 1) // jitter, so that callers refused together do not retry together
 		}
 		h.metrics.Refusals.WithLabelValues(string(f.Code)).Inc()
--- a/io/host/notice.go
+++ b/io/host/notice.go
@@ -1,9 +1,11 @@
 package host
 
 import (
+	"fmt"
 	"time"
 
 	"godwitspindle/core/notice"
+	"godwitspindle/core/outcome"
 	"godwitspindle/io/backend"
 )
 
@@ -26,11 +28,9 @@
 		h.log.Info("endpoint states that it leaves", "endpoint", p.Endpoint, "incarnation", p.Incarnation)
 	}
 	if len(n.Limits) == 0 {
-		if n.Leaving {
-			return // an endpoint that leaves need not repeat its limit
-		}
-		if previous := h.notices.Withdraw(p, sent, now); previous > 0 {
-			h.limitChanged(p, previous, notice.Limit{At: now})
+		if !n.Leaving { // an endpoint that leaves need not repeat its limit
+			previous := h.notices.Withdraw(p, sent, now)
+			h.limitStated(p, previous, notice.Limit{At: now})
 		}
 		return
 	}
@@ -42,15 +42,23 @@
 		})
 		return
 	}
-	if previous := h.notices.State(p, rate, now); previous != rate {
-		h.limitChanged(p, previous, notice.Limit{Rate: rate, At: now})
-	}
+	previous := h.notices.State(p, rate, now)
+	h.limitStated(p, previous, notice.Limit{Rate: rate, At: now})
 }
 
-// limitChanged logs a changed limit of a local endpoint and shows it in the metrics.
-func (h *Host) limitChanged(p notice.Process, previous notice.Rate, l notice.Limit) {
+// limitStated puts a limit of a local endpoint in force, and logs it and shows it in the metrics if the rate has changed.
+func (h *Host) limitStated(p notice.Process, previous notice.Rate, l notice.Limit) {
+	if l.Rate == 0 && previous == 0 {
+		return
+	}
+	e := h.endpoint(p.Endpoint)
+	e.limit.Store(&l)
+	if l.Rate == previous {
+		return
+	}
+	e.queue.setRate(float64(l.Rate))
 	h.log.Info("limit changed", "endpoint", p.Endpoint, "incarnation", p.Incarnation, "rate", float64(l.Rate), "previous", float64(previous),
-		"from", limitSource(l.From))
+		"from", limitSource(l), "age", time.Since(l.At).String())
 	if l.Rate == 0 {
 		h.metrics.Limit.DeleteLabelValues(p.Endpoint)
 		return
@@ -58,10 +66,30 @@
 	h.metrics.Limit.WithLabelValues(p.Endpoint).Set(float64(l.Rate))
 }
 
-// limitSource names the source of a limit for logs: a node, or the endpoint itself.
-func limitSource(node string) string {
-	if node == "" {
+// processChanged puts the limit that the new process of a local endpoint has stated in force, if it has stated one.
+func (h *Host) processChanged(p notice.Process) {
+	var previous notice.Rate
+	if l := h.endpoint(p.Endpoint).limit.Load(); l != nil {
+		previous = l.Rate
+	}
+	l, _ := h.notices.Limit(p, time.Now())
+	h.limitStated(p, previous, l)
+}
+
+// explainLimit adds to a refusal how old the limit of the endpoint is and from whom it was learned.
+func (l *localEndpoint) explainLimit(f *outcome.Failure) {
+	limit := l.limit.Load()
+	if limit == nil || limit.Rate == 0 {
+		return
+	}
+	f.Detail += fmt.Sprintf(" The limit of %.1f requests per second was stated %s ago and learned from %s.",
+		limit.Rate, time.Since(limit.At).Round(time.Millisecond), limitSource(*limit))
+}
+
+// limitSource names the source of a limit for logs and details: a node, or the endpoint itself.
+func limitSource(l notice.Limit) string {
+	if l.From == "" {
 		return "endpoint"
 	}
-	return node
+	return l.From
 }
