fix(backend): an endpoint that states in an answer that it leaves gets no new calls

What callers saw: requests at an endpoint that had said that it leaves, up to its end, if it says so in its answers only. Cause: a leave was known from heartbeats alone. A leave of an endpoint whose lease had expired was not recorded either, so that a late heartbeat brought the endpoint back. Change: an answer with the header makes the endpoint leave as a heartbeat does: refused at once, queued calls sent elsewhere, reported to the leader; heartbeats of the same process no longer restore it. Leaves are recorded also after the end of a lease.

--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -80,7 +80,7 @@
 		return
 	}
 	a := Announcement{Service: d.Service, Endpoint: d.Endpoint}
-	b.leave(a.Key(), "announced")
+	b.leave(a.Key(), reasonAnnounced)
 	w.WriteHeader(http.StatusNoContent) // also if the endpoint has already left, so that a resend succeeds
 }
 
@@ -125,7 +125,7 @@
 	former := b.superseded(a)
 	b.mu.Unlock()
 	for _, k := range former {
-		b.leave(k, "another process has its address")
+		b.leave(k, reasonReplaced)
 	}
 	if old != nil {
 		old.sweep(now, true)
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -19,8 +19,13 @@
 	maxMissedRenewals    = 3 // an endpoint leaves after this many intervals without renewal
 )
 
-// reasonNotRenewed is the reason for removing an endpoint whose lease expired; its process may announce it again.
-const reasonNotRenewed = "not renewed"
+// Reasons for removing an endpoint. The process of an endpoint whose lease has expired may announce it again.
+const (
+	reasonNotRenewed = "not renewed"
+	reasonAnnounced  = "announced"
+	reasonStated     = "stated in an answer"
+	reasonReplaced   = "another process has its address"
+)
 
 // Backend keeps the endpoints on this host and forwards calls to them.
 type Backend struct {
@@ -175,16 +180,25 @@
 // leave marks an endpoint as leaving, so that it gets no new calls; calls in flight continue. It returns false if the endpoint
 // is unknown or already leaving.
 func (b *Backend) leave(key, reason string) bool {
+	return b.leaveIf(key, reason, func(*endpoint) bool { return true })
+}
+
+// leaveIf is leave for an endpoint whose current process fits.
+func (b *Backend) leaveIf(key, reason string, fits func(e *endpoint) bool) bool {
 	b.mu.Lock()
 	e := b.endpoints[key]
-	if e == nil || e.leaving {
+	if e == nil || !fits(e) {
 		b.mu.Unlock()
 		return false
 	}
-	e.leaving = true
 	if reason != reasonNotRenewed {
-		b.recordDeparture(key, e.announcement)
+		b.recordDeparture(key, e.announcement) // also if its lease has expired, so that a late announcement does not restore it
 	}
+	if e.leaving {
+		b.mu.Unlock()
+		return false
+	}
+	e.leaving = true
 	p := e.pool
 	b.mu.Unlock()
 	p.sweep(b.now(), true)
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -215,17 +215,25 @@
 	return notice.Notice{Limits: h[headerLimit], Leaving: slices.Contains(h[headerLeaving], "1")}
 }
 
-// passNotice passes on what the answer states, unless another process has taken over the endpoint meanwhile.
+// passNotice passes on what the answer states, unless another process has taken over the endpoint meanwhile. An endpoint that
+// states that it leaves gets no new calls from then on.
 func (l *flight) passNotice() {
 	b := l.backend
 	b.mu.Lock()
-	current := l.endpoint.announcement.Incarnation == l.announcement.Incarnation
+	current := l.isCurrent(l.endpoint)
 	b.mu.Unlock()
-	if current {
-		b.onNotice(l.announcement, l.notice, l.sent)
+	if !current {
+		return
+	}
+	b.onNotice(l.announcement, l.notice, l.sent)
+	if l.notice.Leaving {
+		b.leaveIf(l.endpoint.key, reasonStated, l.isCurrent)
 	}
 }
 
+// isCurrent reports whether the endpoint still has the process that the call was sent to. The caller holds the Backend's mutex.
+func (l *flight) isCurrent(e *endpoint) bool { return e.announcement.Incarnation == l.announcement.Incarnation }
+
 // bufferAnswer reads up to bufferLimit bytes of an answer before any of it is passed on, and ends the call if those bytes
 // are the complete answer and no trailers follow. An answer that breaks off within
 // those bytes, or that checkAnswer rejects, becomes a failure.
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -51,8 +51,8 @@
 // for a renewal alone.
 func WithAnnounced(f func(Announcement)) Option { return func(b *Backend) { b.onAnnounced = f } }
 
-// WithLeft sets the function that is called when an endpoint left; the reason is announced, not renewed, or that another
-// process has its address.
+// WithLeft sets the function that is called when an endpoint left; the reason is announced, stated in an answer, not renewed, or
+// that another process has its address.
 func WithLeft(f func(endpoint, reason string)) Option { return func(b *Backend) { b.onLeft = f } }
 
 // WithLoad sets the function that is called with the load from each accepted announcement.
--- a/io/backend/stale.go
+++ b/io/backend/stale.go
@@ -57,7 +57,7 @@
 		b.recordDeparture(key, a) // its announcement may still arrive
 	}
 	b.mu.Unlock()
-	b.leave(key, "announced")
+	b.leave(key, reasonAnnounced)
 	return true
 }
 
