fix(routing): a host that knows from an answer that an endpoint leaves sends no more requests to it

What callers saw: requests at an endpoint that leaves, after the node beside it was killed and had forgotten its answers. Cause: calling nodes learned of a leave from refusals (5 s) and from the agreed set only; neither outlives a restarted node that takes a heartbeat with state ready. Change: the node beside the endpoint marks the answer, and the calling node excludes that process of the endpoint from all choices, the last resort included, also after the agreed set did not list it for a while.

--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -61,7 +61,7 @@
 type NoEndpointError struct {
 	Service    string
 	Endpoints  int           // endpoints of the service that this node uses
-	Avoided    int           // untried endpoints that are avoided after a refusal or during a drain
+	Avoided    int           // untried endpoints that leave, or are avoided after a refusal or during a drain
 	Tried      int           // endpoints that the call has already tried
 	RetryAfter time.Duration // time until the first avoided endpoint is usable again; 0 if none is avoided
 }
@@ -90,7 +90,8 @@
 	region        string          // region of the node; empty if not known
 	subset        int             // maximum number of endpoints of a service that the node uses
 	remotePenalty float64         // score factor of other failure domains in the node's region
-	preferLocal   bool            // prefers the node's host and the caller's failure domain; see WithLocalPreference
+	leaving       func(endpoint string, incarnation uint64) bool
+	preferLocal   bool // prefers the node's host and the caller's failure domain; see WithLocalPreference
 
 	// clock is the latest time passed in, up to 1 ms late, in Unix nanoseconds. Done uses it, since it has no time parameter.
 	clock  atomic.Int64
@@ -132,9 +133,15 @@
 	return func(p *Picker) { p.remotePenalty, p.preferLocal = max(factor, 1), true }
 }
 
+// WithLeaving sets the function that reports whether a process of an endpoint that this node has not seen yet, or has forgotten, has
+// stated that it leaves.
+func WithLeaving(f func(endpoint string, incarnation uint64) bool) Option {
+	return func(p *Picker) { p.leaving = f }
+}
+
 // New returns a Picker that knows no endpoints yet; Decide adds those of the services it is called with.
 func New(opts ...Option) *Picker {
-	p := &Picker{subset: defaultSubset, remotePenalty: otherDomainPenalty}
+	p := &Picker{subset: defaultSubset, remotePenalty: otherDomainPenalty, leaving: func(string, uint64) bool { return false }}
 	p.random = p.splitMix
 	for i := range p.shards {
 		p.shards[i].states = map[string]*state{}
@@ -245,7 +252,7 @@
 }
 
 // decideLastResort is called when no usable endpoint is untried. It chooses the untried endpoint with the lowest score, except
-// those avoided for another reason than Unreachable: an attempt that may fail is better than a certain refusal. If none remains,
+// those that leave or are avoided for another reason than Unreachable: an attempt that may fail is better than a certain refusal. If none remains,
 // it returns a *NoEndpointError.
 func (p *Picker) decideLastResort(v *view, c Call, domain string, now int64) (Choice, error) {
 	e := &NoEndpointError{Service: c.Service.Name, Endpoints: len(v.candidates)}
@@ -257,6 +264,10 @@
 			e.Tried++
 			continue
 		}
+		if m.state.leaving.Load() {
+			e.Avoided++
+			continue
+		}
 		if until := m.state.avoidedUntil.Load(); until > now && !m.state.avoidedAsUnreachable() {
 			e.Avoided++
 			if d := time.Duration(until - now); e.RetryAfter == 0 || d < e.RetryAfter {
--- a/core/routing/picker_test.go
+++ b/core/routing/picker_test.go
@@ -287,3 +287,34 @@
 		})
 	}
 }
+
+// Guards against calls to an endpoint that has stated that it leaves: as the last resort, or after this node has forgotten the
+// endpoint because the agreed set did not list it for a while. Another process of the endpoint gets calls again.
+func TestLeavingEndpoint(t *testing.T) {
+	left := map[uint64]bool{}
+	p := picker(WithLeaving(func(_ string, incarnation uint64) bool { return left[incarnation] }))
+	now := time.Unix(1000, 0)
+	s := service(1)
+	incarnation, key := s.Endpoints[0].Incarnation, s.Endpoints[0].Key()
+	want := func(step string, s *config.Service, chosen bool) {
+		t.Helper()
+		if _, err := p.Decide(Call{Service: s, Now: now}); (err == nil) != chosen {
+			t.Errorf("%s: got error %v, want a choice: %v", step, err, chosen)
+		}
+	}
+	want("before", s, true)
+	p.Leave(key, incarnation+1)
+	want("another process left", s, true)
+	left[incarnation] = true
+	p.Leave(key, incarnation)
+	p.Avoid(key, now.Add(time.Second), Unreachable)
+	want("after the statement", s, false)
+	now = now.Add(time.Hour)
+	want("an hour later", s, false)
+	p.Retain(func(string) bool { return false })
+	again := *s
+	want("listed again", &again, false)
+	next := service(1)
+	next.Endpoints[0].Incarnation = incarnation + 1
+	want("next process", next, true)
+}
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -34,6 +34,7 @@
 	avoidedUntil        atomic.Int64  // end of the avoidance, Unix nanoseconds
 	ejectedUntil        atomic.Int64  // end of the ejection, Unix nanoseconds
 	slowStartAt         atomic.Int64  // start of the slow start, Unix nanoseconds; 0 for none
+	leaving             atomic.Bool   // the process has stated that it leaves, so that it gets no calls any more
 
 	mutex       sync.Mutex // guards the fields below and all writes of latency and errors
 	incarnation uint64
@@ -72,6 +73,7 @@
 	t := s.states[key]
 	if t == nil {
 		t = &state{incarnation: incarnation}
+		t.leaving.Store(p.leaving(key, incarnation))
 		if cold {
 			t.slowStartAt.Store(now)
 		}
@@ -85,6 +87,7 @@
 	}
 	t.incarnation, t.failures, t.ejections = incarnation, 0, 0
 	t.slowStartAt.Store(now)
+	t.leaving.Store(p.leaving(key, incarnation))
 	t.avoidedUntil.Store(0)
 	t.ejectedUntil.Store(0)
 	t.latency.Store(0)
@@ -105,7 +108,7 @@
 }
 
 func (t *state) usable(now int64) bool {
-	return t.avoidedUntil.Load() <= now && t.ejectedUntil.Load() <= now
+	return t.avoidedUntil.Load() <= now && t.ejectedUntil.Load() <= now && !t.leaving.Load()
 }
 
 // Start records that a call to the endpoint with the key SERVICE/NAME begins; each Start needs one Done. Start, Done,
@@ -211,6 +214,19 @@
 	}
 }
 
+// Leave excludes a process of the endpoint from all decisions, after it has stated that it leaves.
+func (p *Picker) Leave(endpoint string, incarnation uint64) {
+	t := p.lookup(endpoint)
+	if t == nil {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.incarnation == incarnation {
+		t.leaving.Store(true)
+	}
+}
+
 // Avoided returns the last reason and the end of an endpoint's avoidance; ok is false if it is not avoided.
 func (p *Picker) Avoided(endpoint string, now time.Time) (reason string, until time.Time, ok bool) {
 	t := p.lookup(endpoint)
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -146,6 +146,9 @@
 	}
 	hop.Clean(p.Header)
 	hop.SetBackendTime(p, l.backend.now().Sub(l.begin))
+	if l.notice.Leaving {
+		hop.SetLeaving(p)
+	}
 	if after, ok := hop.Shed(p); ok {
 		l.backend.onShed(l.endpoint.key, after)
 	}
@@ -232,7 +235,9 @@
 }
 
 // isCurrent reports whether the endpoint still has the process that the call was sent to. The caller holds the Backend's mutex.
-func (l *flight) isCurrent(e *endpoint) bool { return e.announcement.Incarnation == l.announcement.Incarnation }
+func (l *flight) isCurrent(e *endpoint) bool {
+	return e.announcement.Incarnation == l.announcement.Incarnation
+}
 
 // bufferAnswer reads up to bufferLimit bytes of an answer before any of it is passed on, and ends the call if those bytes
 // are the complete answer and no trailers follow. An answer that breaks off within
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -108,7 +108,7 @@
 	r.Body, r.ContentLength = c.body.attemptBody(c.r.ContentLength)
 	h.attemptStarted(c.endpoint, begin)
 	p, err := h.send(c.ctx, e, m, &r)
-	o := Observation{At: h.now()}
+	o := Observation{At: h.now(), Incarnation: e.Incarnation}
 	o.Took = o.At.Sub(begin)
 	if err != nil {
 		o.Failure = hop.AsFailure(err, c.id)
@@ -118,7 +118,7 @@
 		h.attemptDone(c.endpoint, o)
 		return nil, o.Failure
 	}
-	o.Status = p.StatusCode
+	o.Status, o.Leaving = p.StatusCode, hop.Leaving(p)
 	if load, ok := hop.Load(p); ok {
 		o.Load = load
 	}
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -34,6 +34,9 @@
 	Failure *outcome.Failure
 	At      time.Time
 	Load    float64 // calls running and waiting at the endpoint, divided by its slots; 0 when unknown
+
+	Incarnation uint64 // process of the endpoint that the attempt was sent to
+	Leaving     bool   // the endpoint has stated that it leaves
 }
 
 // Finished describes a request that has ended, for metrics.
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -152,15 +152,7 @@
 	if p.Header.Get(outcome.HeaderOutcome) != "" {
 		return nil, c.countFailure(c.readFailure(p, m.Call))
 	}
-	took, hasTook := p.Header[headerTook]
-	load, hasLoad := p.Header[headerLoad]
-	Strip(p.Header)
-	if hasTook {
-		p.Header[headerTook] = took
-	}
-	if hasLoad {
-		p.Header[headerLoad] = load
-	}
+	stripAllBut(p.Header, answerHeaders)
 	return p, nil
 }
 
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -118,6 +118,12 @@
 	return float64(n) / 100, err == nil
 }
 
+// SetLeaving sets the answer's Mesh-Leaving header: the endpoint has stated that it leaves.
+func SetLeaving(p *http.Response) { p.Header[headerLeaving] = []string{"1"} }
+
+// Leaving reports whether SetLeaving was called for an answer.
+func Leaving(p *http.Response) bool { return len(p.Header[headerLeaving]) > 0 }
+
 // emptyRequest is copied for each forwarded request, because net/http has no constructor that only sets the context.
 var emptyRequest http.Request
 
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,10 +23,14 @@
 	headerTook = "Mesh-Took" // on answers: the backend server's time in microseconds
 	// headerRoute is separate from Mesh-Meta because HTTP/2 encodes a header that repeats on a connection in one byte.
 	headerRoute     = "Mesh-Route"
-	headerObjective = "Mesh-Aim"  // milliseconds left to the objective, optionally with a suffix
-	headerLoad      = "Mesh-Load" // on answers: calls running and waiting at the endpoint, in percent of its slots
+	headerObjective = "Mesh-Aim"     // milliseconds left to the objective, optionally with a suffix
+	headerLoad      = "Mesh-Load"    // on answers: calls running and waiting at the endpoint, in percent of its slots
+	headerLeaving   = "Mesh-Leaving" // on answers: 1 if the endpoint has stated that it leaves
 )
 
+// answerHeaders are the headers that one node sends to another with an answer.
+var answerHeaders = []string{headerTook, headerLoad, headerLeaving}
+
 // Format of Mesh-Meta: all fields in the order of their positions below, separated by one space; only the caller may be empty.
 // One header with all fields takes a tenth of the processing of separate headers.
 const (
@@ -270,9 +275,11 @@
 }
 
 // Strip removes all Mesh-* headers.
-func Strip(h http.Header) {
+func Strip(h http.Header) { stripAllBut(h, nil) }
+
+func stripAllBut(h http.Header, kept []string) {
 	for k := range h {
-		if len(k) >= len(Prefix) && strings.EqualFold(k[:len(Prefix)], Prefix) {
+		if len(k) >= len(Prefix) && strings.EqualFold(k[:len(Prefix)], Prefix) && !slices.Contains(kept, k) {
 			delete(h, k)
 		}
 	}
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -106,7 +106,7 @@
 		return
 	}
 	w.Header()[headerCall] = []string{call}
-	for _, k := range []string{headerTook, headerLoad} {
+	for _, k := range answerHeaders {
 		if v, ok := p.Header[k]; ok {
 			w.Header()[k] = v
 		}
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"godwitspindle/core/config"
+	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
@@ -95,6 +96,10 @@
 // observe passes the outcome of an attempt to the picker.
 func (h *Host) observe(endpoint string, o caller.Observation) {
 	f := o.Failure
+	if o.Leaving {
+		h.notices.Leave(notice.Process{Endpoint: endpoint, Incarnation: o.Incarnation}, o.At)
+		h.picker.Leave(endpoint, o.Incarnation)
+	}
 	if f == nil {
 		h.picker.RecordOccupancy(endpoint, o.Load, o.At)
 		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -202,6 +202,9 @@
 		routing.WithDomain(h.settings.Domain),
 		routing.WithRegion(h.settings.Region),
 		routing.WithNode(h.settings.Name),
+		routing.WithLeaving(func(endpoint string, incarnation uint64) bool {
+			return h.notices.Leaving(notice.Process{Endpoint: endpoint, Incarnation: incarnation})
+		}),
 	}, h.routingOptions...)...)
 	holder, err := peer.NewHolder(options...)
 	h.holder = holder
