--- a/core/routing/picker_test.go
+++ b/core/routing/picker_test.go
@@ -294,7 +294,7 @@
 	left := map[uint64]bool{}
 	p := picker(WithLeaving(func(_ string, incarnation uint64) bool { return left[incarnation] }))
 	now := time.Unix(1000, 0)
-	s := service(1)
+	s := service(1, "a")
 	incarnation, key := s.Endpoints[0].Incarnation, s.Endpoints[0].Key()
 	want := func(step string, s *config.Service, chosen bool) {
 		t.Helper()
@@ -314,7 +314,7 @@
 	p.Retain(func(string) bool { return false })
 	again := *s
 	want("listed again", &again, false)
-	next := service(1)
+	next := service(1, "a")
 	next.Endpoints[0].Incarnation = incarnation + 1
 	want("next process", next, true)
 }
