fix(hop): the limit of an endpoint travels with calls to a node that may have restarted

What callers saw: nothing; an endpoint whose node was killed got as many requests as it has slots until the node had read an answer. Cause: the limit was known to that node alone, which has no disk. Change: answers tell the calling node the limit; each of its calls to such an endpoint tells it back with age, process and sender, and a node that has read no answer of the process yet adopts it, with an empty bucket. The log names the sender as the source.

--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -68,7 +68,7 @@
 	check("told by another node", p, 20, 9)
 	table.Adopt(p, Limit{Rate: 8, At: at(-50), From: "n3"}, at(20))
 	check("told later, but older", p, 20, 9)
-	table.State(p, 7, at(100))
+	table.State(p, Limit{Rate: 7, At: at(100)}, at(100))
 	check("stated", p, 110, 7)
 	table.Adopt(p, Limit{Rate: 3, At: at(120), From: "n2"}, at(130))
 	check("told after an answer was read", p, 130, 7)
@@ -77,7 +77,7 @@
 	check("another process", next, 140, 0)
 	table.Withdraw(p, at(101), at(145))
 	check("an answer to a later request states none", p, 150, 0)
-	table.State(p, 6, at(200))
+	table.State(p, Limit{Rate: 6, At: at(200)}, at(200))
 	check("stated again", p, 60_000, 6)
 	check("not stated for long", p, 60_300, 0)
 	table.Adopt(next, Limit{Rate: 2, At: at(0), From: "n2"}, at(60_001))
@@ -98,7 +98,7 @@
 func TestTableBound(t *testing.T) {
 	table := NewTable()
 	for i := range 3 * maxProcesses {
-		table.State(Process{fmt.Sprint("s/", i), 1}, 5, time.Unix(int64(i), 0))
+		table.State(Process{fmt.Sprint("s/", i), 1}, Limit{Rate: 5, At: time.Unix(int64(i), 0)}, time.Unix(int64(i), 0))
 	}
 	if got := len(table.processes); got > maxProcesses {
 		t.Errorf("processes: got %d, want at most %d", got, maxProcesses)
--- a/core/notice/table.go
+++ b/core/notice/table.go
@@ -39,13 +39,13 @@
 // NewTable returns a Table that knows nothing yet.
 func NewTable() *Table { return &Table{processes: map[Process]*state{}} }
 
-// State records a limit that an answer of the process states, and returns the rate that was in force before.
-func (t *Table) State(p Process, r Rate, now time.Time) (previous Rate) {
+// State records a limit that came with an answer of the process, and returns the rate that was in force before.
+func (t *Table) State(p Process, l Limit, now time.Time) (previous Rate) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	s := t.ensure(p, now)
 	previous = s.limit.Rate
-	s.limit, s.answered = Limit{Rate: r, At: now}, true
+	s.limit, s.answered = l, true
 	return previous
 }
 
@@ -71,20 +71,19 @@
 }
 
 // Adopt records a limit that another node tells, unless this node has read an answer of the process or knows a newer limit. It
-// reports whether the rate in force has changed.
-func (t *Table) Adopt(p Process, l Limit, now time.Time) bool {
+// returns the rate that was in force before, and whether the limit was recorded.
+func (t *Table) Adopt(p Process, l Limit, now time.Time) (previous Rate, adopted bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if now.Sub(l.At) > limitMaxAge {
-		return false
+		return 0, false
 	}
 	s := t.ensure(p, now)
 	if s.answered || l.At.Before(s.limit.At) {
-		return false
+		return 0, false
 	}
-	changed := s.limit.Rate != l.Rate
-	s.limit = l
-	return changed
+	previous, s.limit = s.limit.Rate, l
+	return previous, true
 }
 
 // Limit returns the limit in force, if it is not older than a minute.
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -118,7 +118,7 @@
 		h.attemptDone(c.endpoint, o)
 		return nil, o.Failure
 	}
-	o.Status, o.Leaving = p.StatusCode, hop.Leaving(p)
+	o.Status, o.Leaving, o.Limit = p.StatusCode, hop.Leaving(p), hop.Limit(p)
 	if load, ok := hop.Load(p); ok {
 		o.Load = load
 	}
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -35,8 +35,9 @@
 	At      time.Time
 	Load    float64 // calls running and waiting at the endpoint, divided by its slots; 0 when unknown
 
-	Incarnation uint64 // process of the endpoint that the attempt was sent to
-	Leaving     bool   // the endpoint has stated that it leaves
+	Incarnation uint64  // process of the endpoint that the attempt was sent to
+	Leaving     bool    // the endpoint has stated that it leaves
+	Limit       float64 // requests per second that the endpoint takes from all hosts; 0 without a limit
 }
 
 // Finished describes a request that has ended, for metrics.
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -124,6 +124,24 @@
 // Leaving reports whether SetLeaving was called for an answer.
 func Leaving(p *http.Response) bool { return len(p.Header[headerLeaving]) > 0 }
 
+// SetLimit sets the answer's Mesh-Limit header: the requests per second that the endpoint takes from all hosts.
+func SetLimit(p *http.Response, perSecond float64) {
+	p.Header[headerLimit] = []string{strconv.FormatFloat(perSecond, 'f', -1, 64)}
+}
+
+// Limit returns the rate that SetLimit encoded in Mesh-Limit; 0 if the header is missing or malformed.
+func Limit(p *http.Response) float64 {
+	values := p.Header[headerLimit]
+	if len(values) != 1 {
+		return 0
+	}
+	perSecond, err := parseRate(values[0])
+	if err != nil {
+		return 0
+	}
+	return perSecond
+}
+
 // emptyRequest is copied for each forwarded request, because net/http has no constructor that only sets the context.
 var emptyRequest http.Request
 
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -364,6 +364,12 @@
 			Idempotent: rapid.Bool().Draw(t, "idempotent"), Late: rapid.Bool().Draw(t, "late"), Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
 			Fingerprint: Identity{Service: name.Draw(t, "print")}.Fingerprint(),
 		}
+		if rapid.Bool().Draw(t, "limited") {
+			want.Limit = KnownLimit{
+				Rate: rapid.Float64Range(0.001, maxRate).Draw(t, "rate"), Age: time.Duration(rapid.IntRange(0, 60_000).Draw(t, "age")) * time.Millisecond,
+				Incarnation: rapid.Uint64().Draw(t, "incarnation"), Node: name.Draw(t, "node"),
+			}
+		}
 		h := http.Header{}
 		want.Encode(h)
 		got, err := Decode(h)
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -25,11 +25,12 @@
 	headerRoute     = "Mesh-Route"
 	headerObjective = "Mesh-Aim"     // milliseconds left to the objective, optionally with a suffix
 	headerLoad      = "Mesh-Load"    // on answers: calls running and waiting at the endpoint, in percent of its slots
+	headerLimit     = "Mesh-Limit"   // on answers: requests per second that the endpoint takes; on calls: a KnownLimit
 	headerLeaving   = "Mesh-Leaving" // on answers: 1 if the endpoint has stated that it leaves
 )
 
 // answerHeaders are the headers that one node sends to another with an answer.
-var answerHeaders = []string{headerTook, headerLoad, headerLeaving}
+var answerHeaders = []string{headerTook, headerLoad, headerLimit, headerLeaving}
 
 // Format of Mesh-Meta: all fields in the order of their positions below, separated by one space; only the caller may be empty.
 // One header with all fields takes a tenth of the processing of separate headers.
@@ -84,6 +85,7 @@
 	Objective   time.Duration // time left to the latency objective, negative when that has passed; 0 for no objective
 	Resent      bool          // the caller has sent this request before; transmitted only with an objective, without LastAttempt
 	LastAttempt bool          // the caller does not retry after a refusal; transmitted only with an objective
+	Limit       KnownLimit    // limit of the endpoint that the sender knows; zero for none
 }
 
 // MetaError reports a metadata header, or a field of Mesh-Meta, that is missing, malformed or out of range.
@@ -118,6 +120,9 @@
 	if m.Objective != 0 {
 		h[headerObjective] = []string{m.encodeObjective()}
 	}
+	if m.Limit.Rate > 0 {
+		h[headerLimit] = []string{m.Limit.encode()}
+	}
 }
 
 // Decode parses and validates the metadata headers; the error is a *MetaError.
@@ -150,6 +155,9 @@
 	if values := h[headerObjective]; len(values) > 0 {
 		d.objective(values[0], &m)
 	}
+	if values := h[headerLimit]; len(values) > 0 {
+		d.limit(values[0], &m)
+	}
 	return m, d.err
 }
 
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"godwitspindle/core/config"
-	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
@@ -96,10 +95,7 @@
 // observe passes the outcome of an attempt to the picker.
 func (h *Host) observe(endpoint string, o caller.Observation) {
 	f := o.Failure
-	if o.Leaving {
-		h.notices.Leave(notice.Process{Endpoint: endpoint, Incarnation: o.Incarnation}, o.At)
-		h.picker.Leave(endpoint, o.Incarnation)
-	}
+	h.noticesObserved(endpoint, o)
 	if f == nil {
 		h.picker.RecordOccupancy(endpoint, o.Load, o.At)
 		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
@@ -127,6 +123,7 @@
 	if e.Node == h.settings.Name {
 		return h.callBackend(ctx, m, r)
 	}
+	m.Limit = h.knownLimit(e)
 	return h.hops.Call(ctx, e.Address, m, r)
 }
 
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -183,11 +183,15 @@
 	return r
 }
 
-// callBackend runs a call at a local endpoint and reports the occupancy of the endpoint in the answer.
+// callBackend runs a call at a local endpoint and reports the occupancy and the limit of the endpoint in the answer.
 func (h *Host) callBackend(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	p, err := h.backend.Do(ctx, m, r)
 	if err == nil {
-		hop.SetLoad(p, h.endpoint(m.Service+"/"+m.Endpoint).queue.occupancy())
+		l := h.endpoint(m.Service + "/" + m.Endpoint)
+		hop.SetLoad(p, l.queue.occupancy())
+		if limit := l.limit.Load(); limit != nil && limit.Rate > 0 {
+			hop.SetLimit(p, float64(limit.Rate))
+		}
 	}
 	return p, err
 }
@@ -195,6 +199,7 @@
 // serveRemote runs a call from another node. It logs a failure here, where the cause is known; package caller logs the
 // failures of calls that start at this node.
 func (h *Host) serveRemote(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
+	h.adoptLimit(m)
 	p, err := h.callBackend(context.WithValue(ctx, remoteKey{}, true), m, r)
 	if err == nil && h.link != nil {
 		h.link.Sent(time.Now(), m.Route, p.ContentLength)
--- a/io/host/notice.go
+++ b/io/host/notice.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"time"
 
+	"godwitspindle/core/config"
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/backend"
+	"godwitspindle/io/caller"
+	"godwitspindle/io/hop"
 )
 
 // invalidLimitLogInterval is the shortest time between two log lines about limits that are not valid.
@@ -42,8 +45,9 @@
 		})
 		return
 	}
-	previous := h.notices.State(p, rate, now)
-	h.limitStated(p, previous, notice.Limit{Rate: rate, At: now})
+	l := notice.Limit{Rate: rate, At: now}
+	previous := h.notices.State(p, l, now)
+	h.limitStated(p, previous, l)
 }
 
 // limitStated puts a limit of a local endpoint in force, and logs it and shows it in the metrics if the rate has changed.
@@ -66,6 +70,53 @@
 	h.metrics.Limit.WithLabelValues(p.Endpoint).Set(float64(l.Rate))
 }
 
+// adoptLimit puts a limit that a calling node tells in force, until this node has read an answer of the endpoint. Without it, a node
+// that has just restarted would let as many calls through as the endpoint has slots.
+func (h *Host) adoptLimit(m hop.Meta) {
+	if m.Limit.Rate <= 0 {
+		return
+	}
+	now := time.Now()
+	p := notice.Process{Endpoint: m.Service + "/" + m.Endpoint, Incarnation: m.Limit.Incarnation}
+	l := notice.Limit{Rate: notice.Rate(m.Limit.Rate), At: now.Add(-m.Limit.Age), From: m.Limit.Node}
+	previous, adopted := h.notices.Adopt(p, l, now)
+	if !adopted {
+		return
+	}
+	h.mu.Lock()
+	local := h.locals[p.Endpoint]
+	current := local != nil && local.process == p
+	h.mu.Unlock()
+	if current { // else the limit is put in force when the process announces itself
+		h.limitStated(p, previous, l)
+	}
+}
+
+// knownLimit returns what a call to an endpoint on another host tells about the limit of the endpoint.
+func (h *Host) knownLimit(e config.Endpoint) hop.KnownLimit {
+	now := time.Now()
+	l, ok := h.notices.Limit(notice.Process{Endpoint: e.Key(), Incarnation: e.Incarnation}, now)
+	if !ok {
+		return hop.KnownLimit{}
+	}
+	return hop.KnownLimit{Rate: float64(l.Rate), Age: now.Sub(l.At), Incarnation: e.Incarnation, Node: h.settings.Name}
+}
+
+// noticesObserved records what an answer from an endpoint on another host says about the endpoint.
+func (h *Host) noticesObserved(endpoint string, o caller.Observation) {
+	p := notice.Process{Endpoint: endpoint, Incarnation: o.Incarnation}
+	if o.Leaving {
+		h.notices.Leave(p, o.At)
+		h.picker.Leave(endpoint, o.Incarnation)
+	}
+	switch {
+	case o.Limit > 0:
+		h.notices.State(p, notice.Limit{Rate: notice.Rate(o.Limit), At: o.At}, o.At)
+	case o.Failure == nil && !o.Leaving:
+		h.notices.Withdraw(p, o.At.Add(-o.Took), o.At)
+	}
+}
+
 // processChanged puts the limit that the new process of a local endpoint has stated in force, if it has stated one.
 func (h *Host) processChanged(p notice.Process) {
 	var previous notice.Rate
