--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -20,6 +20,9 @@
 }
 
 const (
+	messageFailed = "request failed"
+	messageRetry  = "attempt failed, trying again"
+
 	maxLogLine = 1 << 20 // bytes
 	// gapMargin is the time before the first and after the last line about a request within which a process that started, stopped,
 	// paused or dropped lines may have lost lines about that request.
@@ -28,7 +31,7 @@
 
 // Messages that end a request, and messages around which log lines may be missing.
 var (
-	endMessages = []string{"request answered", "request failed", "answer broke off"}
+	endMessages = []string{"request answered", messageFailed, "answer broke off"}
 	gapMessages = []string{"log lines dropped", "started", "draining", "control replica paused"}
 )
 
@@ -40,9 +43,11 @@
 	fields  map[string]any
 }
 
-// explanation holds the fields of the log lines about a request, and texts that say which lines may be missing.
+// explanation holds the fields of the log lines about a request, a sentence on its failure, and texts that say which lines may be
+// missing.
 type explanation struct {
 	Lines   []map[string]any `json:"lines"`
+	Summary string           `json:"summary,omitempty"` // one sentence on a request that failed
 	Missing []string         `json:"missing"`
 }
 
@@ -70,6 +75,9 @@
 	for _, l := range about {
 		_, _ = fmt.Fprintln(iv.stdout, l.String())
 	}
+	if e.Summary != "" {
+		_, _ = fmt.Fprintln(iv.stdout, "summary:", e.Summary)
+	}
 	for _, m := range e.Missing {
 		_, _ = fmt.Fprintln(iv.stdout, "missing:", m)
 	}
@@ -141,7 +149,7 @@
 
 // explain returns the lines about a request and texts that say which lines may be missing; both arguments are sorted by time.
 func explain(about, gaps []logLine) *explanation {
-	e := &explanation{Lines: []map[string]any{}, Missing: []string{}}
+	e := &explanation{Lines: []map[string]any{}, Summary: summarize(about), Missing: []string{}}
 	for _, l := range about {
 		e.Lines = append(e.Lines, l.fields)
 	}
@@ -161,3 +169,39 @@
 	}
 	return e
 }
+
+// summarize returns one sentence on why a request failed and how many attempts it made, or "" if its lines show no failure. Calls
+// that backend servers made for the request have longer ids and are not counted.
+func summarize(about []logLine) string {
+	last := -1
+	for i, l := range about {
+		if l.message == messageFailed && (last < 0 || len(l.field("call")) <= len(about[last].field("call"))) {
+			last = i
+		}
+	}
+	if last < 0 {
+		return ""
+	}
+	f := about[last]
+	attempts := 1
+	for _, l := range about {
+		if l.message == messageRetry && l.field("call") == f.field("call") {
+			attempts++
+		}
+	}
+	outcome := "may have run"
+	if f.field("outcome") == "notrun" {
+		outcome = "was not run"
+	}
+	text := fmt.Sprintf("the request %s; attempt %d, at endpoint %s, ended with code %s: %s", outcome, attempts, f.field("endpoint"), f.field("code"), f.field("reason"))
+	if after := f.field("after"); after != "" && after != "0s" {
+		text = strings.TrimSuffix(text, ".") + "; the caller was told to return after " + after
+	}
+	return text
+}
+
+// field returns a field of the line as text, "" if the line lacks it.
+func (l *logLine) field(name string) string {
+	text, _ := l.fields[name].(string)
+	return text
+}
--- a/io/host/notice.go
+++ b/io/host/notice.go
@@ -133,11 +133,14 @@
 	if limit == nil || limit.Rate == 0 {
 		return
 	}
-	f.Detail += fmt.Sprintf(" The limit of %.1f requests per second was stated %s ago and learned from %s.",
-		limit.Rate, time.Since(limit.At).Round(time.Millisecond), limitSource(*limit))
+	source := "in an answer of the endpoint"
+	if limit.From != "" {
+		source = "as node " + limit.From + " tells"
+	}
+	f.Detail += fmt.Sprintf(" The limit was stated %s ago, %s.", time.Since(limit.At).Round(time.Millisecond), source)
 }
 
-// limitSource names the source of a limit for logs and details: a node, or the endpoint itself.
+// limitSource names the source of a limit for logs: a node, or the endpoint itself.
 func limitSource(l notice.Limit) string {
 	if l.From == "" {
 		return "endpoint"
