fix(host): a limit is put in force one at a time and for the current process only

Cause: two answers that end together could put their limits in force in another order than they were recorded, and a late answer of a former process could limit the next one; later answers compared with the record, not with the gate, so neither was ever corrected. Change: one lock for each endpoint around recording and applying; a notice of another process than the current one has no effect; what is compared is the limit in force.

--- a/core/notice/table.go
+++ b/core/notice/table.go
@@ -39,51 +39,48 @@
 // NewTable returns a Table that knows nothing yet.
 func NewTable() *Table { return &Table{processes: map[Process]*state{}} }
 
-// State records a limit that came with an answer of the process, and returns the rate that was in force before.
-func (t *Table) State(p Process, l Limit, now time.Time) (previous Rate) {
+// State records a limit that came with an answer of the process.
+func (t *Table) State(p Process, l Limit, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	s := t.ensure(p, now)
-	previous = s.limit.Rate
 	s.limit, s.answered = l, true
-	return previous
 }
 
-// Withdraw records that an answer of the process states no limit, and returns the rate that was in force before, 0 if none was.
-// It has no effect if the request was sent before the limit was last stated, since answers may cross.
-func (t *Table) Withdraw(p Process, sent, now time.Time) (previous Rate) {
+// Withdraw records that an answer of the process states no limit, and reports whether none is in force then. It has no effect if the
+// request was sent before the limit was last stated, since answers may cross.
+func (t *Table) Withdraw(p Process, sent, now time.Time) bool {
 	t.mutex.RLock()
 	s := t.processes[p]
 	unlimited := s != nil && s.answered && s.limit.Rate == 0
 	t.mutex.RUnlock()
 	if unlimited {
-		return 0
+		return true
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	s = t.ensure(p, now)
 	if sent.Before(s.limit.At) {
-		return 0
+		return s.limit.Rate == 0
 	}
-	previous = s.limit.Rate
 	s.limit, s.answered = Limit{}, true
-	return previous
+	return true
 }
 
-// Adopt records a limit that another node tells, unless this node has read an answer of the process or knows a newer limit. It
-// returns the rate that was in force before, and whether the limit was recorded.
-func (t *Table) Adopt(p Process, l Limit, now time.Time) (previous Rate, adopted bool) {
+// Adopt records a limit that another node tells, and reports whether it did: not if this node has read an answer of the process or knows
+// a newer limit.
+func (t *Table) Adopt(p Process, l Limit, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if now.Sub(l.At) > limitMaxAge {
-		return 0, false
+		return false
 	}
 	s := t.ensure(p, now)
 	if s.answered || l.At.Before(s.limit.At) {
-		return 0, false
+		return false
 	}
-	previous, s.limit = s.limit.Rate, l
-	return previous, true
+	s.limit = l
+	return true
 }
 
 // Limit returns the limit in force, if it is not older than a minute.
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,9 +22,10 @@
 type localEndpoint struct {
 	queue       *admissionQueue
 	guard       *guard
-	slots       int // announced slots
-	connections int // maximum connections, as announced
-	process     notice.Process
+	slots       int                          // announced slots
+	connections int                          // maximum connections, as announced
+	process     notice.Process               // current process of the endpoint; guarded by the mutex of the Host
+	notices     sync.Mutex                   // serializes changes of the limit
 	limit       atomic.Pointer[notice.Limit] // last limit that was stated, with rate 0 once it is withdrawn; nil before the first
 }
 
@@ -47,7 +49,7 @@
 	l.slots, l.connections, l.process = a.Slots, a.Connections, p
 	h.mu.Unlock()
 	if changed {
-		h.processChanged(p)
+		h.processChanged(l, p)
 	}
 	l.queue.resume()
 	h.resize()
@@ -189,8 +191,8 @@
 	if err == nil {
 		l := h.endpoint(m.Service + "/" + m.Endpoint)
 		hop.SetLoad(p, l.queue.occupancy())
-		if limit := l.limit.Load(); limit != nil && limit.Rate > 0 {
-			hop.SetLimit(p, float64(limit.Rate))
+		if rate := l.rate(); rate > 0 {
+			hop.SetLimit(p, float64(rate))
 		}
 	}
 	return p, err
--- a/io/host/notice.go
+++ b/io/host/notice.go
@@ -30,32 +30,46 @@
 	if n.Leaving && h.notices.Leave(p, now) {
 		h.log.Info("endpoint states that it leaves", "endpoint", p.Endpoint, "incarnation", p.Incarnation)
 	}
-	if len(n.Limits) == 0 {
-		if !n.Leaving { // an endpoint that leaves need not repeat its limit
-			previous := h.notices.Withdraw(p, sent, now)
-			h.limitStated(p, previous, notice.Limit{At: now})
+	if len(n.Limits) == 0 && n.Leaving {
+		return // an endpoint that leaves need not repeat its limit
+	}
+	l := notice.Limit{At: now}
+	if len(n.Limits) > 0 {
+		rate, err := notice.ParseRate(n.Limits)
+		if err != nil {
+			h.limitInvalid(p, err)
+			return
 		}
-		return
+		l.Rate = rate
 	}
-	rate, err := notice.ParseRate(n.Limits)
-	if err != nil {
-		h.metrics.InvalidLimits.Inc()
-		h.invalidLimits.Do(func() {
-			h.log.Info("limit not valid, keeping the one in force", "endpoint", p.Endpoint, "error", err.Error())
-		})
+	e := h.endpoint(p.Endpoint)
+	e.notices.Lock()
+	defer e.notices.Unlock()
+	if l.Rate > 0 {
+		h.notices.State(p, l, now)
+	} else if !h.notices.Withdraw(p, sent, now) {
 		return
 	}
-	l := notice.Limit{Rate: rate, At: now}
-	previous := h.notices.State(p, l, now)
-	h.limitStated(p, previous, l)
+	h.putInForce(e, p, l)
 }
 
-// limitStated puts a limit of a local endpoint in force, and logs it and shows it in the metrics if the rate has changed.
-func (h *Host) limitStated(p notice.Process, previous notice.Rate, l notice.Limit) {
-	if l.Rate == 0 && previous == 0 {
+func (h *Host) limitInvalid(p notice.Process, err error) {
+	h.metrics.InvalidLimits.Inc()
+	h.invalidLimits.Do(func() {
+		h.log.Info("limit not valid, keeping the one in force", "endpoint", p.Endpoint, "error", err.Error())
+	})
+}
+
+// putInForce puts a limit of a local endpoint in force, and logs it and shows it in the metrics if the rate changes. It has no effect
+// if the endpoint has another process by now. The caller holds e.notices.
+func (h *Host) putInForce(e *localEndpoint, p notice.Process, l notice.Limit) {
+	h.mu.Lock()
+	current := e.process == p
+	h.mu.Unlock()
+	previous := e.rate()
+	if !current || l.Rate == 0 && previous == 0 {
 		return
 	}
-	e := h.endpoint(p.Endpoint)
 	e.limit.Store(&l)
 	if l.Rate == previous {
 		return
@@ -70,6 +84,14 @@
 	h.metrics.Limit.WithLabelValues(p.Endpoint).Set(float64(l.Rate))
 }
 
+// rate returns the limit in force, 0 for none.
+func (l *localEndpoint) rate() notice.Rate {
+	if limit := l.limit.Load(); limit != nil {
+		return limit.Rate
+	}
+	return 0
+}
+
 // adoptLimit puts a limit that a calling node tells in force, until this node has read an answer of the endpoint. Without it, a node
 // that has just restarted would let as many calls through as the endpoint has slots.
 func (h *Host) adoptLimit(m hop.Meta) {
@@ -79,17 +101,26 @@
 	now := time.Now()
 	p := notice.Process{Endpoint: m.Service + "/" + m.Endpoint, Incarnation: m.Limit.Incarnation}
 	l := notice.Limit{Rate: notice.Rate(m.Limit.Rate), At: now.Add(-m.Limit.Age), From: m.Limit.Node}
-	previous, adopted := h.notices.Adopt(p, l, now)
-	if !adopted {
+	if !h.notices.Adopt(p, l, now) {
 		return
 	}
 	h.mu.Lock()
-	local := h.locals[p.Endpoint]
-	current := local != nil && local.process == p
+	e := h.locals[p.Endpoint]
 	h.mu.Unlock()
-	if current { // else the limit is put in force when the process announces itself
-		h.limitStated(p, previous, l)
+	if e == nil {
+		return // the limit is put in force when the process announces itself
 	}
+	e.notices.Lock()
+	defer e.notices.Unlock()
+	h.putInForce(e, p, l)
+}
+
+// processChanged puts the limit that the new process of a local endpoint has stated in force, or none.
+func (h *Host) processChanged(e *localEndpoint, p notice.Process) {
+	e.notices.Lock()
+	defer e.notices.Unlock()
+	l, _ := h.notices.Limit(p, time.Now())
+	h.putInForce(e, p, l)
 }
 
 // knownLimit returns what a call to an endpoint on another host tells about the limit of the endpoint.
@@ -117,20 +148,10 @@
 	}
 }
 
-// processChanged puts the limit that the new process of a local endpoint has stated in force, if it has stated one.
-func (h *Host) processChanged(p notice.Process) {
-	var previous notice.Rate
-	if l := h.endpoint(p.Endpoint).limit.Load(); l != nil {
-		previous = l.Rate
-	}
-	l, _ := h.notices.Limit(p, time.Now())
-	h.limitStated(p, previous, l)
-}
-
 // explainLimit adds to a refusal how old the limit of the endpoint is and from whom it was learned.
 func (l *localEndpoint) explainLimit(f *outcome.Failure) {
 	limit := l.limit.Load()
-	if limit == nil || limit.Rate == 0 {
+	if l.rate() == 0 {
 		return
 	}
 	source := "in an answer of the endpoint"
