fix(backend): on the product's own interface, too, a stated leave outlasts renewals

What callers saw: nothing; requests went on to a backend server that states in its answers that it leaves while it renews its lease. Cause: announcements without a sequence never count as stale, and those of the product's own interface have none. Change: a leave that a process stated in an answer is kept as such; announcements with its incarnation do not take it back. The stand-in can state headers. The platform's heartbeats have sequences, so nothing changes for them.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -50,8 +50,8 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
-	contexts  map[string]string              // Mesh-Context of running requests, by request id
-	departed  map[string]announcementVersion // processes that left, by endpoint key
+	contexts  map[string]string    // Mesh-Context of running requests, by request id
+	departed  map[string]departure // processes that left, by endpoint key
 	draining  bool
 	running   int           // calls in flight
 	idle      chan struct{} // created by Wait, closed when the last call in flight ends
@@ -79,7 +79,7 @@
 		isForeign:       func(*http.Request, *http.Response) bool { return false },
 		checkAnswer:     func(*http.Response) *outcome.Failure { return nil },
 		endpoints:       map[string]*endpoint{},
-		departed:        map[string]announcementVersion{},
+		departed:        map[string]departure{},
 		contexts:        map[string]string{},
 	}
 	b.setHeaders = b.meshHeaders
@@ -192,7 +192,7 @@
 		return false
 	}
 	if reason != reasonNotRenewed {
-		b.recordDeparture(key, e.announcement) // also if its lease has expired, so that a late announcement does not restore it
+		b.recordDeparture(key, e.announcement, reason) // also if its lease has expired, so that a late announcement does not restore it
 	}
 	if e.leaving {
 		b.mu.Unlock()
--- a/io/backend/stale.go
+++ b/io/backend/stale.go
@@ -1,36 +1,38 @@
 package backend
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// announcementVersion orders announcements by process start (incarnation), then by sequence within the process.
-type announcementVersion struct {
+// departure is a process that left.
+type departure struct {
 	incarnation uint64
-	sequence    uint64
+	stated      bool // it stated the leave in an answer, so that no announcement of the process takes it back
 }
 
 // recordDeparture records that a process left, so that its late announcements are ignored. At maxEndpoints records it drops an
 // arbitrary one, since old records are no longer needed. The caller holds the mutex.
-func (b *Backend) recordDeparture(key string, a Announcement) {
+func (b *Backend) recordDeparture(key string, a Announcement, reason string) {
+	d := departure{incarnation: a.Incarnation, stated: reason == reasonStated}
+	if o, ok := b.departed[key]; ok && o.incarnation == d.incarnation {
+		d.stated = d.stated || o.stated
+	}
 	if len(b.departed) >= maxEndpoints {
 		for k := range b.departed {
 			delete(b.departed, k)
 			break
 		}
 	}
-	b.departed[key] = announcementVersion{incarnation: a.Incarnation, sequence: math.MaxUint64}
+	b.departed[key] = d
 }
 
 // isStale reports whether an announcement arrives after a later one of the same process, after that process left, or after a
-// process that started later at the same address. An announcement without a sequence never counts as stale. The caller holds
-// the mutex.
+// process that started later at the same address. An announcement without a sequence counts as stale only if its process stated in
+// an answer that it leaves. The caller holds the mutex.
 func (b *Backend) isStale(key string, a Announcement) bool {
+	o, left := b.departed[key]
 	if a.Sequence == 0 {
-		return false
+		return left && o.stated && a.Incarnation != 0 && a.Incarnation == o.incarnation
 	}
-	if o, left := b.departed[key]; left && a.Incarnation <= o.incarnation && a.Sequence <= o.sequence {
+	if left && a.Incarnation <= o.incarnation {
 		return true
 	}
 	for k, e := range b.endpoints {
@@ -54,7 +56,7 @@
 		return false
 	}
 	if b.endpoints[key] == nil {
-		b.recordDeparture(key, a) // its announcement may still arrive
+		b.recordDeparture(key, a, reasonAnnounced) // its announcement may still arrive
 	}
 	b.mu.Unlock()
 	b.leave(key, reasonAnnounced)
--- a/io/standin/serve.go
+++ b/io/standin/serve.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -58,6 +59,7 @@
 		return
 	}
 	h := w.Header()
+	maps.Copy(h, s.answerHeader)
 	h.Set(HeaderRuns, strconv.Itoa(s.countRun(r.Header.Get("Idempotency-Key"))))
 	h.Set(HeaderID, r.Header.Get(HeaderID))
 	h.Set(HeaderSum, strconv.FormatUint(uint64(digest.Sum32()), 16))
--- a/io/standin/server.go
+++ b/io/standin/server.go
@@ -61,6 +61,11 @@
 // is no restart.
 func WithRestart(d time.Duration) Option { return func(s *Server) { s.restartDelay = d } }
 
+// WithAnswerHeader adds a header to each answer, such as a statement of the server about itself.
+func WithAnswerHeader(name, value string) Option {
+	return func(s *Server) { s.answerHeader.Set(name, value) }
+}
+
 // WithLog sets the logger; without it nothing is logged.
 func WithLog(log logr.Logger) Option { return func(s *Server) { s.log = log } }
 
@@ -90,6 +95,7 @@
 	retryAfter   time.Duration
 	reportedLoad func(float64) float64
 	restartDelay time.Duration
+	answerHeader http.Header // added to each answer
 	log          logr.Logger
 	client       *http.Client
 
@@ -116,8 +122,9 @@
 		service: "standin", endpoint: "a", address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0),
 		slots: defaultSlots, connections: defaultConnections,
 		reportedLoad: func(actual float64) float64 { return actual }, log: logr.Discard(),
-		client:  &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConns: 1}},
-		closing: make(chan struct{}), conns: map[net.Conn]struct{}{}, runs: map[string]int{},
+		client:       &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConns: 1}},
+		answerHeader: http.Header{},
+		closing:      make(chan struct{}), conns: map[net.Conn]struct{}{}, runs: map[string]int{},
 	}
 	for _, o := range opts {
 		o(s)
