--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -252,8 +252,8 @@
 }
 
 // decideLastResort is called when no usable endpoint is untried. It chooses the untried endpoint with the lowest score, except
-// those that leave or are avoided for another reason than Unreachable: an attempt that may fail is better than a certain refusal. If none remains,
-// it returns a *NoEndpointError.
+// those that leave or are avoided for another reason than Unreachable: an attempt that may fail is better than a certain refusal. If
+// none remains, it returns a *NoEndpointError.
 func (p *Picker) decideLastResort(v *view, c Call, domain string, now int64) (Choice, error) {
 	e := &NoEndpointError{Service: c.Service.Name, Endpoints: len(v.candidates)}
 	var best *candidate
