--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -28,8 +28,12 @@
 		{"draining uses no budget", func(a *FailedAttempt) { a.Kind, a.Code, a.Share, a.Retries = outcome.NotRun, outcome.Draining, 0, 0 }, Verdict{Repick, ReasonUnavailable}},
 		{"repicks are limited", func(a *FailedAttempt) { a.Kind, a.Code, a.Repicks = outcome.NotRun, outcome.Unreachable, 3 }, Verdict{Stop, ReasonRepicks}},
 		{"repick past deadline", func(a *FailedAttempt) { a.Kind, a.Code, a.Now = outcome.NotRun, outcome.Draining, a.Deadline }, Verdict{Stop, ReasonDeadline}},
-		{"busy uses no budget", func(a *FailedAttempt) { a.Kind, a.Code, a.Share, a.Retries, a.Repicks = outcome.NotRun, outcome.Busy, 0, 0, 1 }, Verdict{Repick, ReasonBusy}},
-		{"limited uses no budget", func(a *FailedAttempt) { a.Kind, a.Code, a.Share, a.Retries, a.Repicks = outcome.NotRun, outcome.Limited, 0, 0, 1 }, Verdict{Repick, ReasonBusy}},
+		{"busy uses no budget", func(a *FailedAttempt) {
+			a.Kind, a.Code, a.Share, a.Retries, a.Repicks = outcome.NotRun, outcome.Busy, 0, 0, 1
+		}, Verdict{Repick, ReasonBusy}},
+		{"limited uses no budget", func(a *FailedAttempt) {
+			a.Kind, a.Code, a.Share, a.Retries, a.Repicks = outcome.NotRun, outcome.Limited, 0, 0, 1
+		}, Verdict{Repick, ReasonBusy}},
 		{"third limited endpoint", func(a *FailedAttempt) { a.Kind, a.Code, a.Repicks = outcome.NotRun, outcome.Limited, 2 }, Verdict{Stop, ReasonBusyRepicks}},
 		{"limited without proof, not idempotent", func(a *FailedAttempt) { a.Idempotent, a.Code = false, outcome.Limited }, Verdict{Stop, ReasonNotIdempotent}},
 		{"quarantined", func(a *FailedAttempt) { a.Kind, a.Code = outcome.NotRun, outcome.Quarantined }, Verdict{Stop, ReasonPermanent}},
