--- a/io/host/notice.go
+++ b/io/host/notice.go
@@ -43,8 +43,8 @@
 		l.Rate = rate
 	}
 	e := h.endpoint(p.Endpoint)
-	e.notices.Lock()
-	defer e.notices.Unlock()
+	e.limitMutex.Lock()
+	defer e.limitMutex.Unlock()
 	if l.Rate > 0 {
 		h.notices.State(p, l, now)
 	} else if !h.notices.Withdraw(p, sent, now) {
@@ -61,7 +61,7 @@
 }
 
 // putInForce puts a limit of a local endpoint in force, and logs it and shows it in the metrics if the rate changes. It has no effect
-// if the endpoint has another process by now. The caller holds e.notices.
+// if the endpoint has another process by now. The caller holds e.limitMutex.
 func (h *Host) putInForce(e *localEndpoint, p notice.Process, l notice.Limit) {
 	h.mu.Lock()
 	current := e.process == p
@@ -110,15 +110,15 @@
 	if e == nil {
 		return // the limit is put in force when the process announces itself
 	}
-	e.notices.Lock()
-	defer e.notices.Unlock()
+	e.limitMutex.Lock()
+	defer e.limitMutex.Unlock()
 	h.putInForce(e, p, l)
 }
 
 // processChanged puts the limit that the new process of a local endpoint has stated in force, or none.
 func (h *Host) processChanged(e *localEndpoint, p notice.Process) {
-	e.notices.Lock()
-	defer e.notices.Unlock()
+	e.limitMutex.Lock()
+	defer e.limitMutex.Unlock()
 	l, _ := h.notices.Limit(p, time.Now())
 	h.putInForce(e, p, l)
 }
