--- a/io/host/local.go
+++ b/io/host/local.go
@@ -25,7 +25,7 @@
 	slots       int                          // announced slots
 	connections int                          // maximum connections, as announced
 	process     notice.Process               // current process of the endpoint; guarded by the mutex of the Host
-	notices     sync.Mutex                   // serializes changes of the limit
+	limitMutex  sync.Mutex                   // serializes changes of limit
 	limit       atomic.Pointer[notice.Limit] // last limit that was stated, with rate 0 once it is withdrawn; nil before the first
 }
 
