feat(metrics): how much of a stated limit is used

Cause: the users ask to see how much of a limit is used while callers wait; the gauges showed the limit and the queue only. Change: limit_started_per_second, by endpoint with a limit, measured at each scrape; no decision changes.

--- a/core/admission/ratelimit.go
+++ b/core/admission/ratelimit.go
@@ -94,6 +94,13 @@
 	return g.startQueued(now)
 }
 
+// Started returns the calls per second that started in the last 4 s.
+func (g *Gate) Started(now time.Time) float64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.rate.recent(now)
+}
+
 // capacity returns how many calls can run at once: the limit, or fewer if the rate with the mean service time keeps them below.
 func (g *Gate) capacity() float64 {
 	slots := float64(g.limit.value())
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -33,17 +33,31 @@
 	return "read"
 }
 
-// metricsHandler sets the gauges for the confirmation age, queued calls and quarantine at each scrape, then serves all metrics.
+// metricsHandler sets the gauges for the confirmation age, queued calls, quarantine and the use of limits at each scrape, then serves
+// all metrics.
 func (h *Host) metricsHandler() http.Handler {
 	next := h.metrics.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.metrics.ConfirmationAge.Set(h.confirmationAge().Seconds())
 		h.metrics.Queued.Set(float64(h.queued()))
 		h.metrics.Quarantine.Set(float64(h.holder.View().Table.Quarantined(time.Now())))
+		h.measureLimitUse(time.Now())
 		next.ServeHTTP(w, r)
 	})
 }
 
+// measureLimitUse sets the gauge for the use of limits, for the local endpoints that state one.
+func (h *Host) measureLimitUse(now time.Time) {
+	h.metrics.LimitUse.Reset()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for k, l := range h.locals {
+		if l.rate() > 0 {
+			h.metrics.LimitUse.WithLabelValues(k).Set(l.queue.gate.Started(now))
+		}
+	}
+}
+
 func (h *Host) queued() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -22,6 +22,7 @@
 	Refusals           *prometheus.CounterVec   // calls refused by admission or quarantine, by code
 	Sent               *prometheus.CounterVec   // calls admitted to a local backend server, by kind: first, resent or nested
 	Limit              *prometheus.GaugeVec     // limits in force that local endpoints state, in requests per second, by endpoint
+	LimitUse           *prometheus.GaugeVec     // calls per second that started at endpoints with a limit, in the last 4 s, by endpoint
 	InvalidLimits      prometheus.Counter       // limits of local endpoints that are not valid
 	Claims             *prometheus.CounterVec   // answers to claims, by state
 	Quarantine         prometheus.Gauge         // fingerprints in quarantine
@@ -82,6 +83,9 @@
 		Limit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limit_requests_per_second", Help: "Limit in force that the endpoint states.",
 		}, []string{"endpoint"}),
+		LimitUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "limit_started_per_second", Help: "Calls started per second in the last 4 s at an endpoint that states a limit.",
+		}, []string{"endpoint"}),
 		InvalidLimits:      counter("limits_invalid_total", "Answers with a limit that is not valid."),
 		Claims:             counters("claims_total", "Answers to claims, by state.", "state"),
 		Quarantine:         gauge("quarantine_fingerprints", "Requests in quarantine."),
@@ -103,7 +107,7 @@
 		ContentChanges:   counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
 	}
 	m.Registry.MustRegister(
-		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.InvalidLimits, m.Claims, m.Quarantine,
+		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.Commits, m.Term, m.Leader, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
