feat(agreement): what the leader knows about its voters, and why a learner waits

Cause: no line and no metric told when the leader last heard a voter, how far a learner was behind, or why no change of the member set was due, so a voter that is never replaced could not be told from a learner that never catches up. Change: metrics agreement_voters, agreement_learners and agreement_losses; log lines 'voters' and 'learner waits' at each change of state; a failed change of the member set is logged at most once a second. No decision has been changed.

--- /dev/null
+++ b/core/agreement/health.go
@@ -0,0 +1,68 @@
+package agreement
+
+import (
+	"slices"
+	"time"
+)
+
+// Health is what a leader knows about how many more voters its group can lose.
+type Health struct {
+	Voters    int
+	Answering int      // voters that answered within the limit, the leader included
+	Silent    []string // voters that answered this leader, but not within the limit
+	Unheard   []string // voters that have not answered this leader
+	Losses    int      // answering voters that may be lost while a majority of the voters answers
+}
+
+// Health returns what the leader knows about the voters; a voter that has not answered within the limit counts as lost.
+func (s *Status) Health(now time.Time, limit time.Duration) Health {
+	h := Health{Voters: len(s.Members.Voters)}
+	for _, id := range s.Members.Voters {
+		p := s.Progress[id]
+		switch {
+		case id == s.ID, !p.LastHeard.IsZero() && now.Sub(p.LastHeard) < limit:
+			h.Answering++
+		case p.LastHeard.IsZero():
+			h.Unheard = append(h.Unheard, id)
+		default:
+			h.Silent = append(h.Silent, id)
+		}
+	}
+	h.Losses = max(0, h.Answering-h.Voters/2-1)
+	return h
+}
+
+// WaitCause says why a learner does not replace a voter yet.
+type WaitCause string
+
+// Causes for which a learner waits.
+const (
+	LearnerSilent WaitCause = "the learner does not answer"
+	LearnerBehind WaitCause = "the learner lacks committed entries"
+	NoneSilent    WaitCause = "no voter that this leader has heard is silent for long enough"
+)
+
+// Wait is a learner that cannot replace a voter yet.
+type Wait struct {
+	Learner string
+	Cause   WaitCause
+	Behind  uint64 // committed entries that the learner is not known to have
+}
+
+// Waits returns the first learner for which NextChange proposes nothing, and the cause, or false if there is no learner.
+func (s *Status) Waits(now time.Time) (Wait, bool) {
+	if len(s.Members.Learners) == 0 {
+		return Wait{}, false
+	}
+	id := s.caughtUpLearner(now)
+	if id != "" {
+		return Wait{Learner: id, Cause: NoneSilent}, true
+	}
+	id = slices.Min(s.Members.Learners)
+	p := s.Progress[id]
+	w := Wait{Learner: id, Cause: LearnerBehind, Behind: s.Commit - min(p.Match, s.Commit)}
+	if p.LastHeard.IsZero() || now.Sub(p.LastHeard) >= voterTimeout/2 {
+		w.Cause = LearnerSilent
+	}
+	return w, true
+}
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -56,11 +56,14 @@
 	applied     chan struct{} // signaled after a command is applied
 	convergence convergence
 
-	// The next four fields are used only by the goroutine of runDuties.
+	// The next five fields are used only by the goroutine of runDuties.
 	leading      bool
 	leader       string    // name of the leader at the last run of performDuties
 	lastExpiry   time.Time // time of the last check for expired leases
 	lastMeasured time.Time // time of the last check whether the oldest pending version is in force on all nodes
+	voters       votersLog
+
+	failedChange time.Time // time of the last log line about a failed change of the member set; used only by maintainMembers
 
 	stop context.CancelFunc
 	wait sync.WaitGroup
@@ -101,6 +104,7 @@
 	c.replica = r
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
+	c.forgetVoters()
 	c.wait.Go(func() { c.publish(ctx) })
 	c.wait.Go(func() { c.runDuties(ctx) })
 	if p.directory.seeded() {
@@ -240,6 +244,7 @@
 	}
 	if now.Sub(c.lastExpiry) >= expiryInterval {
 		c.lastExpiry = now
+		c.observeVoters(now, st)
 		c.leases.Renew(now, c.name, nil) // the leader has no upstream that would name it in a report
 		for _, e := range c.leases.Expire(now) {
 			c.log.Info("lease expired", "node", e.Node, "endpoint", e.Endpoint, "silent", e.Silent.String())
@@ -276,6 +281,7 @@
 	c.leading = false
 	c.leases.Stop()
 	c.metrics.Leader.Set(0)
+	c.forgetVoters()
 	c.log.Info("leadership ended")
 }
 
--- a/io/host/members.go
+++ b/io/host/members.go
@@ -10,6 +10,8 @@
 const (
 	membersInterval = 100 * time.Millisecond
 	minVoters       = 3
+	// failedChangePause is the time between two log lines about changes of the member set that failed.
+	failedChangePause = time.Second
 )
 
 // maintainMembers keeps the member set complete where replicas are found through seeds: on the leader it adds, promotes and
@@ -51,8 +53,12 @@
 	case step.Remove != "":
 		err = c.replica.Remove(ctx, step.Remove)
 	}
+	if err != nil && time.Since(c.failedChange) < failedChangePause {
+		return
+	}
 	if err != nil {
-		c.log.V(1).Info("member set not changed, its next step failed", "add", step.Add, "promote", step.Promote, "remove", step.Remove, "error", err.Error())
+		c.failedChange = time.Now()
+		c.log.Info("member set not changed, its next step failed", "add", step.Add, "promote", step.Promote, "remove", step.Remove, "error", err.Error())
 		return
 	}
 	c.log.Info("member set changed", "add", step.Add, "promote", step.Promote, "remove", step.Remove, "reason", step.Reason,
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -37,6 +37,9 @@
 	Commits            prometheus.Counter       // commands of the replicated log that were applied
 	Term               prometheus.Gauge         // current term of the replicated log
 	Leader             prometheus.Gauge         // 1 on the leader
+	Voters             *prometheus.GaugeVec     // voters of the replicated log as the leader sees them, by state: answering, silent or unheard; none on other replicas
+	Learners           prometheus.Gauge         // learners that wait to become voters; 0 on a replica that does not lead
+	Losses             prometheus.Gauge         // voters that may still be lost; -1 on a replica that does not lead
 	FsyncTime          prometheus.Histogram     // seconds of one fsync of the log
 	RefusedConnections *prometheus.CounterVec   // connections closed above the limit of their listener, by listener
 	OperatorRequests   *prometheus.CounterVec   // requests of operators, by path and status
@@ -57,6 +60,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
 func histogram(name, help string, start, factor float64, count int) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help,
@@ -100,6 +107,9 @@
 		Commits:            counter("agreement_commits_total", "Commands of the agreed log that this replica applied, those read back at its start included."),
 		Term:               gauge("agreement_term", "Current term of the agreed log."),
 		Leader:             gauge("agreement_leader", "1 when this replica leads."),
+		Voters:             gauges("agreement_voters", "Voters as the leader sees them, by state: answering, silent, or unheard since its term began.", "state"),
+		Learners:           gauge("agreement_learners", "Learners that wait to become voters; 0 when this replica does not lead."),
+		Losses:             gauge("agreement_losses", "Voters that may still be lost while a majority answers; -1 when this replica does not lead."),
 		FsyncTime:          histogram("fsync_seconds", "Time of one fsync of the agreed log.", 0.0001, 2, 15),
 		RefusedConnections: counters("connections_refused_total", "Connections closed over a listener's limit.", "listener"),
 
@@ -109,7 +119,7 @@
 	m.Registry.MustRegister(
 		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
-		m.Commits, m.Term, m.Leader, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
+		m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
