fix(agreement): a voter that the present leader has never heard is replaced

Callers saw: an acknowledged configuration could not be read back; every replica answered 503 for good after two disks were lost. Cause: a new leader started with no time at which it last heard the other members, and a member without such a time never counted as silent. A voter that was lost before the term, most often the former leader, stayed in the member set for ever; with the two further losses that the group must bear, three of five voters were gone. Change: each replica keeps when each member was last known to be alive, from any message and, on followers, from the leader's heartbeats, which list silent members with their age. The table outlives elections and begins at the start of the process, so no member is without a time. A leader acts on it after it has listened for a quarter of the limit.

--- a/core/agreement/follower.go
+++ b/core/agreement/follower.go
@@ -24,6 +24,7 @@
 				r.quorumConfirmed = at
 			}
 		}
+		r.takeSilences(m.Silences)
 		r.send(Message{Kind: HeartbeatAnswer, To: m.From, Term: r.state.Term, Context: m.Context})
 	}
 }
--- a/core/agreement/health.go
+++ b/core/agreement/health.go
@@ -39,7 +39,7 @@
 const (
 	LearnerSilent WaitCause = "the learner does not answer"
 	LearnerBehind WaitCause = "the learner lacks committed entries"
-	NoneSilent    WaitCause = "no voter that this leader has heard is silent for long enough"
+	NoneSilent    WaitCause = "no voter is silent for long enough"
 )
 
 // Wait is a learner that cannot replace a voter yet.
--- /dev/null
+++ b/core/agreement/heard.go
@@ -0,0 +1,71 @@
+package agreement
+
+import "time"
+
+// Silence is a member that the leader has not heard for some time.
+type Silence struct {
+	ID  string
+	Age time.Duration
+}
+
+// reportedSilence is the part of the election timeout, as a divisor, from which heartbeats name a silent member.
+const reportedSilence = 2
+
+// hear notes that a member is alive.
+func (r *Replica) hear(id string) {
+	if r.members().Has(id) {
+		r.heard[id] = r.now
+	}
+}
+
+// lastAlive returns when a member was last known to be alive. For a member of which nothing is known, that is the start of this
+// process, so that a lost member is never without a silence.
+func (r *Replica) lastAlive(id string) time.Time {
+	if t, ok := r.heard[id]; ok {
+		return t
+	}
+	return r.started
+}
+
+// silences lists the members that the leader has not heard for a while. Followers keep the list for the next election.
+func (r *Replica) silences() []Silence {
+	var list []Silence
+	for _, id := range r.peers() {
+		if age := r.now.Sub(r.lastAlive(id)); age >= r.election/reportedSilence {
+			list = append(list, Silence{ID: id, Age: age})
+		}
+	}
+	return list
+}
+
+// takeSilences takes over what the leader knows of the members. A member that the leader does not list is alive.
+func (r *Replica) takeSilences(list []Silence) {
+	known := make(map[string]time.Time, len(r.heard))
+	for _, id := range r.members().all() {
+		known[id] = r.now
+	}
+	for _, s := range list {
+		if _, member := known[s.ID]; member {
+			known[s.ID] = later(r.heard[s.ID], r.now.Add(-s.Age))
+		}
+	}
+	r.heard = known
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// lastAliveTimes returns when each other member was last known to be alive.
+func (r *Replica) lastAliveTimes() map[string]time.Time {
+	times := make(map[string]time.Time, len(r.heard))
+	for _, id := range r.members().all() {
+		if id != r.id {
+			times[id] = r.lastAlive(id)
+		}
+	}
+	return times
+}
--- a/core/agreement/leader.go
+++ b/core/agreement/leader.go
@@ -29,7 +29,7 @@
 type pendingRead struct{ context, index, round uint64 }
 
 func (r *Replica) becomeLeader() {
-	r.role, r.leader = Leader, r.id
+	r.role, r.leader, r.leaderSince = Leader, r.id, r.now
 	r.progress = map[string]*progress{}
 	r.rounds, r.round = nil, 0
 	r.termStart = r.log.last() + 1
@@ -45,7 +45,7 @@
 func (r *Replica) updateProgress() {
 	m, old := r.members(), r.progress
 	r.progress = map[string]*progress{}
-	for _, id := range slices.Concat(m.Voters, m.Learners) {
+	for _, id := range m.all() {
 		if id == r.id {
 			continue
 		}
@@ -120,9 +120,12 @@
 	if !r.quorumConfirmed.IsZero() {
 		age = 1 + uint64(r.now.Sub(r.quorumConfirmed).Microseconds())
 	}
+	silences := r.silences()
 	for _, id := range r.peers() {
 		p := r.progress[id]
-		r.send(Message{Kind: Heartbeat, To: id, Term: r.state.Term, Commit: min(p.match, r.commit), Context: r.round, Index: age})
+		r.send(Message{
+			Kind: Heartbeat, To: id, Term: r.state.Term, Commit: min(p.match, r.commit), Context: r.round, Index: age, Silences: silences,
+		})
 	}
 	r.confirmRounds()
 }
--- a/core/agreement/members.go
+++ b/core/agreement/members.go
@@ -41,6 +41,9 @@
 	return slices.Contains(m.Voters, id) || slices.Contains(m.Learners, id)
 }
 
+// all returns the identities of all members.
+func (m Members) all() []string { return slices.Concat(m.Voters, m.Learners) }
+
 // EncodeMembers encodes the voters and then the learners, each as a count and length-prefixed strings.
 func EncodeMembers(m Members) []byte {
 	var b []byte
--- a/core/agreement/plan.go
+++ b/core/agreement/plan.go
@@ -12,6 +12,9 @@
 	voterTimeout = 2 * time.Second
 	// learnerTimeout applies to a learner that is not announced.
 	learnerTimeout = 30 * time.Second
+	// listenTime is how long a leader listens before it removes a member whose silence began before its term: a member that the
+	// leader before it could not reach may answer this one.
+	listenTime = voterTimeout / 4
 )
 
 // PlannedChange is one change of the member set; exactly one of Add, Promote and Remove is set.
@@ -66,15 +69,17 @@
 }
 
 // longestSilent returns the member in ids that has been silent for the longest time, or an empty string if none has been silent for
-// longer than the limit. It skips this replica, the excluded members and those that have never answered.
+// longer than the limit or the leader has not listened for long enough. It skips this replica and the excluded members.
 func (s *Status) longestSilent(now time.Time, ids []string, limit time.Duration, excluded []string) string {
 	found, longest := "", limit
+	if now.Sub(s.LeaderSince) < listenTime {
+		return found
+	}
 	for _, id := range ids {
-		p, known := s.Progress[id]
-		if id == s.ID || !known || p.LastHeard.IsZero() || slices.Contains(excluded, id) {
+		if id == s.ID || slices.Contains(excluded, id) {
 			continue
 		}
-		if silence := now.Sub(p.LastHeard); silence > longest {
+		if silence := now.Sub(s.Heard[id]); silence > longest {
 			found, longest = id, silence
 		}
 	}
--- a/core/agreement/plan_test.go
+++ b/core/agreement/plan_test.go
@@ -13,7 +13,7 @@
 // planStatus returns the status of a/1 as the leader of the given members. Each word is an identity with optional suffixes:
 // "+" for a learner, "!" for a silent member, "?" for a lagging one.
 func planStatus(words ...string) Status {
-	s := Status{ID: "a/1", Role: Leader, Commit: 10, Progress: map[string]Progress{}}
+	s := Status{ID: "a/1", Role: Leader, Commit: 10, Progress: map[string]Progress{}, Heard: map[string]time.Time{}}
 	for _, w := range words {
 		id := w
 		p := Progress{Match: 10, LastHeard: planStart}
@@ -37,7 +37,7 @@
 			s.Members = s.Members.With(id, false)
 		}
 		if id != s.ID {
-			s.Progress[id] = p
+			s.Progress[id], s.Heard[id] = p, p.LastHeard
 		}
 	}
 	return s
@@ -92,13 +92,15 @@
 			}
 			members := planStatus(words...).Members
 			for range 50 {
-				s := Status{ID: "a/1", Role: Leader, Commit: 10, Members: members, Progress: map[string]Progress{}}
+				s := Status{
+					ID: "a/1", Role: Leader, Commit: 10, Members: members, Progress: map[string]Progress{}, Heard: map[string]time.Time{},
+				}
 				for _, id := range slices.Concat(members.Voters, members.Learners) {
 					p := Progress{Match: 10, LastHeard: planStart}
 					if !slices.Contains(live, id) {
 						p.LastHeard = planStart.Add(-time.Minute)
 					}
-					s.Progress[id] = p
+					s.Progress[id], s.Heard[id] = p, p.LastHeard
 				}
 				change, ok := NextChange(planStart, s, live, 5)
 				if !ok {
--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -72,3 +72,35 @@
 		}
 	}
 }
+
+// Guards against a lost voter that is never replaced while leaders follow one another sooner than a voter counts as silent.
+func TestVoterIsReplacedDespiteElections(t *testing.T) {
+	const term = voterTimeout - 500*time.Millisecond
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		former := c.leader()
+		c.lose(slices.DeleteFunc(c.running(), func(id string) bool { return id == former })[0])
+		c.join("f/1")
+		for range 6 {
+			c.maintain(term)
+			former = c.leader()
+			c.setBlocked(Name(former), true, true)
+			c.awaitOtherLeader(former)
+			c.setBlocked(Name(former), false, false)
+		}
+		if got := c.bearable(); got < testLosses {
+			t.Fatalf("seed %d: after six terms of %s: got %d losses that the group bears, want %d", seed, term, got, testLosses)
+		}
+	}
+}
+
+// awaitOtherLeader runs the cluster until another replica than the named one leads.
+func (c *cluster) awaitOtherLeader(former string) {
+	for range 100 {
+		if l := c.leader(); l != "" && l != former {
+			return
+		}
+		c.run(50 * time.Millisecond)
+	}
+}
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -78,7 +78,9 @@
 	writeIssued uint64 // highest index that was loaded or returned in Effects to be saved
 	durable     uint64 // highest index known to be synced
 
-	now                     time.Time
+	now, started            time.Time // the clock, and its first value
+	heard                   map[string]time.Time // when each other member was last known to be alive
+	leaderSince             time.Time
 	role                    Role
 	leader                  string
 	leaderHeard, campaignAt time.Time // time of the last message from the leader; time of the next campaign
@@ -102,7 +104,7 @@
 // New returns a replica in its loaded state; it fails with *OptionError if an option is missing, invalid or contradicts that
 // state.
 func New(opts ...Option) (*Replica, error) {
-	r := &Replica{election: defaultElectionTimeout, heartbeat: defaultHeartbeatInterval, promises: map[string]string{}}
+	r := &Replica{election: defaultElectionTimeout, heartbeat: defaultHeartbeatInterval, promises: map[string]string{}, heard: map[string]time.Time{}}
 	for _, o := range opts {
 		o(r)
 	}
@@ -161,6 +163,11 @@
 		if err != nil {
 			return &OptionError{Option: "WithLog", Reason: err.Error()}
 		}
+		for _, id := range m.all() {
+			if !r.members().Has(id) && !r.now.IsZero() {
+				r.heard[id] = r.now // the silence of a new member begins when it joins
+			}
+		}
 		r.memberSets = append(r.memberSets, membersAt{index: e.Index, members: m})
 	}
 	r.log.entries = append(r.log.entries, e)
@@ -221,6 +228,7 @@
 		r.now = now
 	}
 	if r.campaignAt.IsZero() {
+		r.started = r.now
 		r.resetCampaignTimer()
 	}
 }
@@ -249,9 +257,10 @@
 func (r *Replica) Status() Status {
 	s := Status{
 		ID: r.id, Role: r.role, Leader: r.leader, Term: r.state.Term, Commit: r.commit, Applied: r.applied,
-		Last: r.log.last(), Members: r.members(), ConfirmedAt: r.quorumConfirmed,
+		Last: r.log.last(), Members: r.members(), ConfirmedAt: r.quorumConfirmed, Heard: r.lastAliveTimes(),
 	}
 	if r.role == Leader {
+		s.LeaderSince = r.leaderSince
 		s.Progress = make(map[string]Progress, len(r.progress))
 		for id, p := range r.progress {
 			s.Progress[id] = Progress{Match: p.match, LastHeard: p.lastHeard, Learner: p.learner}
--- a/core/agreement/types.go
+++ b/core/agreement/types.go
@@ -65,6 +65,7 @@
 	Reject                                bool
 	Entries                               []Entry
 	Snapshot                              *Snapshot
+	Silences                              []Silence // in a Heartbeat: members that the leader has not heard for a while
 }
 
 // Read is a linearizable read that a quorum confirmed; it may be answered once Index is applied.
@@ -119,6 +120,10 @@
 	Members                     Members
 	Progress                    map[string]Progress // by identity, without this replica; nil unless it leads
 	ConfirmedAt                 time.Time           // start of the last heartbeat round known to be answered by a quorum; zero for none
+	LeaderSince                 time.Time           // start of the leadership; zero unless it leads
+	// Heard tells when each other member was last known to be alive, also by a former leader or another replica; the start of this
+	// process if nothing is known.
+	Heard map[string]time.Time
 }
 
 // NotLeaderError reports that this replica does not lead and cannot serve the call; Leader is empty when unknown.
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -1,10 +1,15 @@
 package peer
 
 import (
+	"time"
+
 	"godwitspindle/core/agreement"
 	"godwitspindle/core/wire"
 )
 
+// maxSilence limits the age of a silence, in milliseconds, so that it fits a time.Duration.
+const maxSilence = uint64(24 * time.Hour / time.Millisecond)
+
 // Encode converts an agreement message to its protobuf form.
 func Encode(m agreement.Message) *wire.LogMessage {
 	w := &wire.LogMessage{
@@ -21,6 +26,9 @@
 	for _, e := range m.Entries {
 		w.Entries = append(w.Entries, &wire.LogEntry{Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Data: e.Data})
 	}
+	for _, s := range m.Silences {
+		w.Silences = append(w.Silences, &wire.Silence{Id: s.ID, Age: uint64(s.Age.Milliseconds())})
+	}
 	if s := m.Snapshot; s != nil {
 		w.Snapshot = &wire.LogSnapshot{
 			Index:   s.Index,
@@ -53,6 +61,10 @@
 			Data:  e.GetData(),
 		})
 	}
+	for _, s := range w.GetSilences() {
+		age := min(s.GetAge(), maxSilence)
+		m.Silences = append(m.Silences, agreement.Silence{ID: s.GetId(), Age: time.Duration(age) * time.Millisecond})
+	}
 	if s := w.GetSnapshot(); s != nil {
 		m.Snapshot = &agreement.Snapshot{
 			Index:   s.GetIndex(),
