feat(agreement): a voter is replaced in one joint change

Cause: a replacement removed the lost voter and promoted its successor in a second step, so it passed through a smaller group: a voter that is alive but silent was given up before its successor had a vote, and that group bore one loss less. Promoting first passes through six voters and bears one loss less if the successor fails on the way. Change: Members.Outgoing holds the voters before a replacement. While it is not empty, elections, commits, confirmed reads and check-quorum need a majority of the voters and of the outgoing ones; the leader, whichever it is then, settles the set once the joint one is committed. A lost disk's new identity joins as a learner beside the lost one and replaces it. A voter that left the mesh is replaced without waiting for its silence. A replaced voter that is known to be silent does not join again as a learner while its lease lasts. Test changed: TestReplaceReplica wanted only the new identity after 'add'; now the lost identity stays a voter until the new one replaces it in 'promote', so the test wants both after 'add' and only the new one after 'promote'. TestPlan announces its voters and has the new cases.

--- a/core/agreement/cluster_test.go
+++ b/core/agreement/cluster_test.go
@@ -44,6 +44,7 @@
 	confirmedReads map[uint64]bool    // by context of the read
 	highestCommit  uint64             // highest index committed on any replica
 	options        []Option           // for replicas that start later
+	lost           []string           // identities of replicas that are lost for good
 }
 
 func newCluster(t rapid.TB, n int, seed int64) *cluster {
--- a/core/agreement/election.go
+++ b/core/agreement/election.go
@@ -77,8 +77,8 @@
 	if r.advanceCampaign() {
 		return
 	}
-	for _, id := range r.members().Voters {
-		if id != r.id {
+	for _, id := range r.members().IDs() {
+		if id != r.id && r.members().IsVoter(id) {
 			r.send(Message{Kind: kind, To: id, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm()})
 		}
 	}
@@ -86,13 +86,7 @@
 
 // advanceCampaign goes from pre-vote to vote, or from vote to leader, if a majority has granted, and reports whether one has.
 func (r *Replica) advanceCampaign() bool {
-	n, voters := 0, r.members().Voters
-	for _, id := range voters {
-		if r.votes[id] {
-			n++
-		}
-	}
-	if n <= len(voters)/2 {
+	if !r.members().Quorate(func(id string) bool { return r.votes[id] }) {
 		return false
 	}
 	if r.preVote {
--- a/core/agreement/health.go
+++ b/core/agreement/health.go
@@ -16,11 +16,15 @@
 
 // Health returns what the leader knows about the voters; a voter that has not answered within the limit counts as lost.
 func (s *Status) Health(now time.Time, limit time.Duration) Health {
-	h := Health{Voters: len(s.Members.Voters)}
+	answers := func(id string) bool {
+		p := s.Progress[id]
+		return id == s.ID || !p.LastHeard.IsZero() && now.Sub(p.LastHeard) < limit
+	}
+	h := Health{Voters: len(s.Members.Voters), Losses: max(0, s.Members.margin(answers))}
 	for _, id := range s.Members.Voters {
 		p := s.Progress[id]
 		switch {
-		case id == s.ID, !p.LastHeard.IsZero() && now.Sub(p.LastHeard) < limit:
+		case answers(id):
 			h.Answering++
 		case p.LastHeard.IsZero():
 			h.Unheard = append(h.Unheard, id)
@@ -28,7 +32,6 @@
 			h.Silent = append(h.Silent, id)
 		}
 	}
-	h.Losses = max(0, h.Answering-h.Voters/2-1)
 	return h
 }
 
@@ -50,18 +53,18 @@
 }
 
 // Waits returns the first learner for which NextChange proposes nothing, and the cause, or false if there is no learner.
-func (s *Status) Waits(now time.Time) (Wait, bool) {
+func (s *Status) Waits(now time.Time, t Target) (Wait, bool) {
 	if len(s.Members.Learners) == 0 {
 		return Wait{}, false
 	}
-	id := s.caughtUpLearner(now)
+	id := s.caughtUpLearner(now, t.silence())
 	if id != "" {
 		return Wait{Learner: id, Cause: NoneSilent}, true
 	}
 	id = slices.Min(s.Members.Learners)
 	p := s.Progress[id]
 	w := Wait{Learner: id, Cause: LearnerBehind, Behind: s.Commit - min(p.Match, s.Commit)}
-	if p.LastHeard.IsZero() || now.Sub(p.LastHeard) >= voterTimeout/2 {
+	if p.LastHeard.IsZero() || now.Sub(p.LastHeard) >= t.silence()/2 {
 		w.Cause = LearnerSilent
 	}
 	return w, true
--- a/core/agreement/heard.go
+++ b/core/agreement/heard.go
@@ -1,6 +1,9 @@
 package agreement
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Silence is a member that the leader has not heard for some time.
 type Silence struct {
@@ -11,9 +14,9 @@
 // reportedSilence is the part of the election timeout, as a divisor, from which heartbeats name a silent member.
 const reportedSilence = 2
 
-// hear notes that a member is alive.
+// hear notes that a replica is alive that is a member or was one.
 func (r *Replica) hear(id string) {
-	if r.members().Has(id) {
+	if _, known := r.heard[id]; known || r.members().Has(id) {
 		r.heard[id] = r.now
 	}
 }
@@ -41,7 +44,7 @@
 // takeSilences takes over what the leader knows of the members. A member that the leader does not list is alive.
 func (r *Replica) takeSilences(list []Silence) {
 	known := make(map[string]time.Time, len(r.heard))
-	for _, id := range r.members().all() {
+	for _, id := range r.members().IDs() {
 		known[id] = r.now
 	}
 	for _, s := range list {
@@ -59,10 +62,11 @@
 	return b
 }
 
-// lastAliveTimes returns when each other member was last known to be alive.
+// lastAliveTimes returns when each other member, and each former one that this replica has heard, was last known to be alive.
 func (r *Replica) lastAliveTimes() map[string]time.Time {
-	times := make(map[string]time.Time, len(r.heard))
-	for _, id := range r.members().all() {
+	times := maps.Clone(r.heard)
+	delete(times, r.id)
+	for _, id := range r.members().IDs() {
 		if id != r.id {
 			times[id] = r.lastAlive(id)
 		}
--- a/core/agreement/leader.go
+++ b/core/agreement/leader.go
@@ -45,7 +45,7 @@
 func (r *Replica) updateProgress() {
 	m, old := r.members(), r.progress
 	r.progress = map[string]*progress{}
-	for _, id := range m.all() {
+	for _, id := range m.IDs() {
 		if id == r.id {
 			continue
 		}
@@ -57,7 +57,7 @@
 			}
 			p = n
 		}
-		p.learner = slices.Contains(m.Learners, id)
+		p.learner = !m.IsVoter(id)
 		r.progress[id] = p
 	}
 }
@@ -156,7 +156,7 @@
 }
 
 func (r *Replica) tickLeader() {
-	if !r.majorityReachable(r.members().Voters) {
+	if !r.members().Quorate(r.answered) {
 		r.becomeFollower(r.state.Term, "")
 		return
 	}
@@ -241,6 +241,7 @@
 		return
 	}
 	r.commit = n
+	r.settleMembers()
 	if !r.isVoter() && r.memberSets[len(r.memberSets)-1].index <= r.commit {
 		r.sendAppends() // tells the followers the commit index before this leader steps down
 		r.becomeFollower(r.state.Term, "")
@@ -255,6 +256,14 @@
 	}
 }
 
+// settleMembers ends a committed joint change, also one that a former leader began.
+func (r *Replica) settleMembers() {
+	m := r.members()
+	if m.Joint() && r.committedInTerm() && r.memberSets[len(r.memberSets)-1].index <= r.commit {
+		r.appendLocal(MembersChange, EncodeMembers(m.settled()))
+	}
+}
+
 // sendAppends sends each peer the entries or the snapshot that it lacks, up to the limit of unanswered appends.
 func (r *Replica) sendAppends() {
 	for _, id := range r.peers() {
--- a/core/agreement/plan.go
+++ b/core/agreement/plan.go
@@ -5,83 +5,132 @@
 	"time"
 )
 
-// Times without an answer after which NextChange removes a member.
+// DefaultCatchUp is the time after which a successor must have replaced a lost voter, unless the settings name another one.
+const DefaultCatchUp = 6 * time.Second
+
 const (
-	// voterTimeout applies to a voter that a caught-up learner can replace. It is longer than an election and a process restart,
-	// and short enough to remove the voter of a lost host before another host may be lost.
-	voterTimeout = 2 * time.Second
-	// learnerTimeout applies to a learner that is not announced.
+	// silenceDivisor is the part of the catch-up time after which a voter counts as lost. The rest is for an election before the
+	// silence is noticed, and for the successor to join and to take over the log.
+	silenceDivisor = 3
+	// listenDivisor is the part of that silence for which a new leader listens before it acts: a member that the leader before it
+	// could not reach may answer this one.
+	listenDivisor = 4
+	// learnerTimeout is the silence after which a learner that is not announced is removed.
 	learnerTimeout = 30 * time.Second
-	// listenTime is how long a leader listens before it removes a member whose silence began before its term: a member that the
-	// leader before it could not reach may answer this one.
-	listenTime = voterTimeout / 4
 )
 
-// PlannedChange is one change of the member set; exactly one of Add, Promote and Remove is set.
+// Target is what a group that discovers its members should become.
+type Target struct {
+	Announced []string      // identities of the replicas that run, as far as the mesh knows
+	Voters    int           // number of voters
+	CatchUp   time.Duration // time after which a successor must have replaced a lost voter
+}
+
+func (t *Target) silence() time.Duration { return t.CatchUp / silenceDivisor }
+
+// PlannedChange is one change of the member set. A replacement has both Promote and Remove, any other change exactly one of Add,
+// Promote and Remove.
 type PlannedChange struct {
-	Add     string // identity that joins as a learner; it replaces any other identity with its name
+	Add     string // identity that joins as a learner
 	Promote string // learner that becomes a voter
 	Remove  string // member that leaves
 	Reason  string
 }
 
-// NextChange is for a group that discovers its members: it returns the next membership change toward the wanted number of
-// voters, or false if none is due. Announced holds the identities of running replicas. The leader calls NextChange again after
+// Apply returns the member set after a planned change. A learner that joins replaces earlier learners of its name.
+func (p PlannedChange) Apply(m Members) Members {
+	switch {
+	case p.Add != "":
+		return m.Join(p.Add)
+	case p.Promote != "" && p.Remove != "":
+		return m.Replace(p.Remove, p.Promote)
+	case p.Promote != "":
+		return m.With(p.Promote, false)
+	}
+	return m.Without(p.Remove)
+}
+
+// NextChange returns the next change of the member set toward the target, or false if none is due. The leader calls it again after
 // each change.
 //
-//   - An announced identity that is not a member joins as a learner. It replaces an earlier identity of the same name, whose
-//     disk is lost.
+//   - An announced identity that is not a member joins as a learner.
 //   - A learner that has caught up becomes a voter while there are fewer voters than wanted.
-//   - A voter silent for over 2 s is removed only when a caught-up learner can replace it, so that silence alone never shrinks
-//     the group.
+//   - A learner that has caught up replaces a voter that is lost, see lostVoter. Without such a learner no voter is removed, so that
+//     silence alone never shrinks the group.
 //   - A learner silent for over 30 s that is not announced is removed.
-func NextChange(now time.Time, s Status, announced []string, voters int) (PlannedChange, bool) {
-	for _, id := range announced {
-		if !s.Members.Has(id) {
+func NextChange(now time.Time, s Status, t Target) (PlannedChange, bool) {
+	if s.Members.Joint() {
+		return PlannedChange{}, false
+	}
+	for _, id := range t.Announced {
+		if !s.Members.Has(id) && !s.knownSilent(now, id, t.silence()) {
 			return PlannedChange{Add: id, Reason: "announced"}, true
 		}
 	}
-	caughtUp := s.caughtUpLearner(now)
-	if caughtUp != "" && len(s.Members.Voters) < voters {
+	caughtUp := s.caughtUpLearner(now, t.silence())
+	if caughtUp != "" && len(s.Members.Voters) < t.Voters {
 		return PlannedChange{Promote: caughtUp, Reason: "caught up"}, true
 	}
 	if caughtUp != "" {
-		if id := s.longestSilent(now, s.Members.Voters, voterTimeout, nil); id != "" {
-			return PlannedChange{Remove: id, Reason: "silent voter, and a learner has caught up"}, true
+		if id, reason := s.lostVoter(now, t); id != "" {
+			return PlannedChange{Promote: caughtUp, Remove: id, Reason: reason}, true
 		}
 	}
-	if id := s.longestSilent(now, s.Members.Learners, learnerTimeout, announced); id != "" {
+	unannounced := difference(s.Members.Learners, t.Announced)
+	if id := s.longestSilent(now, unannounced, learnerTimeout); id != "" {
 		return PlannedChange{Remove: id, Reason: "silent learner"}, true
 	}
 	return PlannedChange{}, false
 }
 
-// caughtUpLearner returns a learner that has every committed entry and answered within half of voterTimeout, or an empty
-// string.
-func (s *Status) caughtUpLearner(now time.Time) string {
+// lostVoter returns a voter that a caught-up learner should replace, and the reason, or an empty string. A voter whose name runs
+// under another identity has lost its disk. A voter that is not announced has left the mesh.
+func (s *Status) lostVoter(now time.Time, t Target) (id, reason string) {
+	running := slices.Concat(t.Announced, s.Members.Learners)
+	for _, id := range s.Members.Voters {
+		if !slices.Contains(running, id) && slices.ContainsFunc(running, func(o string) bool { return Name(o) == Name(id) }) {
+			return id, "lost disk"
+		}
+	}
+	if now.Sub(s.LeaderSince) < t.silence()/listenDivisor {
+		return "", ""
+	}
+	if id := s.longestSilent(now, s.Members.Voters, t.silence()); id != "" {
+		return id, "silent voter"
+	}
+	for _, id := range s.Members.Voters {
+		if id != s.ID && !slices.Contains(t.Announced, id) {
+			return id, "voter left"
+		}
+	}
+	return "", ""
+}
+
+// caughtUpLearner returns a learner that has every committed entry and answered within half of the limit, or an empty string.
+func (s *Status) caughtUpLearner(now time.Time, limit time.Duration) string {
 	for _, id := range s.Members.Learners {
 		p := s.Progress[id]
-		if p.Match >= s.Commit && !p.LastHeard.IsZero() && now.Sub(p.LastHeard) < voterTimeout/2 {
+		if p.Match >= s.Commit && !p.LastHeard.IsZero() && now.Sub(p.LastHeard) < limit/2 {
 			return id
 		}
 	}
 	return ""
 }
 
-// longestSilent returns the member in ids that has been silent for the longest time, or an empty string if none has been silent for
-// longer than the limit or the leader has not listened for long enough. It skips this replica and the excluded members.
-func (s *Status) longestSilent(now time.Time, ids []string, limit time.Duration, excluded []string) string {
+// longestSilent returns the member in ids, other than this replica, that has been silent for the longest time, or an empty string if
+// none has been silent for longer than the limit.
+func (s *Status) longestSilent(now time.Time, ids []string, limit time.Duration) string {
 	found, longest := "", limit
-	if now.Sub(s.LeaderSince) < listenTime {
-		return found
-	}
 	for _, id := range ids {
-		if id == s.ID || slices.Contains(excluded, id) {
-			continue
-		}
-		if silence := now.Sub(s.Heard[id]); silence > longest {
+		if silence := now.Sub(s.Heard[id]); id != s.ID && silence > longest {
 			found, longest = id, silence
 		}
 	}
 	return found
 }
+
+// knownSilent reports whether a replica that was a member is known to be silent for longer than the limit.
+func (s *Status) knownSilent(now time.Time, id string, limit time.Duration) bool {
+	heard, known := s.Heard[id]
+	return known && now.Sub(heard) > limit
+}
--- a/core/agreement/plan_test.go
+++ b/core/agreement/plan_test.go
@@ -49,23 +49,46 @@
 	tests := []struct {
 		name      string
 		members   []string
-		announced []string
+		announced []string // besides the voters
+		left      []string // voters that are not announced
 		want      PlannedChange
 	}{
-		{"complete", []string{"a/1", "b/1", "c/1", "d/1", "e/1"}, []string{"a/1", "b/1", "c/1", "d/1", "e/1"}, PlannedChange{}},
-		{"new replica joins", []string{"a/1", "b/1", "c/1"}, []string{"a/1", "d/1"}, PlannedChange{Add: "d/1"}},
-		{"lost disk: new identity joins", []string{"a/1", "b/1", "c/1"}, []string{"b/2"}, PlannedChange{Add: "b/2"}},
-		{"caught-up learner becomes a voter", []string{"a/1", "b/1", "c/1", "d/1+"}, nil, PlannedChange{Promote: "d/1"}},
-		{"lagging learner does not", []string{"a/1", "b/1", "c/1", "d/1+?"}, nil, PlannedChange{}},
-		{"silent learner does not", []string{"a/1", "b/1", "c/1", "d/1+!"}, nil, PlannedChange{}},
-		{"silent voters stay", []string{"a/1", "b/1!", "c/1!", "d/1", "e/1"}, nil, PlannedChange{}},
-		{"learner replaces a silent voter", []string{"a/1", "b/1!", "c/1", "d/1", "e/1", "f/1+"}, nil, PlannedChange{Remove: "b/1"}},
-		{"lagging learner does not replace one", []string{"a/1", "b/1!", "c/1", "d/1", "e/1", "f/1+?"}, nil, PlannedChange{}},
-		{"live voters are not replaced", []string{"a/1", "b/1", "c/1", "d/1", "e/1", "f/1+"}, nil, PlannedChange{}},
+		{"complete", []string{"a/1", "b/1", "c/1", "d/1", "e/1"}, nil, nil, PlannedChange{}},
+		{"new replica joins", []string{"a/1", "b/1", "c/1"}, []string{"d/1"}, nil, PlannedChange{Add: "d/1"}},
+		{"lost disk: new identity joins", []string{"a/1", "b/1", "c/1"}, []string{"b/2"}, []string{"b/1"}, PlannedChange{Add: "b/2"}},
+		{
+			"lost disk: new identity replaces the old one",
+			[]string{"a/1", "b/1", "b/2+", "c/1", "d/1", "e/1"},
+			[]string{"b/2"},
+			[]string{"b/1"},
+			PlannedChange{Promote: "b/2", Remove: "b/1"},
+		},
+		{"caught-up learner becomes a voter", []string{"a/1", "b/1", "c/1", "d/1+"}, nil, nil, PlannedChange{Promote: "d/1"}},
+		{"lagging learner does not", []string{"a/1", "b/1", "c/1", "d/1+?"}, nil, nil, PlannedChange{}},
+		{"silent learner does not", []string{"a/1", "b/1", "c/1", "d/1+!"}, nil, nil, PlannedChange{}},
+		{"silent voters stay", []string{"a/1", "b/1!", "c/1!", "d/1", "e/1"}, nil, nil, PlannedChange{}},
+		{"voters that left stay", []string{"a/1", "b/1", "c/1", "d/1", "e/1"}, nil, []string{"b/1", "c/1"}, PlannedChange{}},
+		{
+			"learner replaces a silent voter",
+			[]string{"a/1", "b/1!", "c/1", "d/1", "e/1", "f/1+"},
+			nil, nil,
+			PlannedChange{Promote: "f/1", Remove: "b/1"},
+		},
+		{
+			"learner replaces a voter that left",
+			[]string{"a/1", "b/1", "c/1", "d/1", "e/1", "f/1+"},
+			nil,
+			[]string{"c/1"},
+			PlannedChange{Promote: "f/1", Remove: "c/1"},
+		},
+		{"lagging learner does not replace one", []string{"a/1", "b/1!", "c/1", "d/1", "e/1", "f/1+?"}, nil, nil, PlannedChange{}},
+		{"live voters are not replaced", []string{"a/1", "b/1", "c/1", "d/1", "e/1", "f/1+"}, nil, nil, PlannedChange{}},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			got, ok := NextChange(planStart, planStatus(c.members...), c.announced, 5)
+			st := planStatus(c.members...)
+			announced := slices.Concat(difference(st.Members.Voters, c.left), c.announced)
+			got, ok := NextChange(planStart, st, Target{Announced: announced, Voters: 5, CatchUp: DefaultCatchUp})
 			got.Reason = ""
 			if got != c.want || ok != (c.want != PlannedChange{}) {
 				t.Errorf("got %+v (%v), want %+v", got, ok, c.want)
@@ -102,11 +125,11 @@
 					}
 					s.Progress[id], s.Heard[id] = p, p.LastHeard
 				}
-				change, ok := NextChange(planStart, s, live, 5)
+				change, ok := NextChange(planStart, s, Target{Announced: live, Voters: 5, CatchUp: DefaultCatchUp})
 				if !ok {
 					break
 				}
-				members = applyChange(members, change)
+				members = change.Apply(members).settled()
 			}
 			slices.Sort(live)
 			if !slices.Equal(members.Voters, live) {
@@ -116,19 +139,3 @@
 		}
 	}
 }
-
-// applyChange carries out a planned change as package replica does.
-func applyChange(m Members, s PlannedChange) Members {
-	switch {
-	case s.Add != "":
-		for _, id := range slices.Concat(m.Voters, m.Learners) {
-			if Name(id) == Name(s.Add) {
-				m = m.Without(id)
-			}
-		}
-		return m.With(s.Add, true)
-	case s.Promote != "":
-		return m.With(s.Promote, false)
-	}
-	return m.Without(s.Remove)
-}
--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -19,8 +20,9 @@
 			continue
 		}
 		st := c.members[l].Status()
-		if change, ok := NextChange(c.now, st, c.running(), 2*testLosses+1); ok {
-			_ = c.change(l, applyChange(st.Members, change))
+		target := Target{Announced: c.announced(), Voters: 2*testLosses + 1, CatchUp: testCatchUp}
+		if change, ok := NextChange(c.now, st, target); ok {
+			_ = c.change(l, change.Apply(st.Members))
 		}
 	}
 }
@@ -30,8 +32,18 @@
 	return slices.DeleteFunc(c.ids(), func(id string) bool { return c.members[id] == nil })
 }
 
+// announced returns the newest identity of each name, also of lost replicas: their leases have not expired yet.
+func (c *cluster) announced() []string {
+	newest := map[string]string{}
+	for _, id := range slices.Sorted(slices.Values(slices.Concat(c.lost, c.ids()))) {
+		newest[Name(id)] = id
+	}
+	return slices.Collect(maps.Values(newest))
+}
+
 // lose removes a replica and its disk for good.
 func (c *cluster) lose(id string) {
+	c.lost = append(c.lost, id)
 	delete(c.members, id)
 	delete(c.stores, id)
 }
@@ -48,14 +60,7 @@
 	if l == "" {
 		return -1
 	}
-	voters := c.members[l].Status().Members.Voters
-	running := 0
-	for _, id := range voters {
-		if c.members[id] != nil {
-			running++
-		}
-	}
-	return running - len(voters)/2 - 1
+	return c.members[l].Status().Members.margin(func(id string) bool { return c.members[id] != nil })
 }
 
 // Guards against a voter that is never replaced because it was lost before the present leader's term: the group then loses its
@@ -75,7 +80,7 @@
 
 // Guards against a lost voter that is never replaced while leaders follow one another sooner than a voter counts as silent.
 func TestVoterIsReplacedDespiteElections(t *testing.T) {
-	const term = voterTimeout - 500*time.Millisecond
+	const term = time.Second // shorter than the silence after which a voter counts as lost
 	for seed := range int64(10) {
 		c := newCluster(t, 5, seed)
 		c.run(4 * time.Second)
@@ -104,3 +109,59 @@
 		c.run(50 * time.Millisecond)
 	}
 }
+
+// Guards against a replacement that passes through a group which bears fewer losses: the replaced voter is alive, only silent.
+func TestReplacementKeepsLosses(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		l := c.leader()
+		out := difference(c.members[l].Status().Members.Voters, []string{l})[0]
+		if err := c.change(l, c.members[l].Status().Members.Replace(out, "f/1")); err != nil {
+			t.Fatalf("seed %d: replace %s: %v", seed, out, err)
+		}
+		joint := c.members[l].Status().Members.Joint()
+		for range 20 {
+			if got := c.bearable(); got < testLosses {
+				t.Fatalf("seed %d: during the replacement: got %d losses that the group bears, want %d", seed, got, testLosses)
+			}
+			c.tick(5 * time.Millisecond)
+			for n := len(c.network); n > 0; n-- {
+				c.deliver(0)
+			}
+		}
+		m := c.members[l].Status().Members
+		if !joint || m.Joint() || slices.Contains(m.Voters, out) || !slices.Contains(m.Voters, "f/1") {
+			t.Fatalf("seed %d: got joint %v first, then %+v, want f/1 in place of %s", seed, joint, m, out)
+		}
+	}
+}
+
+// Guards against a replacement that stays half done, or is undone, when the leader is lost between its two steps.
+func TestReplacementOutlivesItsLeader(t *testing.T) {
+	for seed := range int64(20) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		l := c.leader()
+		out := difference(c.members[l].Status().Members.Voters, []string{l})[0]
+		if err := c.change(l, c.members[l].Status().Members.Replace(out, "f/1")); err != nil {
+			t.Fatalf("seed %d: replace %s: %v", seed, out, err)
+		}
+		for range c.random.Intn(len(c.network) + 1) {
+			c.deliver(0)
+		}
+		delete(c.members, l)
+		c.run(6 * time.Second)
+		next := c.leader()
+		if next == "" || next == l {
+			t.Fatalf("seed %d: got leader %q, want another one than %s", seed, next, l)
+		}
+		if m := c.members[next].Status().Members; m.Joint() {
+			t.Fatalf("seed %d: got the joint set %+v, want a settled one", seed, m)
+		}
+	}
+}
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -78,7 +78,7 @@
 	writeIssued uint64 // highest index that was loaded or returned in Effects to be saved
 	durable     uint64 // highest index known to be synced
 
-	now, started            time.Time // the clock, and its first value
+	now, started            time.Time            // the clock, and its first value
 	heard                   map[string]time.Time // when each other member was last known to be alive
 	leaderSince             time.Time
 	role                    Role
@@ -163,7 +163,7 @@
 		if err != nil {
 			return &OptionError{Option: "WithLog", Reason: err.Error()}
 		}
-		for _, id := range m.all() {
+		for _, id := range m.IDs() {
 			if !r.members().Has(id) && !r.now.IsZero() {
 				r.heard[id] = r.now // the silence of a new member begins when it joins
 			}
@@ -187,13 +187,13 @@
 
 func (r *Replica) isFounded() bool { return r.log.last() > 0 }
 
-func (r *Replica) isVoter() bool { return slices.Contains(r.members().Voters, r.id) }
+func (r *Replica) isVoter() bool { return r.members().IsVoter(r.id) }
 
 // mayCampaign reports whether the replica is a voter, or was one before a removal that is not known to be committed. If only
 // this replica's log holds the removal, no other replica can win an election.
 func (r *Replica) mayCampaign() bool {
 	for i := len(r.memberSets) - 1; i >= 0; i-- {
-		if slices.Contains(r.memberSets[i].members.Voters, r.id) {
+		if r.memberSets[i].members.IsVoter(r.id) {
 			return true
 		}
 		if r.memberSets[i].index <= r.commit {
--- a/core/agreement/types.go
+++ b/core/agreement/types.go
@@ -122,7 +122,7 @@
 	ConfirmedAt                 time.Time           // start of the last heartbeat round known to be answered by a quorum; zero for none
 	LeaderSince                 time.Time           // start of the leadership; zero unless it leads
 	// Heard tells when each other member was last known to be alive, also by a former leader or another replica; the start of this
-	// process if nothing is known.
+	// process if nothing is known. On a leader it holds former members too.
 	Heard map[string]time.Time
 }
 
--- a/io/demo/replace_test.go
+++ b/io/demo/replace_test.go
@@ -108,12 +108,13 @@
 			}
 			list, err := c.Replicas(t.Context())
 			before := roles(t, list, err, "r1")
+			old := before["voter"]
 			if before["waiting"] == "" || before["voter"] == before["waiting"] {
 				t.Fatalf("replicas before add: got %v, want r1 waiting under a new identity", before)
 			}
 			list, err = c.ChangeReplica(t.Context(), operator.ReplicaAction{Action: operator.ActionAdd, Name: "r1"})
-			if got := roles(t, list, err, "r1"); len(got) != 1 || got["learner"] != before["waiting"] {
-				t.Fatalf("replicas after add: got %v, want only the new identity as a learner", got)
+			if got := roles(t, list, err, "r1"); len(got) != 2 || got["learner"] != before["waiting"] || got["voter"] != old {
+				t.Fatalf("replicas after add: got %v, want the new identity as a learner and %s as the voter that it will replace", got, old)
 			}
 			eventually(t, 20*time.Second, "promote", func() bool {
 				list, err = c.ChangeReplica(t.Context(), operator.ReplicaAction{Action: operator.ActionPromote, Name: "r1"})
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -46,7 +47,8 @@
 type control struct {
 	controlParts
 	name      string
-	maxLosses int // how many replicas may lose their data at the same time
+	maxLosses int           // how many replicas may lose their data at the same time
+	catchUp   time.Duration // time after which a successor must have replaced a lost replica
 	replica   *replica.Replica
 	leases    *lease.Table
 
@@ -75,6 +77,7 @@
 		controlParts: p,
 		name:         s.Name,
 		maxLosses:    s.Seeds.Losses,
+		catchUp:      cmp.Or(s.Seeds.CatchUp, agreement.DefaultCatchUp),
 		leases:       lease.New(lease.WithLease(leaseTime(s))),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
--- a/io/host/members.go
+++ b/io/host/members.go
@@ -38,21 +38,13 @@
 	if st.Role != agreement.Leader {
 		return
 	}
-	step, ok := agreement.NextChange(time.Now(), st, c.announcedReplicas(), c.wantedVoters())
+	step, ok := agreement.NextChange(time.Now(), st, c.target())
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	var err error
-	switch {
-	case step.Add != "":
-		err = c.replica.AddLearner(ctx, step.Add)
-	case step.Promote != "":
-		err = c.replica.Promote(ctx, step.Promote)
-	case step.Remove != "":
-		err = c.replica.Remove(ctx, step.Remove)
-	}
+	err := c.changeMember(ctx, step)
 	if err != nil && time.Since(c.failedChange) < failedChangePause {
 		return
 	}
@@ -65,6 +57,24 @@
 		"voters", len(c.replica.Status().Members.Voters))
 }
 
+// changeMember makes one planned change of the member set.
+func (c *control) changeMember(ctx context.Context, p agreement.PlannedChange) error {
+	switch {
+	case p.Add != "":
+		return c.replica.AddLearner(ctx, p.Add)
+	case p.Promote != "" && p.Remove != "":
+		return c.replica.Replace(ctx, p.Remove, p.Promote)
+	case p.Promote != "":
+		return c.replica.Promote(ctx, p.Promote)
+	}
+	return c.replica.Remove(ctx, p.Remove)
+}
+
+// target returns what the member set should become.
+func (c *control) target() agreement.Target {
+	return agreement.Target{Announced: c.announcedReplicas(), Voters: c.wantedVoters(), CatchUp: c.catchUp}
+}
+
 // announcedReplicas returns the identities of the replicas that run on nodes of the version in force.
 func (c *control) announcedReplicas() []string {
 	var list []string
@@ -76,5 +86,6 @@
 	return list
 }
 
-// durable reports whether a majority has more than maxLosses voters, so that a commit survives the loss of maxLosses disks.
+// durable reports whether a majority has more than maxLosses voters, so that a commit survives the loss of maxLosses disks. It holds
+// during a replacement too, since the number of voters is the same before and after it.
 func (c *control) durable() bool { return len(c.replica.Status().Members.Voters)/2+1 > c.maxLosses }
--- a/io/host/voters.go
+++ b/io/host/voters.go
@@ -32,7 +32,7 @@
 		c.voters.health = state
 		c.log.Info("voters", "voters", h.Voters, "answering", h.Answering, "silent", silent, "unheard", unheard, "losses", h.Losses)
 	}
-	w, waits := st.Waits(now)
+	w, waits := st.Waits(now, c.target())
 	wait := w.Learner + string(w.Cause)
 	if waits && wait != c.voters.wait {
 		c.log.Info("learner waits", "learner", w.Learner, "cause", string(w.Cause), "behind", w.Behind, "silent", silent, "unheard", unheard)
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -33,7 +33,7 @@
 		w.Snapshot = &wire.LogSnapshot{
 			Index:   s.Index,
 			Term:    s.Term,
-			Members: &wire.Members{Voters: s.Members.Voters, Learners: s.Members.Learners},
+			Members: &wire.Members{Voters: s.Members.Voters, Learners: s.Members.Learners, Outgoing: s.Members.Outgoing},
 			Data:    s.Data,
 		}
 	}
@@ -67,10 +67,14 @@
 	}
 	if s := w.GetSnapshot(); s != nil {
 		m.Snapshot = &agreement.Snapshot{
-			Index:   s.GetIndex(),
-			Term:    s.GetTerm(),
-			Members: agreement.Members{Voters: s.GetMembers().GetVoters(), Learners: s.GetMembers().GetLearners()},
-			Data:    s.GetData(),
+			Index: s.GetIndex(),
+			Term:  s.GetTerm(),
+			Members: agreement.Members{
+				Voters:   s.GetMembers().GetVoters(),
+				Learners: s.GetMembers().GetLearners(),
+				Outgoing: s.GetMembers().GetOutgoing(),
+			},
+			Data: s.GetData(),
 		}
 	}
 	return m
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -89,6 +89,7 @@
 	Found   bool             // first start of the whole mesh: the seeds become the initial members
 	Replica bool             // this node runs a control replica
 	Losses  int              // how many replicas may lose their data at the same time
+	CatchUp time.Duration    // time after which a successor must have replaced a lost replica; 0 for the default
 }
 
 // Timing overrides the durations of the profile; a field that is 0 keeps the profile's.
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -189,27 +189,28 @@
 	return a.version, err
 }
 
-// AddLearner adds a learner and removes any other identity of the same name; it does not change the set if id is a member already.
+// AddLearner adds a learner in place of an earlier learner of the same name; it does not change the set if id is a member already.
 // The methods that change members fail as Propose does, or with *agreement.MembersError.
 func (r *Replica) AddLearner(ctx context.Context, id string) error {
+	return r.change(ctx, func(m agreement.Members) agreement.Members { return m.Join(id) })
+}
+
+// Promote makes a learner a voter; if a voter has the same name, whose disk is lost, the learner replaces it. It fails with
+// *agreement.LagError while the learner lags behind.
+func (r *Replica) Promote(ctx context.Context, id string) error {
 	return r.change(ctx, func(m agreement.Members) agreement.Members {
-		if m.Has(id) {
-			return m
-		}
-		for _, l := range [][]string{m.Voters, m.Learners} {
-			for _, o := range l {
-				if agreement.Name(o) == agreement.Name(id) && o != id {
-					m = m.Without(o)
-				}
+		for _, v := range m.Voters {
+			if v != id && agreement.Name(v) == agreement.Name(id) {
+				return m.Replace(v, id)
 			}
 		}
-		return m.With(id, true)
+		return m.With(id, false)
 	})
 }
 
-// Promote makes a learner a voter; it fails with *agreement.LagError while the learner lags behind the commit index.
-func (r *Replica) Promote(ctx context.Context, id string) error {
-	return r.change(ctx, func(m agreement.Members) agreement.Members { return m.With(id, false) })
+// Replace makes a learner a voter in place of another one, in one joint change. It fails as Promote does.
+func (r *Replica) Replace(ctx context.Context, out, in string) error {
+	return r.change(ctx, func(m agreement.Members) agreement.Members { return m.Replace(out, in) })
 }
 
 // Remove removes a voter or learner.
