--- a/core/agreement/plan.go
+++ b/core/agreement/plan.go
@@ -12,6 +12,8 @@
 	// silenceDivisor is the part of the catch-up time after which a voter counts as lost. The rest is for an election before the
 	// silence is noticed, and for the successor to join and to take over the log.
 	silenceDivisor = 3
+	// minSilence covers a lost and repeated heartbeat, whatever the catch-up time.
+	minSilence = 500 * time.Millisecond
 	// listenDivisor is the part of that silence for which a new leader listens before it acts: a member that the leader before it
 	// could not reach may answer this one.
 	listenDivisor = 4
@@ -26,7 +28,8 @@
 	CatchUp   time.Duration // time after which a successor must have replaced a lost voter
 }
 
-func (t *Target) silence() time.Duration { return t.CatchUp / silenceDivisor }
+// silence returns the time without a sign of life after which a voter counts as lost.
+func (t *Target) silence() time.Duration { return max(t.CatchUp/silenceDivisor, minSilence) }
 
 // PlannedChange is one change of the member set. A replacement has both Promote and Remove, any other change exactly one of Add,
 // Promote and Remove.
