fix(agreement): a learner that keeps up replaces a lost voter under a steady load

Operators saw: a lost replica is not replaced while changes follow one another, and the next losses stop the group. Cause: a learner counted as caught up only if it had every committed entry at the moment of the check; the answer of a learner with a slower disk than the majority's is always some entries late. Change: a learner has caught up when it has what was committed an election timeout ago. The leader notes the commit index once a heartbeat. A joint change needs no more: until the learner has the rest, the other voters are a majority.

--- a/core/agreement/health.go
+++ b/core/agreement/health.go
@@ -41,7 +41,7 @@
 // Causes for which a learner waits.
 const (
 	LearnerSilent WaitCause = "the learner does not answer"
-	LearnerBehind WaitCause = "the learner lacks committed entries"
+	LearnerBehind WaitCause = "the learner lags behind"
 	NoneSilent    WaitCause = "no voter is silent for long enough"
 )
 
--- a/core/agreement/leader.go
+++ b/core/agreement/leader.go
@@ -25,6 +25,12 @@
 	sent   time.Time
 }
 
+// commitMark is the commit index at an earlier time.
+type commitMark struct {
+	at    time.Time
+	index uint64
+}
+
 // pendingRead is a read that is confirmed once a quorum has answered its heartbeat round.
 type pendingRead struct{ context, index, round uint64 }
 
@@ -32,6 +38,7 @@
 	r.role, r.leader, r.leaderSince = Leader, r.id, r.now
 	r.progress = map[string]*progress{}
 	r.rounds, r.round = nil, 0
+	r.marks = nil
 	r.termStart = r.log.last() + 1
 	for id := range r.votes {
 		r.progress[id] = &progress{lastHeard: r.now}
@@ -116,6 +123,7 @@
 	r.round++
 	r.rounds = append(r.rounds, heartbeatRound{number: r.round, sent: r.now})
 	r.nextBroadcast = r.now.Add(r.heartbeat)
+	r.markCommit()
 	age := uint64(0)
 	if !r.quorumConfirmed.IsZero() {
 		age = 1 + uint64(r.now.Sub(r.quorumConfirmed).Microseconds())
@@ -130,6 +138,26 @@
 	r.confirmRounds()
 }
 
+// markCommit notes the commit index once a heartbeat interval and drops the marks that recentCommit no longer needs.
+func (r *Replica) markCommit() {
+	if n := len(r.marks); n > 0 && r.now.Sub(r.marks[n-1].at) < r.heartbeat {
+		return
+	}
+	r.marks = append(r.marks, commitMark{at: r.now, index: r.commit})
+	for len(r.marks) > 1 && r.now.Sub(r.marks[1].at) >= r.election {
+		r.marks = r.marks[1:]
+	}
+}
+
+// recentCommit returns the commit index of about an election timeout ago, or of the start of the leadership. A learner that has it
+// keeps up: under a steady load it may lack the newest entries at every moment.
+func (r *Replica) recentCommit() uint64 {
+	if len(r.marks) == 0 || !r.committedInTerm() {
+		return r.commit
+	}
+	return max(r.marks[0].index, r.termStart)
+}
+
 // peers returns the identities of the other members, sorted because the replica must behave deterministically.
 func (r *Replica) peers() []string {
 	ids := make([]string, 0, len(r.progress))
--- a/core/agreement/members.go
+++ b/core/agreement/members.go
@@ -198,8 +198,8 @@
 		if p == nil || !p.learner {
 			return &MembersError{Reason: id + " must be a learner first"}
 		}
-		if p.match < r.commit {
-			return &LagError{Learner: id, Match: p.match, Commit: r.commit}
+		if recent := r.recentCommit(); p.match < recent {
+			return &LagError{Learner: id, Match: p.match, Commit: recent}
 		}
 	}
 	if to.Joint() && (len(added) != 1 || len(removed) != 1) {
--- a/core/agreement/plan.go
+++ b/core/agreement/plan.go
@@ -109,11 +109,11 @@
 	return "", ""
 }
 
-// caughtUpLearner returns a learner that has every committed entry and answered within half of the limit, or an empty string.
+// caughtUpLearner returns a learner that has caught up and answered within half of the limit, or an empty string.
 func (s *Status) caughtUpLearner(now time.Time, limit time.Duration) string {
 	for _, id := range s.Members.Learners {
 		p := s.Progress[id]
-		if p.Match >= s.Commit && !p.LastHeard.IsZero() && now.Sub(p.LastHeard) < limit/2 {
+		if p.CaughtUp && !p.LastHeard.IsZero() && now.Sub(p.LastHeard) < limit/2 {
 			return id
 		}
 	}
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -96,6 +96,7 @@
 	round                   uint64 // number of the last heartbeat round
 	reads                   []pendingRead
 	earlyReads              []uint64 // contexts of reads that wait for the first commit in the term
+	marks                   []commitMark
 	termStart               uint64   // index of the first entry in this leader's term
 	effects                 Effects
 	stateChanged            bool // state must be returned in the next Effects
@@ -261,9 +262,10 @@
 	}
 	if r.role == Leader {
 		s.LeaderSince = r.leaderSince
+		recent := r.recentCommit()
 		s.Progress = make(map[string]Progress, len(r.progress))
 		for id, p := range r.progress {
-			s.Progress[id] = Progress{Match: p.match, LastHeard: p.lastHeard, Learner: p.learner}
+			s.Progress[id] = Progress{Match: p.match, LastHeard: p.lastHeard, Learner: p.learner, CaughtUp: p.match >= recent}
 		}
 	}
 	return s
--- a/core/agreement/types.go
+++ b/core/agreement/types.go
@@ -109,6 +109,7 @@
 	Match     uint64    // highest log index known to be durable on that replica
 	LastHeard time.Time // time of its last answer, which may be its vote for this leader; zero for none
 	Learner   bool
+	CaughtUp  bool // it has what was committed about an election timeout ago
 }
 
 // Status is a replica's state at one moment.
@@ -143,7 +144,7 @@
 // Error states the reason for the refusal.
 func (e *MembersError) Error() string { return "agreement: membership change refused: " + e.Reason }
 
-// LagError reports that a learner lags behind the commit index and cannot be promoted yet.
+// LagError reports that a learner lacks entries committed about an election timeout ago and cannot be promoted yet.
 type LagError struct {
 	Learner       string
 	Match, Commit uint64
