--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -97,7 +97,7 @@
 	reads                   []pendingRead
 	earlyReads              []uint64 // contexts of reads that wait for the first commit in the term
 	marks                   []commitMark
-	termStart               uint64   // index of the first entry in this leader's term
+	termStart               uint64 // index of the first entry in this leader's term
 	effects                 Effects
 	stateChanged            bool // state must be returned in the next Effects
 }
