fix(agreement): a removed member that returns joins again under the same leader

Operators saw: a spare replica that was away for over 30 s, and lost its membership, did not become a learner again after its return; the next lost voter had no successor and stayed, until another replica led. Cause: a former member that the leader knows to be silent does not join, so that a lost replica does not join while its lease lasts. A former member sends the leader nothing (learners do not campaign, and heartbeats go to members only), so its silence never ended. Change: from 30 s of silence on, the announcement of a former member counts as a new one.

--- a/core/agreement/plan.go
+++ b/core/agreement/plan.go
@@ -19,6 +19,9 @@
 	listenDivisor = 4
 	// learnerTimeout is the silence after which a learner that is not announced is removed.
 	learnerTimeout = 30 * time.Second
+	// announcedAfterLoss is the silence from which the announcement of a former member counts as a new one. A lost replica stays
+	// announced until its lease expires, after two lease periods of 15 s if the leader was lost with it.
+	announcedAfterLoss = 30 * time.Second
 )
 
 // Target is what a group that discovers its members should become.
@@ -66,7 +69,7 @@
 		return PlannedChange{}, false
 	}
 	for _, id := range t.Announced {
-		if !s.Members.Has(id) && !s.knownSilent(now, id, t.silence()) {
+		if !s.Members.Has(id) && !s.lostWhileAnnounced(now, id, t.silence()) {
 			return PlannedChange{Add: id, Reason: "announced"}, true
 		}
 	}
@@ -132,8 +135,10 @@
 	return found
 }
 
-// knownSilent reports whether a replica that was a member is known to be silent for longer than the limit.
-func (s *Status) knownSilent(now time.Time, id string, limit time.Duration) bool {
+// lostWhileAnnounced reports whether a former member has been silent for longer than the limit, but not for long enough that its
+// announcement must be a new one. A former member sends the leader nothing, so without the upper bound it could never come back.
+func (s *Status) lostWhileAnnounced(now time.Time, id string, limit time.Duration) bool {
 	heard, known := s.Heard[id]
-	return known && now.Sub(heard) > limit
+	silence := now.Sub(heard)
+	return known && silence > limit && silence < announcedAfterLoss
 }
--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -203,3 +203,27 @@
 		}
 	}
 }
+
+// Guards against a learner that was away, lost its membership, and is never taken back while the same leader leads: the next lost voter
+// then has no successor.
+func TestRemovedLearnerReturns(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		l, disk := c.leader(), c.stores["f/1"]
+		delete(c.members, "f/1")
+		delete(c.stores, "f/1") // its lease expires, so it is not announced either
+		c.maintain(learnerTimeout + time.Second)
+		if m := c.members[l].Status().Members; m.Has("f/1") {
+			t.Fatalf("seed %d: got members %+v, want the silent learner removed", seed, m)
+		}
+		c.stores["f/1"] = disk
+		c.start("f/1")
+		c.maintain(testCatchUp)
+		if m := c.members[l].Status().Members; !slices.Contains(m.Learners, "f/1") {
+			t.Fatalf("seed %d: %s after its return: got members %+v, want f/1 as a learner", seed, testCatchUp, m)
+		}
+	}
+}
