test(agreement): random schedules replace voters in joint changes

Change: half of the changes that would remove a voter replace it by a learner, if there is one. Measured: go test ./core/agreement passes.

--- a/core/agreement/agreement_test.go
+++ b/core/agreement/agreement_test.go
@@ -70,6 +70,8 @@
 		m := r.Status().Members
 		other := c.ids()[c.random.Intn(len(c.stores))]
 		switch {
+		case slices.Contains(m.Voters, other) && len(m.Learners) > 0 && c.random.Intn(2) == 0:
+			m = m.Replace(other, m.Learners[c.random.Intn(len(m.Learners))])
 		case slices.Contains(m.Voters, other):
 			m = m.Without(other)
 		default:
