fix(lease): nodes of a lost relay expire although the relay stays listed or is not agreed

Operators saw: a node that was lost together with its relay stayed in the agreed set, with its endpoints, for as long as the leader led, so a version was never in force everywhere. Cause: the silence of a node counted only while the relay that last named it went on polling. A relay whose endpoint the guard against mass expiry keeps (the only one of a service) was never removed, and a relay that was not in the table had no time of its own, so the silence of their nodes was never confirmed. Change: a lost relay leaves its nodes one more lease, as a removed one does; a relay that is not agreed excuses no silence. The guard's limits on endpoints are unchanged. Measured: two of the three new rows of TestExpiryGuard fail before (0 expired, want 2 and 1) and pass; go test -race ./core/lease passes.

--- a/core/lease/expire.go
+++ b/core/lease/expire.go
@@ -17,6 +17,9 @@
 	// silenceNumerator/silenceDenominator is the part of a lease for which a relay must go on polling after it last named a node.
 	// Two of three poll intervals rule out that the relay and the node fell silent together.
 	silenceNumerator, silenceDenominator = 2, 3
+	// relayLossLeases is the silence of a relay, in leases, after which its nodes count as silent too: its own lease, and one in which
+	// they may poll through another relay.
+	relayLossLeases = 2
 )
 
 // Expiry is an endpoint, or a node without remaining endpoints, whose lease has expired.
@@ -71,7 +74,7 @@
 func (t *Table) silentNodes(now time.Time) []string {
 	var out []string
 	for k, n := range t.nodes {
-		if now.Sub(n.lastHeard) >= t.lease && t.silenceConfirmed(n) && t.staged[k] == nil {
+		if now.Sub(n.lastHeard) >= t.lease && t.silenceConfirmed(now, n) && t.staged[k] == nil {
 			out = append(out, k)
 		}
 	}
@@ -82,13 +85,14 @@
 }
 
 // silenceConfirmed reports whether the node itself is silent, not its relay: the node last polled directly, or the relay that
-// last named the node went on polling without naming the node again.
-func (t *Table) silenceConfirmed(n *node) bool {
-	if n.relay == "" {
-		return true
-	}
+// last named the node went on polling without naming the node again. After the loss of that relay, the node gets a full lease to poll
+// through another one, whether the relay was removed or the guard keeps its endpoints.
+func (t *Table) silenceConfirmed(now time.Time, n *node) bool {
 	r := t.nodes[n.relay]
-	return r != nil && r.lastHeard.Sub(n.lastHeard) >= t.lease*silenceNumerator/silenceDenominator
+	if r == nil {
+		return true // the node polled directly, or the relay is not agreed and has not named the node for a lease
+	}
+	return r.lastHeard.Sub(n.lastHeard) >= t.lease*silenceNumerator/silenceDenominator || now.Sub(r.lastHeard) >= relayLossLeases*t.lease
 }
 
 // endpointCount counts the endpoints of one service: usable counts the committed ones that are not expiring, total all committed
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -75,6 +75,11 @@
 	}
 	early := func(k *Table) { k.nodes["n000"].lastHeard = start.Add(-time.Hour) }
 	missed := func(k *Table) { reportAlive(k, poll, poll, "n000") }
+	namedByOther := func(k *Table) {
+		k.Renew(start.Add(poll), "gone", []string{"n000"}) // a report of a relay that has left by now
+		reportAlive(k, poll, 2*p, "n000")
+	}
+	keptRelay := func(k *Table) { k.addEndpoint(&wire.Endpoint{Service: "only", Name: "relay", Node: "relay"}) }
 	var steps []time.Duration
 	for i := range 20 {
 		steps = append(steps, time.Duration(i+1)*p)
@@ -93,6 +98,9 @@
 		{"silence before the leadership does not count", 10, 10, 1, poll, early, []time.Duration{p - 1}, 0},
 		{"silence of a relay is not silence of its nodes", 20, 20, 0, poll, nil, []time.Duration{poll + p, poll + 2*p - 1}, 0},
 		{"nodes of a relay that left expire a lease later", 20, 20, 0, poll, nil, []time.Duration{poll + p, poll + 2*p}, 2},
+		{"nodes of a lost relay with the only endpoint of a service expire a lease later", 20, 20, 0, poll, keptRelay, []time.Duration{poll + p, poll + 2*p - 1}, 0},
+		{"and they do expire", 20, 20, 0, poll, keptRelay, []time.Duration{poll + p, poll + 2*p}, 2},
+		{"node named last by a relay that is not agreed", 10, 10, 0, 0, namedByOther, []time.Duration{poll + p}, 1},
 		{"relay reported too briefly after the node", 10, 10, 0, 0, missed, []time.Duration{p}, 0},
 		{"at most a tenth in one lease", 100, 100, 40, 2 * p, nil, []time.Duration{p, 2*p - 1}, 10},
 		{"another tenth in the next lease", 100, 100, 40, 2 * p, nil, []time.Duration{p, 2 * p}, 10 + 9},
