fix(agreement): a leader that does not list itself replaces no voter as one that left

Operators would see: a live voter is replaced by a learner, reason "voter left", right after a restart of the control hosts. Cause: a voter that is not in the list of announced replicas counts as gone. That list comes from the version in force on the leader's node, which is empty from the start of the process until the first version is in force, and stays old while a version cannot be put in force. Change: absence from a list that does not hold the leader itself proves nothing. Silent voters and lost disks are replaced as before. Measured: the new row of TestPlan fails before (f/1 replaces b/1) and passes; go test ./core/agreement passes.

--- a/core/agreement/plan.go
+++ b/core/agreement/plan.go
@@ -90,7 +90,7 @@
 }
 
 // lostVoter returns a voter that a caught-up learner should replace, and the reason, or an empty string. A voter whose name runs
-// under another identity has lost its disk. A voter that is not announced has left the mesh.
+// under another identity has lost its disk. A voter that is not announced has left the mesh, if the list holds the leader itself.
 func (s *Status) lostVoter(now time.Time, t Target) (id, reason string) {
 	running := slices.Concat(t.Announced, s.Members.Learners)
 	for _, id := range s.Members.Voters {
@@ -104,8 +104,11 @@
 	if id := s.longestSilent(now, s.Members.Voters, t.silence()); id != "" {
 		return id, "silent voter"
 	}
+	if !slices.Contains(t.Announced, s.ID) {
+		return "", "" // the list is empty or old, as after a restart, so absence from it proves nothing
+	}
 	for _, id := range s.Members.Voters {
-		if id != s.ID && !slices.Contains(t.Announced, id) {
+		if !slices.Contains(t.Announced, id) {
 			return id, "voter left"
 		}
 	}
--- a/core/agreement/plan_test.go
+++ b/core/agreement/plan_test.go
@@ -81,6 +81,13 @@
 			[]string{"c/1"},
 			PlannedChange{Promote: "f/1", Remove: "c/1"},
 		},
+		{
+			"a list of announced replicas without the leader is not complete",
+			[]string{"a/1", "b/1", "c/1", "d/1", "e/1", "f/1+"},
+			[]string{"f/1"},
+			[]string{"a/1", "b/1", "c/1", "d/1", "e/1"},
+			PlannedChange{},
+		},
 		{"lagging learner does not replace one", []string{"a/1", "b/1!", "c/1", "d/1", "e/1", "f/1+?"}, nil, nil, PlannedChange{}},
 		{"live voters are not replaced", []string{"a/1", "b/1", "c/1", "d/1", "e/1", "f/1+"}, nil, nil, PlannedChange{}},
 	}
