fix(agreement): a voter that receives nothing but still campaigns is replaced

Operators would see: after a one-way fault of the network, a voter that acknowledges nothing keeps its place for good although a learner waits ("no voter is silent for long enough"), and the group bears one loss less. Cause: any message counted as a sign of life since. A voter that hears no leader campaigns every one to two election timeouts, sooner than the silence limit of 2 s. Change: campaigns of members do not count. Those of former members do, since only these show a leader that such a replica is back.

--- a/core/agreement/election.go
+++ b/core/agreement/election.go
@@ -8,7 +8,7 @@
 	if m.To != r.id && (m.Kind != PromiseRequest || m.To != Name(r.id)) {
 		return
 	}
-	r.hear(m.From)
+	r.hear(m)
 	switch m.Kind {
 	case PromiseRequest, Promise, FoundingSnapshot:
 		r.stepFounding(m)
--- a/core/agreement/heard.go
+++ b/core/agreement/heard.go
@@ -14,10 +14,15 @@
 // reportedSilence is the part of the election timeout, as a divisor, from which heartbeats name a silent member.
 const reportedSilence = 2
 
-// hear notes that a replica is alive that is a member or was one.
-func (r *Replica) hear(id string) {
-	if _, known := r.heard[id]; known || r.members().Has(id) {
-		r.heard[id] = r.now
+// hear notes that the sender of a message is alive if it is a member or was one. The campaign of a member does not count: a member
+// that receives nothing campaigns for ever and is lost to the group.
+func (r *Replica) hear(m Message) {
+	member := r.members().Has(m.From)
+	if member && (m.Kind == PreVote || m.Kind == Vote) {
+		return
+	}
+	if _, known := r.heard[m.From]; known || member {
+		r.heard[m.From] = r.now
 	}
 }
 
--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -22,9 +22,12 @@
 }
 
 // planChange proposes the change of the member set that is due on the leader, if any.
-func (c *cluster) planChange(leader string) {
+func (c *cluster) planChange(leader string) { c.planChangeWithin(leader, testCatchUp) }
+
+// planChangeWithin is planChange for a time in which a successor must have replaced a lost voter.
+func (c *cluster) planChangeWithin(leader string, catchUp time.Duration) {
 	st := c.members[leader].Status()
-	target := Target{Announced: c.announced(), Voters: 2*testLosses + 1, CatchUp: testCatchUp}
+	target := Target{Announced: c.announced(), Voters: 2*testLosses + 1, CatchUp: catchUp}
 	if change, ok := NextChange(c.now, st, target); ok {
 		_ = c.change(leader, change.Apply(st.Members))
 	}
@@ -227,3 +230,23 @@
 		}
 	}
 }
+
+// Guards against a voter that is never replaced because it campaigns: it receives nothing, so it answers nothing, but what it sends
+// arrives. The silence limit is as long as its longest wait between two campaigns.
+func TestVoterThatHearsNothingIsReplaced(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		l := c.leader()
+		deaf := difference(c.members[l].Status().Members.Voters, []string{l})[0]
+		c.setBlocked(Name(deaf), false, true)
+		for end := c.now.Add(DefaultCatchUp); c.now.Before(end); c.run(100 * time.Millisecond) {
+			c.planChangeWithin(l, DefaultCatchUp)
+		}
+		if m := c.members[l].Status().Members; slices.Contains(m.Voters, deaf) {
+			t.Fatalf("seed %d: %s after %s received its last message: got members %+v, want it replaced", seed, DefaultCatchUp, deaf, m)
+		}
+	}
+}
