--- a/core/agreement/doc.go
+++ b/core/agreement/doc.go
@@ -2,7 +2,7 @@
 // numbers and messages as values, and returns what to persist, send and apply as Effects.
 //
 // The protocol follows Raft (Ongaro, "Consensus: Bridging Theory and Practice"): terms, pre-vote, check-quorum, read
-// index, learners and single-step membership changes.
+// index, learners, single-step membership changes, and joint changes that replace one voter.
 //
 // # Founding
 //
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -21,7 +21,7 @@
 	identityTimeout  = time.Second           // limit for asking one replica for its identity
 	silentAfter      = 3 * time.Second       // time without a message after which a voter counts as silent; three election timeouts
 	changeTimeout    = 3 * time.Second       // limit for one change of the member set, retries included
-	changeRetryPause = 10 * time.Millisecond // short, because a learner that keeps up has the whole log only for moments
+	changeRetryPause = 10 * time.Millisecond // short, because an earlier change is usually committed within milliseconds
 )
 
 // Actions of the Replicas method besides those of package operator. Every replica answers actionIdentity for itself.
@@ -84,7 +84,8 @@
 	return &refusalError{operator.CodeMalformed, "action: expected add, promote or remove"}
 }
 
-// add asks the named replica for its identity and adds the identity as a learner. Any earlier identity of that name is replaced.
+// add asks the named replica for its identity and adds the identity as a learner. An earlier identity of that name stays a voter
+// until the learner is promoted in its place.
 func (c *control) add(ctx context.Context, name string) error {
 	id, waiting, err := c.askIdentity(ctx, name)
 	var refused *refusalError
