--- a/io/peer/deliver.go
+++ b/io/peer/deliver.go
@@ -19,6 +19,9 @@
 	deliverTimeout    = 3 * time.Second
 	maxClockAge       = time.Minute           // age from which a clock reading is ignored
 	retryDelay        = 50 * time.Millisecond // pause after a failed delivery, so that an unreachable peer costs little
+	// snapshotRate is the lowest rate of a link in bytes per second for which a whole snapshot is given the time to arrive. Pings end
+	// the delivery to a peer that does not answer sooner.
+	snapshotRate = 1 << 20
 )
 
 // Sender sends agreement messages to the other replicas in batches, from one ordered queue per replica.
@@ -102,7 +105,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, deliverTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, deliverTime(batch))
 	defer cancel()
 	resp, err := s.clients.At(address).Deliver(ctx, connect.NewRequest(&rpc.DeliverRequest{Messages: batch}))
 	if err == nil {
@@ -113,6 +116,15 @@
 	sleep(s.ctx, retryDelay)
 }
 
+// deliverTime returns how long a batch may take: longer with a snapshot, which would otherwise begin again for ever on a thin link.
+func deliverTime(batch []*wire.LogMessage) time.Duration {
+	limit := deliverTimeout
+	for _, m := range batch {
+		limit += time.Duration(len(m.GetSnapshot().GetData())) * time.Second / snapshotRate
+	}
+	return limit
+}
+
 func (s *Sender) recordClock(name string, ms int64) {
 	if ms == 0 {
 		return
--- /dev/null
+++ b/io/peer/deliver_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"godwitspindle/core/agreement"
+)
+
+// thinConn writes at most the given number of bytes per second.
+type thinConn struct {
+	net.Conn
+	rate int
+}
+
+func (c thinConn) Write(b []byte) (int, error) {
+	time.Sleep(time.Duration(len(b)) * time.Second / time.Duration(c.rate))
+	return c.Conn.Write(b)
+}
+
+// Guards against a learner that never gets the state over a link on which a whole snapshot takes longer than other messages may: each
+// delivery is given up and begins again, so the learner never replaces a lost voter.
+func TestSnapshotOverThinLink(t *testing.T) {
+	const rate = 4 << 20 // bytes per second
+	arrived := make(chan int, 8)
+	path, handler := NewHandler(&Server{OnDeliver: func(m agreement.Message) {
+		if m.Snapshot != nil {
+			arrived <- len(m.Snapshot.Data)
+		}
+	}})
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	s := httptest.NewUnstartedServer(mux)
+	s.Config.Protocols = &http.Protocols{}
+	s.Config.Protocols.SetUnencryptedHTTP2(true)
+	s.Start()
+	defer s.Close()
+	at := netip.MustParseAddrPort(s.Listener.Addr().String())
+	clients := NewClients(WithClientDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return thinConn{c, rate}, err
+	}))
+	defer clients.Close()
+	sender := NewSender(clients, func(string) (netip.AddrPort, bool) { return at, true }, logr.Discard())
+	defer sender.Close()
+	data := make([]byte, 4*rate) // four seconds, one more than deliverTimeout
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range data {
+		data[i] = byte(random.Uint32())
+	}
+	sender.Send(agreement.Message{
+		Kind: agreement.InstallSnapshot, From: "a/1", To: "b/1", Term: 1, Snapshot: &agreement.Snapshot{Index: 7, Term: 1, Data: data},
+	})
+	select {
+	case got := <-arrived:
+		if got != len(data) {
+			t.Errorf("got %d bytes, want %d", got, len(data))
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("got no snapshot within 20 s, want it after about 4 s")
+	}
+}
