--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -203,3 +203,22 @@
 		}
 	}
 }
+
+// Guards against a lost host that joins again as a learner as soon as it is replaced, because its lease lasts longer.
+func TestReplacedHostDoesNotJoinAgain(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		lost := c.leader()
+		c.lose(lost)
+		for _, id := range c.running() {
+			c.start(id) // no replica remembers when it heard the lost one
+		}
+		c.join("f/1")
+		c.maintain(testCatchUp)
+		m := c.members[c.leader()].Status().Members
+		if slices.Contains(m.Voters, lost) || slices.Contains(m.Learners, lost) {
+			t.Fatalf("seed %d: got %+v, want %s to be no member", seed, m, lost)
+		}
+	}
+}
