feat(host): the end of a leadership names the members that were silent

Cause: in the soak, leaders lost their terms after 0.6 to 0.9 s beside load, and no line told which voters had not answered. Change: the line 'leadership ended' has the term, the next leader and the silent members with their times.

--- a/io/host/control.go
+++ b/io/host/control.go
@@ -239,7 +239,7 @@
 		c.leaderChanged()
 	}
 	if st.Role != agreement.Leader {
-		c.endLeading()
+		c.endLeading(now, st)
 		return
 	}
 	if !c.leading {
@@ -277,7 +277,7 @@
 }
 
 // endLeading ends the duties of a replica that is no longer the leader.
-func (c *control) endLeading() {
+func (c *control) endLeading(now time.Time, st agreement.Status) {
 	if !c.leading {
 		return
 	}
@@ -285,7 +285,7 @@
 	c.leases.Stop()
 	c.metrics.Leader.Set(0)
 	c.forgetVoters()
-	c.log.Info("leadership ended")
+	c.log.Info("leadership ended", "term", st.Term, "leader", agreement.Name(st.Leader), "silent", describeSilence(now, st))
 }
 
 // beginLeading gives every member a full lease, because the new leader does not know when it last heard from them.
--- a/io/host/voters.go
+++ b/io/host/voters.go
@@ -15,6 +15,9 @@
 	votersUnheard   = "unheard"
 )
 
+// reportedSilence is the silence from which a member is named when a leadership ends; it covers a few heartbeats.
+const reportedSilence = 300 * time.Millisecond
+
 // votersLog remembers what was logged last about the voters, so that only changes are logged.
 type votersLog struct{ health, wait string }
 
@@ -47,3 +50,15 @@
 	c.metrics.Learners.Set(0)
 	c.metrics.Losses.Set(-1)
 }
+
+// describeSilence names the members that have been silent for longer than reportedSilence, with the time, so that a log line tells why
+// a majority was missing.
+func describeSilence(now time.Time, st agreement.Status) string {
+	var list []string
+	for _, id := range st.Members.IDs() {
+		if silence := now.Sub(st.Heard[id]); id != st.ID && silence > reportedSilence {
+			list = append(list, fmt.Sprintf("%s %s", id, silence.Round(time.Millisecond)))
+		}
+	}
+	return strings.Join(list, ", ")
+}
