fix(config): one unusable node or endpoint entry stopped all nodes from following versions

Every node then kept its earlier version for as long as the entry existed. An entry with a port of 0, four billion slots or a name that cannot be part of a header was used.

Rules, services and unknown kinds are refused as before, since leaving out a rule changes what operators asked for.

--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -67,7 +67,7 @@
 	for _, e := range d.GetEntries() {
 		check(e.GetKey(), e.GetVersion())
 		r := newRecord(Entry{Key: e.GetKey(), Version: e.GetVersion(), Value: e.GetValue()})
-		if r.message == nil {
+		if r.message == nil && !isMember(r.Key) {
 			f.add(e.GetKey(), "an entry of a known kind whose value decodes and names the same key")
 		}
 		list = append(list, edit{key: r.Key, version: r.Version, put: r})
--- a/core/config/entry.go
+++ b/core/config/entry.go
@@ -52,7 +52,7 @@
 type record struct {
 	Entry
 	hash    Digest
-	message proto.Message // nil if the kind is unknown, or the value does not decode or names another key
+	message proto.Message // nil if the kind is unknown, if the value does not decode or names another key, and for an unusable member
 }
 
 func newRecord(e Entry) *record {
@@ -75,7 +75,16 @@
 	return Digest{Low: sum(0), High: sum(0x9e3779b97f4a7c15)}
 }
 
-// decode returns the message in a value, or nil if the kind is unknown, or the value does not decode or names another key.
+// isMember reports whether a key is that of a node or an endpoint. Processes announce these themselves, so that one entry which cannot
+// be used, for instance of a process of another version, must not keep nodes from following all others: a snapshot holds it, since
+// it is part of the digest, but tables leave it out.
+func isMember(key string) bool {
+	kind, _, _ := strings.Cut(key, "/")
+	return kind == kindNode || kind == kindEndpoint
+}
+
+// decode returns the message in a value, or nil if the kind is unknown, if the value does not decode or names another key, or if it is
+// a node or an endpoint that cannot be used.
 func decode(key string, value []byte) proto.Message {
 	kind, _, _ := strings.Cut(key, "/")
 	var m proto.Message
@@ -101,12 +110,22 @@
 	default:
 		return nil
 	}
-	if err := proto.Unmarshal(value, m); err != nil || KeyOf(m) != key {
+	if err := proto.Unmarshal(value, m); err != nil || KeyOf(m) != key || !isUsable(m) {
 		return nil
 	}
 	return m
 }
 
+func isUsable(m proto.Message) bool {
+	switch m := m.(type) {
+	case *wire.Node:
+		return ValidNode(m)
+	case *wire.Endpoint:
+		return ValidEndpoint(m)
+	}
+	return true
+}
+
 // KeyOf returns the entry key of a message, or "" if its type is not that of an entry.
 func KeyOf(m proto.Message) string {
 	switch m := m.(type) {
--- a/core/config/members.go
+++ b/core/config/members.go
@@ -1,13 +1,28 @@
 package config
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 
 	"godwitspindle/core/wire"
 )
 
-// Members returns the nodes and endpoints of the snapshot in key order; callers must not modify the messages.
+// ValidNode reports whether calls can be sent to a node: its names are valid and its address has a port and no zone.
+func ValidNode(m *wire.Node) bool {
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	return err == nil && address.Port() != 0 && address.Addr().Zone() == "" && ValidName(m.GetName()) &&
+		validOptionalName(m.GetDomain()) && validOptionalName(m.GetRegion())
+}
+
+func validOptionalName(name string) bool { return name == "" || ValidName(name) }
+
+// ValidEndpoint reports whether the fields of an endpoint are in range; its service and node may be missing from the snapshot.
+func ValidEndpoint(m *wire.Endpoint) bool {
+	return ValidName(m.GetService()) && ValidName(m.GetName()) && m.GetSlots() <= MaxSlots && m.GetConnections() <= MaxConnections
+}
+
+// Members returns the usable nodes and endpoints of the snapshot in key order; callers must not modify the messages.
 func (s *Snapshot) Members() ([]*wire.Node, []*wire.Endpoint) {
 	var nodes []*wire.Node
 	var endpoints []*wire.Endpoint
--- a/core/config/table.go
+++ b/core/config/table.go
@@ -46,7 +46,7 @@
 }
 
 // NewTable validates the references between entries and builds the table of a snapshot; *InvalidError lists the
-// faults.
+// faults. Nodes and endpoints that cannot be used are no faults: the table leaves them out.
 //
 // Entries are decoded when they enter a snapshot, so a build only links their messages in one pass over them.
 func NewTable(s *Snapshot) (*RoutingTable, error) {
@@ -100,6 +100,9 @@
 func (b *builder) readRecord(r *record) {
 	switch m := r.message.(type) {
 	case nil:
+		if isMember(r.Key) {
+			return
+		}
 		b.add(r.Key, "an entry of a known kind whose value decodes and names the same key")
 	case *wire.Service:
 		s := &Service{
@@ -116,7 +119,7 @@
 	case *wire.Node:
 		address, err := netip.ParseAddrPort(m.GetAddress())
 		if err != nil {
-			b.add(r.Key+".address", "an IP address and port")
+			return // excluded by ValidNode
 		}
 		b.nodeIndexes[m.GetName()] = len(b.nodes)
 		b.nodes = append(b.nodes, Node{
@@ -212,15 +215,11 @@
 	})
 }
 
+// addEndpoint adds an endpoint to its service. It leaves out an endpoint whose service or node the snapshot lacks or cannot use: no route
+// leads to such an endpoint, and all other entries hold.
 func (b *builder) addEndpoint(m *wire.Endpoint) {
 	service := b.services[m.GetService()]
 	index, ok := b.nodeIndexes[m.GetNode()]
-	if service == nil {
-		b.add(KeyOf(m)+".service", "a service of the snapshot, not %q", m.GetService())
-	}
-	if !ok {
-		b.add(KeyOf(m)+".node", "a node of the snapshot, not %q", m.GetNode())
-	}
 	if service == nil || !ok {
 		return
 	}
