fix(replica): one undecodable node or endpoint in the log stopped every replica

What was seen: a committed membership command with one node or endpoint that does not decode, as a leader of another program version may write it, ended each replica with "decode failed", and again at each start.

Cause: applyEntry decodes a command as a whole and treats any failure as damaged state.

Fix: decodeCommand decodes a membership entry by entry and leaves out what it cannot decode; a log line names index and count. Replicas of one version leave out the same entries, so their states stay equal; while versions are mixed they may differ in that entry, which the next announcement of its node repairs.

--- a/core/config/odd_test.go
+++ b/core/config/odd_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"testing"
 
-
 	"godwitspindle/core/wire"
 )
 
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -90,6 +90,9 @@
 		replica.WithPeerClock(p.sender.Clock),
 		replica.WithApplied(func(uint64) { c.signal() }),
 		replica.WithPaused(c.paused),
+		replica.WithSkipped(func(index uint64, entries int) {
+			c.log.Info("membership entries left out, they cannot be decoded; check that all replicas run the same version", "index", index, "entries", entries)
+		}),
 	}
 	if s.Timing.Election > 0 {
 		options = append(options, replica.WithElection(s.Timing.Election, s.Timing.Heartbeat))
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"godwitspindle/core/agreement"
 	"godwitspindle/core/wire"
 )
@@ -191,10 +189,13 @@
 func (r *Replica) applyEntry(e agreement.Entry, ownTerm uint64) error {
 	var result *wire.Result
 	if e.Kind == agreement.Command {
-		c := &wire.Command{}
-		if err := proto.Unmarshal(e.Data, c); err != nil {
+		c, skipped, err := decodeCommand(e.Data)
+		if err != nil {
 			return &StateError{Index: e.Index, Step: "decode", Err: err}
 		}
+		if skipped > 0 {
+			r.onSkipped(e.Index, skipped)
+		}
 		result = r.apply(e.Index, c)
 		if e.Term != ownTerm {
 			r.stamper.observe(r.now(), time.UnixMilli(c.GetTime()))
--- a/io/replica/option.go
+++ b/io/replica/option.go
@@ -37,6 +37,7 @@
 	peerClock            func(name string) (time.Time, bool)
 	stateTime            func() time.Time
 	onPaused             func(err error)
+	onSkipped            func(index uint64, entries int)
 	maxEntries, maxBytes int
 	maxApplyTime         time.Duration
 }
@@ -51,6 +52,7 @@
 		peerClock:  func(string) (time.Time, bool) { return time.Time{}, false },
 		stateTime:  func() time.Time { return time.Time{} },
 		onPaused:   func(error) {},
+		onSkipped:  func(uint64, int) {},
 		maxEntries: compactEntries, maxBytes: compactBytes, maxApplyTime: compactApplyTime,
 	}
 }
@@ -128,6 +130,12 @@
 // resumes or is closed.
 func WithPaused(f func(err error)) Option { return func(s *settings) { s.onPaused = f } }
 
+// WithSkipped sets the function called from the loop, with the log index, when entries of a membership command could not be decoded and
+// are left out.
+func WithSkipped(f func(index uint64, entries int)) Option {
+	return func(s *settings) { s.onSkipped = f }
+}
+
 // WithMaxApplyTime sets the time spent applying entries after which a snapshot replaces them in the log.
 func WithMaxApplyTime(d time.Duration) Option { return func(s *settings) { s.maxApplyTime = d } }
 
