fix(host): odd endpoints of one announcement let all endpoints of a service expire

What was seen: the agreed state ignores an announced endpoint with too many slots or connections, an odd name or another node, but the leader's lease table took it. There it counted as one of its service, so the guard against mass expiry, which keeps half of a service, let all four usable endpoints of it go. An endpoint listed under another node's name changed the entry of that node, and the leave "n@1" as a name stood for a process of the node n.

Cause: the RPC Announce staged and committed what it got; only the agreed state checked it.

Fix: the leader leaves out endpoints that cannot be used, that name another node or that are listed twice, and refuses a node that cannot be used, so that neither enters the lease table or the log. The other endpoints of the announcement hold.

--- a/io/host/control.go
+++ b/io/host/control.go
@@ -333,7 +333,14 @@
 	if st.Role != agreement.Leader {
 		return nil, &agreement.NotLeaderError{Leader: st.Leader}
 	}
-	staged := c.leases.Announce(time.Now(), r.GetNode(), r.GetEndpoints(), r.GetLeaving())
+	staged, dropped, err := stageAnnouncement(c.leases, time.Now(), r)
+	if err != nil {
+		c.log.Info("announcement refused", "error", err.Error())
+		return nil, err
+	}
+	if dropped > 0 {
+		c.log.Info("endpoints of an announcement left out, they cannot be used", "node", r.GetNode().GetName(), "endpoints", dropped)
+	}
 	c.log.V(1).Info("announcement", "node", r.GetNode().GetName(), "endpoints", len(r.GetEndpoints()),
 		"leaving", r.GetLeaving(), "staged", staged)
 	return &rpc.AnnounceResponse{Lease: c.leases.Lease().Milliseconds()}, nil
