fix(host): a restarted node adopted an agreed endpoint that takes no calls

What was seen: after a restart on the users' platform a node adopts its endpoints from the agreed set. An entry without connections, as another writer may leave it, was adopted: calls to it waited for a connection until their deadline, for up to ten seconds.

Cause: Host.adopt took slots and connections as they are, and a pool without connections never gives one out.

Fix: an entry without slots or connections is not adopted; the next heartbeat announces the endpoint with its own values.

Evidence: TestOddEndpointNotAdopted failed without the condition ("adopted: got connections, want only good").

--- /dev/null
+++ b/io/host/adopt_test.go
@@ -0,0 +1,55 @@
+package host
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/backend"
+	"godwitspindle/io/peer"
+	"godwitspindle/io/process"
+)
+
+// Guards against a node that adopts an agreed endpoint without slots or connections after its restart: calls would wait there until
+// their deadline.
+func TestOddEndpointNotAdopted(t *testing.T) {
+	holder, err := peer.NewHolder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := backend.New()
+	defer func() { _ = b.Close() }()
+	h := &Host{settings: &process.Settings{Name: "n"}, holder: holder, backend: b, log: logr.Discard()}
+	h.adopted.address, h.adopted.window = netip.MustParseAddrPort("127.0.0.1:9000"), time.Minute
+	var puts []config.Entry
+	for name, e := range map[string]*wire.Endpoint{
+		"good": {Slots: 1, Connections: 1}, "slots": {Connections: 1}, "connections": {Slots: 1},
+		"many": {Slots: math.MaxUint32, Connections: math.MaxUint32}, "other": {Slots: 1, Connections: 1, Node: "m"},
+	} {
+		e.Service, e.Name = "a", name
+		if e.Node == "" {
+			e.Node = "n"
+		}
+		v, _ := proto.Marshal(e)
+		puts = append(puts, config.Entry{Key: config.KeyOf(e), Value: v})
+	}
+	if err := holder.Offer(config.NewSnapshot().With(1, puts, nil)); err != nil {
+		t.Fatal(err)
+	}
+	holder.Prove(1)
+	h.adopt(holder.View())
+	for _, a := range b.Endpoints() {
+		if a.Endpoint != "good" {
+			t.Errorf("adopted: got %s, want only good", a.Endpoint)
+		}
+	}
+	if got := len(b.Endpoints()); got == 0 {
+		t.Error("adopted: got none, want good")
+	}
+}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -102,8 +102,8 @@
 	h.adopted.once.Do(func() {
 		_, endpoints := v.Snapshot.Members()
 		for _, e := range endpoints {
-			if e.GetNode() != h.settings.Name {
-				continue
+			if e.GetNode() != h.settings.Name || e.GetSlots() == 0 || e.GetConnections() == 0 {
+				continue // an endpoint without slots or connections would take calls that it never runs
 			}
 			h.backend.Adopt(backend.Announcement{
 				Service: e.GetService(), Endpoint: e.GetName(), Address: h.adopted.address, Slots: int(e.GetSlots()),
