fix(backend): an announcement with too large a number shut its endpoint out

What was seen: one announcement or heartbeat with the sequence 2^64-1 was taken; those that followed counted as late, so the endpoint's lease ended. With such an incarnation (born) the endpoint stayed out until its node was restarted, since another process that "started later" held its address, and the agreed state kept its true incarnation as a former one.

Cause: both numbers were taken up to 2^64-1.

Fix: a sequence, and an incarnation beside a sequence, above 2^53-1 are refused with 400. Random incarnations without a sequence have no order and stay unlimited. A damaged number below that bound can still shut an endpoint out for one lease (sequence) or until its process restarts (born); no clock is asked, since hosts with a wrong clock must keep their endpoints.

--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -17,6 +17,10 @@
 	maxSlots         = 100_000
 	maxConnections   = 100_000
 	maxLoad          = 1000
+	// MaxCounter is the largest sequence, and the largest incarnation that is ordered by sequences: the largest whole number that JSON
+	// writers agree on (RFC 7493). A larger one comes from a damaged announcement. If it were taken, all announcements that
+	// follow would count as late.
+	MaxCounter = 1<<53 - 1
 	// maxEndpoints limits the memory that backend servers on this host can use.
 	maxEndpoints = 256
 )
@@ -162,6 +166,10 @@
 		return &AnnounceError{Field: "slots", Want: fmt.Sprintf("1 to %d", maxSlots)}
 	case a.Connections < 1 || a.Connections > maxConnections:
 		return &AnnounceError{Field: "connections", Want: fmt.Sprintf("1 to %d", maxConnections)}
+	case a.Sequence > MaxCounter:
+		return &AnnounceError{Field: "sequence", Want: fmt.Sprintf("0 to %d", uint64(MaxCounter))}
+	case a.Sequence > 0 && a.Incarnation > MaxCounter:
+		return &AnnounceError{Field: "incarnation", Want: fmt.Sprintf("0 to %d beside a sequence", uint64(MaxCounter))}
 	case !(a.Load >= 0 && a.Load <= maxLoad):
 		return &AnnounceError{Field: "load", Want: fmt.Sprintf("0 to %d", maxLoad)}
 	}
