fix(backend): a refusal written once more on a kept connection was told for a request that ran

What was seen: a backend server wrote an earlier refusal again on a kept connection, after the next request or together with its answer. On the users' platform the caller of that request was told "not run" (and it was sent to a second endpoint) when the refusal had no id, or the id of the same attempt that had been refused before; on the product's own interface its answer was the 503 of the earlier request.

Cause: a connection was kept after a refusal, and an answer without an id counts as that of the request.

Fix: a connection that carried a refusal (a status that callers read as "not run", or an answer that the adapter reports as notrun) is closed, with a reset so that its port is free at once. On a connection that has carried another request, a refusal that does not name its request gives an unknown outcome, which is retried only where the route allows it. A 101 counts as a protocol change before it is judged as a refusal. Price: a refused request costs one new connection, about 1 ms.

Not found: refusals while the connection is idle, with the id of another request, and as an interim answer.

Open: a refusal that names the same attempt, kept from one connection and written on another that carried no refusal, cannot be told from the true one; and without ids a refusal of another connection reaches a caller of the product's interface.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -42,6 +42,7 @@
 	setHeaders      func(http.Header, hop.Meta, time.Time)
 	isForeign       func(*http.Request, *http.Response) bool
 	checkAnswer     func(*http.Response) *outcome.Failure
+	namesRequest    func(*http.Request, *http.Response) bool
 	requestID       func(http.Header) string // nil when backend servers do not name requests
 	bufferLimit     int64
 	renewInterval   time.Duration
@@ -78,6 +79,7 @@
 		log:             logr.Discard(),
 		isForeign:       func(*http.Request, *http.Response) bool { return false },
 		checkAnswer:     func(*http.Response) *outcome.Failure { return nil },
+		namesRequest:    func(*http.Request, *http.Response) bool { return true },
 		endpoints:       map[string]*endpoint{},
 		departed:        map[string]departure{},
 		contexts:        map[string]string{},
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -22,6 +22,7 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time // time of the end of the last request
+	reused    bool      // it has carried a request before
 	peek      func(fd uintptr) bool
 	peekErr   error // result of the last peek
 	// isForeign reports whether an answer belongs to another request.
@@ -85,6 +86,14 @@
 	return err == nil && (c.peekErr == syscall.EAGAIN || c.peekErr == syscall.EINTR)
 }
 
+// resetOnClose makes the close of the connection reset it. A port that is closed in the usual way stays taken for a minute, so under
+// hundreds of refusals a second there would be no port for new connections.
+func (c *conn) resetOnClose() {
+	if n, ok := c.tracked.Conn.(*net.TCPConn); ok {
+		_ = n.SetLinger(0)
+	}
+}
+
 // newConn prepares a new TCP connection for requests.
 func newConn(n *net.TCPConn, isForeign func(*http.Request, *http.Response) bool) (*conn, error) {
 	raw, err := n.SyscallConn()
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -109,6 +109,7 @@
 	release        func(Result)
 	quarantineDone func(Result)
 	status         int
+	refused        bool   // the answer states or suggests that the request was not run
 	requestID      string // id of the request in the calls made to handle it; empty if its context is not registered
 	once           sync.Once
 }
@@ -129,21 +130,21 @@
 		l.end(f.Kind != outcome.NotRun && ctx.Err() == nil, false)
 		return nil, f
 	}
-	l.status = p.StatusCode
+	l.status, l.refused = p.StatusCode, statesNotRun(p.StatusCode)
 	l.notice = l.backend.readNotice(p.Header)
 	if l.notice.States() {
 		l.passNotice()
 	}
+	if p.StatusCode == http.StatusSwitchingProtocols {
+		l.end(false, false)
+		return nil, l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the backend server switched protocols without being asked", nil)
+	}
 	if l.backend.bufferLimit > 0 {
 		p, err = l.bufferAnswer(ctx, p)
 		if err != nil {
 			return nil, err
 		}
 	}
-	if p.StatusCode == http.StatusSwitchingProtocols {
-		l.end(false, false)
-		return nil, l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the backend server switched protocols without being asked", nil)
-	}
 	hop.Clean(p.Header)
 	hop.SetBackendTime(p, l.backend.now().Sub(l.begin))
 	if l.notice.Leaving {
@@ -255,6 +256,10 @@
 	}
 	if f := l.backend.checkAnswer(p); f != nil {
 		f.Call = l.meta.Call
+		l.refused = l.refused || f.Kind == outcome.NotRun
+		if f.Kind == outcome.NotRun && l.exchange.conn.reused && !l.backend.namesRequest(l.exchange.request, p) {
+			f = l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the refusal names no request and may answer an earlier one", f)
+		}
 		l.end(false, int64(len(head)) <= limit && f.Kind == outcome.NotRun)
 		return nil, f
 	}
@@ -302,13 +307,27 @@
 	return l.failure(outcome.Reset, kind, http.StatusBadGateway, "the connection to the backend server broke", err)
 }
 
+// statesNotRun reports whether callers read a status as a statement that the request was not run.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // end removes the call from those in flight; only the first call of end has an effect.
 func (l *flight) end(broken, complete bool) {
 	l.once.Do(func() {
 		b := l.backend
 		if l.exchange != nil {
 			reuse := l.exchange.finish(l.answer)
-			l.pool.put(l.exchange.conn, reuse && complete)
+			// A backend server may write a refusal once more. The next caller on the connection would take it for the answer to its own
+			// request, which runs, so a connection that carried a refusal carries nothing else.
+			if l.refused {
+				l.exchange.conn.resetOnClose()
+			}
+			l.pool.put(l.exchange.conn, reuse && complete && !l.refused)
 		}
 		if broken {
 			b.recordBrokenCall(l.endpoint, l.run)
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -111,6 +111,12 @@
 	return func(b *Backend) { b.checkAnswer = f }
 }
 
+// WithEcho sets the function that reports whether an answer names its request. On a connection that has carried another request, a
+// refusal that WithAnswerCheck reports as notrun is trusted only if it does: else it may be an earlier one, written once more.
+func WithEcho(f func(r *http.Request, p *http.Response) bool) Option {
+	return func(b *Backend) { b.namesRequest = f }
+}
+
 // WithRequestID sets the function that reads a request's id from its headers, for backend servers that name the request in the
 // calls that they make to handle it; see Context.
 func WithRequestID(f func(h http.Header) string) Option { return func(b *Backend) { b.requestID = f } }
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -53,6 +53,7 @@
 	}
 	for c := p.pop(); c != nil; c = p.pop() {
 		if c.reusable() {
+			c.reused = true
 			c.tracked.written.Store(false)
 			return c, nil
 		}
