fix(backend): the rest of a long answer to another request was read as an answer

What was seen: a backend server repeated an answer of more than 1 MiB to an earlier request; bytes behind its first MiB that look like an answer reached the caller of the next request as its answer.

Cause: readHead skipped at most maxForeignBytes of such a body and then read on in its middle.

Fix: a longer body ends the exchange with a *ForeignError; the outcome is unknown.

Evidence: TestForeignAnswer/a_long_answer_that_contains_another_one failed with the old limit ('got "odd", want "reset"').

--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -52,12 +52,12 @@
 	maxForeignBytes = 1 << 20
 )
 
-// ForeignError reports that a backend server sent too many answers to other requests in place of the one that was due.
+// ForeignError reports that a backend server sent too many or too long answers to other requests in place of the one that was due.
 type ForeignError struct{}
 
-// Error names the limit on such answers.
+// Error names the limits on such answers.
 func (*ForeignError) Error() string {
-	return fmt.Sprintf("backend server: want at most %d answers to other requests before the one that is due", maxForeign)
+	return fmt.Sprintf("backend server: want at most %d answers of %d bytes to other requests before the one that is due", maxForeign, maxForeignBytes)
 }
 
 // Write records that bytes may have been sent, before it writes them.
@@ -177,9 +177,13 @@
 			return nil, &ForeignError{}
 		}
 		w.readingHead = false
-		if _, err := io.Copy(io.Discard, io.LimitReader(p.Body, maxForeignBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(p.Body, maxForeignBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxForeignBytes {
+			return nil, &ForeignError{} // the rest of the body must not be read as an answer
+		}
 		w.readingHead, w.headBytesLeft = true, maxHeaderBytes
 	}
 }
--- a/io/backend/foreign_test.go
+++ b/io/backend/foreign_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,6 +34,9 @@
 			}
 			return text
 		}, string(outcome.Reset)},
+		{"a long answer that contains another one", func(id string) string {
+			return answerText(id, strings.Repeat("x", maxForeignBytes)+answerText("2", "odd"))
+		}, string(outcome.Reset)},
 		{"bytes that are no answer", func(string) string { return "\x00\x01 odd bytes\r\n\r\n" }, string(outcome.Reset)},
 	}
 	for _, c := range tests {
