feat(status): how many voters answer, may still be lost, and what blocks a replacement

Cause: status and replica list named the replicas, but not that the next loss would stop the group, which voters the present leader has never heard, or why a learner is not a voter yet; without a leader they did not say who is missing. Change: the answers of status and replicas carry 'health': voters, answering, losses that are bearable and promised, silent and unheard voters with the time since they were heard, each learner's cause and entries behind, and the two sides of a replacement in progress (empty until the joint change of the agreed log fills them). Both commands print it as one line, such as 'replicas: 4 of 5 voters answer; 1 more may be lost, 2 are promised; b/1 silent for 12s'. Without a leader, status carries 'hearing': which voters the answering replica hears, and which are missing. A caught-up learner is told apart by what it waits for: a silent voter, a promotion by an operator, or its turn. The time at which another replica was heard comes from its messages to this one; a heartbeat counts for all, until the agreed log offers it.

--- a/cmd/replica.go
+++ b/cmd/replica.go
@@ -151,7 +151,11 @@
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.Name, m.Role, formatLag(m), formatHeard(m), m.Identity)
 	}
 	_ = w.Flush()
-	iv.printf("%d voters, %d of them lost; changes go on with up to %d lost\n", voters, lost, (voters-1)/2)
+	if list.Health != nil {
+		iv.printf("%s\n", formatHealth(list.Health))
+	} else {
+		iv.printf("%d voters, %d of them lost; changes go on with up to %d lost\n", voters, lost, (voters-1)/2)
+	}
 	for _, name := range waiting {
 		iv.printf("%s waits with an empty data folder and does not vote; next: godwitspindle replica add %s --wait\n", name, name)
 	}
--- a/cmd/run_test.go
+++ b/cmd/run_test.go
@@ -62,10 +62,16 @@
 	s := httptest.NewServer(operator.New(
 		operator.WithPropose(propose), operator.WithPlan(propose),
 		operator.WithStatus(func(context.Context) (*operator.Status, error) {
+			health := &operator.Health{Voters: 2, Answering: 2, Promised: 1, Waits: []operator.LearnerWait{{Learner: "c/1", Cause: "the learner does not answer", Behind: 120}}}
+			var hearing *operator.Hearing
+			if leader == "" {
+				health, hearing = nil, &operator.Hearing{Node: "n1", Voters: 2, Heard: 1, Missing: []operator.Silence{{Identity: "b/1", Heard: silence}}}
+			}
 			return &operator.Status{
 				Node: "n1", Version: 40, Nodes: 12, Current: 11, Spread: -1, Age: operator.Duration(310 * time.Millisecond), Leader: leader,
 				Replicas: []operator.Member{{Name: "a", Role: "leader"}, {Name: "b", Role: "voter"}, {Name: "c", Role: "learner", Behind: 120, Heard: operator.Duration(12 * time.Second)}},
-				Behind:   behind, Services: []operator.ServiceCapacity{{Name: "archive", Endpoints: 5, Slots: 60}, {Name: "counter", Endpoints: 3, Slots: 36}},
+				Health:   health, Hearing: hearing,
+				Behind: behind, Services: []operator.ServiceCapacity{{Name: "archive", Endpoints: 5, Slots: 60}, {Name: "counter", Endpoints: 3, Slots: 36}},
 			}, nil
 		}),
 		operator.WithReplicas(func(_ context.Context, action, name string) (*operator.Replicas, error) {
@@ -79,7 +85,7 @@
 				{Name: "a", Role: "leader", Identity: "a/1"},
 				{Name: "b", Role: "voter", Identity: "b/1", Behind: -1, Heard: -1},
 				{Name: "b", Role: "waiting", Identity: "b/2", Behind: -1, Heard: -1},
-			}}, nil
+			}, Health: &operator.Health{Voters: 2, Answering: 1, Promised: 1, Unheard: []operator.Silence{{Identity: "b/1", Heard: silence}}}}, nil
 		}),
 		operator.WithHistory(func(ctx context.Context, _ int) ([]*wire.Accepted, error) {
 			r, err := propose(ctx, &wire.Change{Base: 40, Author: "jo", Reason: "faster fares"})
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -68,6 +68,9 @@
 func (iv *invocation) printStatus(v *operator.Status) {
 	if v.Leader == "" {
 		iv.printf("NO LEADER: how many nodes hold which version is not known\n%s holds version %d\n", v.Node, v.Version)
+		if v.Hearing != nil {
+			iv.printf("%s\n", formatHearing(v.Hearing))
+		}
 	} else {
 		spread := ""
 		if v.Spread >= 0 {
@@ -85,6 +88,9 @@
 		leader = "none known"
 	}
 	iv.printf("leader %s, replicas %s\n", leader, strings.Join(names, ", "))
+	if v.Health != nil {
+		iv.printf("%s\n", formatHealth(v.Health))
+	}
 	w := iv.table()
 	if len(v.Behind) > 0 {
 		_, _ = fmt.Fprintln(w, "\nBEHIND\tVERSION\tREASON\tHEARD")
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -49,6 +49,7 @@
 	maxLosses int // how many replicas may lose their data at the same time
 	replica   *replica.Replica
 	leases    *lease.Table
+	heard     *heardTable
 
 	mu    sync.Mutex // guards store
 	store *store.Store
@@ -76,6 +77,7 @@
 		name:         s.Name,
 		maxLosses:    s.Seeds.Losses,
 		leases:       lease.New(lease.WithLease(leaseTime(s))),
+		heard:        newHeardTable(time.Now()),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
 	}
@@ -363,6 +365,7 @@
 		Report:   &wire.Report{Count: uint32(count), Laggards: behind},
 		Spread:   c.convergence.milliseconds(version),
 		Replicas: c.members(st),
+		Health:   c.health(time.Now(), st),
 	}, nil
 }
 
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -187,8 +187,9 @@
 	}
 	answer, err := h.awaitMeshStatus(ctx)
 	if err != nil {
+		hearing := h.control.hearing(time.Now())
 		m := h.control.replica.Status().Members
-		st.Replicas = membersWithoutProgress(m.Voters, m.Learners)
+		st.Replicas, st.Hearing = membersWithoutProgress(m.Voters, m.Learners), &hearing
 		return st, nil
 	}
 	st.Version = answer.GetVersion()
@@ -196,6 +197,7 @@
 	st.Current = int(answer.GetReport().GetCount())
 	st.Behind = behind(answer.GetReport())
 	st.Replicas = members(answer.GetReplicas())
+	st.Health = newHealth(answer.GetHealth())
 	st.Spread = duration(answer.GetSpread())
 	return st, nil
 }
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	st = c.replica.Status()
-	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st)}
+	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st), Health: c.health(time.Now(), st)}
 	if r.GetAction() == actionList {
 		resp.Replicas = append(resp.Replicas, c.waitingReplicas(ctx, st.Members)...)
 	}
@@ -232,7 +232,7 @@
 	if resp.GetCode() != "" {
 		return nil, operator.MemberProblem(resp.GetCode(), resp.GetDetail())
 	}
-	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas())}, nil
+	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas()), Health: newHealth(resp.GetHealth())}, nil
 }
 
 func (h *Host) askReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -8,7 +8,6 @@
 
 	"connectrpc.com/connect"
 
-	"godwitspindle/core/agreement"
 	"godwitspindle/core/config"
 	"godwitspindle/core/relay"
 	"godwitspindle/core/wire"
@@ -265,7 +264,7 @@
 func (h *Host) peerServer() *peer.Server {
 	s := &peer.Server{OnSync: h.feed.Sync, OnFloor: h.floors.Do}
 	if h.control != nil {
-		s.OnDeliver = func(m agreement.Message) { h.control.replica.Step(m) }
+		s.OnDeliver = h.control.step
 		s.OnPropose = h.propose
 		s.OnAnnounce = h.control.announce
 		s.OnStatus = h.control.status
--- a/io/operator/messages.go
+++ b/io/operator/messages.go
@@ -100,6 +100,7 @@
 type Replicas struct {
 	Leader   string   `json:"leader"`
 	Replicas []Member `json:"replicas"`
+	Health   *Health  `json:"health,omitempty"`
 }
 
 // Actions of POST /v1/replicas.
@@ -132,6 +133,8 @@
 	Age      Duration          `json:"age"`              // time since the last confirmation by a majority
 	Leader   string            `json:"leader,omitempty"` // empty if none is known
 	Replicas []Member          `json:"replicas"`
+	Health   *Health           `json:"health,omitempty"`  // absent without a leader
+	Hearing  *Hearing          `json:"hearing,omitempty"` // what Node hears; only without a leader
 	Behind   []LaggingNode     `json:"behind"`
 	Services []ServiceCapacity `json:"services"`
 }
