--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -40,6 +40,7 @@
 	Voters             *prometheus.GaugeVec     // voters of the replicated log as the leader sees them, by state: answering, silent or unheard; none on other replicas
 	Learners           prometheus.Gauge         // learners that wait to become voters; 0 on a replica that does not lead
 	Losses             prometheus.Gauge         // voters that may still be lost; -1 on a replica that does not lead
+	PromisedLosses     prometheus.Gauge         // losses that the settings promise; -1 on a replica that does not lead
 	FsyncTime          prometheus.Histogram     // seconds of one fsync of the log
 	RefusedConnections *prometheus.CounterVec   // connections closed above the limit of their listener, by listener
 	OperatorRequests   *prometheus.CounterVec   // requests of operators, by path and status
@@ -110,6 +111,7 @@
 		Voters:             gauges("agreement_voters", "Voters as the leader sees them, by state: answering, silent, or unheard since its term began.", "state"),
 		Learners:           gauge("agreement_learners", "Learners that wait to become voters; 0 when this replica does not lead."),
 		Losses:             gauge("agreement_losses", "Voters that may still be lost while a majority answers; -1 when this replica does not lead."),
+		PromisedLosses:     gauge("agreement_promised_losses", "Voters that the group is meant to bear losing; -1 when this replica does not lead."),
 		FsyncTime:          histogram("fsync_seconds", "Time of one fsync of the agreed log.", 0.0001, 2, 15),
 		RefusedConnections: counters("connections_refused_total", "Connections closed over a listener's limit.", "listener"),
 
@@ -119,7 +121,7 @@
 	m.Registry.MustRegister(
 		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
-		m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
+		m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
