feat(operator): a refused read or change names the voters that are missing

Cause: a read without a majority was answered with 'no leader or majority is reachable', and logged with the failure at the last address only ('not the leader, and no leader is known'), so nobody could tell which replicas to start. Change: NoMajorityError (and UnconfirmedError where a majority is heard) hold how many voters the answering replica hears, and each missing one with the time since it was heard.

--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -71,7 +71,7 @@
 		r, err = h.proposer.Propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: c}})
 	}
 	if err != nil {
-		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	a := r.GetAccepted()
 	h.log.Info("change decided", "id", c.GetId(), "author", c.GetAuthor(), "accepted", a != nil, "version", r.GetVersion())
@@ -87,7 +87,7 @@
 	defer cancel()
 	version, err := h.confirmedVersion(ctx)
 	if err != nil {
-		return &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: err}
+		return &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	for h.control.version() < version {
 		if ctx.Err() != nil {
@@ -152,7 +152,7 @@
 		return h.clients.At(a).Status(ctx, connect.NewRequest(request))
 	})
 	if err != nil {
-		return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: err}
+		return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	return resp.Msg, nil
 }
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -245,7 +245,7 @@
 		return h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
 	})
 	if err != nil {
-		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	return resp.Msg, nil
 }
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -30,6 +30,7 @@
 // newFakeServer returns a server whose propose function picks its result by the reason of the change.
 func newFakeServer(opts ...Option) *Server {
 	winner := &wire.Accepted{Version: 41, Id: "w", Author: "mira", Reason: "more slots", Time: 1_700_000_000_000, Part: "register"}
+	missing := Hearing{Node: "a", Voters: 3, Heard: 1, Missing: []Silence{{Identity: "b/1", Heard: Duration(12 * time.Second)}, {Identity: "c/1", Heard: Duration(3100 * time.Millisecond)}}}
 	propose := func(_ context.Context, c *wire.Change) (*wire.Result, error) {
 		refuse := func(code string) (*wire.Result, error) {
 			return &wire.Result{Body: &wire.Result_Refusal{Refusal: &wire.Refusal{Code: code, Faults: []*wire.Fault{{Field: "routes[0].service", Expected: "a service of the register"}}}}}, nil
@@ -41,6 +42,13 @@
 			return refuse(c.GetReason())
 		case NotRun, Unknown:
 			return nil, &UnavailableError{Outcome: c.GetReason(), Leader: "b"}
+		case "nomajority":
+			return nil, &UnavailableError{Outcome: Unknown, Err: &NoMajorityError{Hearing: missing, Err: context.DeadlineExceeded}}
+		case "noleader", "leader does not confirm":
+			h := missing
+			h.Heard, h.Majority, h.Missing = 2, true, h.Missing[:1]
+			leader := map[string]string{"leader does not confirm": "b"}[c.GetReason()]
+			return nil, &UnavailableError{Outcome: Unknown, Leader: leader, Err: &UnconfirmedError{Leader: leader, Hearing: h, Err: context.DeadlineExceeded}}
 		case "slow":
 			return nil, fmt.Errorf("propose: %w", context.DeadlineExceeded)
 		case "broken":
@@ -119,6 +127,9 @@
 		{"missing", "POST", "/v1/changes", change("missing"), "", ""},
 		{"not run", "POST", "/v1/changes", change("notrun"), "", ""},
 		{"unknown", "POST", "/v1/changes", change("unknown"), "", ""},
+		{"no majority", "POST", "/v1/changes", change("nomajority"), "", ""},
+		{"no leader", "POST", "/v1/changes", change("noleader"), "", ""},
+		{"leader does not confirm", "POST", "/v1/changes", change("leader does not confirm"), "", ""},
 		{"too slow", "POST", "/v1/changes", change("slow"), "", ""},
 		{"broken", "POST", "/v1/changes", change("broken"), "", ""},
 		{"accepted", "POST", "/v1/changes", change("fine"), "", ""},
--- a/io/operator/problem.go
+++ b/io/operator/problem.go
@@ -89,7 +89,11 @@
 
 // Error returns the outcome, the known leader and the cause.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("control replicas not available (outcome %s, known leader %q): %v", e.Outcome, e.Leader, e.Err)
+	leader := "no leader known"
+	if e.Leader != "" {
+		leader = "known leader " + e.Leader
+	}
+	return fmt.Sprintf("control replicas not available (outcome %s, %s): %v", e.Outcome, leader, e.Err)
 }
 
 // Unwrap lets errors.Is and errors.As find the cause.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -220,7 +221,9 @@
 	}
 	s.log.Error(err, "operator request failed")
 	if u, ok := errors.AsType[*UnavailableError](err); ok {
-		return unavailableProblem(u.Outcome, u.Leader)
+		p := unavailableProblem(u.Outcome, u.Leader)
+		p.Detail = cmp.Or(missingVoters(err), p.Detail)
+		return p
 	}
 	if m, ok := errors.AsType[*MissingError](err); ok {
 		return missingProblem(m.Error())
@@ -234,6 +237,17 @@
 	}
 }
 
+// missingVoters says which voters are missing, or returns an empty string if err does not tell.
+func missingVoters(err error) string {
+	if e, ok := errors.AsType[*NoMajorityError](err); ok {
+		return "no majority: " + e.Hearing.String()
+	}
+	if e, ok := errors.AsType[*UnconfirmedError](err); ok {
+		return e.title() + "; " + e.Hearing.String()
+	}
+	return ""
+}
+
 func unavailableProblem(outcome, leader string) *Problem {
 	p := &Problem{Title: "no leader or majority is reachable", Status: http.StatusServiceUnavailable, Code: CodeUnavailable, Outcome: outcome}
 	if leader != "" {
