fix(host): a read that cannot be served is refused in 0.1 s, and one during an election is answered

Cause: a replica that knows no leader asked the replicas one after the other and waited up to a dial time-out of 2 s for each that is down, so a refused read took the whole limit of 3 s. A read just after the loss of the leader's host hung on its old connection until that limit and was refused, although the next leader was elected after 1 to 2 s. status waited 3 s in the same way. Change: the leader is asked first; if none is known, it fails or does not answer within 100 ms, all replicas are asked at once. While the local replica hears a majority, those that refused are asked again each 100 ms until a leader answers or 3 s are over, and a slow answer is waited for. While it hears none, each replica is asked once, and voters that were silent for 3 s are awaited for 100 ms only. A leader that steps down during a read asks the others.

--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -15,7 +15,6 @@
 	"godwitspindle/core/store"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/peer"
 	"godwitspindle/io/rpc"
 )
 
@@ -85,7 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	version, err := h.confirmedVersion(ctx)
+	version, err := h.readConfirmed(ctx, true)
 	if err != nil {
 		return &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: h.refusal(err)}
 	}
@@ -143,13 +142,20 @@
 }
 
 // meshStatus asks the leader on how many nodes a version is in force; version 0 means the newest.
-func (h *Host) meshStatus(ctx context.Context, version uint64) (*rpc.StatusResponse, error) {
+// With wait, it waits for a leader while a majority is heard.
+func (h *Host) meshStatus(ctx context.Context, version uint64, wait bool) (*rpc.StatusResponse, error) {
 	request := &rpc.StatusRequest{Version: version}
 	if h.Leads() {
-		return h.control.status(ctx, request)
+		if answer, err := h.control.status(ctx, request); err == nil {
+			return answer, nil
+		}
 	}
-	resp, err := peer.FirstAnswer(h.upstream.replicas(), func(a netip.AddrPort) (*connect.Response[rpc.StatusResponse], error) {
-		return h.clients.At(a).Status(ctx, connect.NewRequest(request))
+	resp, err := askReplicas(ctx, h, wait, func(ctx context.Context, a netip.AddrPort) (*connect.Response[rpc.StatusResponse], error) {
+		resp, err := h.clients.At(a).Status(ctx, connect.NewRequest(request))
+		if err != nil {
+			return nil, fmt.Errorf("ask %s for the status: %w", a, err)
+		}
+		return resp, nil
 	})
 	if err != nil {
 		return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: h.refusal(err)}
@@ -157,22 +163,8 @@
 	return resp.Msg, nil
 }
 
-// awaitMeshStatus retries meshStatus until ctx ends, so that an election is not taken for the loss of a majority.
-func (h *Host) awaitMeshStatus(ctx context.Context) (*rpc.StatusResponse, error) {
-	for {
-		answer, err := h.meshStatus(ctx, 0)
-		if err == nil {
-			return answer, nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, err
-		case <-time.After(progressInterval):
-		}
-	}
-}
-
-// status describes the mesh. If no leader answers within confirmTimeout, it returns what this replica knows.
+// status describes the mesh. If no leader answers within confirmTimeout, or none can be elected, it returns what this replica
+// knows.
 func (h *Host) status(ctx context.Context) (*operator.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
@@ -185,7 +177,7 @@
 		Age:      operator.Duration(h.confirmationAge()),
 		Services: serviceCapacities(v.Table),
 	}
-	answer, err := h.awaitMeshStatus(ctx)
+	answer, err := h.meshStatus(ctx, 0, true)
 	if err != nil {
 		hearing := h.control.hearing(time.Now())
 		m := h.control.replica.Status().Members
@@ -228,7 +220,7 @@
 func (h *Host) progressNow(ctx context.Context, version uint64) (*operator.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answer, err := h.meshStatus(ctx, version)
+	answer, err := h.meshStatus(ctx, version, false)
 	if err != nil {
 		return nil, err
 	}
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -225,7 +225,7 @@
 // replicas lists or changes the member set through the leader.
 func (h *Host) replicas(ctx context.Context, action, name string) (*operator.Replicas, error) {
 	request := &rpc.ReplicasRequest{Action: action, Name: name}
-	resp, err := h.askReplicas(ctx, request)
+	resp, err := h.changeReplicas(ctx, request)
 	if err != nil {
 		return nil, err
 	}
@@ -235,7 +235,7 @@
 	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas()), Health: newHealth(resp.GetHealth())}, nil
 }
 
-func (h *Host) askReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
+func (h *Host) changeReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
 	if h.Leads() {
 		if resp, err := h.control.replicas(ctx, request); err == nil {
 			return resp, nil
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -223,26 +223,34 @@
 	return h.tracker.Report(time.Now(), version)
 }
 
-// readFloor reads a quorum-confirmed version: from the local control replica if there is one, else from the replicas, trying
-// one after the other.
+// readFloor reads a quorum-confirmed version: from the local control replica if there is one, else from the leader.
 func (h *Host) readFloor(ctx context.Context) (uint64, error) {
 	if h.control != nil {
 		return h.control.replica.Read(ctx)
 	}
-	return h.askFloor(ctx)
+	return h.askFloor(ctx, false)
 }
 
 // confirmedVersion reads a quorum-confirmed version from the leader, whichever replica that is.
 func (h *Host) confirmedVersion(ctx context.Context) (uint64, error) {
+	return h.readConfirmed(ctx, false)
+}
+
+// readConfirmed is confirmedVersion; with wait, it waits for a leader while a majority is heard. A leader that can no longer
+// confirm a read steps down, and then the others are asked.
+func (h *Host) readConfirmed(ctx context.Context, wait bool) (uint64, error) {
 	if h.Leads() {
-		return h.floors.Do(ctx)
+		version, err := h.floors.Do(ctx)
+		if err == nil || ctx.Err() != nil || !wait {
+			return version, err
+		}
 	}
-	return h.askFloor(ctx)
+	return h.askFloor(ctx, wait)
 }
 
-// askFloor asks the replicas one after the other, the leader first. Only the leader answers.
-func (h *Host) askFloor(ctx context.Context) (uint64, error) {
-	return peer.FirstAnswer(h.upstream.replicas(), func(a netip.AddrPort) (uint64, error) {
+// askFloor asks the replicas. Only the leader answers.
+func (h *Host) askFloor(ctx context.Context, wait bool) (uint64, error) {
+	return askReplicas(ctx, h, wait, func(ctx context.Context, a netip.AddrPort) (uint64, error) {
 		resp, err := h.clients.At(a).Floor(ctx, connect.NewRequest(&rpc.FloorRequest{}))
 		if err != nil {
 			return 0, fmt.Errorf("read the floor from %s: %w", a, err)
