--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	st = c.replica.Status()
-	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st)}
+	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st), Health: c.health(time.Now(), st)}
 	if r.GetAction() == actionList {
 		resp.Replicas = append(resp.Replicas, c.waitingReplicas(ctx, st.Members)...)
 	}
@@ -225,17 +225,17 @@
 // replicas lists or changes the member set through the leader.
 func (h *Host) replicas(ctx context.Context, action, name string) (*operator.Replicas, error) {
 	request := &rpc.ReplicasRequest{Action: action, Name: name}
-	resp, err := h.askReplicas(ctx, request)
+	resp, err := h.changeReplicas(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	if resp.GetCode() != "" {
 		return nil, operator.MemberProblem(resp.GetCode(), resp.GetDetail())
 	}
-	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas())}, nil
+	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas()), Health: newHealth(resp.GetHealth())}, nil
 }
 
-func (h *Host) askReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
+func (h *Host) changeReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
 	if h.Leads() {
 		if resp, err := h.control.replicas(ctx, request); err == nil {
 			return resp, nil
@@ -245,7 +245,7 @@
 		return h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
 	})
 	if err != nil {
-		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	return resp.Msg, nil
 }
