--- a/io/peer/deliver.go
+++ b/io/peer/deliver.go
@@ -21,7 +21,7 @@
 	retryDelay        = 50 * time.Millisecond // pause after a failed delivery, so that an unreachable peer costs little
 	// snapshotRate is the lowest rate of a link in bytes per second for which a whole snapshot is given the time to arrive. Pings end
 	// the delivery to a peer that does not answer sooner.
-	snapshotRate = 1 << 20
+	snapshotRate = 512 << 10
 )
 
 // Sender sends agreement messages to the other replicas in batches, from one ordered queue per replica.
--- a/io/peer/deliver_test.go
+++ b/io/peer/deliver_test.go
@@ -29,7 +29,7 @@
 // Guards against a learner that never gets the state over a link on which a whole snapshot takes longer than other messages may: each
 // delivery is given up and begins again, so the learner never replaces a lost voter.
 func TestSnapshotOverThinLink(t *testing.T) {
-	const rate = 4 << 20 // bytes per second
+	const rate = 600 << 10 // bytes per second
 	arrived := make(chan int, 8)
 	path, handler := NewHandler(&Server{OnDeliver: func(m agreement.Message) {
 		if m.Snapshot != nil {
@@ -51,7 +51,7 @@
 	defer clients.Close()
 	sender := NewSender(clients, func(string) (netip.AddrPort, bool) { return at, true }, logr.Discard())
 	defer sender.Close()
-	data := make([]byte, 4*rate) // four seconds, one more than deliverTimeout
+	data := make([]byte, 2<<20) // takes 3.4 s, more than deliverTimeout; small, since packing it must not take most of that
 	random := rand.New(rand.NewPCG(1, 1))
 	for i := range data {
 		data[i] = byte(random.Uint32())
@@ -65,6 +65,6 @@
 			t.Errorf("got %d bytes, want %d", got, len(data))
 		}
 	case <-time.After(20 * time.Second):
-		t.Fatal("got no snapshot within 20 s, want it after about 4 s")
+		t.Fatal("got no snapshot within 20 s, want it after about 3.4 s")
 	}
 }
