fix(hop): a very large Retry-After became a negative wait

What was seen: a backend server that refused with "Retry-After:" was asked again at once, and callers on the users' platform were told to wait 292 years or, where the conversion wraps, to return at once.

Cause: the seconds were multiplied before they were limited.

Fix: the seconds are limited to five minutes first.

--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -84,7 +84,7 @@
 	if err != nil || seconds < 0 {
 		return defaultRetryAfter, true
 	}
-	return min(time.Duration(seconds)*time.Second, MaxDeadline), true
+	return time.Duration(min(seconds, int(MaxDeadline/time.Second))) * time.Second, true // limited first, since the product may overflow
 }
 
 // SetBackendTime sets the answer's Mesh-Took header: the backend server's time until its response headers, in microseconds.
--- a/io/hop/odd_test.go
+++ b/io/hop/odd_test.go
@@ -178,3 +178,16 @@
 		t.Errorf("got %q, want the answer", got)
 	}
 }
+
+// Guards against a wait that overflows and is negative, so that a refused request is sent again at once.
+func TestOddRetryAfter(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"0": 0, "2": 2 * time.Second, "301": MaxDeadline, "10000000000": MaxDeadline, "9223372036854775807": MaxDeadline,
+		"9223372036854775808": defaultRetryAfter, "-1": defaultRetryAfter, "1.5": defaultRetryAfter, "1e400": defaultRetryAfter, "\x00": defaultRetryAfter,
+	} {
+		got, shed := Shed(&http.Response{StatusCode: 503, Header: http.Header{"Retry-After": {value}}})
+		if got != want || !shed {
+			t.Errorf("Retry-After %q: got %v, %v, want %v", value, got, shed, want)
+		}
+	}
+}
