--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -22,9 +22,12 @@
 }
 
 // planChange proposes the change of the member set that is due on the leader, if any.
-func (c *cluster) planChange(leader string) {
+func (c *cluster) planChange(leader string) { c.planChangeWithin(leader, testCatchUp) }
+
+// planChangeWithin is planChange for a time in which a successor must have replaced a lost voter.
+func (c *cluster) planChangeWithin(leader string, catchUp time.Duration) {
 	st := c.members[leader].Status()
-	target := Target{Announced: c.announced(), Voters: 2*testLosses + 1, CatchUp: testCatchUp}
+	target := Target{Announced: c.announced(), Voters: 2*testLosses + 1, CatchUp: catchUp}
 	if change, ok := NextChange(c.now, st, target); ok {
 		_ = c.change(leader, change.Apply(st.Members))
 	}
@@ -222,3 +225,47 @@
 		}
 	}
 }
+
+// Guards against a learner that was away, lost its membership, and is never taken back while the same leader leads: the next lost voter
+// then has no successor.
+func TestRemovedLearnerReturns(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		l, disk := c.leader(), c.stores["f/1"]
+		delete(c.members, "f/1")
+		delete(c.stores, "f/1") // its lease expires, so it is not announced either
+		c.maintain(learnerTimeout + time.Second)
+		if m := c.members[l].Status().Members; m.Has("f/1") {
+			t.Fatalf("seed %d: got members %+v, want the silent learner removed", seed, m)
+		}
+		c.stores["f/1"] = disk
+		c.start("f/1")
+		c.maintain(testCatchUp)
+		if m := c.members[l].Status().Members; !slices.Contains(m.Learners, "f/1") {
+			t.Fatalf("seed %d: %s after its return: got members %+v, want f/1 as a learner", seed, testCatchUp, m)
+		}
+	}
+}
+
+// Guards against a voter that is never replaced because it campaigns: it receives nothing, so it answers nothing, but what it sends
+// arrives. The silence limit is as long as its longest wait between two campaigns.
+func TestVoterThatHearsNothingIsReplaced(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		l := c.leader()
+		deaf := difference(c.members[l].Status().Members.Voters, []string{l})[0]
+		c.setBlocked(Name(deaf), false, true)
+		for end := c.now.Add(DefaultCatchUp); c.now.Before(end); c.run(100 * time.Millisecond) {
+			c.planChangeWithin(l, DefaultCatchUp)
+		}
+		if m := c.members[l].Status().Members; slices.Contains(m.Voters, deaf) {
+			t.Fatalf("seed %d: %s after %s received its last message: got members %+v, want it replaced", seed, DefaultCatchUp, deaf, m)
+		}
+	}
+}
