--- a/core/agreement/cluster_test.go
+++ b/core/agreement/cluster_test.go
@@ -25,7 +25,7 @@
 	}
 	if len(e.Entries) > 0 {
 		n := e.Entries[0].Index - s.snapshot.Index - 1
-		s.entries = append(slices.Clone(s.entries[:n]), e.Entries...)
+		s.entries = append(s.entries[:n], e.Entries...)
 	}
 }
 
