--- a/core/agreement/schedule_check_test.go
+++ b/core/agreement/schedule_check_test.go
@@ -13,11 +13,13 @@
 	recoveryLimit  = 15 * time.Second       // time in which a group that lost two disks and its power has a leader
 	progressPeriod = time.Second            // a quiet group commits within it
 	settlingPeriod = 2 * time.Second        // time after a step in which a leader may not know about a lost learner yet
+	soundPeriod    = 500 * time.Millisecond // a voter without a fault for this long is not replaced; as long as the longest listening time
 )
 
 // quiet is what the checks of a quiet group remember.
 type quiet struct {
 	until     time.Time // end of the last fault
+	whole     time.Time // end of the last fault of the whole group
 	checked   time.Time // value of until at the last loss of two disks
 	commit    uint64    // highest commit index at the time at
 	at        time.Time
@@ -58,6 +60,7 @@
 		g.beginArmed()
 		from, to := r.memberSets[i-1].members, r.memberSets[i].members
 		g.logf("%s appends %+v at %d in term %d", p.id, to, n.Index, n.Term)
+		g.checkNeeded(p.id, from, to)
 		if slices.ContainsFunc(to.Voters, func(id string) bool { return !from.isVoter(id) && g.now.Sub(g.faults.newestHit[id]) < settlingPeriod }) {
 			continue
 		}
@@ -67,6 +70,25 @@
 	}
 }
 
+// checkNeeded checks that a leader without a fault of its own replaces no voter that runs, is announced and has had no fault lately.
+func (g *group) checkNeeded(leader string, from, to Members) {
+	if !g.isSound(leader) {
+		return
+	}
+	for _, id := range from.Voters {
+		if !to.isVoter(id) && g.isSound(id) {
+			g.t.Fatalf("needless: %s replaces %s, which has had no fault for %s: %+v after %+v", leader, id, soundPeriod, to, from)
+		}
+	}
+}
+
+// isSound reports whether a replica runs, is announced and has had no fault of its own or of the whole group for soundPeriod.
+func (g *group) isSound(id string) bool {
+	p := g.processes[id]
+	return p != nil && g.announced[Name(id)] == id && g.slotOf(id) != nil && g.now.Sub(g.faults.newestHit[id]) >= soundPeriod &&
+		g.now.Sub(g.faults.whole) >= soundPeriod
+}
+
 // isVoter reports whether id is one of the voters that the set adds or keeps.
 func (m Members) isVoter(id string) bool { return slices.Contains(m.Voters, id) }
 
--- a/core/agreement/schedule_group_test.go
+++ b/core/agreement/schedule_group_test.go
@@ -236,7 +236,7 @@
 	if p.slow > 0 {
 		return 50*time.Millisecond + g.upTo(750*time.Millisecond)
 	}
-	return 200*time.Microsecond + g.upTo(3*time.Millisecond)
+	return 200*time.Microsecond + g.upTo(g.write)
 }
 
 // carryOut does what Effects documents, in its order.
@@ -275,15 +275,15 @@
 		m.Snapshot = &s
 	}
 	if g.random.Float64() < g.duplicate {
-		g.after(g.transit(), func() { g.deliverTo(m) })
+		g.after(g.transitTime(), func() { g.deliverTo(m) })
 	}
 	if g.random.Float64() >= g.loss {
-		g.after(g.transit(), func() { g.deliverTo(m) })
+		g.after(g.transitTime(), func() { g.deliverTo(m) })
 	}
 }
 
-func (g *group) transit() time.Duration {
-	d := 300*time.Microsecond + g.upTo(2*time.Millisecond)
+func (g *group) transitTime() time.Duration {
+	d := 300*time.Microsecond + g.upTo(g.settings.transit)
 	if g.random.Float64() < g.delay {
 		d += g.upTo(100 * time.Millisecond)
 	}
--- a/core/agreement/schedule_step_test.go
+++ b/core/agreement/schedule_step_test.go
@@ -151,7 +151,9 @@
 	if end := g.now.Add(d + g.catchUp); end.After(s.lostUntil) {
 		s.lostUntil = end
 	}
-	g.faults.newestHit[s.id] = g.now.Add(d)
+	if end := g.now.Add(d); end.After(g.faults.newestHit[s.id]) {
+		g.faults.newestHit[s.id] = end
+	}
 	g.extendFaults(d)
 }
 
--- a/core/agreement/schedule_test.go
+++ b/core/agreement/schedule_test.go
@@ -33,6 +33,8 @@
 	longLog                bool          // the log is longer than what a snapshot leaves in it before the first step
 	blockingDisk           bool          // a replica takes no input while it saves, as package replica
 	wipe                   bool          // two disks are lost on a copy once the group is quiet
+	write                  time.Duration // longest write of a disk that is not slowed
+	transit                time.Duration // longest transit of a message that is not delayed
 	loss, duplicate, delay float64       // shares of messages
 }
 
@@ -46,6 +48,8 @@
 		longLog:      random.Intn(3) == 0,
 		blockingDisk: random.Intn(3) > 0,
 		wipe:         random.Intn(2) == 0,
+		write:        []time.Duration{3 * time.Millisecond, 3 * time.Millisecond, 40 * time.Millisecond}[random.Intn(3)],
+		transit:      []time.Duration{2 * time.Millisecond, 15 * time.Millisecond}[random.Intn(2)],
 		loss:         0.02 * random.Float64(),
 		duplicate:    0.02 * random.Float64(),
 		delay:        0.1 * random.Float64(),
