--- a/core/agreement/schedule_check_test.go
+++ b/core/agreement/schedule_check_test.go
@@ -61,7 +61,7 @@
 		from, to := r.memberSets[i-1].members, r.memberSets[i].members
 		g.logf("%s appends %+v at %d in term %d", p.id, to, n.Index, n.Term)
 		g.checkNeeded(p.id, from, to)
-		if slices.ContainsFunc(to.Voters, func(id string) bool { return !from.isVoter(id) && g.now.Sub(g.faults.newestHit[id]) < settlingPeriod }) {
+		if slices.ContainsFunc(to.Voters, func(id string) bool { return !from.IsVoter(id) && g.now.Sub(g.faults.newestHit[id]) < settlingPeriod }) {
 			continue
 		}
 		if before, after := g.losses(from), g.losses(to); after < before {
@@ -76,7 +76,7 @@
 		return
 	}
 	for _, id := range from.Voters {
-		if !to.isVoter(id) && g.isSound(id) {
+		if !slices.Contains(to.Voters, id) && g.isSound(id) {
 			g.t.Fatalf("needless: %s replaces %s, which has had no fault for %s: %+v after %+v", leader, id, soundPeriod, to, from)
 		}
 	}
@@ -89,23 +89,20 @@
 		g.now.Sub(g.faults.whole) >= soundPeriod
 }
 
-// isVoter reports whether id is one of the voters that the set adds or keeps.
-func (m Members) isVoter(id string) bool { return slices.Contains(m.Voters, id) }
-
-// voterSets returns the sets of voters of which a majority is needed.
-func voterSets(m Members) [][]string { return [][]string{m.Voters} }
-
-// losses returns how many more running voters may be lost while each set of voters has a majority; below 0, one has none.
+// losses returns how many more running voters may be lost while each set of voters has a majority; below 0, one has none. It counts
+// for itself, so that a fault of Members cannot hide here.
 func (g *group) losses(m Members) int {
-	least := len(g.stores)
-	for _, voters := range voterSets(m) {
+	least := len(m.Voters)
+	for _, voters := range [][]string{m.Voters, m.Outgoing} {
 		running := 0
 		for _, id := range voters {
 			if g.processes[id] != nil {
 				running++
 			}
 		}
-		least = min(least, running-len(voters)/2-1)
+		if len(voters) > 0 {
+			least = min(least, running-len(voters)/2-1)
+		}
 	}
 	return least
 }
@@ -126,7 +123,7 @@
 		return
 	}
 	m := g.newestMembers()
-	running := slices.DeleteFunc(slices.Clone(m.Voters), func(id string) bool { return g.processes[id] == nil })
+	running := slices.DeleteFunc(m.IDs(), func(id string) bool { return g.processes[id] == nil || !m.IsVoter(id) })
 	if got := g.losses(m); got < testLosses {
 		g.t.Fatalf("quiet: got %d losses that the group bears, want %d; members %+v, running %v, %s", got, testLosses, m, g.running(), g.describe())
 	}
@@ -165,7 +162,7 @@
 	}
 	if l := g.leader(); l != "" {
 		s := g.members[l].Status()
-		w, _ := s.Waits(g.now)
+		w, _ := s.Waits(g.now, Target{CatchUp: g.catchUp})
 		text += fmt.Sprintf("learner waits: %+v", w)
 	}
 	return text
--- a/core/agreement/schedule_group_test.go
+++ b/core/agreement/schedule_group_test.go
@@ -332,11 +332,11 @@
 func (g *group) planChange() {
 	g.onLeaders(func(p *process) {
 		st := p.replica.Status()
-		change, ok := NextChange(g.now, st, g.announcements(), scheduleVoters)
+		change, ok := NextChange(g.now, st, Target{Announced: g.announcements(), Voters: scheduleVoters, CatchUp: g.catchUp})
 		if !ok {
 			return
 		}
-		_, _, err := p.replica.Propose(g.now, MembersChange, [][]byte{EncodeMembers(applyChange(st.Members, change))})
+		_, _, err := p.replica.Propose(g.now, MembersChange, [][]byte{EncodeMembers(change.Apply(st.Members))})
 		if err == nil {
 			g.logf("%s plans %+v", p.id, change)
 		}
--- a/core/agreement/schedule_step_test.go
+++ b/core/agreement/schedule_step_test.go
@@ -165,6 +165,7 @@
 		}
 	}
 	g.extendFaults(d)
+	g.faults.whole = g.now.Add(d)
 }
 
 // begin carries out a step now, or lets it wait for the next member set.
