--- a/core/agreement/schedule_check_test.go
+++ b/core/agreement/schedule_check_test.go
@@ -57,8 +57,10 @@
 		if i < 1 {
 			continue
 		}
-		g.beginArmed()
 		from, to := r.memberSets[i-1].members, r.memberSets[i].members
+		if !slices.Equal(from.Voters, to.Voters) {
+			g.beginArmed()
+		}
 		g.logf("%s appends %+v at %d in term %d", p.id, to, n.Index, n.Term)
 		g.checkNeeded(p.id, from, to)
 		if slices.ContainsFunc(to.Voters, func(id string) bool { return !from.IsVoter(id) && g.now.Sub(g.faults.newestHit[id]) < settlingPeriod }) {
--- a/core/agreement/schedule_group_test.go
+++ b/core/agreement/schedule_group_test.go
@@ -172,12 +172,19 @@
 	delete(g.processes, id)
 	delete(g.members, id)
 	g.after(announcementTerm, func() {
-		if g.announced[Name(id)] == id && g.processes[id] == nil {
-			delete(g.announced, Name(id))
+		if g.processes[id] == nil {
+			g.withdraw(id)
 		}
 	})
 }
 
+// withdraw ends the announcement of an identity.
+func (g *group) withdraw(id string) {
+	if g.announced[Name(id)] == id {
+		delete(g.announced, Name(id))
+	}
+}
+
 func (g *group) isBlocked(p *process) bool { return p.frozen > 0 || p.writing != nil && g.blockingDisk }
 
 // input passes an input to a process, now or once it runs again.
--- a/core/agreement/schedule_step_test.go
+++ b/core/agreement/schedule_step_test.go
@@ -52,16 +52,20 @@
 	target target
 	length time.Duration // duration of the fault; for a lost disk, the time until the successor starts; below 0: the host goes later
 	choice int64         // seeds what else the step draws, so that it stays the same when other steps are dropped
-	// onChange lets the step wait from its time on until a leader appends a member set, because a change lasts for milliseconds
-	// and steps at random times hardly ever meet it.
+	// onChange lets the step wait from its time on until a leader changes the voters, because a change lasts for milliseconds and
+	// steps at random times hardly ever meet it.
 	onChange bool
+	leaves   bool // the host that is replaced leaves the mesh before it goes
 }
 
 // String returns the step as the report shows it.
 func (s step) String() string {
 	when := ""
 	if s.onChange {
-		when = ", at the next member set"
+		when = ", at the next change of the voters"
+	}
+	if s.leaves {
+		when += ", leaving first"
 	}
 	return fmt.Sprintf("at %.3f s%s: %s %s for %.3f s (%d)", s.at.Seconds(), when, s.kind, s.target, s.length.Seconds(), s.choice)
 }
@@ -69,7 +73,10 @@
 // drawStep draws a fault for the given time.
 func drawStep(random *rand.Rand, at time.Duration) step {
 	s := step{at: at, kind: stepKind(random.Intn(int(stepKinds))), target: target(random.Intn(int(targets))), choice: random.Int63n(1000)}
-	s.onChange = random.Intn(4) == 0
+	s.onChange = random.Intn(3) == 0
+	if !s.onChange && random.Intn(4) == 0 {
+		s.kind = replaceHost // the other steps are of most interest beside one
+	}
 	shortest, longest := 300*time.Millisecond, 3*time.Second
 	switch s.kind {
 	case replaceHost:
@@ -79,10 +86,27 @@
 	case cutOff, splitGroup:
 		longest = 4 * time.Second
 	}
+	s.leaves = s.kind == replaceHost && random.Intn(2) == 0
 	s.length = shortest + time.Duration(random.Int63n(int64(longest-shortest)))
 	return s
 }
 
+// drawReplacement draws the planned replacement of a host that leaves, and one or two faults at the moment at which its voter is
+// replaced: only there do both the outgoing and the new voter run while the change is joint.
+func drawReplacement(random *rand.Rand, at time.Duration) []step {
+	leave := step{at: at, kind: replaceHost, target: target(random.Intn(int(targets))), length: -2 * time.Second, choice: random.Int63n(1000), leaves: true}
+	steps := []step{leave}
+	for range 1 + random.Intn(2) {
+		s := drawStep(random, at)
+		s.onChange, s.leaves = true, false
+		if random.Intn(2) == 0 {
+			s.kind, s.length = splitGroup, 500*time.Millisecond+time.Duration(random.Int63n(int64(3500*time.Millisecond)))
+		}
+		steps = append(steps, s)
+	}
+	return steps
+}
+
 // slot is one of the places of the group; its replica is replaced when its host or disk is lost.
 type slot struct {
 	id        string
@@ -168,7 +192,7 @@
 	g.faults.whole = g.now.Add(d)
 }
 
-// begin carries out a step now, or lets it wait for the next member set.
+// begin carries out a step now, or lets it wait for the next change of the voters.
 func (g *group) begin(s step) {
 	if s.onChange {
 		g.armed = append(g.armed, s)
@@ -177,7 +201,7 @@
 	g.perform(s)
 }
 
-// beginArmed carries out the steps that wait for a member set, within the time that its change takes.
+// beginArmed carries out the steps that wait for a change of the voters, within the time that its change takes.
 func (g *group) beginArmed() {
 	for _, s := range g.armed {
 		delay := []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond}[s.choice%3]
@@ -204,16 +228,17 @@
 			return
 		}
 		g.logf("%s: %s", s, sl.id)
-		g.hit(sl, s.kind, s.length, random)
+		g.hit(sl, s, random)
 	}
 }
 
 // hit carries out a step on one slot.
-func (g *group) hit(sl *slot, kind stepKind, d time.Duration, random *rand.Rand) {
-	switch kind {
+func (g *group) hit(sl *slot, s step, random *rand.Rand) {
+	d := s.length
+	switch s.kind {
 	case replaceHost:
 		g.names++
-		g.replace(sl, fmt.Sprintf("h%02d/1", g.names), d, random.Intn(3) == 0)
+		g.replace(sl, fmt.Sprintf("h%02d/1", g.names), d, s.leaves)
 	case loseDisk:
 		g.names++
 		g.replace(sl, fmt.Sprintf("%s/%d", Name(sl.id), g.names), d, false)
@@ -244,16 +269,16 @@
 }
 
 // replace removes a slot's replica with its disk and starts the successor after d; with a d below 0, the successor starts now and the
-// replica goes later.
+// replica goes later. A host that leaves is no longer announced from halfway on, while its replica still runs.
 func (g *group) replace(sl *slot, successor string, d time.Duration, leaves bool) {
 	old := sl.id
 	g.loseSlot(sl, max(d, -d))
+	if leaves {
+		g.after(max(0, -d)/2, func() { g.withdraw(old) })
+	}
 	g.after(max(0, -d), func() {
 		g.endProcess(old)
 		delete(g.stores, old)
-		if leaves && g.announced[Name(old)] == old {
-			delete(g.announced, Name(old))
-		}
 	})
 	g.after(max(0, d), func() {
 		g.logf("%s starts for %s", successor, old)
@@ -283,15 +308,14 @@
 	}
 }
 
-// split cuts the group in two halves, with the leader in the smaller half at times.
+// split cuts the group in two halves.
 func (g *group) split(d time.Duration, random *rand.Rand) {
 	g.holdLosses(d)
-	var names []string
-	for _, i := range random.Perm(len(g.slots))[:len(g.slots)/2] {
-		names = append(names, Name(g.slots[i].id))
-	}
-	if l := g.leader(); l != "" && random.Intn(2) == 0 {
-		names[0] = Name(l)
+	names := g.running()
+	random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	names = names[:len(names)/2]
+	for i := range names {
+		names[i] = Name(names[i])
 	}
 	g.addCut(d, &cut{names: names, in: true, out: true})
 }
@@ -303,7 +327,7 @@
 	if sl := g.slotOf(g.leader()); sl != nil && g.mayLose(sl) {
 		kind := []stepKind{restartOne, cutOff}[random.Intn(2)]
 		g.logf("%s %s, one of a series", kind, sl.id)
-		g.hit(sl, kind, next, random)
+		g.hit(sl, step{kind: kind, length: next}, random)
 	}
 	if n > 1 {
 		g.after(next, func() { g.endLeaders(n-1, random) })
--- a/core/agreement/schedule_test.go
+++ b/core/agreement/schedule_test.go
@@ -63,7 +63,11 @@
 	var steps []step
 	at := time.Duration(0)
 	for range 3 + random.Intn(8) {
-		steps = append(steps, drawStep(random, at))
+		if random.Intn(4) == 0 {
+			steps = append(steps, drawReplacement(random, at)...)
+		} else {
+			steps = append(steps, drawStep(random, at))
+		}
 		longest := []time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second, 2 * p.catchUp}[random.Intn(4)]
 		at += time.Duration(random.Int63n(int64(longest)))
 	}
