fix(agreement): a replica that was removed while it was cut off becomes a member again

Cause: a leader does not add an announced replica that it knows to be silent. A replica that was cut off before it learned that it is a voter does not campaign when it returns, and no leader sends anything to a replica that is no member, so it stayed silent for ever. With its place empty, the group bore one loss instead of two. Change: a replica without a vote that hears no leader sends the members a sign of life at each campaign time. It has no term, so that it deposes nobody.

--- a/core/agreement/heard.go
+++ b/core/agreement/heard.go
@@ -21,6 +21,17 @@
 	}
 }
 
+// showAlive tells the members that this replica runs. A replica without a vote does not campaign when it hears no leader; without this
+// message, a leader that removed it while it was cut off would take it for lost, however long it is back. The message has no term, so
+// that it cannot depose a leader.
+func (r *Replica) showAlive() {
+	for _, id := range r.members().IDs() {
+		if id != r.id {
+			r.send(Message{Kind: HeartbeatAnswer, To: id})
+		}
+	}
+}
+
 // lastAlive returns when a member was last known to be alive. For a member of which nothing is known, that is the start of this
 // process, so that a lost member is never without a silence.
 func (r *Replica) lastAlive(id string) time.Time {
--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -222,3 +222,29 @@
 		}
 	}
 }
+
+// Guards against a running replica that never becomes a member again: it was cut off before it learned that it is a voter, so it does
+// not campaign when it returns, and the leader that removed it takes it for lost.
+func TestRemovedVoterJoinsAgain(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		l := c.leader()
+		c.setBlocked("f", true, true)
+		out := difference(c.members[l].Status().Members.Voters, []string{l})[0]
+		if err := c.change(l, c.members[l].Status().Members.Replace(out, "f/1")); err != nil {
+			t.Fatalf("seed %d: replace %s: %v", seed, out, err)
+		}
+		c.maintain(testCatchUp)
+		if c.members[l].Status().Members.IsVoter("f/1") {
+			t.Fatalf("seed %d: f/1 is still a voter %s after it was cut off", seed, testCatchUp)
+		}
+		c.setBlocked("f", false, false)
+		c.maintain(testCatchUp)
+		if m := c.members[c.leader()].Status().Members; !m.Has("f/1") {
+			t.Fatalf("seed %d: got members %+v %s after f/1 returned, want f/1 among them", seed, m, testCatchUp)
+		}
+	}
+}
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -214,9 +214,11 @@
 		r.tickFounder()
 	case !now.Before(r.campaignAt):
 		r.resetCampaignTimer()
-		if r.mayCampaign() {
-			r.campaign(true)
+		if !r.mayCampaign() {
+			r.showAlive()
+			return
 		}
+		r.campaign(true)
 	default:
 		r.resendFounding()
 	}
--- a/core/agreement/types.go
+++ b/core/agreement/types.go
@@ -46,7 +46,7 @@
 	// the result of conflictHint; or the message was of a term before Term.
 	AppendAnswer
 	Heartbeat        // Context is the round; Index is 1 + the last confirmation's age in µs, 0 for none
-	HeartbeatAnswer  // Context is the round of the heartbeat that it answers
+	HeartbeatAnswer  // Context is the round of the heartbeat that it answers; both it and Term are 0 in a mere sign of life
 	PreVote          // Term is the term of the vote that would follow
 	PreVoteAnswer    // Term is that of the pre-vote if granted; with Reject, the voter's current term
 	Vote             // Index and LogTerm are those of the candidate's last entry
