fix(agreement): a promoted learner that receives nothing is replaced

Operators would see: a new voter that acknowledges nothing keeps its place for good, "no voter is silent for long enough". Cause: a learner shows that it runs while it hears no leader (showAlive). One that lost its incoming link before it learned of its promotion goes on doing so, and the leader took that for a sign of life of a voter. Change: a message of an earlier term than the leader's does not count from a member; showAlive has no term. From former members it counts as before.

--- a/core/agreement/heard.go
+++ b/core/agreement/heard.go
@@ -14,11 +14,11 @@
 // reportedSilence is the part of the election timeout, as a divisor, from which heartbeats name a silent member.
 const reportedSilence = 2
 
-// hear notes that the sender of a message is alive if it is a member or was one. The campaign of a member does not count: a member
-// that receives nothing campaigns for ever and is lost to the group.
+// hear notes that the sender of a message is alive if it is a member or was one. Of a member, campaigns and messages of an earlier term
+// do not count: a member that receives nothing sends them for ever, and is lost to the group.
 func (r *Replica) hear(m Message) {
 	member := r.members().Has(m.From)
-	if member && (m.Kind == PreVote || m.Kind == Vote) {
+	if member && (m.Kind == PreVote || m.Kind == Vote || m.Term < r.state.Term) {
 		return
 	}
 	if _, known := r.heard[m.From]; known || member {
--- a/core/agreement/replace_test.go
+++ b/core/agreement/replace_test.go
@@ -295,3 +295,28 @@
 		}
 	}
 }
+
+// Guards against a voter that is never replaced because it does not know that it is one: a learner that receives nothing from its
+// promotion on goes on showing that it runs.
+func TestPromotedLearnerThatHearsNothingIsReplaced(t *testing.T) {
+	for seed := range int64(10) {
+		c := newCluster(t, 5, seed)
+		c.run(4 * time.Second)
+		c.join("f/1")
+		c.maintain(time.Second)
+		c.join("g/1")
+		c.maintain(time.Second)
+		l := c.leader()
+		out := difference(c.members[l].Status().Members.Voters, []string{l})[0]
+		c.setBlocked("f", false, true)
+		if err := c.change(l, c.members[l].Status().Members.Replace(out, "f/1")); err != nil {
+			t.Fatalf("seed %d: replace %s: %v", seed, out, err)
+		}
+		for end := c.now.Add(DefaultCatchUp); c.now.Before(end); c.run(100 * time.Millisecond) {
+			c.planChangeWithin(l, DefaultCatchUp)
+		}
+		if m := c.members[l].Status().Members; slices.Contains(m.Voters, "f/1") {
+			t.Fatalf("seed %d: %s after f/1 received its last message: got members %+v, want it replaced", seed, DefaultCatchUp, m)
+		}
+	}
+}
