--- a/core/agreement/types.go
+++ b/core/agreement/types.go
@@ -65,6 +65,7 @@
 	Reject                                bool
 	Entries                               []Entry
 	Snapshot                              *Snapshot
+	Silences                              []Silence // in a Heartbeat: members that the leader has not heard for a while
 }
 
 // Read is a linearizable read that a quorum confirmed; it may be answered once Index is applied.
@@ -108,6 +109,7 @@
 	Match     uint64    // highest log index known to be durable on that replica
 	LastHeard time.Time // time of its last answer, which may be its vote for this leader; zero for none
 	Learner   bool
+	CaughtUp  bool // it has what was committed about an election timeout ago
 }
 
 // Status is a replica's state at one moment.
@@ -119,6 +121,10 @@
 	Members                     Members
 	Progress                    map[string]Progress // by identity, without this replica; nil unless it leads
 	ConfirmedAt                 time.Time           // start of the last heartbeat round known to be answered by a quorum; zero for none
+	LeaderSince                 time.Time           // start of the leadership; zero unless it leads
+	// Heard tells when each other member was last known to be alive, also by a former leader or another replica; the start of this
+	// process if nothing is known. On a leader it holds former members too.
+	Heard map[string]time.Time
 }
 
 // NotLeaderError reports that this replica does not lead and cannot serve the call; Leader is empty when unknown.
@@ -138,7 +144,7 @@
 // Error states the reason for the refusal.
 func (e *MembersError) Error() string { return "agreement: membership change refused: " + e.Reason }
 
-// LagError reports that a learner lags behind the commit index and cannot be promoted yet.
+// LagError reports that a learner lacks entries committed about an election timeout ago and cannot be promoted yet.
 type LagError struct {
 	Learner       string
 	Match, Commit uint64
--- a/io/host/health.go
+++ b/io/host/health.go
@@ -28,7 +28,7 @@
 	for _, id := range st.Members.Learners {
 		one := st
 		one.Members.Learners = []string{id} // Waits describes only one of the learners
-		w, ok := one.Waits(now)
+		w, ok := one.Waits(now, c.target())
 		if !ok {
 			continue
 		}
