feat(status): silence that outlives elections, and a replacement in progress

Cause: which voters a replica hears came from a table of its own, in which a heartbeat counted for all; a voter that was never heard by the present leader had no time of silence; a joint change was not shown, and a caught-up learner was said to wait for a silent voter even if one was about to be replaced. Change: 'hearing' and the silences use the times of the agreed log (Status.Heard), and the table is gone. A majority is one of the voters and of the outgoing ones. 'health', replica list (role 'leaving') and the line 'voters' show the two sides of a replacement in progress. A caught-up learner waits for its promotion by an operator, for another replacement, to become a voter, or for the voter that it replaces next.

--- a/io/host/control.go
+++ b/io/host/control.go
@@ -51,7 +51,6 @@
 	catchUp   time.Duration // time after which a successor must have replaced a lost replica
 	replica   *replica.Replica
 	leases    *lease.Table
-	heard     *heardTable
 
 	mu    sync.Mutex // guards store
 	store *store.Store
@@ -80,7 +79,6 @@
 		maxLosses:    s.Seeds.Losses,
 		catchUp:      cmp.Or(s.Seeds.CatchUp, agreement.DefaultCatchUp),
 		leases:       lease.New(lease.WithLease(leaseTime(s))),
-		heard:        newHeardTable(time.Now()),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
 	}
@@ -368,7 +366,7 @@
 		Report:   &wire.Report{Count: uint32(count), Laggards: behind},
 		Spread:   c.convergence.milliseconds(version),
 		Replicas: c.members(st),
-		Health:   c.health(time.Now(), st),
+		Health:   c.health(time.Now(), st, c.target()),
 	}, nil
 }
 
--- a/io/host/health.go
+++ b/io/host/health.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"godwitspindle/core/agreement"
@@ -8,11 +10,8 @@
 	"godwitspindle/io/rpc"
 )
 
-// Causes for which a learner that has every committed entry is not a voter yet, besides those of package agreement.
-const (
-	waitsForPromotion = "it has every committed entry; next: replica promote, since the settings list the replicas"
-	joinsNext         = "it has every committed entry and becomes a voter next"
-)
+// jointInProgress is the cause of a caught-up learner while another one replaces a voter.
+const jointInProgress = "it has caught up, and another replacement is in progress"
 
 // promisedLosses returns how many replicas the group is meant to bear losing when all its voters answer.
 func (c *control) promisedLosses() int {
@@ -23,37 +22,58 @@
 }
 
 // learnerWaits says for each learner why it is not a voter yet.
-func (c *control) learnerWaits(now time.Time, st agreement.Status) []agreement.Wait {
+func (c *control) learnerWaits(now time.Time, st agreement.Status, t agreement.Target) []agreement.Wait {
 	var list []agreement.Wait
 	for _, id := range st.Members.Learners {
 		one := st
 		one.Members.Learners = []string{id} // Waits describes only one of the learners
-		w, ok := one.Waits(now, c.target())
+		w, ok := one.Waits(now, t)
 		if !ok {
 			continue
 		}
 		if w.Cause == agreement.NoneSilent {
-			w.Cause = c.caughtUpCause(st)
+			w.Cause = c.caughtUpCause(now, st, t, id)
 		}
 		list = append(list, w)
 	}
 	return list
 }
 
-// caughtUpCause says why a learner that has every committed entry is not a voter yet.
-func (c *control) caughtUpCause(st agreement.Status) agreement.WaitCause {
+// caughtUpCause says why a learner that has caught up is not a voter yet.
+func (c *control) caughtUpCause(now time.Time, st agreement.Status, t agreement.Target, id string) agreement.WaitCause {
+	if st.Members.Joint() {
+		return jointInProgress
+	}
+	if !c.directory.seeded() {
+		return agreement.WaitCause("it has caught up; next: replica promote " + agreement.Name(id))
+	}
+	step, due := agreement.NextChange(now, st, t)
 	switch {
-	case !c.directory.seeded():
-		return waitsForPromotion
-	case len(st.Members.Voters) < c.wantedVoters():
-		return joinsNext
+	case due && step.Promote == id && step.Remove != "":
+		return agreement.WaitCause(fmt.Sprintf("it has caught up and replaces %s next: %s", step.Remove, step.Reason))
+	case due && step.Promote == id:
+		return "it has caught up and becomes a voter next"
 	}
 	return agreement.NoneSilent
 }
 
+// replacement returns the voters that a joint change in progress adds and removes.
+func replacement(m agreement.Members) (joining, leaving []string) {
+	if !m.Joint() {
+		return nil, nil
+	}
+	return without(m.Voters, m.Outgoing), without(m.Outgoing, m.Voters)
+}
+
+// without returns the identities of a that are not in b.
+func without(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(id string) bool { return slices.Contains(b, id) })
+}
+
 // health describes, on the leader, how many more voters may be lost and why learners wait.
-func (c *control) health(now time.Time, st agreement.Status) *rpc.Health {
+func (c *control) health(now time.Time, st agreement.Status, t agreement.Target) *rpc.Health {
 	h := st.Health(now, silentAfter)
+	joining, leaving := replacement(st.Members)
 	r := &rpc.Health{
 		Voters:    uint32(h.Voters),
 		Answering: uint32(h.Answering),
@@ -61,20 +81,22 @@
 		Promised:  uint32(c.promisedLosses()),
 		Silent:    silences(now, st, h.Silent),
 		Unheard:   silences(now, st, h.Unheard),
+		Joining:   joining,
+		Leaving:   leaving,
 	}
-	for _, w := range c.learnerWaits(now, st) {
+	for _, w := range c.learnerWaits(now, st, t) {
 		r.Waits = append(r.Waits, &rpc.LearnerWait{Learner: w.Learner, Cause: string(w.Cause), Behind: w.Behind})
 	}
 	return r
 }
 
-// silences says since when the given voters are silent.
+// silences says for how long the given voters were silent, as far as any replica knew.
 func silences(now time.Time, st agreement.Status, ids []string) []*rpc.Silence {
 	var list []*rpc.Silence
 	for _, id := range ids {
 		s := &rpc.Silence{Identity: id, Heard: -1}
-		if at := st.Progress[id].LastHeard; !at.IsZero() {
-			s.Heard = now.Sub(at).Milliseconds()
+		if at, known := st.Heard[id]; known {
+			s.Heard = max(0, now.Sub(at).Milliseconds())
 		}
 		list = append(list, s)
 	}
--- a/io/host/hearing.go
+++ b/io/host/hearing.go
@@ -1,70 +1,30 @@
 package host
 
 import (
-	"sync"
+	"slices"
 	"time"
 
 	"godwitspindle/core/agreement"
 	"godwitspindle/io/operator"
 )
 
-// heardTable keeps when the other replicas were last heard. A heartbeat of a leader counts for all of them, since a follower
-// hears no other replica while there is a leader.
-type heardTable struct {
-	mu         sync.Mutex
-	heartbeat  time.Time // last heartbeat, or the start of the process
-	byIdentity map[string]time.Time
-}
-
-func newHeardTable(now time.Time) *heardTable {
-	return &heardTable{heartbeat: now, byIdentity: map[string]time.Time{}}
-}
-
-func (t *heardTable) record(now time.Time, m agreement.Message) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.byIdentity[m.From] = now
-	if m.Kind == agreement.Heartbeat {
-		t.heartbeat = now
-	}
-}
-
-func (t *heardTable) last(id string) time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	at := t.byIdentity[id]
-	if t.heartbeat.After(at) {
-		return t.heartbeat
-	}
-	return at
-}
-
-// lastHeard returns when this replica last knew that another one was alive.
-func (c *control) lastHeard(st agreement.Status, id string) time.Time {
-	if st.Role == agreement.Leader {
-		return st.Progress[id].LastHeard
-	}
-	return c.heard.last(id)
-}
-
-// step passes a message of another replica on to the local one.
-func (c *control) step(m agreement.Message) {
-	c.heard.record(time.Now(), m)
-	c.replica.Step(m)
-}
-
-// hearing says which voters this replica hears; those silent for silentAfter are missing.
-func (c *control) hearing(now time.Time) operator.Hearing {
-	st := c.replica.Status()
-	v := operator.Hearing{Node: c.name, Voters: len(st.Members.Voters)}
-	for _, id := range st.Members.Voters {
-		silent := now.Sub(c.lastHeard(st, id))
-		if id == st.ID || silent < silentAfter {
+// hearing says which voters this replica knows to be alive; those silent for silentAfter are missing. During a replacement the
+// outgoing voters count too.
+func (c *control) hearing(now time.Time) operator.Hearing { return hearingOf(now, c.replica.Status()) }
+
+func hearingOf(now time.Time, st agreement.Status) operator.Hearing {
+	voters := slices.Concat(st.Members.Voters, st.Members.Outgoing)
+	slices.Sort(voters)
+	voters = slices.Compact(voters)
+	alive := func(id string) bool { return id == st.ID || now.Sub(st.Heard[id]) < silentAfter }
+	v := operator.Hearing{Node: agreement.Name(st.ID), Voters: len(voters)}
+	for _, id := range voters {
+		if alive(id) {
 			v.Heard++
 			continue
 		}
-		v.Missing = append(v.Missing, operator.Silence{Identity: id, Heard: operator.Duration(silent)})
+		v.Missing = append(v.Missing, operator.Silence{Identity: id, Heard: operator.Duration(now.Sub(st.Heard[id]))})
 	}
-	v.Majority = v.Voters == 0 || v.Heard > v.Voters/2
+	v.Majority = v.Voters == 0 || st.Members.Quorate(alive)
 	return v
 }
--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	st = c.replica.Status()
-	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st), Health: c.health(time.Now(), st)}
+	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st), Health: c.health(time.Now(), st, c.target())}
 	if r.GetAction() == actionList {
 		resp.Replicas = append(resp.Replicas, c.waitingReplicas(ctx, st.Members)...)
 	}
@@ -187,6 +187,10 @@
 	for _, id := range st.Members.Learners {
 		list = append(list, describeMember(st, id, "learner"))
 	}
+	_, leaving := replacement(st.Members)
+	for _, id := range leaving {
+		list = append(list, describeMember(st, id, "leaving"))
+	}
 	return list
 }
 
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -272,7 +272,7 @@
 func (h *Host) peerServer() *peer.Server {
 	s := &peer.Server{OnSync: h.feed.Sync, OnFloor: h.floors.Do}
 	if h.control != nil {
-		s.OnDeliver = h.control.step
+		s.OnDeliver = h.control.replica.Step
 		s.OnPropose = h.propose
 		s.OnAnnounce = h.control.announce
 		s.OnStatus = h.control.status
--- a/io/host/voters.go
+++ b/io/host/voters.go
@@ -63,11 +63,13 @@
 	c.metrics.Losses.Set(float64(h.Losses))
 	c.metrics.PromisedLosses.Set(float64(promised))
 	silent, unheard := strings.Join(h.Silent, ","), strings.Join(h.Unheard, ",")
-	if c.voters.health.due(now, fmt.Sprintf("%q %q %q", st.Members.Voters, silent, unheard)) {
-		c.log.Info("voters", "voters", h.Voters, "answering", h.Answering, "silent", silent, "unheard", unheard, "losses", h.Losses, "promised", promised)
+	joining, leaving := replacement(st.Members)
+	if c.voters.health.due(now, fmt.Sprintf("%q %q %q %q", st.Members.Voters, leaving, silent, unheard)) {
+		c.log.Info("voters", "voters", h.Voters, "answering", h.Answering, "silent", silent, "unheard", unheard,
+			"joining", strings.Join(joining, ","), "leaving", strings.Join(leaving, ","), "losses", h.Losses, "promised", promised)
 	}
 	waits := map[string]*loggedState{}
-	for _, w := range c.learnerWaits(now, st) {
+	for _, w := range c.learnerWaits(now, st, c.target()) {
 		logged := c.voters.waits[w.Learner]
 		if logged == nil {
 			logged = &loggedState{}
--- a/io/operator/messages.go
+++ b/io/operator/messages.go
@@ -89,7 +89,7 @@
 // Member is one control replica.
 type Member struct {
 	Name string `json:"name"`
-	Role string `json:"role"` // leader, voter or learner; waiting for a replica that is not a member
+	Role string `json:"role"` // leader, voter, learner, or leaving for a voter that is being replaced; waiting for a replica that is not a member
 	// Identity is the replica's name with the incarnation of its data folder.
 	Identity string   `json:"identity,omitempty"`
 	Behind   int64    `json:"behind"` // committed log entries not known to be on the replica's disk; negative if unknown
