feat(status): why the last attempt to replace a voter failed

Cause: where replicas are found through seeds, a planned change that the agreed log refuses is only in a log line of the leader, once a second; status said that the learner is promoted next. Change: the leader keeps the last planned change with its failure, and the cause of the learner that the change promotes names it. Measured: TestHealthOfTheGroup, 'refused replacement', passes.

--- a/io/host/control.go
+++ b/io/host/control.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -65,7 +66,8 @@
 	lastMeasured time.Time // time of the last check whether the oldest pending version is in force on all nodes
 	voters       votersLog
 
-	failedChange time.Time // time of the last log line about a failed change of the member set; used only by maintainMembers
+	attempted    atomic.Pointer[changeAttempt] // last planned change of the member set; nil for none
+	failedChange time.Time                     // time of the last log line about a failed change of the member set; used only by maintainMembers
 
 	stop context.CancelFunc
 	wait sync.WaitGroup
--- a/io/host/health.go
+++ b/io/host/health.go
@@ -48,13 +48,23 @@
 		return agreement.WaitCause("it has caught up; next: replica promote " + agreement.Name(id))
 	}
 	step, due := agreement.NextChange(now, st, t)
-	switch {
-	case due && step.Promote == id && step.Remove != "":
-		return agreement.WaitCause(fmt.Sprintf("it has caught up and replaces %s next: %s", step.Remove, step.Reason))
-	case due && step.Promote == id:
-		return "it has caught up and becomes a voter next"
+	if !due || step.Promote != id {
+		return agreement.NoneSilent
 	}
-	return agreement.NoneSilent
+	text := "it has caught up and becomes a voter next"
+	if step.Remove != "" {
+		text = fmt.Sprintf("it has caught up and replaces %s next: %s", step.Remove, step.Reason)
+	}
+	if a := c.attempted.Load(); a != nil && a.err != nil && a.step == step {
+		text += "; the last attempt failed: " + a.err.Error()
+	}
+	return agreement.WaitCause(text)
+}
+
+// changeAttempt is a planned change of the member set that the leader tried, and its failure.
+type changeAttempt struct {
+	step agreement.PlannedChange
+	err  error // nil after success
 }
 
 // replacement returns the voters that a joint change in progress adds and removes.
--- a/io/host/health_test.go
+++ b/io/host/health_test.go
@@ -97,6 +97,12 @@
 			"4/5 1/2 [] [b/1 40000]",
 			[]string{"f/1 0 it has caught up and replaces b/1 next: silent voter"},
 		},
+		{
+			"refused replacement", 2,
+			[]string{"a/1", "b/1", "c/1?", "d/1", "e/1", "f/1+"},
+			"4/5 1/2 [] [c/1 40000]",
+			[]string{"f/1 0 it has caught up and replaces c/1 next: silent voter; the last attempt failed: agreement: membership change refused: why"},
+		},
 		{
 			"replacement in progress", 2,
 			[]string{"a/1", "b/1!", "c/1", "d/1", "e/1", "f/1+", "g/1+", "b/1>f/1"},
@@ -111,6 +117,8 @@
 			var lines []string
 			c, st := newTestControl(tt.losses, &lines), leaderStatus(tt.members...)
 			target := agreement.Target{Announced: slices.Concat(st.Members.Voters, st.Members.Learners), Voters: c.wantedVoters(), CatchUp: 6 * time.Second}
+			refused := agreement.PlannedChange{Promote: "f/1", Remove: "c/1", Reason: "silent voter"}
+			c.attempted.Store(&changeAttempt{step: refused, err: &agreement.MembersError{Reason: "why"}})
 			h := c.health(votersStart, st, target)
 			var silent, unheard, waits []string
 			for _, s := range h.GetSilent() {
--- a/io/host/members.go
+++ b/io/host/members.go
@@ -45,6 +45,7 @@
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
 	err := c.changeMember(ctx, step)
+	c.attempted.Store(&changeAttempt{step: step, err: err})
 	if err != nil && time.Since(c.failedChange) < failedChangePause {
 		return
 	}
