--- a/io/demo/refused_test.go
+++ b/io/demo/refused_test.go
@@ -21,6 +21,13 @@
 	silenceKnown   = 4 * time.Second
 )
 
+// takeMeshSlot makes a test run beside others, but not beside more meshes than a small machine bears.
+func takeMeshSlot(t *testing.T) {
+	t.Parallel()
+	meshSlots <- struct{}{}
+	t.Cleanup(func() { <-meshSlots })
+}
+
 // cutOff isolates the leader and more replicas, so that count are lost, and returns the index of a replica that is left.
 func cutOff(t *testing.T, m *Mesh, count int) int {
 	t.Helper()
@@ -77,7 +84,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.lost, " of ", tt.voters), func(t *testing.T) {
-			t.Parallel()
+			takeMeshSlot(t)
 			m := startReplicaMesh(t, tt.voters)
 			applyRegister(t, m, 1)
 			index := cutOff(t, m, tt.lost)
@@ -151,7 +158,7 @@
 // Guards against reads that stay refused after a majority is back, and against a refused change that does not name the missing
 // voters.
 func TestReadsAnswerOnceAMajorityIsBack(t *testing.T) {
-	t.Parallel()
+	takeMeshSlot(t)
 	m := startReplicaMesh(t, 3)
 	applyRegister(t, m, 1)
 	left := m.Hosts[3]
