--- a/io/host/voters.go
+++ b/io/host/voters.go
@@ -15,10 +15,12 @@
 	votersUnheard   = "unheard"
 )
 
+// reportedSilence is the silence from which a member is named when a leadership ends; it covers a few heartbeats.
+const reportedSilence = 300 * time.Millisecond
+
 const (
-	// promptLines is how many changes of one state are logged at once. Beyond that, linePause passes between two lines: a learner
-	// that is checked between the commit of a change and its own answer counts as behind, so in a storm of changes its state
-	// changes at each check.
+	// promptLines is how many changes of one state are logged at once. Beyond that, linePause passes between two lines: the state of
+	// a learner or voter at the edge of a limit may change at each check.
 	promptLines = 3
 	linePause   = 10 * time.Second
 )
@@ -90,3 +92,15 @@
 	c.metrics.Losses.Set(-1)
 	c.metrics.PromisedLosses.Set(-1)
 }
+
+// describeSilence names the members that have been silent for longer than reportedSilence, with the time, so that a log line tells why
+// a majority was missing.
+func describeSilence(now time.Time, st agreement.Status) string {
+	var list []string
+	for _, id := range st.Members.IDs() {
+		if silence := now.Sub(st.Heard[id]); id != st.ID && silence > reportedSilence {
+			list = append(list, fmt.Sprintf("%s %s", id, silence.Round(time.Millisecond)))
+		}
+	}
+	return strings.Join(list, ", ")
+}
