--- a/io/host/health.go
+++ b/io/host/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"godwitspindle/core/agreement"
@@ -72,12 +71,7 @@
 	if !m.Joint() {
 		return nil, nil
 	}
-	return without(m.Voters, m.Outgoing), without(m.Outgoing, m.Voters)
-}
-
-// without returns the identities of a that are not in b.
-func without(a, b []string) []string {
-	return slices.DeleteFunc(slices.Clone(a), func(id string) bool { return slices.Contains(b, id) })
+	return m.Difference()
 }
 
 // health describes, on the leader, how many more voters may be lost and why learners wait.
