--- a/io/host/voters.go
+++ b/io/host/voters.go
@@ -15,17 +15,16 @@
 	votersUnheard   = "unheard"
 )
 
+// reportedSilence is the silence from which a member is named when a leadership ends; it covers a few heartbeats.
+const reportedSilence = 300 * time.Millisecond
+
 const (
-	// promptLines is how many changes of one state are logged at once. Beyond that, linePause passes between two lines: a learner
-	// that is checked between the commit of a change and its own answer counts as behind, so in a storm of changes its state
-	// changes at each check.
+	// promptLines is how many changes of one state are logged at once. Beyond that, linePause passes between two lines: the state of
+	// a learner or voter at the edge of a limit may change at each check.
 	promptLines = 3
 	linePause   = 10 * time.Second
 )
 
-// reportedSilence is the silence from which a member is named when a leadership ends; it covers a few heartbeats.
-const reportedSilence = 300 * time.Millisecond
-
 // loggedState is the last state that was logged, so that only changes are logged.
 type loggedState struct {
 	text  string
@@ -66,11 +65,13 @@
 	c.metrics.Losses.Set(float64(h.Losses))
 	c.metrics.PromisedLosses.Set(float64(promised))
 	silent, unheard := strings.Join(h.Silent, ","), strings.Join(h.Unheard, ",")
-	if c.voters.health.due(now, fmt.Sprintf("%q %q %q", st.Members.Voters, silent, unheard)) {
-		c.log.Info("voters", "voters", h.Voters, "answering", h.Answering, "silent", silent, "unheard", unheard, "losses", h.Losses, "promised", promised)
+	joining, leaving := replacement(st.Members)
+	if c.voters.health.due(now, fmt.Sprintf("%q %q %q %q", st.Members.Voters, leaving, silent, unheard)) {
+		c.log.Info("voters", "voters", h.Voters, "answering", h.Answering, "silent", silent, "unheard", unheard,
+			"joining", strings.Join(joining, ","), "leaving", strings.Join(leaving, ","), "losses", h.Losses, "promised", promised)
 	}
 	waits := map[string]*loggedState{}
-	for _, w := range c.learnerWaits(now, st) {
+	for _, w := range c.learnerWaits(now, st, c.target()) {
 		logged := c.voters.waits[w.Learner]
 		if logged == nil {
 			logged = &loggedState{}
