fix(backend): an endpoint with an unusable name was acknowledged and never used

What was seen: POST /announce with a name in upper case, or one that begins with a dash, was answered with a lease. The agreed set leaves out such an endpoint, so it got no calls, and its node announced it to the leader every two seconds.

Cause: the announce API had a rule of its own for names.

Fix: names follow config.ValidName; others are refused with 400.

Evidence: three new cases of TestOddAnnouncements failed before (got 200, want 400).

--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 
+	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
 )
 
@@ -157,9 +158,9 @@
 func (a *Announcement) validate() error {
 	switch {
 	case !validName(a.Service):
-		return &AnnounceError{Field: "service", Want: "a name of 1 to 63 letters, digits, dots, dashes or underscores"}
+		return &AnnounceError{Field: "service", Want: "a name of 1 to 63 lower-case letters, digits, dots, dashes or underscores that begins with a letter or digit"}
 	case !validName(a.Endpoint):
-		return &AnnounceError{Field: "endpoint", Want: "a name of 1 to 63 letters, digits, dots, dashes or underscores"}
+		return &AnnounceError{Field: "endpoint", Want: "a name of 1 to 63 lower-case letters, digits, dots, dashes or underscores that begins with a letter or digit"}
 	case !a.Address.Addr().Unmap().IsLoopback() || a.Address.Port() == 0:
 		return &AnnounceError{Field: "address", Want: "a loopback address with port"}
 	case a.Slots < 1 || a.Slots > maxSlots:
@@ -182,18 +183,8 @@
 	return *a != n
 }
 
-func validName(s string) bool {
-	if s == "" || len(s) > maxNameBytes {
-		return false
-	}
-	for _, c := range []byte(s) {
-		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		if !letter && c != '-' && c != '_' && c != '.' {
-			return false
-		}
-	}
-	return true
-}
+// validName reports whether a name may be part of an agreed entry; the agreed set leaves out endpoints with other names.
+func validName(s string) bool { return len(s) <= maxNameBytes && config.ValidName(s) }
 
 // decodeStrict decodes the request body as one JSON document without unknown fields; only loopback peers are allowed.
 func decodeStrict(w http.ResponseWriter, r *http.Request, to any) *outcome.Failure {
