--- a/core/agreement/schedule_check_test.go
+++ b/core/agreement/schedule_check_test.go
@@ -13,6 +13,7 @@
 	recoveryLimit  = 15 * time.Second       // time in which a group that lost two disks and its power has a leader
 	progressPeriod = time.Second            // a quiet group commits within it
 	settlingPeriod = 2 * time.Second        // time after a step in which a leader may not know about a lost learner yet
+	hastySlack     = 300 * time.Millisecond // by which a silence may be overestimated: heartbeats and their transit
 	soundPeriod    = 500 * time.Millisecond // a voter without a fault for this long is not replaced; as long as the longest listening time
 )
 
@@ -23,7 +24,8 @@
 	checked   time.Time // value of until at the last loss of two disks
 	commit    uint64    // highest commit index at the time at
 	at        time.Time
-	newestHit map[string]time.Time // time of the last step, by identity
+	newestHit map[string]time.Time // end of the last fault, by identity
+	silent    map[string]time.Time // start of the last fault, by identity, if a sound leader saw it; zero if not
 }
 
 // checkLeader checks that a new leader holds the newest committed entry, and traces changes of the leader. It skips a leader that
@@ -74,15 +76,33 @@
 	}
 }
 
-// checkNeeded checks that a leader without a fault of its own replaces no voter that runs, is announced and has had no fault lately.
+// checkNeeded checks that a leader without a fault of its own replaces no voter that runs, is announced and has had no fault lately,
+// and none whose fault began a moment ago.
 func (g *group) checkNeeded(leader string, from, to Members) {
 	if !g.isSound(leader) {
 		return
 	}
-	for _, id := range from.Voters {
-		if !slices.Contains(to.Voters, id) && g.isSound(id) {
+	limit := Target{CatchUp: g.catchUp}
+	for _, id := range difference(from.Voters, to.Voters) {
+		if g.isSound(id) {
 			g.t.Fatalf("needless: %s replaces %s, which has had no fault for %s: %+v after %+v", leader, id, soundPeriod, to, from)
 		}
+		began, announced := g.faults.silent[id], g.announced[Name(id)] == id
+		least := limit.silence() - g.election/reportedSilence - hastySlack
+		if silence := g.now.Sub(began); announced && !began.IsZero() && g.now.Sub(g.faults.whole) > limit.silence() && silence < least {
+			g.t.Fatalf("hasty: %s replaces %s, which is silent for %s, want %s: %+v after %+v", leader, id, silence, least, to, from)
+		}
+	}
+}
+
+// noteSilence notes when a replica falls silent, if a sound leader is there to notice.
+func (g *group) noteSilence(id string) {
+	if g.now.Sub(g.faults.newestHit[id]) < soundPeriod {
+		return
+	}
+	g.faults.silent[id] = time.Time{}
+	if l := g.leader(); l != "" && (l == id || g.isSound(l)) {
+		g.faults.silent[id] = g.now
 	}
 }
 
--- a/core/agreement/schedule_step_test.go
+++ b/core/agreement/schedule_step_test.go
@@ -172,6 +172,7 @@
 
 // loseSlot notes that a slot is lost for d and then counts as lost for the time catchUp.
 func (g *group) loseSlot(s *slot, d time.Duration) {
+	g.noteSilence(s.id)
 	if end := g.now.Add(d + g.catchUp); end.After(s.lostUntil) {
 		s.lostUntil = end
 	}
