--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -21,7 +21,7 @@
 	identityTimeout  = time.Second           // limit for asking one replica for its identity
 	silentAfter      = 3 * time.Second       // time without a message after which a voter counts as silent; three election timeouts
 	changeTimeout    = 3 * time.Second       // limit for one change of the member set, retries included
-	changeRetryPause = 10 * time.Millisecond // short, because a learner that keeps up has the whole log only for moments
+	changeRetryPause = 10 * time.Millisecond // short, because an earlier change is usually committed within milliseconds
 )
 
 // Actions of the Replicas method besides those of package operator. Every replica answers actionIdentity for itself.
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	st = c.replica.Status()
-	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st)}
+	resp := &rpc.ReplicasResponse{Identity: st.ID, Leader: agreement.Name(st.Leader), Replicas: c.members(st), Health: c.health(time.Now(), st)}
 	if r.GetAction() == actionList {
 		resp.Replicas = append(resp.Replicas, c.waitingReplicas(ctx, st.Members)...)
 	}
@@ -84,7 +84,8 @@
 	return &refusalError{operator.CodeMalformed, "action: expected add, promote or remove"}
 }
 
-// add asks the named replica for its identity and adds the identity as a learner. Any earlier identity of that name is replaced.
+// add asks the named replica for its identity and adds the identity as a learner. An earlier identity of that name stays a voter
+// until the learner is promoted in its place.
 func (c *control) add(ctx context.Context, name string) error {
 	id, waiting, err := c.askIdentity(ctx, name)
 	var refused *refusalError
@@ -225,17 +226,17 @@
 // replicas lists or changes the member set through the leader.
 func (h *Host) replicas(ctx context.Context, action, name string) (*operator.Replicas, error) {
 	request := &rpc.ReplicasRequest{Action: action, Name: name}
-	resp, err := h.askReplicas(ctx, request)
+	resp, err := h.changeReplicas(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	if resp.GetCode() != "" {
 		return nil, operator.MemberProblem(resp.GetCode(), resp.GetDetail())
 	}
-	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas())}, nil
+	return &operator.Replicas{Leader: resp.GetLeader(), Replicas: members(resp.GetReplicas()), Health: newHealth(resp.GetHealth())}, nil
 }
 
-func (h *Host) askReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
+func (h *Host) changeReplicas(ctx context.Context, request *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error) {
 	if h.Leads() {
 		if resp, err := h.control.replicas(ctx, request); err == nil {
 			return resp, nil
@@ -245,7 +246,7 @@
 		return h.clients.At(a).Replicas(ctx, connect.NewRequest(request))
 	})
 	if err != nil {
-		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	return resp.Msg, nil
 }
