fix(host): a read asks the leader that was elected after the read began

Cause: a read took the addresses of the replicas once. A process that has just started knows the seeds only, so the leader, a successor of a seed's host, was not among them; the seeds refused with the leader's name until the time was over. Proposals of such a process had the same gap. Change: the addresses are taken anew before replicas are asked again, with that of the leader that the local replica hears; the directory takes up that leader as it takes up one that an upstream names.

--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -123,6 +123,7 @@
 		return
 	}
 	u.leader = leader
+	u.directory.addLeader(leader)
 	u.compute(v)
 }
 
--- a/io/peer/question.go
+++ b/io/peer/question.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -44,22 +45,21 @@
 	Question[T]
 	ctx      context.Context
 	replicas []askedReplica
-	answers  chan answer[T] // has room for one answer of each replica, as each has at most one call in progress
-	patient  bool           // whether hosts known to be down are still awaited
+	answers  chan answer[T]
+	patient  bool // whether hosts known to be down are still awaited
 }
 
-// Put asks the addresses until one answers, ctx ends, or all that are awaited have failed and are not asked again. It fails with
-// *NoAnswerError, or without addresses with *NoUpstreamError.
-func (q Question[T]) Put(ctx context.Context, addresses []netip.AddrPort) (T, error) {
+// Put asks the addresses until one answers, ctx ends, or all that are awaited have failed and are not asked again. Before replicas are
+// asked again, addresses is called once more, since a leader that was elected meanwhile may not have been among them. It fails
+// with *NoAnswerError, or without addresses with *NoUpstreamError.
+func (q Question[T]) Put(ctx context.Context, addresses func() []netip.AddrPort) (T, error) {
 	var none T
-	if len(addresses) == 0 {
-		return none, &NoUpstreamError{}
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	n := &inquiry[T]{Question: q, ctx: ctx, answers: make(chan answer[T], len(addresses)), patient: true}
-	for _, a := range addresses {
-		n.replicas = append(n.replicas, askedReplica{address: a})
+	n := &inquiry[T]{Question: q, ctx: ctx, answers: make(chan answer[T]), patient: true}
+	n.add(addresses())
+	if len(n.replicas) == 0 {
+		return none, &NoUpstreamError{}
 	}
 	n.start(0)
 	if !q.LeaderFirst {
@@ -78,18 +78,34 @@
 			n.replicas[a.i].pending, n.replicas[a.i].err = false, a.err
 			n.startOthers()
 		case <-ticker.C:
+			if q.Again != nil && q.Again() {
+				n.add(addresses())
+			}
 			n.tick()
 		}
 	}
 	return none, n.failure(&SilentError{})
 }
 
+// add adds the addresses that are new.
+func (n *inquiry[T]) add(addresses []netip.AddrPort) {
+	for _, a := range addresses {
+		if !slices.ContainsFunc(n.replicas, func(r askedReplica) bool { return r.address == a }) {
+			n.replicas = append(n.replicas, askedReplica{address: a})
+		}
+	}
+}
+
 func (n *inquiry[T]) start(i int) {
 	r := &n.replicas[i]
 	r.asked, r.pending = true, true
+	address := r.address
 	go func() {
-		v, err := n.Ask(n.ctx, r.address)
-		n.answers <- answer[T]{i: i, value: v, err: err}
+		v, err := n.Ask(n.ctx, address)
+		select {
+		case n.answers <- answer[T]{i: i, value: v, err: err}:
+		case <-n.ctx.Done():
+		}
 	}()
 }
 
--- a/io/peer/question_test.go
+++ b/io/peer/question_test.go
@@ -75,7 +75,7 @@
 			}
 			ctx, stop := context.WithTimeout(t.Context(), 2*second)
 			defer stop()
-			got, err := q.Put(ctx, addresses)
+			got, err := q.Put(ctx, func() []netip.AddrPort { return addresses })
 			if err != nil {
 				got = err.Error()
 			}
@@ -91,3 +91,30 @@
 		})
 	}
 }
+
+// Guards against a read that goes on asking the replicas that were known at its start, although the leader elected meanwhile is not
+// among them.
+func TestQuestionAsksNewLeader(t *testing.T) {
+	address := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.IPv4Unspecified(), port) }
+	began := time.Now()
+	addresses := func() []netip.AddrPort {
+		if time.Since(began) < askInterval {
+			return []netip.AddrPort{address(1), address(2)}
+		}
+		return []netip.AddrPort{address(3), address(1), address(2)}
+	}
+	q := Question[string]{
+		Again: func() bool { return true },
+		Ask: func(_ context.Context, a netip.AddrPort) (string, error) {
+			if a == address(3) {
+				return "version", nil
+			}
+			return "", testRefusal{}
+		},
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 2*time.Second)
+	defer stop()
+	if got, err := q.Put(ctx, addresses); got != "version" {
+		t.Errorf("got %q (%v), want the answer of the new leader", got, err)
+	}
+}
