--- a/core/agreement/leader.go
+++ b/core/agreement/leader.go
@@ -29,7 +29,7 @@
 type pendingRead struct{ context, index, round uint64 }
 
 func (r *Replica) becomeLeader() {
-	r.role, r.leader = Leader, r.id
+	r.role, r.leader, r.leaderSince = Leader, r.id, r.now
 	r.progress = map[string]*progress{}
 	r.rounds, r.round = nil, 0
 	r.termStart = r.log.last() + 1
@@ -45,7 +45,7 @@
 func (r *Replica) updateProgress() {
 	m, old := r.members(), r.progress
 	r.progress = map[string]*progress{}
-	for _, id := range slices.Concat(m.Voters, m.Learners) {
+	for _, id := range m.IDs() {
 		if id == r.id {
 			continue
 		}
@@ -57,7 +57,7 @@
 			}
 			p = n
 		}
-		p.learner = slices.Contains(m.Learners, id)
+		p.learner = !m.IsVoter(id)
 		r.progress[id] = p
 	}
 }
@@ -120,9 +120,12 @@
 	if !r.quorumConfirmed.IsZero() {
 		age = 1 + uint64(r.now.Sub(r.quorumConfirmed).Microseconds())
 	}
+	silences := r.silences()
 	for _, id := range r.peers() {
 		p := r.progress[id]
-		r.send(Message{Kind: Heartbeat, To: id, Term: r.state.Term, Commit: min(p.match, r.commit), Context: r.round, Index: age})
+		r.send(Message{
+			Kind: Heartbeat, To: id, Term: r.state.Term, Commit: min(p.match, r.commit), Context: r.round, Index: age, Silences: silences,
+		})
 	}
 	r.confirmRounds()
 }
@@ -153,7 +156,7 @@
 }
 
 func (r *Replica) tickLeader() {
-	if !r.majorityReachable(r.members().Voters) {
+	if !r.members().Quorate(r.answered) {
 		r.becomeFollower(r.state.Term, "")
 		return
 	}
@@ -238,6 +241,7 @@
 		return
 	}
 	r.commit = n
+	r.settleMembers()
 	if !r.isVoter() && r.memberSets[len(r.memberSets)-1].index <= r.commit {
 		r.sendAppends() // tells the followers the commit index before this leader steps down
 		r.becomeFollower(r.state.Term, "")
@@ -252,6 +256,14 @@
 	}
 }
 
+// settleMembers ends a committed joint change, also one that a former leader began.
+func (r *Replica) settleMembers() {
+	m := r.members()
+	if m.Joint() && r.committedInTerm() && r.memberSets[len(r.memberSets)-1].index <= r.commit {
+		r.appendLocal(MembersChange, EncodeMembers(m.settled()))
+	}
+}
+
 // sendAppends sends each peer the entries or the snapshot that it lacks, up to the limit of unanswered appends.
 func (r *Replica) sendAppends() {
 	for _, id := range r.peers() {
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -46,7 +47,8 @@
 type control struct {
 	controlParts
 	name      string
-	maxLosses int // how many replicas may lose their data at the same time
+	maxLosses int           // how many replicas may lose their data at the same time
+	catchUp   time.Duration // time after which a successor must have replaced a lost replica
 	replica   *replica.Replica
 	leases    *lease.Table
 
@@ -56,11 +58,14 @@
 	applied     chan struct{} // signaled after a command is applied
 	convergence convergence
 
-	// The next four fields are used only by the goroutine of runDuties.
+	// The next five fields are used only by the goroutine of runDuties.
 	leading      bool
 	leader       string    // name of the leader at the last run of performDuties
 	lastExpiry   time.Time // time of the last check for expired leases
 	lastMeasured time.Time // time of the last check whether the oldest pending version is in force on all nodes
+	voters       votersLog
+
+	failedChange time.Time // time of the last log line about a failed change of the member set; used only by maintainMembers
 
 	stop context.CancelFunc
 	wait sync.WaitGroup
@@ -72,6 +77,7 @@
 		controlParts: p,
 		name:         s.Name,
 		maxLosses:    s.Seeds.Losses,
+		catchUp:      cmp.Or(s.Seeds.CatchUp, agreement.DefaultCatchUp),
 		leases:       lease.New(lease.WithLease(leaseTime(s))),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
@@ -101,6 +107,7 @@
 	c.replica = r
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
+	c.forgetVoters()
 	c.wait.Go(func() { c.publish(ctx) })
 	c.wait.Go(func() { c.runDuties(ctx) })
 	if p.directory.seeded() {
@@ -240,6 +247,7 @@
 	}
 	if now.Sub(c.lastExpiry) >= expiryInterval {
 		c.lastExpiry = now
+		c.observeVoters(now, st)
 		c.leases.Renew(now, c.name, nil) // the leader has no upstream that would name it in a report
 		for _, e := range c.leases.Expire(now) {
 			c.log.Info("lease expired", "node", e.Node, "endpoint", e.Endpoint, "silent", e.Silent.String())
@@ -276,6 +284,7 @@
 	c.leading = false
 	c.leases.Stop()
 	c.metrics.Leader.Set(0)
+	c.forgetVoters()
 	c.log.Info("leadership ended")
 }
 
--- a/io/host/members.go
+++ b/io/host/members.go
@@ -10,6 +10,8 @@
 const (
 	membersInterval = 100 * time.Millisecond
 	minVoters       = 3
+	// failedChangePause is the time between two log lines about changes of the member set that failed.
+	failedChangePause = time.Second
 )
 
 // maintainMembers keeps the member set complete where replicas are found through seeds: on the leader it adds, promotes and
@@ -36,29 +38,43 @@
 	if st.Role != agreement.Leader {
 		return
 	}
-	step, ok := agreement.NextChange(time.Now(), st, c.announcedReplicas(), c.wantedVoters())
+	step, ok := agreement.NextChange(time.Now(), st, c.target())
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	var err error
-	switch {
-	case step.Add != "":
-		err = c.replica.AddLearner(ctx, step.Add)
-	case step.Promote != "":
-		err = c.replica.Promote(ctx, step.Promote)
-	case step.Remove != "":
-		err = c.replica.Remove(ctx, step.Remove)
+	err := c.changeMember(ctx, step)
+	if err != nil && time.Since(c.failedChange) < failedChangePause {
+		return
 	}
 	if err != nil {
-		c.log.V(1).Info("member set not changed, its next step failed", "add", step.Add, "promote", step.Promote, "remove", step.Remove, "error", err.Error())
+		c.failedChange = time.Now()
+		c.log.Info("member set not changed, its next step failed", "add", step.Add, "promote", step.Promote, "remove", step.Remove, "error", err.Error())
 		return
 	}
 	c.log.Info("member set changed", "add", step.Add, "promote", step.Promote, "remove", step.Remove, "reason", step.Reason,
 		"voters", len(c.replica.Status().Members.Voters))
 }
 
+// changeMember makes one planned change of the member set.
+func (c *control) changeMember(ctx context.Context, p agreement.PlannedChange) error {
+	switch {
+	case p.Add != "":
+		return c.replica.AddLearner(ctx, p.Add)
+	case p.Promote != "" && p.Remove != "":
+		return c.replica.Replace(ctx, p.Remove, p.Promote)
+	case p.Promote != "":
+		return c.replica.Promote(ctx, p.Promote)
+	}
+	return c.replica.Remove(ctx, p.Remove)
+}
+
+// target returns what the member set should become.
+func (c *control) target() agreement.Target {
+	return agreement.Target{Announced: c.announcedReplicas(), Voters: c.wantedVoters(), CatchUp: c.catchUp}
+}
+
 // announcedReplicas returns the identities of the replicas that run on nodes of the version in force.
 func (c *control) announcedReplicas() []string {
 	var list []string
@@ -70,5 +86,6 @@
 	return list
 }
 
-// durable reports whether a majority has more than maxLosses voters, so that a commit survives the loss of maxLosses disks.
+// durable reports whether a majority has more than maxLosses voters, so that a commit survives the loss of maxLosses disks. It holds
+// during a replacement too, since the number of voters is the same before and after it.
 func (c *control) durable() bool { return len(c.replica.Status().Members.Voters)/2+1 > c.maxLosses }
