--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -22,6 +22,7 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time // time of the end of the last request
+	reused    bool      // it has carried a request before
 	peek      func(fd uintptr) bool
 	peekErr   error // result of the last peek
 	// isForeign reports whether an answer belongs to another request.
@@ -51,12 +52,12 @@
 	maxForeignBytes = 1 << 20
 )
 
-// ForeignError reports that a backend server sent too many answers to other requests in place of the one that was due.
+// ForeignError reports that a backend server sent too many or too long answers to other requests in place of the one that was due.
 type ForeignError struct{}
 
-// Error names the limit on such answers.
+// Error names the limits on such answers.
 func (*ForeignError) Error() string {
-	return fmt.Sprintf("backend server: want at most %d answers to other requests before the one that is due", maxForeign)
+	return fmt.Sprintf("backend server: want at most %d answers of %d bytes to other requests before the one that is due", maxForeign, maxForeignBytes)
 }
 
 // Write records that bytes may have been sent, before it writes them.
@@ -85,6 +86,14 @@
 	return err == nil && (c.peekErr == syscall.EAGAIN || c.peekErr == syscall.EINTR)
 }
 
+// resetOnClose makes the close of the connection reset it. A port that is closed in the usual way stays taken for a minute, so under
+// hundreds of refusals a second there would be no port for new connections.
+func (c *conn) resetOnClose() {
+	if n, ok := c.tracked.Conn.(*net.TCPConn); ok {
+		_ = n.SetLinger(0)
+	}
+}
+
 // newConn prepares a new TCP connection for requests.
 func newConn(n *net.TCPConn, isForeign func(*http.Request, *http.Response) bool) (*conn, error) {
 	raw, err := n.SyscallConn()
@@ -168,9 +177,13 @@
 			return nil, &ForeignError{}
 		}
 		w.readingHead = false
-		if _, err := io.Copy(io.Discard, io.LimitReader(p.Body, maxForeignBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(p.Body, maxForeignBytes+1))
+		if err != nil {
 			return nil, err
 		}
+		if n > maxForeignBytes {
+			return nil, &ForeignError{} // the rest of the body must not be read as an answer
+		}
 		w.readingHead, w.headBytesLeft = true, maxHeaderBytes
 	}
 }
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -96,6 +96,9 @@
 		replica.WithPeerClock(p.sender.Clock),
 		replica.WithApplied(func(uint64) { c.signal() }),
 		replica.WithPaused(c.paused),
+		replica.WithSkipped(func(index uint64, entries int) {
+			c.log.Info("membership entries left out, they cannot be decoded; check that all replicas run the same version", "index", index, "entries", entries)
+		}),
 	}
 	if s.Timing.Election > 0 {
 		options = append(options, replica.WithElection(s.Timing.Election, s.Timing.Heartbeat))
@@ -239,7 +242,7 @@
 		c.leaderChanged()
 	}
 	if st.Role != agreement.Leader {
-		c.endLeading()
+		c.endLeading(now, st)
 		return
 	}
 	if !c.leading {
@@ -277,7 +280,7 @@
 }
 
 // endLeading ends the duties of a replica that is no longer the leader.
-func (c *control) endLeading() {
+func (c *control) endLeading(now time.Time, st agreement.Status) {
 	if !c.leading {
 		return
 	}
@@ -285,7 +288,7 @@
 	c.leases.Stop()
 	c.metrics.Leader.Set(0)
 	c.forgetVoters()
-	c.log.Info("leadership ended")
+	c.log.Info("leadership ended", "term", st.Term, "leader", agreement.Name(st.Leader), "silent", describeSilence(now, st))
 }
 
 // beginLeading gives every member a full lease, because the new leader does not know when it last heard from them.
@@ -339,7 +342,14 @@
 	if st.Role != agreement.Leader {
 		return nil, &agreement.NotLeaderError{Leader: st.Leader}
 	}
-	staged := c.leases.Announce(time.Now(), r.GetNode(), r.GetEndpoints(), r.GetLeaving())
+	staged, dropped, err := stageAnnouncement(c.leases, time.Now(), r)
+	if err != nil {
+		c.log.Info("announcement refused", "error", err.Error())
+		return nil, err
+	}
+	if dropped > 0 {
+		c.log.Info("endpoints of an announcement left out, they cannot be used", "node", r.GetNode().GetName(), "endpoints", dropped)
+	}
 	c.log.V(1).Info("announcement", "node", r.GetNode().GetName(), "endpoints", len(r.GetEndpoints()),
 		"leaving", r.GetLeaving(), "staged", staged)
 	return &rpc.AnnounceResponse{Lease: c.leases.Lease().Milliseconds()}, nil
