--- a/core/agreement/members.go
+++ b/core/agreement/members.go
@@ -36,6 +36,11 @@
 	return m.With(id, true)
 }
 
+// Difference returns the voters that a joint set adds and those that it removes.
+func (m Members) Difference() (added, removed []string) {
+	return difference(m.Voters, m.Outgoing), difference(m.Outgoing, m.Voters)
+}
+
 // settled returns the set that follows a joint one: without the outgoing voters.
 func (m Members) settled() Members { return Members{Voters: m.Voters, Learners: m.Learners} }
 
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -376,6 +376,7 @@
 		Report:   &wire.Report{Count: uint32(count), Laggards: behind},
 		Spread:   c.convergence.milliseconds(version),
 		Replicas: c.members(st),
+		Health:   c.health(time.Now(), st),
 	}, nil
 }
 
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -15,7 +15,6 @@
 	"godwitspindle/core/store"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
-	"godwitspindle/io/peer"
 	"godwitspindle/io/rpc"
 )
 
@@ -71,7 +70,7 @@
 		r, err = h.proposer.Propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: c}})
 	}
 	if err != nil {
-		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: err}
+		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	a := r.GetAccepted()
 	h.log.Info("change decided", "id", c.GetId(), "author", c.GetAuthor(), "accepted", a != nil, "version", r.GetVersion())
@@ -85,9 +84,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	version, err := h.confirmedVersion(ctx)
+	version, err := h.readConfirmed(ctx, true)
 	if err != nil {
-		return &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: err}
+		return &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	for h.control.version() < version {
 		if ctx.Err() != nil {
@@ -143,36 +142,29 @@
 }
 
 // meshStatus asks the leader on how many nodes a version is in force; version 0 means the newest.
-func (h *Host) meshStatus(ctx context.Context, version uint64) (*rpc.StatusResponse, error) {
+// With wait, it waits for a leader while a majority is heard.
+func (h *Host) meshStatus(ctx context.Context, version uint64, wait bool) (*rpc.StatusResponse, error) {
 	request := &rpc.StatusRequest{Version: version}
 	if h.Leads() {
-		return h.control.status(ctx, request)
+		if answer, err := h.control.status(ctx, request); err == nil {
+			return answer, nil
+		}
 	}
-	resp, err := peer.FirstAnswer(h.upstream.replicas(), func(a netip.AddrPort) (*connect.Response[rpc.StatusResponse], error) {
-		return h.clients.At(a).Status(ctx, connect.NewRequest(request))
+	resp, err := askReplicas(ctx, h, wait, func(ctx context.Context, a netip.AddrPort) (*connect.Response[rpc.StatusResponse], error) {
+		resp, err := h.clients.At(a).Status(ctx, connect.NewRequest(request))
+		if err != nil {
+			return nil, fmt.Errorf("ask %s for the status: %w", a, err)
+		}
+		return resp, nil
 	})
 	if err != nil {
-		return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: err}
+		return nil, &operator.UnavailableError{Outcome: operator.NotRun, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	return resp.Msg, nil
 }
 
-// awaitMeshStatus retries meshStatus until ctx ends, so that an election is not taken for the loss of a majority.
-func (h *Host) awaitMeshStatus(ctx context.Context) (*rpc.StatusResponse, error) {
-	for {
-		answer, err := h.meshStatus(ctx, 0)
-		if err == nil {
-			return answer, nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, err
-		case <-time.After(progressInterval):
-		}
-	}
-}
-
-// status describes the mesh. If no leader answers within confirmTimeout, it returns what this replica knows.
+// status describes the mesh. If no leader answers within confirmTimeout, or none can be elected, it returns what this replica
+// knows.
 func (h *Host) status(ctx context.Context) (*operator.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
@@ -185,10 +177,11 @@
 		Age:      operator.Duration(h.confirmationAge()),
 		Services: serviceCapacities(v.Table),
 	}
-	answer, err := h.awaitMeshStatus(ctx)
+	answer, err := h.meshStatus(ctx, 0, true)
 	if err != nil {
+		hearing := h.control.hearing(time.Now())
 		m := h.control.replica.Status().Members
-		st.Replicas = membersWithoutProgress(m.Voters, m.Learners)
+		st.Replicas, st.Hearing = membersWithoutProgress(m.Voters, m.Learners), &hearing
 		return st, nil
 	}
 	st.Version = answer.GetVersion()
@@ -196,6 +189,7 @@
 	st.Current = int(answer.GetReport().GetCount())
 	st.Behind = behind(answer.GetReport())
 	st.Replicas = members(answer.GetReplicas())
+	st.Health = newHealth(answer.GetHealth())
 	st.Spread = duration(answer.GetSpread())
 	return st, nil
 }
@@ -226,7 +220,7 @@
 func (h *Host) progressNow(ctx context.Context, version uint64) (*operator.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	answer, err := h.meshStatus(ctx, version)
+	answer, err := h.meshStatus(ctx, version, false)
 	if err != nil {
 		return nil, err
 	}
