--- a/core/agreement/schedule_check_test.go
+++ b/core/agreement/schedule_check_test.go
@@ -24,6 +24,7 @@
 	checked   time.Time // value of until at the last loss of two disks
 	commit    uint64    // highest commit index at the time at
 	at        time.Time
+	lost      map[string]time.Time // end of the time in which a replica counts as lost, by identity
 	newestHit map[string]time.Time // end of the last fault, by identity
 	silent    map[string]time.Time // start of the last fault, by identity, if a sound leader saw it; zero if not
 }
@@ -165,6 +166,18 @@
 	}
 }
 
+// checkBudget checks, also while faults of single replicas go on, that the group bears the losses that it must bear, less those that
+// count now: a further loss may come at any time.
+func (g *group) checkBudget() {
+	if g.now.Sub(g.faults.whole) < g.catchUp {
+		return
+	}
+	m := g.newestMembers()
+	if got, want := g.losses(m), testLosses-g.lostNow(""); got < want {
+		g.t.Fatalf("late: got %d losses that the group bears, want %d; members %+v, running %v, lost %v, %s", got, want, m, g.running(), g.faults.lost, g.describe())
+	}
+}
+
 // newestMembers returns the member set of the running replica with the newest log.
 func (g *group) newestMembers() Members {
 	var newest *Replica
--- a/core/agreement/schedule_step_test.go
+++ b/core/agreement/schedule_step_test.go
@@ -109,9 +109,8 @@
 
 // slot is one of the places of the group; its replica is replaced when its host or disk is lost.
 type slot struct {
-	id        string
-	lostUntil time.Time // end of the time in which the slot counts toward the losses at once
-	started   time.Time // start of its last successor
+	id      string
+	started time.Time // start of its last successor
 }
 
 // cut blocks messages between the given names and all others.
@@ -159,40 +158,40 @@
 	return running[random.Intn(len(running))]
 }
 
-// mayLose reports whether no more than the losses that the group must bear are lost at once with this slot.
-func (g *group) mayLose(s *slot) bool {
-	others := 0
-	for _, o := range g.slots {
-		if o != s && g.now.Before(o.lostUntil) {
-			others++
+// lostNow returns the number of replicas, other than the given one, that count as lost now.
+func (g *group) lostNow(except string) int {
+	n := 0
+	for id, until := range g.faults.lost {
+		if id != except && g.now.Before(until) {
+			n++
 		}
 	}
-	return others < testLosses
+	return n
 }
 
-// loseSlot notes that a slot is lost for d and then counts as lost for the time catchUp.
-func (g *group) loseSlot(s *slot, d time.Duration) {
-	g.noteSilence(s.id)
-	if end := g.now.Add(d + g.catchUp); end.After(s.lostUntil) {
-		s.lostUntil = end
-	}
-	if end := g.now.Add(d); end.After(g.faults.newestHit[s.id]) {
-		g.faults.newestHit[s.id] = end
-	}
+// mayLose reports whether no more than the losses that the group must bear are lost at once with this replica.
+func (g *group) mayLose(id string) bool { return g.lostNow(id) < testLosses }
+
+// lose notes that a replica is lost for d. It then counts as lost for the time catchUp, which begins after the last fault of the whole
+// group, since nothing can be replaced during such a fault.
+func (g *group) lose(id string, d time.Duration) {
+	g.noteSilence(id)
+	end := g.now.Add(d)
+	g.faults.newestHit[id] = later(g.faults.newestHit[id], end)
+	g.faults.lost[id] = later(g.faults.lost[id], later(end, g.faults.whole).Add(g.catchUp))
 	g.extendFaults(d)
 }
 
-// holdLosses keeps what is lost now counted as lost until the group has had the time catchUp after a fault of the whole group.
+// holdLosses begins a fault of the whole group. What is lost now stays lost until the group has had the time catchUp after it.
 func (g *group) holdLosses(d time.Duration) {
-	for _, s := range g.slots {
-		if g.now.Before(s.lostUntil) {
-			g.loseSlot(s, d)
+	end := g.now.Add(d)
+	g.faults.whole = later(g.faults.whole, end)
+	for id, until := range g.faults.lost {
+		if g.now.Before(until) {
+			g.faults.lost[id] = later(until, end.Add(g.catchUp))
 		}
 	}
 	g.extendFaults(d)
-	if end := g.now.Add(d); end.After(g.faults.whole) {
-		g.faults.whole = end
-	}
 }
 
 // begin carries out a step now, or lets it wait for the next change of the voters.
@@ -227,7 +226,7 @@
 		g.restartAll(s.length)
 	default:
 		sl := g.find(s.target, random)
-		if sl == nil || !g.mayLose(sl) {
+		if sl == nil || !g.mayLose(sl.id) {
 			return
 		}
 		g.logf("%s: %s", s, sl.id)
@@ -246,17 +245,17 @@
 		g.names++
 		g.replace(sl, fmt.Sprintf("%s/%d", Name(sl.id), g.names), d, false)
 	case restartOne:
-		g.loseSlot(sl, d)
+		g.lose(sl.id, d)
 		g.restart(sl.id, d)
 	case cutOff:
-		g.loseSlot(sl, d)
+		g.lose(sl.id, d)
 		in, out := random.Intn(3) > 0, random.Intn(3) > 0
 		g.addCut(d, &cut{names: []string{Name(sl.id)}, in: in || !out, out: out || !in})
 	case freeze:
-		g.loseSlot(sl, d)
+		g.lose(sl.id, d)
 		g.impair(sl.id, d, func(p *process, by int) { p.frozen += by })
 	case slowDisk:
-		g.loseSlot(sl, d)
+		g.lose(sl.id, d)
 		g.impair(sl.id, d, func(p *process, by int) { p.slow += by })
 	}
 }
@@ -275,7 +274,7 @@
 // replica goes later. A host that leaves is no longer announced from halfway on, while its replica still runs.
 func (g *group) replace(sl *slot, successor string, d time.Duration, leaves bool) {
 	old := sl.id
-	g.loseSlot(sl, max(d, -d))
+	g.lose(old, max(d, -d))
 	if leaves {
 		g.after(max(0, -d)/2, func() { g.withdraw(old) })
 	}
@@ -287,7 +286,6 @@
 		g.logf("%s starts for %s", successor, old)
 		g.stores[successor] = &store{}
 		sl.id, sl.started = successor, g.now
-		g.loseSlot(sl, max(0, -d))
 		g.startProcess(successor)
 	})
 }
@@ -327,7 +325,7 @@
 func (g *group) endLeaders(n int, random *rand.Rand) {
 	next := 300*time.Millisecond + time.Duration(random.Int63n(int64(1200*time.Millisecond)))
 	g.extendFaults(next)
-	if sl := g.slotOf(g.leader()); sl != nil && g.mayLose(sl) {
+	if sl := g.slotOf(g.leader()); sl != nil && g.mayLose(sl.id) {
 		kind := []stepKind{restartOne, cutOff}[random.Intn(2)]
 		g.logf("%s %s, one of a series", kind, sl.id)
 		g.hit(sl, step{kind: kind, length: next}, random)
--- a/core/agreement/schedule_test.go
+++ b/core/agreement/schedule_test.go
@@ -91,7 +91,7 @@
 		}
 	}()
 	g = newGroup(t, p)
-	g.faults = quiet{until: g.now, at: g.now, newestHit: map[string]time.Time{}, silent: map[string]time.Time{}}
+	g.faults = quiet{until: g.now, at: g.now, newestHit: map[string]time.Time{}, silent: map[string]time.Time{}, lost: map[string]time.Time{}}
 	end := g.now
 	for _, s := range steps {
 		g.after(s.at, func() { g.begin(s) })
@@ -99,6 +99,7 @@
 		g.faults.until = end
 	}
 	g.every(quietInterval, g.checkQuiet)
+	g.every(quietInterval, g.checkBudget)
 	g.runUntil(end)
 	for g.now.Before(g.faults.until.Add(g.catchUp + 2*progressPeriod)) {
 		g.runUntil(g.now.Add(quietInterval))
