--- a/core/agreement/schedule_check_test.go
+++ b/core/agreement/schedule_check_test.go
@@ -17,13 +17,13 @@
 	soundPeriod    = 500 * time.Millisecond // a voter without a fault for this long is not replaced; as long as the longest listening time
 )
 
-// quiet is what the checks of a quiet group remember.
-type quiet struct {
-	until     time.Time // end of the last fault
-	whole     time.Time // end of the last fault of the whole group
-	checked   time.Time // value of until at the last loss of two disks
-	commit    uint64    // highest commit index at the time at
-	at        time.Time
+// faultRecord is what the checks remember of the faults, and of the quiet time since.
+type faultRecord struct {
+	until     time.Time            // end of the last fault
+	whole     time.Time            // end of the last fault of the whole group
+	checked   time.Time            // value of until at the last loss of two disks
+	commit    uint64               // highest commit index at the time at
+	at        time.Time            // start of the period in which the quiet group must commit
 	lost      map[string]time.Time // end of the time in which a replica counts as lost, by identity
 	newestHit map[string]time.Time // end of the last fault, by identity
 	silent    map[string]time.Time // start of the last fault, by identity, if a sound leader saw it; zero if not
--- a/core/agreement/schedule_group_test.go
+++ b/core/agreement/schedule_group_test.go
@@ -79,7 +79,7 @@
 	names             int // hosts started so far
 	context           uint64
 	armed             []step
-	faults            quiet
+	faults            faultRecord
 	trace             []string
 }
 
--- a/core/agreement/schedule_test.go
+++ b/core/agreement/schedule_test.go
@@ -91,17 +91,18 @@
 		}
 	}()
 	g = newGroup(t, p)
-	g.faults = quiet{until: g.now, at: g.now, newestHit: map[string]time.Time{}, silent: map[string]time.Time{}, lost: map[string]time.Time{}}
+	g.faults = faultRecord{
+		until: g.now, at: g.now, newestHit: map[string]time.Time{}, silent: map[string]time.Time{}, lost: map[string]time.Time{},
+	}
 	end := g.now
 	for _, s := range steps {
 		g.after(s.at, func() { g.begin(s) })
 		end = g.origin.Add(s.at)
-		g.faults.until = end
 	}
 	g.every(quietInterval, g.checkQuiet)
 	g.every(quietInterval, g.checkBudget)
 	g.runUntil(end)
-	for g.now.Before(g.faults.until.Add(g.catchUp + 2*progressPeriod)) {
+	for g.now.Before(later(end, g.faults.until).Add(g.catchUp + 2*progressPeriod)) {
 		g.runUntil(g.now.Add(quietInterval))
 	}
 	return "", g.trace
