fix(agreement): a voter that was replaced while it was cut off joins again under the next leader

Operators would see: a replica that is back is not added, and the next lost voter has no successor: the group bears one loss instead of two. Cause: a new leader kept the time of a former member from before its removal, took it for silent, and heard nothing from it, since that replica takes itself for a voter and campaigns at the voters that it knows. Change: a new leader starts with the times of the members only, so it adds an announced former member at once. If that one is lost, it is a learner that does not answer until its lease expires.

--- a/core/agreement/heard.go
+++ b/core/agreement/heard.go
@@ -1,9 +1,6 @@
 package agreement
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // Silence is a member that the leader has not heard for some time.
 type Silence struct {
@@ -78,10 +75,9 @@
 	return b
 }
 
-// lastAliveTimes returns when each other member, and each former one that this replica has heard, was last known to be alive.
-func (r *Replica) lastAliveTimes() map[string]time.Time {
-	times := maps.Clone(r.heard)
-	delete(times, r.id)
+// memberTimes returns when each other member was last known to be alive.
+func (r *Replica) memberTimes() map[string]time.Time {
+	times := make(map[string]time.Time, len(r.heard))
 	for _, id := range r.members().IDs() {
 		if id != r.id {
 			times[id] = r.lastAlive(id)
@@ -89,3 +85,17 @@
 	}
 	return times
 }
+
+// lastAliveTimes returns memberTimes and, on a leader, the times of the members that it has removed.
+func (r *Replica) lastAliveTimes() map[string]time.Time {
+	times := r.memberTimes()
+	if r.role != Leader {
+		return times
+	}
+	for id, t := range r.heard {
+		if _, member := times[id]; !member {
+			times[id] = t
+		}
+	}
+	return times
+}
--- a/core/agreement/leader.go
+++ b/core/agreement/leader.go
@@ -39,7 +39,7 @@
 	r.progress = map[string]*progress{}
 	r.rounds, r.round = nil, 0
 	r.marks = nil
-	r.heard = r.lastAliveTimes() // keeps a time for each member, also after its removal
+	r.heard = r.memberTimes() // holds a time for each member, also after a removal by this leader
 	r.termStart = r.log.last() + 1
 	for id := range r.votes {
 		r.progress[id] = &progress{lastHeard: r.now}
--- a/core/agreement/schedule_test.go
+++ b/core/agreement/schedule_test.go
@@ -21,14 +21,15 @@
 var scheduleFailed = []struct {
 	seed  int64
 	cause string
-}{}
+}{
+	{20732, "a voter that was replaced while it was cut off was not added again: the new leader took it for silent, and did not hear it"},
+}
 
 // scheduleOpen lists seeds that fail because of a fault that is not mended yet, with the cause.
 var scheduleOpen = []struct {
 	seed  int64
 	cause string
 }{
-	{20732, "a voter that was replaced while it was cut off is not added again: the new leader takes it for silent, and does not hear it"},
 	{20350, "a learner waits two election timeouts for the repetition of each lost snapshot message"},
 	{20428, "two elections, with an election timeout of 1 s, take longer than a catchUp of 4 s"},
 	{20899, "a restarted leader counts the silence of a lost voter from its own start"},
