--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -320,3 +320,22 @@
 	}
 	check("compact", 2, func() error { return l.Compact(agreement.Snapshot{Index: 4, Term: 3, Members: founding.Members}) })
 }
+
+// Guards against a snapshot that loses the outgoing voters of a replacement, so that a restarted replica needs one majority only.
+func TestSnapshotOfReplacement(t *testing.T) {
+	folder := t.TempDir()
+	writeLog(t, folder)
+	l, err := Open(folder, WithName("a"))
+	if err != nil {
+		t.Fatalf("Open: %v", err)
+	}
+	want := agreement.Members{Voters: []string{"a/1", "b/1"}, Outgoing: []string{"a/1", "c/1"}}
+	if err := l.Compact(agreement.Snapshot{Index: 4, Term: 3, Members: want, Data: []byte("s")}); err != nil {
+		t.Fatalf("Compact: %v", err)
+	}
+	_ = l.Close()
+	loaded, err := load(folder)
+	if got := loaded.Snapshot.Members; err != nil || !reflect.DeepEqual(got.Voters, want.Voters) || !reflect.DeepEqual(got.Outgoing, want.Outgoing) {
+		t.Errorf("got %+v (%v), want %+v", got, err, want)
+	}
+}
