refactor(agreement): the wait of one learner is asked for by its identity

Cause: Status.Waits described the first learner only, and its caller copied the status for each of them to get at the others. Change: Status.LearnerWait(now, target, id). No decision changes.

--- a/core/agreement/health.go
+++ b/core/agreement/health.go
@@ -1,9 +1,6 @@
 package agreement
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Health is what a leader knows about how many more voters its group can lose.
 type Health struct {
@@ -52,20 +49,15 @@
 	Behind  uint64 // committed entries that the learner is not known to have
 }
 
-// Waits returns the first learner for which NextChange proposes nothing, and the cause, or false if there is no learner.
-func (s *Status) Waits(now time.Time, t Target) (Wait, bool) {
-	if len(s.Members.Learners) == 0 {
-		return Wait{}, false
-	}
-	id := s.caughtUpLearner(now, t.silence())
-	if id != "" {
-		return Wait{Learner: id, Cause: NoneSilent}, true
-	}
-	id = slices.Min(s.Members.Learners)
+// LearnerWait says why a learner does not replace a voter; NoneSilent for one that has caught up.
+func (s *Status) LearnerWait(now time.Time, t Target, id string) Wait {
 	p := s.Progress[id]
-	w := Wait{Learner: id, Cause: LearnerBehind, Behind: s.Commit - min(p.Match, s.Commit)}
-	if p.LastHeard.IsZero() || now.Sub(p.LastHeard) >= t.silence()/2 {
+	w := Wait{Learner: id, Cause: NoneSilent, Behind: s.Commit - min(p.Match, s.Commit)}
+	switch {
+	case p.LastHeard.IsZero() || now.Sub(p.LastHeard) >= t.silence()/2:
 		w.Cause = LearnerSilent
+	case !p.CaughtUp:
+		w.Cause = LearnerBehind
 	}
-	return w, true
+	return w
 }
--- a/core/agreement/schedule_check_test.go
+++ b/core/agreement/schedule_check_test.go
@@ -199,8 +199,9 @@
 	}
 	if l := g.leader(); l != "" {
 		s := g.members[l].Status()
-		w, _ := s.Waits(g.now, Target{CatchUp: g.catchUp})
-		text += fmt.Sprintf("learner waits: %+v", w)
+		for _, id := range s.Members.Learners {
+			text += fmt.Sprintf("learner waits: %+v ", s.LearnerWait(g.now, Target{CatchUp: g.catchUp}, id))
+		}
 	}
 	return text
 }
--- a/io/host/health.go
+++ b/io/host/health.go
@@ -24,12 +24,7 @@
 func (c *control) learnerWaits(now time.Time, st agreement.Status, t agreement.Target) []agreement.Wait {
 	var list []agreement.Wait
 	for _, id := range st.Members.Learners {
-		one := st
-		one.Members.Learners = []string{id} // Waits describes only one of the learners
-		w, ok := one.Waits(now, t)
-		if !ok {
-			continue
-		}
+		w := st.LearnerWait(now, t, id)
 		if w.Cause == agreement.NoneSilent {
 			w.Cause = c.caughtUpCause(now, st, t, id)
 		}
