--- a/core/agreement/schedule_test.go
+++ b/core/agreement/schedule_test.go
@@ -17,11 +17,15 @@
 	scheduleAll   = flag.Bool("schedule.all", false, "go on after a seed that fails, and print one line for each")
 )
 
-// scheduleFailed lists seeds that have failed before, with the cause. Each run plays them first.
+// scheduleFailed lists seeds that have failed before, with the cause: a fault, or a trial in which one rule was broken by hand. Each run
+// plays them first; the seeds 1, 12 and 18, which notice other trials, are in the range that is played by default.
 var scheduleFailed = []struct {
 	seed  int64
 	cause string
-}{}
+}{
+	{280, "a replica that was removed while it was cut off was never added again"},
+	{137, "trial: an entry was committed by a majority of the new voters alone"},
+}
 
 // scheduleOpen lists seeds that fail because of a fault that is not mended yet, with the cause.
 var scheduleOpen = []struct {
