test(agreement): the next leader knows the silences of the one before

Cause: with no silence told in heartbeats all tests passed; TestHeartbeatsTellSilences looks at the follower only. Change: a test over an election. Measured: it fails with nothing told (broken by hand) and passes.

--- a/core/agreement/heard_test.go
+++ b/core/agreement/heard_test.go
@@ -36,3 +36,21 @@
 		}
 	}
 }
+
+// Guards against a leader that keeps the silence of a member to itself: followers hear nothing of each other, so after the next election
+// the silence would begin anew.
+func TestNextLeaderKnowsSilence(t *testing.T) {
+	c := newCluster(t, 5, 1)
+	c.run(4 * time.Second)
+	former := c.leader()
+	lost := difference(c.running(), []string{former})[0]
+	c.lose(lost)
+	at := c.now
+	c.run(3 * time.Second)
+	delete(c.members, former)
+	c.awaitOtherLeader(former)
+	heard := c.members[c.leader()].Status().Heard[lost]
+	if late := heard.Sub(at); late > defaultElectionTimeout {
+		t.Errorf("the next leader takes %s for alive until %s after its loss, want at most %s", lost, late, defaultElectionTimeout)
+	}
+}
