--- a/io/peer/deliver.go
+++ b/io/peer/deliver.go
@@ -19,9 +19,9 @@
 	deliverTimeout    = 3 * time.Second
 	maxClockAge       = time.Minute           // age from which a clock reading is ignored
 	retryDelay        = 50 * time.Millisecond // pause after a failed delivery, so that an unreachable peer costs little
-	// snapshotRate is the lowest rate of a link in bytes per second for which a whole snapshot is given the time to arrive. Pings end
-	// the delivery to a peer that does not answer sooner.
-	snapshotRate = 512 << 10
+	// snapshotRate is the lowest rate in bytes per second, 1 Mbit/s, at which a whole snapshot is given the time to be packed and to
+	// arrive. Pings end the delivery to a peer that does not answer sooner.
+	snapshotRate = 128 << 10
 )
 
 // Sender sends agreement messages to the other replicas in batches, from one ordered queue per replica.
--- a/io/peer/deliver_test.go
+++ b/io/peer/deliver_test.go
@@ -15,14 +15,21 @@
 	"godwitspindle/core/agreement"
 )
 
-// thinConn writes at most the given number of bytes per second.
+// thinConn writes at most the given number of bytes per second on average since its first write. A late wakeup does not lower the
+// rate of the following writes.
 type thinConn struct {
 	net.Conn
-	rate int
+	rate    int
+	began   time.Time
+	written int
 }
 
-func (c thinConn) Write(b []byte) (int, error) {
-	time.Sleep(time.Duration(len(b)) * time.Second / time.Duration(c.rate))
+func (c *thinConn) Write(b []byte) (int, error) {
+	if c.began.IsZero() {
+		c.began = time.Now()
+	}
+	c.written += len(b)
+	time.Sleep(time.Until(c.began.Add(time.Duration(c.written) * time.Second / time.Duration(c.rate))))
 	return c.Conn.Write(b)
 }
 
@@ -46,7 +53,7 @@
 	at := netip.MustParseAddrPort(s.Listener.Addr().String())
 	clients := NewClients(WithClientDial(func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return thinConn{c, rate}, err
+		return &thinConn{Conn: c, rate: rate}, err
 	}))
 	defer clients.Close()
 	sender := NewSender(clients, func(string) (netip.AddrPort, bool) { return at, true }, logr.Discard())
