fix(process): trailers set while a request's turn begins end no process

Callers would see: a node that ends with a concurrent map use, all its requests with it, when an answer with trailers to a request that was sent behind another one ends at the moment at which its turn begins. Cause: the turn's goroutine copied the header map of the handler, which goes on writing trailers into it. Change: the head is copied when the handler sets the status, as net/http does; the map belongs to the handler until it has returned.

--- a/io/process/early.go
+++ b/io/process/early.go
@@ -21,8 +21,9 @@
 	release  func()        // removes the request from the count of early requests
 
 	mu       sync.Mutex
-	header   http.Header
-	status   int // status of the answer; 0 until the handler sets it
+	header   http.Header // used by the handler only, until it has returned
+	head     http.Header // copy of header when the handler set the status
+	status   int         // status of the answer; 0 until the handler sets it
 	body     []byte
 	flushed  bool                // the handler flushed the answer before its turn
 	deadline time.Time           // time by which the answer must be written
@@ -85,7 +86,7 @@
 
 // sendHead sends status and header. The caller holds the mutex, and it is the request's turn.
 func (e *earlyRequest) sendHead() {
-	maps.Copy(e.writer.Header(), e.header)
+	maps.Copy(e.writer.Header(), e.head)
 	e.pipeline.setConnectionClose(e.writer.Header())
 	e.writer.WriteHeader(e.status)
 }
@@ -100,7 +101,7 @@
 	if e.status != 0 {
 		return
 	}
-	e.status = status
+	e.status, e.head = status, e.header.Clone()
 	if e.writer != nil {
 		e.sendHead()
 	}
