--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -41,7 +41,7 @@
 		return nil, nil, err
 	}
 	body, err := io.ReadAll(p.Body)
-	c.record.add("answer to %s: %d, signature %q, %d bytes of body%s", label, p.StatusCode, p.Header.Get(headerSignature), len(body), errorText(err))
+	c.record.add("answer to %s: %d, signature %q, %d bytes of body, whole: %v", label, p.StatusCode, p.Header.Get(headerSignature), len(body), err == nil)
 	return p, body, err
 }
 
--- a/review/rig/mesh.go
+++ b/review/rig/mesh.go
@@ -254,11 +254,11 @@
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
 		for _, c := range m.cores {
 			status, text, err := m.call(http.MethodPut, fmt.Sprintf("http://%s:%d/-/config", c.ip, m.admin), body)
-			m.record.add("operator: order to %s answered %d %s%s", c.name, status, text, errorText(err))
+			m.record.add("operator: order to %s: %s", c.name, describe(status, text, err))
 			if status == http.StatusOK {
 				return nil
 			}
-			last = fmt.Errorf("%s answers %d %s", c.name, status, text)
+			last = fmt.Errorf("%s: %s", c.name, describe(status, text, err))
 			if status >= 400 && status < 500 {
 				return last
 			}
@@ -267,11 +267,12 @@
 	return last
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
+// describe describes an answer for the record.
+func describe(status int, text string, err error) string {
+	if err != nil {
+		return "no answer, " + err.Error()
 	}
-	return "none (" + err.Error() + ")"
+	return strings.TrimSpace(fmt.Sprintf("answered %d %s", status, text))
 }
 
 func (m *mesh) call(method, url, body string) (status int, text string, err error) {
--- a/review/rig/seed.go
+++ b/review/rig/seed.go
@@ -82,8 +82,8 @@
 // lookAround records what consumers and the platform see without a configuration.
 func (m *mesh) lookAround() {
 	for _, s := range m.sides {
-		status, _, err := m.call(http.MethodGet, fmt.Sprintf("http://%s:%d/-/ready", s.ip, m.ready), "")
-		m.record.add("ready of %s: %d%s", s.name, status, errorText(err))
+		status, text, err := m.call(http.MethodGet, fmt.Sprintf("http://%s:%d/-/ready", s.ip, m.ready), "")
+		m.record.add("ready of %s: %s", s.name, describe(status, text, err))
 		c, err := m.connect(s)
 		if err != nil {
 			continue
