--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -28,19 +28,33 @@
 // send writes bytes and records them under a label.
 func (c *consumer) send(label, text string) error {
 	c.record.add("sent %s: %q", label, shorten(text))
+	return c.write(text)
+}
+
+// write writes bytes without a line in the record.
+func (c *consumer) write(text string) error {
 	_, err := io.WriteString(c, text)
 	return err
 }
 
-// receive reads one answer to a request of the given method within the limit.
-func (c *consumer) receive(label, method string, limit time.Duration) (*http.Response, []byte, error) {
+// read reads one answer without a line in the record.
+func (c *consumer) read(method string, limit time.Duration) (*http.Response, []byte, error) {
 	_ = c.SetReadDeadline(time.Now().Add(limit))
 	p, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
-		c.record.add("answer to %s: none, %v", label, err)
 		return nil, nil, err
 	}
 	body, err := io.ReadAll(p.Body)
+	return p, body, err
+}
+
+// receive reads one answer to a request of the given method within the limit.
+func (c *consumer) receive(label, method string, limit time.Duration) (*http.Response, []byte, error) {
+	p, body, err := c.read(method, limit)
+	if p == nil {
+		c.record.add("answer to %s: none, %v", label, err)
+		return nil, nil, err
+	}
 	c.record.add("answer to %s: %d, signature %q, %d bytes of body, whole: %v", label, p.StatusCode, p.Header.Get(headerSignature), len(body), err == nil)
 	return p, body, err
 }
--- a/review/rig/endpoint.go
+++ b/review/rig/endpoint.go
@@ -31,6 +31,7 @@
 	server       *http.Server
 	record       *record
 	acknowledged atomic.Int64
+	quiet        atomic.Bool // runs are counted, but not recorded one by one
 
 	mu     sync.Mutex
 	runs   []run
@@ -97,7 +98,9 @@
 	e.runs = append(e.runs, n)
 	answer := e.answer
 	e.mu.Unlock()
-	e.record.add("run by %s of %s: %s %s id=%s caller-service=%q", e.id, n.service, n.method, n.target, n.id, n.origin)
+	if !e.quiet.Load() {
+		e.record.add("run by %s of %s: %s %s id=%s caller-service=%q", e.id, n.service, n.method, n.target, n.id, n.origin)
+	}
 	h.Set(headerSignature, "sig."+id)
 	if answer != nil {
 		answer(w, r)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,11 +27,11 @@
 type play func(r *record, program string, trouble bool) error
 
 var plays = map[string]play{
-	"body":    playBody,
-	"seed":    playSeed,
-	"smuggle": playSmuggle,
-	"service": playService,
-	"encoded": playEncoded,
+	"pipeline": playPipeline,
+	"body":     playBody,
+	"seed":     playSeed,
+	"encoded":  playEncoded,
+	"service":  playService,
 }
 
 func main() {
