--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"time"
 )
 
@@ -32,6 +33,7 @@
 	"seed":     playSeed,
 	"encoded":  playEncoded,
 	"service":  playService,
+	"smuggle":  playSmuggle, // not one of the five cases
 }
 
 func main() {
@@ -54,6 +56,17 @@
 	os.Exit(exitCode(r, plays[os.Args[1]](r, os.Args[2], trouble)))
 }
 
+// verdict returns the result of a case from what broke the rule and from the number of runs, without which there is nothing to judge.
+func verdict(broken []string, runs int) error {
+	switch {
+	case len(broken) > 0:
+		return fmt.Errorf("%w: %s", errBroken, strings.Join(broken, "; "))
+	case runs == 0:
+		return errors.New("no request was run")
+	}
+	return nil
+}
+
 // exitCode records and prints the result of a case.
 func exitCode(r *record, err error) int {
 	code, text := exitHeld, "the rule held"
--- a/review/rig/mesh.go
+++ b/review/rig/mesh.go
@@ -232,6 +232,16 @@
 // signal sends a signal to the process of a machine.
 func (c *machine) signal(s syscall.Signal) { _ = c.cmd.Process.Signal(s) }
 
+// runs reports whether the process of a machine has been started and has not ended.
+func (c *machine) runs() bool {
+	select {
+	case <-c.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // stop ends all processes and stand-ins and removes the folder.
 func (m *mesh) stop() {
 	close(m.stopping)
--- a/review/rig/seed.go
+++ b/review/rig/seed.go
@@ -37,6 +37,11 @@
 		}
 	}
 	time.Sleep(contact + time.Second) // from here on the core is stable
+	for _, c := range m.machines() {
+		if !c.runs() {
+			return fmt.Errorf("the process of %s has ended", c.name)
+		}
+	}
 	r.add("the core is stable, %d of %d core machines run", len(m.cores), coreCount)
 	began := time.Now()
 	err = m.put(document([]route{{"/lepu270/", "safe", "2000ms", "archive"}}), orderLimit)
