--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -33,7 +33,8 @@
 	"seed":     playSeed,
 	"encoded":  playEncoded,
 	"service":  playService,
-	"smuggle":  playSmuggle, // not one of the five cases
+	"smuggle":  playSmuggle,  // not one of the five cases
+	"trailing": playTrailing, // not one of the five cases
 }
 
 func main() {
