feat(caller): requests ask the rule of a planned stop

Callers saw requests cut at the end of a stop that had reached their endpoint late: after a slow body, a wait for a claim, a wait before a retry or a repick nothing asked whether enough time was left, and a body was read until the request's own deadline.

A request is asked for when its head is routed, when its body is whole, before each claim and before each attempt. What it waits for (body, claim, pause) ends once it may no longer begin, also if the stop begins during the wait; it is then refused as draining, and as unknown if an earlier attempt may have run. If the rest of a large body does not come, the attempt ends at once with an unknown outcome instead of waiting for the endpoint until the deadline. The work on claims after an answer can be bounded (Shutdown), and a release before a refusal leaves time for the refusal.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -62,6 +62,9 @@
 func (c *call) sendWithRetries() (*http.Response, *outcome.Failure) {
 	var last *outcome.Failure
 	for {
+		if f := c.stopRefusal(0); f != nil {
+			return nil, c.requestOutcome(f)
+		}
 		e, f := c.pickEndpoint(last)
 		if f != nil {
 			return nil, c.requestOutcome(f)
@@ -70,7 +73,7 @@
 		if f == nil {
 			return p, nil
 		}
-		v := c.decideRetry(f)
+		v, f := c.decideRetry(f)
 		if !v.Retry && p != nil {
 			c.refused = true
 			return p, nil // the backend server's refusal is passed on as the answer
@@ -130,10 +133,12 @@
 		m.Objective, m.Resent, m.LastAttempt = c.objective.Sub(begin), c.resent, c.noResends
 	}
 	m.Budget, c.budget = retry.Split(c.budget)
+	ctx, lost := c.bodyContext()
 	r := *c.outbound
-	r.Body, r.ContentLength = c.body.attemptBody(c.r.ContentLength)
+	r.Body, r.ContentLength = c.body.attemptBody(c.r.ContentLength, lost)
 	h.attemptStarted(c.endpoint, begin)
-	p, err := h.send(c.ctx, e, m, &r)
+	p, err := h.send(ctx, e, m, &r)
+	lost.detach()
 	o := Observation{At: h.now(), Incarnation: e.Incarnation}
 	o.Took = o.At.Sub(begin)
 	if err != nil {
@@ -142,7 +147,7 @@
 			c.budget += m.Budget // the request did not run, so no call made for it has used these retries
 		}
 		h.attemptDone(c.endpoint, o)
-		return nil, o.Failure
+		return nil, c.lostOutcome(o.Failure, lost)
 	}
 	o.Status, o.Leaving, o.Limit = p.StatusCode, hop.Leaving(p), hop.Limit(p)
 	if load, ok := hop.Load(p); ok {
@@ -164,8 +169,9 @@
 }
 
 // decideRetry asks the retry policy whether to send again. Whatever the policy says, decideRetry never repeats a
-// request that may run only once and may have run, nor one whose body is partly consumed.
-func (c *call) decideRetry(f *outcome.Failure) Verdict {
+// request that may run only once and may have run, nor one whose body is partly consumed, nor one that a planned stop refuses. It
+// also returns the failure of the request if that is not sent again.
+func (c *call) decideRetry(f *outcome.Failure) (Verdict, *outcome.Failure) {
 	resendable := c.body.resendable()
 	v := c.handler.decideRetry(Attempt{
 		Route: c.match.Route, Service: c.match.Service.Name, Failure: f, Endpoint: c.endpoint, Repicks: c.repicks, Retries: c.retries, Budget: c.budget,
@@ -173,6 +179,12 @@
 	})
 	safe := f.Kind == outcome.NotRun || (c.match.Route.Idempotent && f.Kind == outcome.Unknown)
 	v.Retry = v.Retry && safe && resendable && c.ctx.Err() == nil
+	if stop := c.stopRefusal(v.Wait); v.Retry && stop != nil {
+		v.Retry, v.Reason = false, reasonStopping
+		if f.Kind == outcome.NotRun {
+			f = stop // its RetryAfter is shorter, because other nodes can serve the request at once
+		}
+	}
 	if v.Retry && v.Repick {
 		c.repicks++
 	}
@@ -185,7 +197,7 @@
 		c.handler.log.Info("attempt failed, trying again", "call", c.id, "route", c.match.Route.Name, "endpoint", c.endpoint, "code", f.Code,
 			"outcome", f.Kind, "repick", v.Repick, "reason", c.retryReason, "detail", f.Detail, "error", cause(f))
 	}
-	return v
+	return v, f
 }
 
 // sleep waits before the next attempt. It returns false without waiting if the deadline comes first, or once the request ends.
@@ -196,7 +208,14 @@
 	if d >= c.deadline.Sub(c.handler.now()) {
 		return false
 	}
-	return sleepContext(c.ctx, d)
+	ctx, done := c.waitContext()
+	defer done()
+	return c.pause(ctx, d)
+}
+
+// pause waits, at most until ctx ends, and reports whether the request goes on. Whether it may be sent is decided after it.
+func (c *call) pause(ctx context.Context, d time.Duration) bool {
+	return sleepContext(ctx, d) || c.ctx.Err() == nil
 }
 
 func sleepContext(ctx context.Context, d time.Duration) bool {
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
+	"godwitspindle/core/outcome"
 	"godwitspindle/io/hop"
 )
 
@@ -14,6 +17,7 @@
 	prefix   []byte
 	rest     io.Reader   // nil when prefix is the complete body
 	consumed atomic.Bool // an attempt has read from a body that is larger than prefix
+	complete func()      // called once rest was read to its end
 }
 
 // readBody reads a body of up to hop.MaxFingerprintBytes completely, and only the start of a larger one.
@@ -36,18 +40,19 @@
 	if len(head) <= hop.MaxFingerprintBytes {
 		return &body{prefix: head}, nil
 	}
-	return &body{prefix: head, rest: r.Body}, nil
+	return &body{prefix: head, rest: r.Body, complete: func() {}}, nil
 }
 
-// attemptBody returns a reader of the body for one attempt, and its length, -1 when unknown.
-func (b *body) attemptBody(length int64) (io.ReadCloser, int64) {
+// attemptBody returns a reader of the body for one attempt, and its length, -1 when unknown. A failure to read the rest is passed to
+// lost.
+func (b *body) attemptBody(length int64, lost *lostBody) (io.ReadCloser, int64) {
 	if b.rest == nil && len(b.prefix) == 0 {
 		return nil, 0
 	}
 	if b.rest == nil {
 		return io.NopCloser(bytes.NewReader(b.prefix)), int64(len(b.prefix))
 	}
-	return &attemptReader{body: b, prefix: b.prefix}, length
+	return &attemptReader{body: b, prefix: b.prefix, lost: lost}, length
 }
 
 // resendable reports whether the body can be sent again. A body with a rest cannot once an attempt has read from it.
@@ -59,6 +64,7 @@
 type attemptReader struct {
 	body   *body
 	prefix []byte
+	lost   *lostBody
 	closed atomic.Bool
 }
 
@@ -74,7 +80,14 @@
 		p.prefix = p.prefix[n:]
 		return n, nil
 	}
-	return p.body.rest.Read(b)
+	n, err := p.body.rest.Read(b)
+	switch {
+	case err == io.EOF:
+		p.body.complete()
+	case err != nil && !p.closed.Load():
+		p.lost.set(err)
+	}
+	return n, err
 }
 
 // Close makes further reads of this attempt fail; the underlying body stays open.
@@ -82,3 +95,50 @@
 	p.closed.Store(true)
 	return nil
 }
+
+// lostBody ends an attempt when the rest of the body cannot be read. Without it, the endpoint would wait for the rest, and the
+// attempt for the endpoint, until the deadline. Once the endpoint answers, the attempt no longer depends on the body.
+type lostBody struct {
+	mu     sync.Mutex
+	cancel context.CancelFunc // nil once the attempt no longer depends on the body
+	err    error
+}
+
+func (l *lostBody) set(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cancel != nil && l.err == nil {
+		l.err = err
+		l.cancel()
+	}
+}
+
+// detach makes later failures have no effect.
+func (l *lostBody) detach() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancel = nil
+}
+
+// bodyContext returns the context of an attempt. For a body with a rest, it also ends when the rest cannot be read.
+func (c *call) bodyContext() (context.Context, *lostBody) {
+	if c.body.rest == nil {
+		return c.ctx, &lostBody{}
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	return ctx, &lostBody{cancel: cancel}
+}
+
+// lostOutcome returns the failure of an attempt whose body could not be read to its end. An endpoint may have a part of the request,
+// so the failure keeps its kind.
+func (c *call) lostOutcome(f *outcome.Failure, l *lostBody) *outcome.Failure {
+	if l.err == nil || c.ctx.Err() != nil {
+		return f
+	}
+	n := *f
+	n.Code, n.Status, n.Detail, n.Err = outcome.Canceled, http.StatusBadGateway, "the request body ended early", l.err
+	if stop := c.stopRefusal(0); stop != nil {
+		n.Code, n.Detail = outcome.Draining, "the node is stopping and the request body was not complete in time"
+	}
+	return &n
+}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +37,7 @@
 	noResends bool      // callers of this route do not send a refused request again
 	budget    int       // retries left to this request, not counting those that its attempts passed on
 	body      *body
+	bodyWait  *wait  // limit of the time to read the body; nil without a body
 	key       string // idempotency key; empty when the request needs no claim
 	granted   bool   // the claim was granted, so no other request with the key has run or is running
 	meta      hop.Meta
@@ -72,11 +74,14 @@
 	if f := c.readKey(); f != nil {
 		return f
 	}
+	if f := c.stopRefusal(0); f != nil {
+		return f
+	}
 	if f := c.readBody(); f != nil {
 		return f
 	}
 	c.buildOutbound()
-	return nil
+	return c.stopRefusal(0)
 }
 
 func (c *call) route() *outcome.Failure {
@@ -193,12 +198,16 @@
 		return c.fail(outcome.Oversize, http.StatusRequestEntityTooLarge, fmt.Sprintf("the request body exceeds %d bytes", c.handler.maxBody), nil)
 	}
 	if c.r.Body != nil && c.r.Body != http.NoBody {
-		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline) // a slow upload ends at the deadline
+		c.waitForBody() // a slow upload ends at the deadline
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, c.handler.maxBody)
 	}
 	b, err := readBody(c.r)
 	if err == nil {
 		c.body = b
+		b.complete = c.bodyComplete
+		if b.rest == nil {
+			c.bodyComplete()
+		}
 		return nil
 	}
 	var large *http.MaxBytesError
@@ -208,6 +217,10 @@
 	if !c.handler.now().Before(c.deadline) {
 		return c.fail(outcome.DeadlineExceeded, http.StatusRequestTimeout, "the deadline passed while the request body was read", err)
 	}
+	if f := c.stopRefusal(0); f != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		f.Detail, f.Err = "the node is stopping and the request body was not complete in time", err
+		return f
+	}
 	return c.fail(outcome.Canceled, http.StatusBadRequest, "the request body ended early", err)
 }
 
@@ -241,6 +254,7 @@
 		c.handler.callerWaits.Refused(c.match.Route.Name)
 	}
 	hop.Strip(c.w.Header())
+	c.limitDiscard()
 	f.Write(c.w)
 }
 
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -13,6 +14,7 @@
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/io/hop"
 
 	"github.com/go-logr/logr"
@@ -43,10 +45,15 @@
 	newCallID   func(r *http.Request) string
 	callerWaits *retry.CallerWaits
 	draining    func() bool
+	stop        func(time.Time, shutdown.Work) shutdown.Decision
+	waits       waits
 	now         func() time.Time
 	log         logr.Logger
 	logSuccess  func() bool
 
+	stores       context.Context // context of the work on claims; ended by Shutdown
+	cancelStores context.CancelFunc
+
 	mu      sync.Mutex
 	closed  bool
 	pending sync.WaitGroup
@@ -64,6 +71,7 @@
 		newCallID:      callIDs(),
 		callerWaits:    retry.NewCallerWaits(),
 		draining:       func() bool { return false },
+		stop:           func(time.Time, shutdown.Work) shutdown.Decision { return shutdown.Decision{Allowed: true} },
 		now:            time.Now,
 		log:            logr.Discard(),
 		logSuccess:     func() bool { return false },
@@ -71,6 +79,8 @@
 	for _, o := range opts {
 		o(h)
 	}
+	h.waits = waits{decide: h.stop, all: map[*wait]struct{}{}}
+	h.stores, h.cancelStores = context.WithCancel(context.Background())
 	return h
 }
 
@@ -82,6 +92,7 @@
 	}
 	c := &call{handler: h, w: w, r: r, id: h.newCallID(r), began: h.now()}
 	defer func() { c.cancel() }()
+	defer c.endBodyWait()
 	c.cancel = func() {}
 	if f := c.prepare(); f != nil {
 		c.refuse(f)
@@ -96,14 +107,40 @@
 
 // Close waits for the background work on claims: until each outcome is stored and each failed claim released, or the attempts
 // to do so have failed. Call Close after all requests have ended.
-func (h *Handler) Close() error {
+func (h *Handler) Close() error { return h.Shutdown(context.Background()) }
+
+// Shutdown is Close with a limit: when ctx ends, it ends the work that is left and returns a *ClaimsCutError.
+func (h *Handler) Shutdown(ctx context.Context) error {
 	h.mu.Lock()
 	h.closed = true
 	h.mu.Unlock()
-	h.pending.Wait()
-	return nil
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.pending.Wait()
+	}()
+	defer h.cancelStores()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	}
+	h.cancelStores()
+	<-done
+	return &ClaimsCutError{Err: ctx.Err()}
 }
 
+// ClaimsCutError reports that outcomes of keyed requests were not stored, or claims not released, before the end of a stop.
+type ClaimsCutError struct{ Err error }
+
+// Error describes what was cut.
+func (e *ClaimsCutError) Error() string {
+	return fmt.Sprintf("the work on claims was cut: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ClaimsCutError) Unwrap() error { return e.Err }
+
 // background runs f in a goroutine that Close waits for; after Close it runs f synchronously.
 func (h *Handler) background(f func()) {
 	h.mu.Lock()
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -64,13 +64,21 @@
 	if c.handler.claim == nil {
 		return ClaimAnswer{}, c.fail(outcome.ClaimFailed, http.StatusServiceUnavailable, "this node cannot claim idempotency keys", nil)
 	}
+	ctx, done := c.waitContext()
+	defer done()
 	for wait := minPollInterval; ; wait = min(2*wait, maxPollInterval) {
-		a, err := c.handler.claim(c.ctx, claim)
+		if f := c.stopRefusal(0); f != nil {
+			return ClaimAnswer{}, f
+		}
+		a, err := c.handler.claim(ctx, claim)
 		if err != nil {
 			// The claim may still be committed; it is released so that a resend need not wait for the claim's deadline.
 			c.handler.background(func() {
 				_ = c.withStoreTimeout(func(ctx context.Context) error { return c.handler.release(ctx, claim) }, 1)
 			})
+			if f := c.stopRefusal(0); f != nil {
+				return a, f
+			}
 			return a, c.fail(outcome.ClaimFailed, http.StatusServiceUnavailable, "no claim could be made durable, so this attempt did not run", err)
 		}
 		switch a.State {
@@ -83,7 +91,7 @@
 		case Conflict:
 			return a, c.fail(outcome.Mismatch, http.StatusUnprocessableEntity, "the idempotency key was used for another request", nil)
 		case Running:
-			if c.r.Context().Err() == nil && sleepContext(c.ctx, wait) {
+			if c.r.Context().Err() == nil && c.pause(ctx, wait) {
 				continue
 			}
 		}
@@ -171,11 +179,11 @@
 }
 
 // withStoreTimeout calls f until it succeeds, at most tries times. Each call has its own timeout, since the request's deadline may
-// have passed.
+// have passed. Shutdown ends the calls.
 func (c *call) withStoreTimeout(f func(context.Context) error, tries int) error {
 	var err error
 	for range tries {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		ctx, cancel := context.WithTimeout(c.handler.stores, c.handler.storeLimit())
 		err = f(ctx)
 		cancel()
 		if err == nil {
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -7,6 +7,7 @@
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/io/hop"
 
 	"github.com/go-logr/logr"
@@ -166,5 +167,10 @@
 // WithDraining sets the function that reports whether callers should reconnect elsewhere; answers then carry Connection: close.
 func WithDraining(f func() bool) Option { return func(h *Handler) { h.draining = f } }
 
+// WithStop sets the rule of a planned stop: whether work may begin, and until when. StopBegun must be called once a stop has begun.
+func WithStop(decide func(now time.Time, w shutdown.Work) shutdown.Decision) Option {
+	return func(h *Handler) { h.stop = decide }
+}
+
 // WithNow sets the clock that deadlines and measured times refer to; the default is time.Now.
 func WithNow(f func() time.Time) Option { return func(h *Handler) { h.now = f } }
