feat(backend): calls ask the rule of a planned stop

Callers saw requests cut at a stopping node to which another node had forwarded them: a call was taken in the notice whatever its usual time, and one that waited in the admission queue began whenever its turn came.

A call is asked for when it arrives and again when it is admitted, by its deadline and by the objective that it carries.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -8,6 +8,7 @@
 
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/io/hop"
 
 	"github.com/go-logr/logr"
@@ -44,6 +45,7 @@
 	checkAnswer     func(*http.Response) *outcome.Failure
 	namesRequest    func(*http.Request, *http.Response) bool
 	requestID       func(http.Header) string // nil when backend servers do not name requests
+	stopRule        func(time.Time, shutdown.Work) shutdown.Decision
 	bufferLimit     int64
 	renewInterval   time.Duration
 	now             func() time.Time
@@ -74,6 +76,7 @@
 		checkQuarantine: pass,
 		onCrash:         func(Crash) {},
 		context:         func(hop.Meta, time.Time) string { return "" },
+		stopRule:        func(time.Time, shutdown.Work) shutdown.Decision { return shutdown.Decision{Allowed: true} },
 		renewInterval:   defaultRenewInterval,
 		now:             time.Now,
 		log:             logr.Discard(),
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -34,7 +34,7 @@
 // or its body is closed.
 func (b *Backend) Do(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	key := m.Service + "/" + m.Endpoint
-	if f := b.checkEndpoint(key, m.Call); f != nil {
+	if f := b.refusal(ctx, key, m); f != nil {
 		return nil, f
 	}
 	release, f := b.admit(ctx, key, m)
@@ -48,7 +48,7 @@
 		return nil, hop.AsFailure(f, m.Call)
 	}
 	l := &flight{backend: b, begin: b.now(), release: release, quarantineDone: quarantineDone, meta: m}
-	if f := b.begin(key, l); f != nil {
+	if f := b.begin(ctx, key, l); f != nil {
 		release(Result{})
 		quarantineDone(Result{})
 		return nil, f
@@ -56,43 +56,6 @@
 	return l.forward(ctx, r)
 }
 
-// checkEndpoint returns a failure if the endpoint takes no new calls.
-func (b *Backend) checkEndpoint(key, call string) *outcome.Failure {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.refusalFor(b.endpoints[key], call)
-}
-
-func (b *Backend) refusalFor(e *endpoint, call string) *outcome.Failure {
-	f := &outcome.Failure{Kind: outcome.NotRun, Status: http.StatusServiceUnavailable, Call: call}
-	switch {
-	case b.draining:
-		f.Code, f.Detail = outcome.Draining, "the node is draining and takes no new calls"
-	case e == nil:
-		f.Code, f.Detail = outcome.NoEndpoint, "the endpoint is not announced on this node"
-	case e.leaving:
-		f.Code, f.Detail = outcome.Draining, "the endpoint is draining and takes no new calls"
-	default:
-		return nil
-	}
-	return f
-}
-
-// begin records a call as in flight, unless the endpoint began to leave while the call waited for admission.
-func (b *Backend) begin(key string, l *flight) *outcome.Failure {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.endpoints[key]
-	if f := b.refusalFor(e, l.meta.Call); f != nil {
-		return f
-	}
-	l.endpoint, l.pool, l.announcement = e, e.pool, e.announcement
-	l.run = &runningCall{fingerprint: l.meta.Fingerprint, process: e.crashes}
-	e.running[l.run] = struct{}{}
-	b.running++
-	return nil
-}
-
 // flight is a call in flight to a backend server.
 type flight struct {
 	backend        *Backend
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -8,6 +8,7 @@
 
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/io/hop"
 
 	"github.com/go-logr/logr"
@@ -128,6 +129,11 @@
 // WithRenew sets the interval at which endpoints renew (default 2 s); an endpoint leaves after three intervals without renewal.
 func WithRenew(d time.Duration) Option { return func(b *Backend) { b.renewInterval = d } }
 
+// WithStop sets the rule of a planned stop, which each call is asked for when it arrives and when it is admitted.
+func WithStop(decide func(now time.Time, w shutdown.Work) shutdown.Decision) Option {
+	return func(b *Backend) { b.stopRule = decide }
+}
+
 // WithLog sets the log; the default discards all output.
 func WithLog(log logr.Logger) Option { return func(b *Backend) { b.log = log } }
 
