feat(host): a planned stop follows one rule

Callers and nodes saw the stop end at different times for different parts: the notice, the calls in flight, the leave (up to 2 s) and the work on claims (up to 6 s) each had a time of their own, queued calls of local endpoints stayed queued after the notice, and operators' orders and heartbeats on added listeners were cut by Close.

A Host has one shutdown.Stop, begun by Drain, which callers, backend servers and listeners ask. drain.go reads as its phases. Queued calls are refused when the node leaves. The leave, the claims and all listeners end by the end of the stop; the operators' listener and added ones close gracefully at the end of the notice, since an order needs the peer listener until it is answered. A second call of Drain waits for the first.

--- a/io/host/adapter.go
+++ b/io/host/adapter.go
@@ -18,7 +18,7 @@
 
 // Ready reports whether the node accepts calls: it is serving, has a configuration and is not draining.
 func (h *Host) Ready() bool {
-	return h.Serving() && h.holder.View().Table.Configured() && !h.leaving.Load()
+	return h.Serving() && h.holder.View().Table.Configured() && !h.stopping()
 }
 
 // Announce registers a local endpoint or renews it; the failure is nil if the announcement is accepted.
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -61,7 +61,7 @@
 // idempotent requests may, because the caller sends a request again if the connection ends before its answer. While the node
 // does not serve or is draining, none may.
 func (h *Host) mayRunEarly(r *http.Request) bool {
-	if !h.holder.Serving() || h.leaving.Load() {
+	if !h.holder.Serving() || h.stopping() {
 		return false
 	}
 	route, ok := h.holder.View().Table.Match(r.Host, r.URL.Path, r.Method)
--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -7,71 +7,115 @@
 	"sync"
 	"time"
 
-	"godwitspindle/io/process"
+	"godwitspindle/core/shutdown"
 )
 
 const (
 	leaveTimeout    = 2 * time.Second // limit for reporting the leave; the drain continues if the report fails
-	closeNoticeTime = time.Second     // time in which answers close callers' connections, without the setting CloseNotice
+	closeNoticeTime = time.Second     // length of the notice without the setting CloseNotice
 )
 
-// Drain stops the process gracefully. Answers to callers carry Connection: close. Without the setting CloseNotice, local
-// endpoints refuse new work, the node reports its leave, and callers are forwarded to other endpoints for one second. With it,
-// local endpoints accept new work for the set time; then they refuse it and the node reports its leave. Their backend servers
-// keep running, so a restart of only the node removes them briefly. In both cases, the listener for callers then stops. Two
-// listeners serve calls in flight to the end: the local one for backend servers, the peer one for claims.
+// Drain stops the process gracefully, in the phases of package shutdown, and ends with Close. A second call waits for the first and
+// returns its result.
 func (h *Host) Drain() error {
+	h.drainOnce.Do(func() { h.drainError = h.drain() })
+	return h.drainError
+}
+
+func (h *Host) drain() error {
+	h.shutdown.Begin(time.Now())
 	h.log.Info("draining", "grace", h.settings.Grace.String())
-	h.leaving.Store(true)
-	if h.settings.CloseNotice > 0 {
-		time.Sleep(h.settings.CloseNotice)
-	}
-	h.backend.Drain()
-	h.announce.Load().close()
-	reported := make(chan struct{})
-	go func() {
-		defer close(reported)
-		h.reportLeave()
-	}()
-	if h.settings.CloseNotice == 0 {
-		time.Sleep(closeNoticeTime)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace)
+	ctx, cancel := context.WithDeadline(context.Background(), h.shutdown.End())
 	defer cancel()
-	err := h.finishCalls(ctx)
-	<-reported
+	h.notice(ctx)
+	err := h.finishWork(ctx)
 	if err != nil {
 		h.log.Error(err, "calls were cut at the end of the grace time")
 	}
 	return errors.Join(err, h.Close())
 }
 
-func (h *Host) reportLeave() {
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+// stopping reports whether a planned stop has begun.
+func (h *Host) stopping() bool { return h.shutdown.Phase(time.Now()) != shutdown.Serving }
+
+// notice is the first phase. Answers to callers carry Connection: close, and requests that wait are bounded by the stop. Without the
+// setting CloseNotice, local endpoints refuse new work from the start, and callers are forwarded to other endpoints. With it, they
+// accept new work until the end of the notice: their backend servers keep running, so a restart of only the node removes them briefly.
+func (h *Host) notice(ctx context.Context) {
+	h.callers.StopBegun()
+	h.localCallers.StopBegun()
+	if h.settings.CloseNotice == 0 {
+		h.leave(ctx)
+	}
+	time.Sleep(time.Until(h.shutdown.NoticeEnd()))
+	if h.settings.CloseNotice > 0 {
+		h.leave(ctx)
+	}
+}
+
+// leave makes local endpoints refuse new and queued calls, so that their nodes pick other endpoints, and reports the leave in the
+// background.
+func (h *Host) leave(ctx context.Context) {
+	h.backend.Drain()
+	h.drainQueues()
+	h.announce.Load().close()
+	h.leaveReport.Go(func() { h.reportLeave(ctx) })
+}
+
+func (h *Host) reportLeave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if _, err := h.proposer.Announce(ctx, h.announcement(true)); err != nil {
 		h.log.Info("leave not reported, the endpoints stay listed until the lease expires", "error", err.Error())
 	}
 }
 
-// finishCalls waits for the calls in flight and closes each listener once no call in flight needs it.
-func (h *Host) finishCalls(ctx context.Context) error {
-	var errs [2]error
+// finishWork is the second phase. It waits for the work in flight until ctx ends, and closes each listener once no work in flight needs
+// it: the local one serves calls of running requests, and the peer one serves claims and operators' changes.
+func (h *Host) finishWork(ctx context.Context) error {
+	work := []func() error{
+		func() error { return h.closeListener(ctx, "caller") },
+		func() error { return h.backend.Wait(ctx) },
+		func() error { return h.closeListener(ctx, "operator") },
+	}
+	for _, e := range h.extraListeners {
+		work = append(work, func() error { return h.closeListener(ctx, label(e.name)) })
+	}
+	errs := []error{together(work...)}
+	errs = append(errs, h.closeListener(ctx, "local"))
+	errs = append(errs, together(
+		func() error { return h.callers.Shutdown(ctx) },
+		func() error { return h.localCallers.Shutdown(ctx) },
+	))
+	h.leaveReport.Wait()
+	h.feed.Close()
+	errs = append(errs, together(
+		func() error { return h.closeListener(ctx, "peer") },
+		func() error { return h.closeListener(ctx, "backend") },
+		func() error { return h.closeListener(ctx, "metrics") },
+	))
+	return errors.Join(errs...)
+}
+
+// together runs the functions at the same time and joins their errors.
+func together(list ...func() error) error {
+	errs := make([]error, len(list))
 	var wait sync.WaitGroup
-	wait.Go(func() { errs[0] = shutdown(ctx, h.servers["caller"]) })
-	wait.Go(func() { errs[1] = h.backend.Wait(ctx) })
+	for i, f := range list {
+		wait.Go(func() { errs[i] = f() })
+	}
 	wait.Wait()
-	err := errors.Join(errs[0], errs[1], shutdown(ctx, h.servers["local"]), h.callers.Close(), h.localCallers.Close())
-	h.feed.Close()
-	return errors.Join(err, shutdown(ctx, h.servers["peer"]), shutdown(ctx, h.servers["operator"]))
+	return errors.Join(errs...)
 }
 
-func shutdown(ctx context.Context, s *process.Server) error {
+// closeListener closes a listener gracefully, if it is open; requests that still run when ctx ends are cut.
+func (h *Host) closeListener(ctx context.Context, name string) error {
+	s := h.servers[name]
 	if s == nil {
 		return nil
 	}
 	if err := s.Shutdown(ctx); err != nil {
-		return fmt.Errorf("drain: %w", err)
+		return fmt.Errorf("drain of listener %s: %w", name, err)
 	}
 	return nil
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +20,7 @@
 	"godwitspindle/core/relay"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/caller"
 	"godwitspindle/io/disk"
@@ -65,7 +67,12 @@
 	servers map[string]*process.Server // listeners by name, such as "peer"
 	bound   map[string]netip.AddrPort  // addresses of the listeners by name
 	tls     *process.TLS
-	leaving atomic.Bool
+
+	shutdown    *shutdown.Stop // rule of a planned stop
+	drainOnce   sync.Once
+	drainError  error // result of Drain, set by drainOnce
+	leaveReport sync.WaitGroup
+
 	// reportedVersion is the version last reported upstream as in force on every node below this one.
 	reportedVersion atomic.Uint64
 	dial            Dial
@@ -140,6 +147,7 @@
 		h.link = admission.NewLink(s.Link)
 		h.admissionOptions = append(h.admissionOptions, admission.WithLink(h.link))
 	}
+	h.shutdown = shutdown.New(shutdown.WithNotice(cmp.Or(s.CloseNotice, closeNoticeTime)), shutdown.WithGrace(s.Grace))
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
@@ -256,7 +264,8 @@
 			caller.WithDecide(h.decide),
 			caller.WithClaim(h.claim, h.finish, h.release),
 			caller.WithLog(log, sampled.Next),
-			caller.WithDraining(h.leaving.Load),
+			caller.WithDraining(h.stopping),
+			caller.WithStop(h.shutdown.Decide),
 		}, h.callerOptions...)
 	}
 	h.callers = caller.New(options(false)...)
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -72,18 +72,23 @@
 }
 
 func (h *Host) listen(name string, address netip.AddrPort, handler http.Handler, limits process.Limits, more ...process.ServerOption) (*process.Server, error) {
-	_, label, _ := strings.Cut(name, ".")
 	options := append([]process.ServerOption{
 		process.WithName(name),
 		process.WithLimits(limits),
-		process.WithLogger(h.log.WithName(label)),
-		process.WithRefused(h.metrics.RefusedConnections.WithLabelValues(label).Inc),
+		process.WithLogger(h.log.WithName(label(name))),
+		process.WithRefused(h.metrics.RefusedConnections.WithLabelValues(label(name)).Inc),
 	}, more...)
 	s, err := process.NewServer(address, handler, options...)
 	if err != nil {
 		return nil, err
 	}
-	h.servers[label] = s
-	h.bound[label] = s.Address()
+	h.servers[label(name)] = s
+	h.bound[label(name)] = s.Address()
 	return s, nil
 }
+
+// label returns the last part of the name of a listener, such as "peer" for "listen.peer".
+func label(name string) string {
+	_, l, _ := strings.Cut(name, ".")
+	return l
+}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +58,16 @@
 	h.notifyAnnouncer()
 }
 
+// drainQueues refuses all calls that wait for local endpoints.
+func (h *Host) drainQueues() {
+	h.mu.Lock()
+	locals := slices.Collect(maps.Values(h.locals))
+	h.mu.Unlock()
+	for _, l := range locals {
+		l.queue.drain()
+	}
+}
+
 func (h *Host) endpointLeft(endpoint, _ string) {
 	h.endpoint(endpoint).queue.drain()
 	h.picker.Avoid(endpoint, time.Now().Add(avoidDraining), string(outcome.Draining))
@@ -135,6 +147,7 @@
 		backend.WithAdmit(h.admit),
 		backend.WithQuarantineCheck(h.checkQuarantine),
 		backend.WithCrashed(h.endpointCrashed),
+		backend.WithStop(h.shutdown.Decide),
 		backend.WithContext(func(m hop.Meta, deadline time.Time) string {
 			share := m.Budget
 			if h.settings.Retries.Percent > 0 {
