fix(cmd): a hangup does not end a drain

SIGHUP during the drain of the node command ended the process and cut the calls in flight. It is ignored once the drain has begun. Not covered by a test: it would have to signal a process of its own.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"os/signal"
+	"syscall"
 
 	"godwitspindle/io/process"
 )
@@ -22,6 +24,8 @@
 	}
 	ctx, stop := process.Signals(iv.ctx)
 	defer stop()
+	// A hangup ends a node without a drain, but it must not end a drain that has begun.
+	context.AfterFunc(ctx, func() { signal.Ignore(syscall.SIGHUP) })
 	log := process.NewLogger(iv.stderr, settings.Log.Level)
 	err = iv.Node(ctx, settings, log)
 	if errors.Is(err, context.Canceled) && ctx.Err() != nil {
