test(demo): a late body is refused at the end of the notice

Guards the wiring that TestStop of io/caller cannot see: that a real read of a body ends when a stop has begun meanwhile.

--- a/io/demo/leave_test.go
+++ b/io/demo/leave_test.go
@@ -1,8 +1,11 @@
 package demo
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"testing"
@@ -116,3 +119,45 @@
 		t.Errorf("drain: got %v, want none", err)
 	}
 }
+
+// Guards against a request whose body is late: it would reach its endpoint when the stop no longer leaves time for its answer, and be
+// cut. The request begins before the stop and must be refused as not run when the notice (1 s) ends, and the drain must not fail.
+func TestDrainRefusesLateBody(t *testing.T) {
+	r := startWatchedMesh(t, SahyadriHosts())
+	i := r.indexOf(func(_ int, h *host.Host) bool { return !h.Leads() })
+	if err := r.Stop(i); err != nil {
+		t.Fatal(err)
+	}
+	r.settings[i].Grace = 3 * time.Second
+	if err := r.Start(i); err != nil {
+		t.Fatal(err)
+	}
+	r.await("the node serves", 10*time.Second, func(h *host.Host) bool { return h.Serving() })
+	n, err := net.Dial("tcp", r.callers()[i])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = n.Close() }()
+	if _, err := io.WriteString(n, "POST /refunds HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	began, ended := time.Now(), make(chan error, 1)
+	go func() { ended <- r.Drain(i) }()
+	_ = n.SetReadDeadline(began.Add(8 * time.Second))
+	p, err := http.ReadResponse(bufio.NewReader(n), nil)
+	took := time.Since(began)
+	if err != nil {
+		t.Fatalf("after %s: got %v, want an answer", took, err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	if code, kind := p.Header.Get("Mesh-Code"), p.Header.Get("Mesh-Outcome"); p.StatusCode != 503 || code != "draining" || kind != "notrun" {
+		t.Errorf("got status %d, code %q, outcome %q, want 503, draining, notrun", p.StatusCode, code, kind)
+	}
+	if took < time.Second || took > 2*time.Second {
+		t.Errorf("got the refusal after %s, want it at the end of the notice (1s)", took)
+	}
+	if err := <-ended; err != nil || time.Since(began) > 5*time.Second {
+		t.Errorf("drain: got %v after %s, want none within 5s", err, time.Since(began))
+	}
+}
