test(replica): close a test's replicas before their folders are removed

Cause: newGroup without names registers the close of the replicas before the first TempDir registers its removal, and cleanups run in reverse order, so the folders are removed while replicas still write to them. Change: newGroup asks for a temporary folder first. No check of the test changes.

--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -28,6 +28,7 @@
 }
 
 func newGroup(t testing.TB, names []string, opts ...Option) *group {
+	_ = t.TempDir() // the removal of all temporary folders is registered now, so it runs after the replicas have been closed
 	g := &group{t: t, members: map[string]*Replica{}, states: map[string]*atomic.Uint64{}, cut: map[string]bool{}, names: names, opts: opts}
 	for _, n := range names {
 		g.start(n, t.TempDir())
