feat(caller): set of requests in flight with their progress

What callers saw: a request that a planned stop cut left no line that says what it was waiting for. Cause: nothing knew which requests were in flight, nor how far each had come. Change: Handler keeps each request in an InFlight set with the times at which it began, at which its body was whole and at which it was sent, its endpoint, host, attempts and deadline. Finished says when the request began and whether it was cut.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -25,6 +25,7 @@
 // stream passes an answer on. If the answer breaks off, stream aborts the caller's connection, so that the caller cannot take
 // the part for a complete answer.
 func (c *call) stream(p *http.Response) {
+	c.tracked.Update(func(p *Progress) { p.Answered = true })
 	if err := hop.Copy(c.w, p); err != nil {
 		c.answerBroken(err)
 		if !c.r.ProtoAtLeast(1, 1) {
@@ -132,6 +133,10 @@
 	m.Budget, c.budget = retry.Split(c.budget)
 	r := *c.outbound
 	r.Body, r.ContentLength = c.body.attemptBody(c.r.ContentLength)
+	c.tracked.Update(func(p *Progress) {
+		p.Endpoint, p.Host, p.Sent = c.endpoint, e.Node, begin
+		p.Attempts++
+	})
 	h.attemptStarted(c.endpoint, begin)
 	p, err := h.send(c.ctx, e, m, &r)
 	o := Observation{At: h.now(), Incarnation: e.Incarnation}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -50,6 +50,7 @@
 	repicks     int
 	retries     int
 	mayHaveRun  bool // at least one attempt may have run
+	tracked     Request
 }
 
 func (c *call) fail(code outcome.Code, status int, detail string, err error) *outcome.Failure {
@@ -72,6 +73,7 @@
 	if f := c.readKey(); f != nil {
 		return f
 	}
+	c.tracked.Update(func(p *Progress) { p.Route, p.Deadline = c.match.Route.Name, c.deadline })
 	if f := c.readBody(); f != nil {
 		return f
 	}
@@ -199,6 +201,7 @@
 	b, err := readBody(c.r)
 	if err == nil {
 		c.body = b
+		c.bodyRead()
 		return nil
 	}
 	var large *http.MaxBytesError
@@ -211,6 +214,19 @@
 	return c.fail(outcome.Canceled, http.StatusBadRequest, "the request body ended early", err)
 }
 
+// bodyRead records when the body was complete. The rest of a large body is read only while an attempt is sent, so its time stays
+// zero.
+func (c *call) bodyRead() {
+	if c.body.rest != nil {
+		return
+	}
+	at := c.began
+	if len(c.body.prefix) > 0 || c.r.ContentLength != 0 {
+		at = c.handler.now()
+	}
+	c.tracked.Update(func(p *Progress) { p.Body = at })
+}
+
 func (c *call) buildOutbound() {
 	route, service := c.match.Route, c.match.Service.Name
 	u := c.r.URL
@@ -236,7 +252,7 @@
 	f = c.keyedOutcome(hop.AsFailure(f, c.id))
 	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
 		"outcome", f.Kind, "version", c.match.Version, "reason", f.Detail, "retry", c.retryReason, "after", f.RetryAfter.String(), "error", cause(f), "took", c.took())
-	c.handler.requestDone(Finished{Route: c.match.Route, Code: f.Code, Kind: f.Kind, Overhead: -1, Took: c.handler.now().Sub(c.began)})
+	c.finished(Finished{Code: f.Code, Kind: f.Kind, Overhead: -1, Took: c.handler.now().Sub(c.began)})
 	if c.match.Route != nil && f.Kind == outcome.NotRun {
 		c.handler.callerWaits.Refused(c.match.Route.Name)
 	}
@@ -258,7 +274,7 @@
 }
 
 func (c *call) succeeded(status int) {
-	c.handler.requestDone(Finished{Route: c.match.Route, Overhead: c.overhead, Took: c.handler.now().Sub(c.began)})
+	c.finished(Finished{Overhead: c.overhead, Took: c.handler.now().Sub(c.began)})
 	if !c.refused && !c.handler.logSuccess() {
 		return
 	}
@@ -269,7 +285,13 @@
 func (c *call) answerBroken(err error) {
 	c.handler.log.Info("answer broke off", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "error", err.Error(),
 		"version", c.match.Version, "reason", c.pickReason, "took", c.took())
-	c.handler.requestDone(Finished{Route: c.match.Route, Code: outcome.Truncated, Kind: outcome.Lost, Overhead: -1})
+	c.finished(Finished{Code: outcome.Truncated, Kind: outcome.Lost, Overhead: -1})
+}
+
+// finished reports the end of the request.
+func (c *call) finished(f Finished) {
+	f.Route, f.Began, f.Cut = c.match.Route, c.began, c.tracked.end()
+	c.handler.requestDone(f)
 }
 
 // took returns the time since the request arrived, with its unit.
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -46,6 +46,7 @@
 	now         func() time.Time
 	log         logr.Logger
 	logSuccess  func() bool
+	inFlight    *InFlight
 
 	mu      sync.Mutex
 	closed  bool
@@ -67,6 +68,7 @@
 		now:            time.Now,
 		log:            logr.Discard(),
 		logSuccess:     func() bool { return false },
+		inFlight:       &InFlight{},
 	}
 	for _, o := range opts {
 		o(h)
@@ -81,6 +83,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{handler: h, w: w, r: r, id: h.newCallID(r), began: h.now()}
+	h.inFlight.Add(&c.tracked, Progress{Call: c.id, Began: c.began})
+	defer c.tracked.Remove()
 	defer func() { c.cancel() }()
 	c.cancel = func() {}
 	if f := c.prepare(); f != nil {
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -108,6 +108,7 @@
 	}
 	h.Set("Mesh-Replay", "1")
 	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	c.tracked.Update(func(p *Progress) { p.Answered = true })
 	c.w.WriteHeader(a.Status)
 	_, _ = c.w.Write(a.Body)
 	c.succeeded(a.Status)
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -45,6 +45,8 @@
 	Route    *config.Route // nil when no route matched
 	Code     outcome.Code  // empty when the request was answered completely
 	Kind     outcome.Kind  // outcome.None when the request was answered completely
+	Began    time.Time     // the request's arrival
+	Cut      bool          // the request was in flight when InFlight.Cut was called
 	Took     time.Duration // from the request's arrival to the end of its answer or its failure; 0 when the answer broke off
 	Overhead time.Duration // from arrival to the response headers, minus the last backend server's time; negative when unknown
 }
@@ -160,6 +162,9 @@
 	return func(h *Handler) { h.log, h.logSuccess = log, sample }
 }
 
+// WithInFlight sets the set that holds the requests in flight.
+func WithInFlight(f *InFlight) Option { return func(h *Handler) { h.inFlight = f } }
+
 // WithMaxBody limits request bodies to n bytes.
 func WithMaxBody(n int64) Option { return func(h *Handler) { h.maxBody = n } }
 
