feat(process): report the close of a listener and the cut of requests

WithShutdown sets functions that a Server calls once its listener accepts no more connections, and before it cuts requests that are still running at the end of a shutdown. Metrics get stop_requests_total by result and route, and stop_seconds. A test checks that the log buffer writes what it holds before the process ends.

--- a/io/process/listener.go
+++ b/io/process/listener.go
@@ -32,6 +32,8 @@
 	unused   sync.Map    // connections without a request so far
 	graceful atomic.Bool // a shutdown closes connections, except those with a running request
 
+	onClosed func() // called after the listener was closed
+
 	newPipeline func(c *countedConn) *pipeline // nil if requests are not pipelined
 	early       atomic.Int64                   // requests started before their turn and not yet answered
 	stopping    atomic.Bool                    // no further request is started before its turn
@@ -107,6 +109,7 @@
 func (l *countingListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	err := l.Listener.Close()
+	l.onClosed()
 	if l.drained.Load() != nil && errors.Is(err, net.ErrClosed) {
 		return nil // DrainBacklog closed it
 	}
@@ -123,6 +126,7 @@
 		}
 		if tries == backlogTries {
 			_ = l.Listener.Close()
+			l.onClosed()
 			close(*drained)
 			<-l.closed
 			return nil, net.ErrClosed
--- a/io/process/logbuffer_test.go
+++ b/io/process/logbuffer_test.go
@@ -59,3 +59,20 @@
 		t.Errorf("log: got %q, want the count of dropped lines", text)
 	}
 }
+
+// Guards against a process that ends before the last lines of its stop are written, although its log is read.
+func TestLastLinesWritten(t *testing.T) {
+	out := &blockedWriter{open: make(chan struct{})}
+	close(out.open)
+	l := NewLogBuffer(out)
+	const lines = 500
+	for range lines {
+		_, _ = l.Write([]byte("request cut\n"))
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Count(out.got.String(), "request cut"); got != lines {
+		t.Errorf("lines written when the buffer was closed: got %d, want %d", got, lines)
+	}
+}
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -42,6 +42,8 @@
 	Losses             prometheus.Gauge         // voters that may still be lost; -1 on a replica that does not lead
 	PromisedLosses     prometheus.Gauge         // losses that the settings promise; -1 on a replica that does not lead
 	FsyncTime          prometheus.Histogram     // seconds of one fsync of the log
+	StopRequests       *prometheus.CounterVec   // requests since a planned stop began, by result (answered, refused, failed or cut) and route
+	StopTime           prometheus.Gauge         // seconds since a planned stop began, 0 before
 	RefusedConnections *prometheus.CounterVec   // connections closed above the limit of their listener, by listener
 	OperatorRequests   *prometheus.CounterVec   // requests of operators, by path and status
 	ContentChanges     *prometheus.CounterVec   // complete contents proposed, by form: edit, whole, or mismatch (edit resent whole)
@@ -113,6 +115,8 @@
 		Losses:             gauge("agreement_losses", "Voters that may still be lost while a majority answers; -1 when this replica does not lead."),
 		PromisedLosses:     gauge("agreement_promised_losses", "Voters that the group is meant to bear losing; -1 when this replica does not lead."),
 		FsyncTime:          histogram("fsync_seconds", "Time of one fsync of the agreed log.", 0.0001, 2, 15),
+		StopRequests:       counters("stop_requests_total", "Requests since a planned stop began, by result (answered, refused, failed or cut) and route.", "result", "route"),
+		StopTime:           gauge("stop_seconds", "Time since a planned stop began; 0 before."),
 		RefusedConnections: counters("connections_refused_total", "Connections closed over a listener's limit.", "listener"),
 
 		OperatorRequests: counters("operator_requests_total", "Requests of operators, by path and status.", "path", "status"),
@@ -121,7 +125,7 @@
 	m.Registry.MustRegister(
 		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
-		m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
+		m.StopRequests, m.StopTime, m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
--- a/io/process/server.go
+++ b/io/process/server.go
@@ -56,6 +56,7 @@
 	http     *http.Server
 	listener *countingListener
 	done     chan struct{}
+	onCut    func()
 	early    sync.WaitGroup // requests that run before their turn
 }
 
@@ -70,6 +71,8 @@
 	refused     func()
 	context     context.Context
 	mayRunEarly func(r *http.Request) bool
+	onClosed    func(connections int)
+	onCut       func()
 }
 
 // ServerOption changes a default of NewServer.
@@ -106,9 +109,18 @@
 // WithContext sets the base context of all requests.
 func WithContext(ctx context.Context) ServerOption { return func(o *serverOptions) { o.context = ctx } }
 
+// WithShutdown sets the functions that are called in a shutdown: closed with the number of open connections once the listener no
+// longer accepts connections, and cut before the requests that are still running are cut.
+func WithShutdown(closed func(connections int), cut func()) ServerOption {
+	return func(o *serverOptions) { o.onClosed, o.onCut = closed, cut }
+}
+
 // NewServer listens on address and serves handler until Shutdown or Close.
 func NewServer(address netip.AddrPort, handler http.Handler, opts ...ServerOption) (*Server, error) {
-	o := serverOptions{name: "listen", handler: handler, limits: DefaultLimits(), log: logr.Discard(), refused: func() {}, context: context.Background()}
+	o := serverOptions{
+		name: "listen", handler: handler, limits: DefaultLimits(), log: logr.Discard(), refused: func() {}, context: context.Background(),
+		onClosed: func(int) {}, onCut: func() {},
+	}
 	for _, f := range opts {
 		f(&o)
 	}
@@ -119,8 +131,10 @@
 	s := &Server{
 		http:     newHTTPServer(o),
 		listener: &countingListener{Listener: inner, limit: int64(o.limits.Connections), refused: o.refused, closed: make(chan struct{})},
+		onCut:    o.onCut,
 		done:     make(chan struct{}),
 	}
+	s.listener.onClosed = sync.OnceFunc(func() { o.onClosed(s.Open()) })
 	s.http.ConnState = s.listener.track
 	if h1 := s.http.Protocols; !h1.HTTP2() && !h1.UnencryptedHTTP2() {
 		if o.mayRunEarly != nil && o.tls == nil {
@@ -198,6 +212,7 @@
 	}
 	err := s.http.Shutdown(ctx)
 	if err != nil {
+		s.onCut()
 		s.listener.graceful.Store(false)
 		_ = s.http.Close()
 	}
