feat(host): log and count what a planned stop does to requests

What callers saw: connections closed without an answer at the end of a stop, and four lines in the log that tell no cause. Cause: a cut request had no line, and "calls were cut at the end of the grace time" counted nothing. Change: one line for each request and each call of another node that the stop cuts, 200 of each at most; a line at the beginning of each phase; a line "stopped" that counts what was answered, refused, failed and cut since the stop began; the metrics stop_requests_total and stop_seconds. What is accepted, refused or cut, and when, is as before.

--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -21,7 +21,9 @@
 // keep running, so a restart of only the node removes them briefly. In both cases, the listener for callers then stops. Two
 // listeners serve calls in flight to the end: the local one for backend servers, the peer one for claims.
 func (h *Host) Drain() error {
-	h.log.Info("draining", "grace", h.settings.Grace.String())
+	h.stop.begin(time.Now(), h.noticeTime(), h.settings.Grace)
+	h.log.Info("draining", "phase", "notice", "notice", h.noticeTime().String(), "grace", h.settings.Grace.String(),
+		"connections", h.callerConnections(), "running", h.stop.callers.Len(), "calls", h.stop.remote.Len())
 	h.leaving.Store(true)
 	if h.settings.CloseNotice > 0 {
 		time.Sleep(h.settings.CloseNotice)
@@ -41,7 +43,8 @@
 	err := h.finishCalls(ctx)
 	<-reported
 	if err != nil {
-		h.log.Error(err, "calls were cut at the end of the grace time")
+		requests, calls := h.stop.cutCounts()
+		h.log.Error(err, "calls were cut at the end of the grace time", "requests", requests, "calls", calls)
 	}
 	return errors.Join(err, h.Close())
 }
@@ -56,12 +59,18 @@
 
 // finishCalls waits for the calls in flight and closes each listener once no call in flight needs it.
 func (h *Host) finishCalls(ctx context.Context) error {
-	var errs [2]error
+	connections := h.callerConnections()
+	var errs [3]error
 	var wait sync.WaitGroup
 	wait.Go(func() { errs[0] = shutdown(ctx, h.servers["caller"]) })
 	wait.Go(func() { errs[1] = h.backend.Wait(ctx) })
 	wait.Wait()
-	err := errors.Join(errs[0], errs[1], shutdown(ctx, h.servers["local"]), h.callers.Close(), h.localCallers.Close())
+	errs[2] = shutdown(ctx, h.servers["local"])
+	if ctx.Err() != nil {
+		h.cutRequests()
+	}
+	h.stop.stopped(time.Now(), connections) // the work on claims may take longer than the process has
+	err := errors.Join(errs[0], errs[1], errs[2], h.callers.Close(), h.localCallers.Close())
 	h.feed.Close()
 	return errors.Join(err, shutdown(ctx, h.servers["peer"]), shutdown(ctx, h.servers["operator"]))
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -52,6 +52,7 @@
 
 	picker  *routing.Picker
 	budgets *retry.Budgets
+	stop    *stopRecord
 	splits  *splitCounter
 	notices *notice.Table
 	// invalidLimits bounds the log lines about limits that are not valid.
@@ -140,6 +141,7 @@
 		h.link = admission.NewLink(s.Link)
 		h.admissionOptions = append(h.admissionOptions, admission.WithLink(h.link))
 	}
+	h.stop = newStopRecord(h.log, h.metrics.StopRequests)
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
@@ -257,6 +259,7 @@
 			caller.WithClaim(h.claim, h.finish, h.release),
 			caller.WithLog(log, sampled.Next),
 			caller.WithDraining(h.leaving.Load),
+			caller.WithInFlight(&h.stop.callers),
 		}, h.callerOptions...)
 	}
 	h.callers = caller.New(options(false)...)
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -26,7 +26,8 @@
 	mux.Handle(path, peer.Authorize(h.settings.Key, handler))
 	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.serveRemote), hop.WithNext(mux), hop.WithMaxBody(callBytes))
 	s, err := h.listen("listen.peer", h.settings.Listen.Peer, calls, process.Limits{Body: peerBytes, Connections: peerConns},
-		process.WithServer(hop.HTTPServer(calls)), process.WithH2C(), process.WithTLS(h.serverTLS()))
+		process.WithServer(hop.HTTPServer(calls)), process.WithH2C(), process.WithTLS(h.serverTLS()),
+		process.WithShutdown(func(int) {}, h.cutRequests))
 	h.peers = s
 	return err
 }
@@ -52,8 +53,11 @@
 			continue
 		}
 		options := []process.ServerOption{process.WithServer(e.base)}
+		if e.name == "listen.local" {
+			options = append(options, process.WithShutdown(func(int) {}, h.cutRequests))
+		}
 		if e.name == "listen.caller" {
-			options = append(options, process.WithPipelining(h.mayRunEarly))
+			options = append(options, process.WithPipelining(h.mayRunEarly), process.WithShutdown(h.callersClosed, h.cutRequests))
 		}
 		if _, err := h.listen(e.name, e.address, e.handler, e.limits, options...); err != nil {
 			return err
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -91,6 +91,9 @@
 		h.metrics.Refusals.WithLabelValues(string(f.Code)).Inc()
 		return nil, f
 	}
+	if r, ok := ctx.Value(remoteKey{}).(*caller.Request); ok {
+		r.Update(func(p *caller.Progress) { p.Sent = time.Now() })
+	}
 	h.metrics.Running.Inc()
 	h.metrics.Sent.WithLabelValues(sentKind(m)).Inc()
 	return func(r backend.Result) {
@@ -202,7 +205,9 @@
 // failures of calls that start at this node.
 func (h *Host) serveRemote(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	h.adoptLimit(m)
-	p, err := h.callBackend(context.WithValue(ctx, remoteKey{}, true), m, r)
+	tracked := h.stop.trackRemote(m, h.settings.Name, time.Now())
+	p, err := h.callBackend(context.WithValue(ctx, remoteKey{}, tracked), m, r)
+	trackAnswer(tracked, p)
 	if err == nil && h.link != nil {
 		h.link.Sent(time.Now(), m.Route, p.ContentLength)
 	}
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -13,6 +13,7 @@
 // countCall records the outcome of a call at the node that received it from its caller.
 func (h *Host) countCall(f caller.Finished) {
 	h.metrics.Calls.WithLabelValues(string(f.Kind), string(f.Code), classLabel(f.Route)).Inc()
+	h.stop.finished(f)
 	h.metrics.RequestTime.WithLabelValues(string(f.Kind), classLabel(f.Route)).Observe(f.Took.Seconds())
 	if f.Overhead >= 0 {
 		h.metrics.AddedTime.Observe(f.Overhead.Seconds())
@@ -33,13 +34,14 @@
 	return "read"
 }
 
-// metricsHandler sets the gauges for the confirmation age, queued calls, quarantine and the use of limits at each scrape, then serves
-// all metrics.
+// metricsHandler sets the gauges for the confirmation age, queued calls, the planned stop, quarantine and the use of limits at each
+// scrape, then serves all metrics.
 func (h *Host) metricsHandler() http.Handler {
 	next := h.metrics.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.metrics.ConfirmationAge.Set(h.confirmationAge().Seconds())
 		h.metrics.Queued.Set(float64(h.queued()))
+		h.metrics.StopTime.Set(h.stop.seconds(time.Now()))
 		h.metrics.Quarantine.Set(float64(h.holder.View().Table.Quarantined(time.Now())))
 		h.measureLimitUse(time.Now())
 		next.ServeHTTP(w, r)
