feat(host): time in the queue in the line of a call that failed at its endpoint's node

A call that the node of its caller cuts at the end of a stop ends here as "call refused" with code canceled. Now waited is the time until the call was admitted, took the time until it ended.

--- a/io/caller/inflight.go
+++ b/io/caller/inflight.go
@@ -105,6 +105,13 @@
 	change(&r.progress)
 }
 
+// Progress returns the state of the request.
+func (r *Request) Progress() Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress
+}
+
 // end marks the request as ended, so that a later Cut leaves it out, and reports whether an earlier Cut has returned it.
 func (r *Request) end() bool {
 	r.mu.Lock()
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -212,13 +212,21 @@
 		h.link.Sent(time.Now(), m.Route, p.ContentLength)
 	}
 	if err != nil {
-		f := hop.AsFailure(err, m.Call)
+		f, state := hop.AsFailure(err, m.Call), tracked.Progress()
 		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
-			"reason", f.Detail, "error", errorText(f.Err))
+			"reason", f.Detail, "error", errorText(f.Err), "waited", waited(state, time.Now()), "took", time.Since(state.Began).String())
 	}
 	return p, err
 }
 
+// waited returns how long a call of another node waited for admission, with its unit.
+func waited(p caller.Progress, now time.Time) string {
+	if !p.Sent.IsZero() {
+		now = p.Sent
+	}
+	return now.Sub(p.Began).String()
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
