feat(cmd): explain says that a stop cut a request

The summary of a request that a stop cut said "the caller cancelled the call", although the caller had not. It now names the node that stopped, when the request was begun, its body whole and its attempt sent, what was left of the stop then, and, if the log of the endpoint's node is there, whether the attempt was run or waited for a slot. A call that the stop of its endpoint's node cut is named as well. The golden files hold lines of two stops of real processes.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -22,6 +22,8 @@
 const (
 	messageFailed = "request failed"
 	messageRetry  = "attempt failed, trying again"
+	messageCut    = "request cut at the end of the stop" // at the node that received the request
+	messageEnded  = "call refused"                       // at the node of the endpoint
 
 	maxLogLine = 1 << 20 // bytes
 	// gapMargin is the time before the first and after the last line about a request within which a process that started, stopped,
@@ -31,7 +33,7 @@
 
 // Messages that end a request, and messages around which log lines may be missing.
 var (
-	endMessages = []string{"request answered", messageFailed, "answer broke off"}
+	endMessages = []string{"request answered", messageFailed, "answer broke off", messageCut}
 	gapMessages = []string{"log lines dropped", "started", "draining", "control replica paused"}
 )
 
@@ -173,16 +175,13 @@
 // summarize returns one sentence on why a request failed and how many attempts it made, or "" if its lines show no failure. Calls
 // that backend servers made for the request have longer ids and are not counted.
 func summarize(about []logLine) string {
-	last := -1
-	for i, l := range about {
-		if l.message == messageFailed && (last < 0 || len(l.field("call")) <= len(about[last].field("call"))) {
-			last = i
-		}
+	f, cut := lastOf(about, messageFailed), lastOf(about, messageCut)
+	if cut != nil && (f == nil || len(cut.field("call")) <= len(f.field("call"))) {
+		return summarizeCut(cut, about)
 	}
-	if last < 0 {
+	if f == nil {
 		return ""
 	}
-	f := about[last]
 	attempts := 1
 	for _, l := range about {
 		if l.message == messageRetry && l.field("call") == f.field("call") {
@@ -197,7 +196,19 @@
 	if after := f.field("after"); after != "" && after != "0s" {
 		text = strings.TrimSuffix(text, ".") + "; the caller was told to return after " + after
 	}
-	return text
+	return text + summarizeCallCut(f, about)
+}
+
+// lastOf returns the last line with the message among those with the shortest call id, or nil if there is none.
+func lastOf(about []logLine, message string) *logLine {
+	var last *logLine
+	for i := range about {
+		l := &about[i]
+		if l.message == message && (last == nil || len(l.field("call")) <= len(last.field("call"))) {
+			last = l
+		}
+	}
+	return last
 }
 
 // field returns a field of the line as text, "" if the line lacks it.
--- a/cmd/explain_test.go
+++ b/cmd/explain_test.go
@@ -9,9 +9,27 @@
 // Guards against an explanation from which on-call cannot tell which limit refused a request, how old it was, who told it and how
 // many requests were counted.
 func TestExplainLimited(t *testing.T) {
-	const file = "testdata/limited.txt"
+	explainsAs(t, "a1", "testdata/limited.log", "testdata/limited.txt")
+}
+
+// Guards against an explanation from which on-call cannot tell that a stop cut a request, when the request was begun and sent, how
+// much time was left then, and whether it was run.
+func TestExplainCut(t *testing.T) {
+	for name, id := range map[string]string{
+		"cutbody":    "c24-1",   // the body was not complete
+		"cutwaiting": "c33-1",   // it waited for a slot at its endpoint
+		"cutrunning": "c25-1",   // its endpoint was at work, after a busy one
+		"cutcall":    "c46-186", // the node of the endpoint stopped
+	} {
+		t.Run(name, func(t *testing.T) { explainsAs(t, id, "testdata/cut.log", "testdata/"+name+".txt") })
+	}
+}
+
+// explainsAs compares the explanation of a request with a golden file.
+func explainsAs(t *testing.T, id, log, file string) {
+	t.Helper()
 	var stdout, stderr bytes.Buffer
-	code := newProgram().Run(t.Context(), []string{"explain", "a1", "testdata/limited.log"}, &stdout, &stderr)
+	code := newProgram().Run(t.Context(), []string{"explain", id, log}, &stdout, &stderr)
 	if code != ExitDone || stderr.Len() > 0 {
 		t.Fatalf("got exit code %d and %q, want %d and no error", code, stderr.String(), ExitDone)
 	}
