--- a/io/host/local.go
+++ b/io/host/local.go
@@ -91,6 +91,9 @@
 		h.metrics.Refusals.WithLabelValues(string(f.Code)).Inc()
 		return nil, f
 	}
+	if r, ok := ctx.Value(remoteKey{}).(*caller.Request); ok {
+		r.Update(func(p *caller.Progress) { p.Sent = time.Now() })
+	}
 	h.metrics.Running.Inc()
 	h.metrics.Sent.WithLabelValues(sentKind(m)).Inc()
 	return func(r backend.Result) {
@@ -202,18 +205,28 @@
 // failures of calls that start at this node.
 func (h *Host) serveRemote(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	h.adoptLimit(m)
-	p, err := h.callBackend(context.WithValue(ctx, remoteKey{}, true), m, r)
+	tracked := h.stop.trackRemote(m, h.settings.Name, time.Now())
+	p, err := h.callBackend(context.WithValue(ctx, remoteKey{}, tracked), m, r)
+	trackAnswer(tracked, p)
 	if err == nil && h.link != nil {
 		h.link.Sent(time.Now(), m.Route, p.ContentLength)
 	}
 	if err != nil {
-		f := hop.AsFailure(err, m.Call)
+		f, state := hop.AsFailure(err, m.Call), tracked.Progress()
 		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
-			"reason", f.Detail, "error", errorText(f.Err))
+			"reason", f.Detail, "error", errorText(f.Err), "waited", waited(state, time.Now()), "took", time.Since(state.Began).String())
 	}
 	return p, err
 }
 
+// waited returns how long a call of another node waited for admission, with its unit.
+func waited(p caller.Progress, now time.Time) string {
+	if !p.Sent.IsZero() {
+		now = p.Sent
+	}
+	return now.Sub(p.Began).String()
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
