--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -50,6 +50,7 @@
 	now         func() time.Time
 	log         logr.Logger
 	logSuccess  func() bool
+	inFlight    *InFlight
 
 	stores       context.Context // context of the work on claims; ended by Shutdown
 	cancelStores context.CancelFunc
@@ -75,6 +76,7 @@
 		now:            time.Now,
 		log:            logr.Discard(),
 		logSuccess:     func() bool { return false },
+		inFlight:       &InFlight{},
 	}
 	for _, o := range opts {
 		o(h)
@@ -91,6 +93,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{handler: h, w: w, r: r, id: h.newCallID(r), began: h.now()}
+	h.inFlight.Add(&c.tracked, Progress{Call: c.id, Began: c.began})
+	defer c.tracked.Remove()
 	defer func() { c.cancel() }()
 	defer c.endBodyWait()
 	c.cancel = func() {}
--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -23,14 +23,18 @@
 }
 
 func (h *Host) drain() error {
-	h.shutdown.Begin(time.Now())
-	h.log.Info("draining", "grace", h.settings.Grace.String())
+	now := time.Now()
+	h.shutdown.Begin(now)
+	h.stop.begin(now, h.noticeTime(), h.settings.Grace)
+	h.log.Info("draining", "phase", "notice", "notice", h.noticeTime().String(), "grace", h.settings.Grace.String(),
+		"connections", h.callerConnections(), "running", h.stop.callers.Len(), "calls", h.stop.remote.Len())
 	ctx, cancel := context.WithDeadline(context.Background(), h.shutdown.End())
 	defer cancel()
 	h.notice(ctx)
 	err := h.finishWork(ctx)
 	if err != nil {
-		h.log.Error(err, "calls were cut at the end of the grace time")
+		requests, calls := h.stop.cutCounts()
+		h.log.Error(err, "calls were cut at the end of the grace time", "requests", requests, "calls", calls)
 	}
 	return errors.Join(err, h.Close())
 }
@@ -73,6 +77,7 @@
 // finishWork is the second phase. It waits for the work in flight until ctx ends, and closes each listener once no work in flight needs
 // it: the local one serves calls of running requests, and the peer one serves claims and operators' changes.
 func (h *Host) finishWork(ctx context.Context) error {
+	connections := h.callerConnections()
 	work := []func() error{
 		func() error { return h.closeListener(ctx, "caller") },
 		func() error { return h.backend.Wait(ctx) },
@@ -83,6 +88,10 @@
 	}
 	errs := []error{together(work...)}
 	errs = append(errs, h.closeListener(ctx, "local"))
+	if ctx.Err() != nil {
+		h.cutRequests()
+	}
+	h.stop.stopped(time.Now(), connections)
 	errs = append(errs, together(
 		func() error { return h.callers.Shutdown(ctx) },
 		func() error { return h.localCallers.Shutdown(ctx) },
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -54,6 +53,7 @@
 
 	picker  *routing.Picker
 	budgets *retry.Budgets
+	stop    *stopRecord
 	splits  *splitCounter
 	notices *notice.Table
 	// invalidLimits bounds the log lines about limits that are not valid.
@@ -147,7 +147,8 @@
 		h.link = admission.NewLink(s.Link)
 		h.admissionOptions = append(h.admissionOptions, admission.WithLink(h.link))
 	}
-	h.shutdown = shutdown.New(shutdown.WithNotice(cmp.Or(s.CloseNotice, closeNoticeTime)), shutdown.WithGrace(s.Grace))
+	h.shutdown = shutdown.New(shutdown.WithNotice(h.noticeTime()), shutdown.WithGrace(s.Grace))
+	h.stop = newStopRecord(h.log, h.metrics.StopRequests)
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
@@ -266,6 +267,7 @@
 			caller.WithLog(log, sampled.Next),
 			caller.WithDraining(h.stopping),
 			caller.WithStop(h.shutdown.Decide),
+			caller.WithInFlight(&h.stop.callers),
 		}, h.callerOptions...)
 	}
 	h.callers = caller.New(options(false)...)
