test(host): calls of other nodes are asked for in a stop

Guards the wiring of the rule to the backend servers of a node. The question after a whole body is the one before the first claim or attempt, so the second one in prepare is gone.

--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -83,7 +83,7 @@
 		return f
 	}
 	c.buildOutbound()
-	return c.stopRefusal(0)
+	return nil
 }
 
 func (c *call) route() *outcome.Failure {
--- a/io/host/drain_test.go
+++ b/io/host/drain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"godwitspindle/core/outcome"
+	"godwitspindle/io/backend"
 	"godwitspindle/io/hop"
 	"godwitspindle/io/process"
 )
@@ -91,6 +93,26 @@
 	<-answer
 }
 
+// Guards against calls of other nodes that a stopping node takes although their answers are due after its end.
+func TestDrainAsksForRemoteCalls(t *testing.T) {
+	h := startHost(t, time.Second, time.Second, 0)
+	defer func() { _ = h.Close() }()
+	a := backend.Announcement{Service: "archive", Endpoint: "e", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1, Connections: 1}
+	if f := h.Announce(a); f != nil {
+		t.Fatal(f)
+	}
+	h.shutdown.Begin(time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for objective, want := range map[time.Duration]outcome.Code{time.Millisecond: outcome.Unreachable, 3 * time.Second: outcome.Draining} {
+		m := hop.Meta{Call: "c", Service: "archive", Endpoint: "e", Objective: objective}
+		_, err := h.serveRemote(ctx, m, &http.Request{Method: "GET", URL: &url.URL{Path: "/"}, Header: http.Header{}})
+		if f := hop.AsFailure(err, "c"); f.Code != want || f.Kind != outcome.NotRun {
+			t.Errorf("objective %v: got %v, want code %q", objective, f, want)
+		}
+	}
+}
+
 // Guards against calls that stay in the queue of a local endpoint after the notice, while other nodes could run them.
 func TestDrainRefusesQueuedCalls(t *testing.T) {
 	const notice = 100 * time.Millisecond
