fix(process): close the listener of a planned stop at a known time

Callers that connect without a pause went on being accepted until the end of the grace time of a planned stop: DrainBacklog closed the listener only after 4 ms without a new connection and otherwise returned with it open.

A classic socket filter now drops the segments that ask for a new connection, so that the handshakes that have begun end and the backlog runs empty; then the listener closes. A listener for multipath TCP, the default of package net, refuses the filter, so listeners use plain TCP. A client whose segment is dropped asks again after a second and is refused.

--- a/io/process/listener.go
+++ b/io/process/listener.go
@@ -5,18 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	backlogWait     = 2 * time.Millisecond   // time without a new connection after which the backlog counts as empty
-	lastBacklogWait = 50 * time.Microsecond  // length of the last wait, short so that its end is noticed soon
-	backlogTries    = 3                      // number of waits, because a busy machine may report a connection late
-	maxUnusedWait   = 500 * time.Millisecond // longest wait of a shutdown for connections without a request so far
-	maxBacklogTime  = 200 * time.Millisecond // longest wait until the backlog is empty
+	maxUnusedWait = 500 * time.Millisecond // longest wait of a shutdown for connections without a request so far
 )
 
 // countingListener closes connections above its limit at once, so that the client learns that nothing was read. A connection
@@ -25,9 +20,10 @@
 	net.Listener
 	limit    int64
 	open     atomic.Int64
-	refused  func()                        // called before a connection above the limit is closed
-	drained  atomic.Pointer[chan struct{}] // closed once the backlog is empty; nil before DrainBacklog
-	closed   chan struct{}                 // closed by Close
+	refused  func()                       // called before a connection above the limit is closed
+	drain    atomic.Pointer[backlogDrain] // nil before DrainBacklog
+	keepOut  func(l net.Listener) error   // keeps new handshakes out; nil stands for dropHandshakes
+	closed   chan struct{}                // closed by Close
 	once     sync.Once
 	unused   sync.Map    // connections without a request so far
 	graceful atomic.Bool // a shutdown closes connections, except those with a running request
@@ -45,31 +41,6 @@
 	}
 }
 
-// deadliner is implemented by TCP listeners.
-type deadliner interface{ SetDeadline(t time.Time) error }
-
-// DrainBacklog makes Accept return the connections that wait in the backlog, then closes the listener. It waits at most
-// maxBacklogTime for the close. Closing earlier would reset those connections, and a caller whose request was reset cannot know
-// that the request did not run.
-func (l *countingListener) DrainBacklog() {
-	d, ok := l.Listener.(deadliner)
-	if !ok {
-		return
-	}
-	empty := make(chan struct{})
-	if !l.drained.CompareAndSwap(nil, &empty) {
-		return
-	}
-	if d.SetDeadline(time.Now()) != nil {
-		return
-	}
-	select {
-	case <-empty:
-	case <-l.closed:
-	case <-time.After(maxBacklogTime):
-	}
-}
-
 // NetConn returns the connection that is counted.
 func (c *countedConn) NetConn() net.Conn { return c.Conn }
 
@@ -107,37 +78,12 @@
 func (l *countingListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	err := l.Listener.Close()
-	if l.drained.Load() != nil && errors.Is(err, net.ErrClosed) {
+	if l.drain.Load() != nil && errors.Is(err, net.ErrClosed) {
 		return nil // DrainBacklog closed it
 	}
 	return err
 }
 
-// accept returns the next connection. After DrainBacklog, it waits for Close once the backlog is empty.
-func (l *countingListener) accept() (net.Conn, error) {
-	for tries := 0; ; {
-		c, err := l.Listener.Accept()
-		drained := l.drained.Load()
-		if drained == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c, err
-		}
-		if tries == backlogTries {
-			_ = l.Listener.Close()
-			close(*drained)
-			<-l.closed
-			return nil, net.ErrClosed
-		}
-		tries++
-		wait := backlogWait
-		if tries == backlogTries {
-			wait = lastBacklogWait
-		}
-		if err := l.Listener.(deadliner).SetDeadline(time.Now().Add(wait)); err != nil {
-			return nil, err
-		}
-	}
-}
-
 // Accept returns the next connection that is within the limit.
 func (l *countingListener) Accept() (net.Conn, error) {
 	for {
--- a/io/process/server.go
+++ b/io/process/server.go
@@ -112,7 +112,9 @@
 	for _, f := range opts {
 		f(&o)
 	}
-	inner, err := net.Listen("tcp", address.String())
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // a listener for multipath TCP, the default, refuses the filter of dropHandshakes
+	inner, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, &ListenError{Name: o.name, Address: address, Err: err}
 	}
