fix(process): keep resets away from answers on their way

A client that sent another request while a long answer with Connection: close was on its way lost the end of that answer: the close reset the connection and dropped what was not yet acknowledged. Refusals of net/http itself (400, 501) reset clients that were still sending. A request that had been read was dropped when its client sent one more byte behind it after the last read, because the byte began to pass the request on and the answer before it then closed.

A connection that has ended towards the client stays up to 5 s while the client's system has not acknowledged all of the answer, else 500 ms. Connection: close also looks at a request that has begun to be passed on. Answers that begin with a flush, or without a write, now carry Connection: close as well.

--- a/io/process/conn.go
+++ b/io/process/conn.go
@@ -15,6 +15,7 @@
 
 const (
 	lingerTime      = 500 * time.Millisecond // longest wait for a client to close its side
+	maxLingerTime   = 5 * time.Second        // the same while a part of an answer is not acknowledged
 	firstLingerWait = time.Millisecond       // time until the second look whether the client has closed its side; it doubles
 	maxLingerWait   = 16 * time.Millisecond  // longest time between two such looks
 	discardBuffer   = 4 << 10                // bytes of a body that are dropped at once
@@ -59,7 +60,7 @@
 	idleSince   time.Time // end of the last request; zero before
 	pending     bool      // the connection closes once the request has ended
 	abandoned   bool      // the connection was closed while no request was running
-	broken      bool      // an answer broke off, so the close must not look like a regular end
+	hijacked    bool      // the handler closes the connection, maybe with a reset
 	ended       bool      // Close has begun
 	stopped     bool      // no further request is read
 	silent      bool      // it was stopped within the head of a request, to which net/http would invent an answer
@@ -197,7 +198,7 @@
 	}
 	c.ended = true
 	t, ok := c.Conn.(*net.TCPConn)
-	orderly := ok && c.pipeline != nil && !c.broken && !c.listener.cut.Load() && !c.isQuiet()
+	orderly := ok && c.pipeline != nil && !c.hijacked && !c.listener.cut.Load() && !c.isQuiet()
 	if c.pipeline != nil {
 		c.pipeline.abort()
 	}
@@ -217,8 +218,9 @@
 	return !c.active && !c.pipeline.begun() && time.Since(c.idleSince) > lingerTime && !hasUnread(c.Conn)
 }
 
-// linger closes a connection that has ended towards the client once the client has closed its side, after lingerTime at the latest.
-// It reads only the rest of a body whose request was answered, as a client may send that before it looks at the answer.
+// linger closes a connection that has ended towards the client once the client has closed its side, after lingerTime at the latest,
+// or after maxLingerTime if a close would reset it before the client's system has the whole answer. It reads only the rest of a body
+// whose request was answered, as a client may send that before it looks at the answer.
 func (c *countedConn) linger(t *net.TCPConn) {
 	defer c.release()
 	defer func() { _ = t.Close() }()
@@ -227,15 +229,29 @@
 		return
 	}
 	buffer, ended := make([]byte, discardBuffer), false
-	for wait, end := firstLingerWait, time.Now().Add(lingerTime); time.Now().Before(end); wait = min(2*wait, maxLingerWait) {
-		err := raw.Control(func(fd uintptr) { ended = c.discardBody(int(fd), buffer) })
-		if err != nil || ended {
+	began := time.Now()
+	for wait := firstLingerWait; !ended; wait = min(2*wait, maxLingerWait) {
+		if err := raw.Control(func(fd uintptr) {
+			limit := lingerTime
+			if hasUnsent(int(fd)) {
+				limit = maxLingerTime
+			}
+			ended = c.discardBody(int(fd), buffer) || time.Since(began) > limit
+		}); err != nil {
 			return
 		}
-		time.Sleep(wait)
+		if !ended {
+			time.Sleep(wait)
+		}
 	}
 }
 
+// hasUnsent reports whether the client's system has not acknowledged all bytes of the answers.
+func hasUnsent(fd int) bool {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+	return err == nil && n > 0
+}
+
 // discardBody drops the received bytes of a body whose request was answered and reports whether the client has closed its side.
 func (c *countedConn) discardBody(fd int, buffer []byte) (ended bool) {
 	for {
@@ -281,7 +297,7 @@
 		if s == http.StateIdle {
 			c.idleSince = time.Now()
 		}
-		c.broken = c.broken || s == http.StateHijacked
+		c.hijacked = c.hijacked || s == http.StateHijacked
 		if c.pending || s == http.StateClosed {
 			_ = c.end()
 		}
@@ -295,13 +311,6 @@
 	return c.abandoned
 }
 
-// markBroken makes the connection end without the orderly close that a caller of HTTP/1.0 takes for the end of an answer.
-func (c *countedConn) markBroken() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.broken = true
-}
-
 // dropAbandoned drops requests whose connection was closed before they started. Their callers know that the requests did not
 // run and send them again, so the requests must not be forwarded.
 func dropAbandoned(next http.Handler) http.Handler {
@@ -314,14 +323,7 @@
 		if c.isAbandoned() {
 			panic(http.ErrAbortHandler)
 		}
-		whole := false
-		defer func() {
-			if !whole {
-				c.markBroken()
-			}
-		}()
 		next.ServeHTTP(w, r)
-		whole = true
 		if c.listener.graceful.Load() {
 			_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // net/http reads the rest of a body behind its answer
 		}
--- a/io/process/early.go
+++ b/io/process/early.go
@@ -178,6 +178,14 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// FlushError sends what was written.
+func (w *orderedWriter) FlushError() error {
+	if !w.sent {
+		w.WriteHeader(http.StatusOK)
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // serveInOrder answers the requests of each connection in the order in which they were sent.
 func serveInOrder(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -190,6 +198,10 @@
 			e.serve(w)
 			return
 		}
-		next.ServeHTTP(&orderedWriter{ResponseWriter: w, pipeline: c.pipeline}, r)
+		ordered := &orderedWriter{ResponseWriter: w, pipeline: c.pipeline}
+		next.ServeHTTP(ordered, r)
+		if !ordered.sent {
+			c.pipeline.setConnectionClose(w.Header()) // net/http sends the header
+		}
 	})
 }
--- a/io/process/pipeline.go
+++ b/io/process/pipeline.go
@@ -42,6 +42,7 @@
 	current    *earlyRequest   // early request whose bytes are passed to net/http, until the handler takes the request
 	blocked    bool            // the request behind the queue must wait for its turn
 	serial     bool            // no request behind the one that is being passed to net/http may start early
+	ahead      bool            // the request that is being passed to net/http is behind the one that is running
 	reading    bool            // watch reads from the connection
 	closing    bool            // the answer to the last request that was read closes the connection, and no further one is read
 	ended      bool            // the connection has ended
@@ -99,6 +100,7 @@
 		if room := l.withhold(buffer[:n]); n > 0 && (last || !room) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
+			l.ahead = true
 			return l.deliver(p), nil // read no more until net/http takes a request
 		}
 		if errors.Is(err, errInterrupted) {
@@ -247,7 +249,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.current
-	l.current = nil
+	l.current, l.ahead = nil, false
 	return e
 }
 
@@ -267,7 +269,7 @@
 		l.mu.Lock()
 	}
 	h.Del("Connection")
-	if len(l.queue) == 0 && l.current == nil && wholeLength(l.withheld) < 0 {
+	if len(l.queue) == 0 && l.current == nil && !(l.ahead && l.atBoundary) && wholeLength(l.withheld) < 0 {
 		h.Set("Connection", "close")
 	}
 }
--- a/io/process/stop_test.go
+++ b/io/process/stop_test.go
@@ -181,6 +181,39 @@
 	}
 }
 
+// Guards against a request that was read and is dropped because the client sends more behind it once no further one is read.
+func TestReadAheadAtLastRead(t *testing.T) {
+	for _, more := range []string{"G", getRequests("/late"), postHead + "body"} {
+		t.Run(strings.Fields(more)[0], func(t *testing.T) {
+			t.Parallel()
+			h := newGatedHandler("/held")
+			s, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = s.Close() })
+			conn := dial(t, s)
+			_, _ = io.WriteString(conn, getRequests("/held", "/b"))
+			h.waitStarted(t, "/held")
+			h.waitFor(t, "/b is read", func() bool { return withheld(s) > 0 })
+			stopped := shutdown(t, s, 5*time.Second, time.Now())
+			for !s.listener.readOver.Load() {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(5 * time.Millisecond)
+			_, _ = io.WriteString(conn, more)
+			time.Sleep(5 * time.Millisecond)
+			h.open("/held")
+			if got, want := readAnswers(conn, 5), "/held /b(close) end"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+			if err := <-stopped; err != nil {
+				t.Errorf("got %v, want a stop without cut requests", err)
+			}
+		})
+	}
+}
+
 // Guards against a refusal that a reset destroys because its client still sends the body, and against one that the stop waits for.
 func TestRefusalWhileClientSends(t *testing.T) {
 	const size = 8 << 20
