--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -123,7 +123,7 @@
 	if s == nil {
 		return nil
 	}
-	if err := s.Shutdown(ctx); err != nil {
+	if err := s.Shutdown(ctx, h.shutdown.LastRead()); err != nil {
 		return fmt.Errorf("drain of listener %s: %w", name, err)
 	}
 	return nil
--- a/io/process/shutdown_test.go
+++ b/io/process/shutdown_test.go
@@ -63,7 +63,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), c.grace)
 			defer cancel()
 			time.AfterFunc(100*time.Millisecond, func() { close(release) })
-			_ = s.Shutdown(ctx)
+			_ = s.Shutdown(ctx, time.Time{})
 			if got := closes.Load(); got != 1 {
 				t.Errorf("reports of the close: got %d, want 1", got)
 			}
