test(platform): a soak of planned stops by real processes

Cut requests at a planned stop were found by users first; no soak played SIGTERM under load with real processes.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RED   := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP  := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: check test race soak bench capacity resident generate format
+.PHONY: check test race soak stopsoak bench capacity resident generate format
 
 check:
 	@out="$$($(TOOL) gofumpt -l $(FILES))"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
@@ -27,6 +27,10 @@
 	go test ./io/demo -run 'TestSoak$$' -v -soak.first 0 -soak.seeds 10 -soak.length 20s -timeout 30m
 	go test ./platform -run 'TestReplicaSoak$$' -v -replicasoak.first 0 -replicasoak.seeds 10 -timeout 30m
 
+# Plays fresh seeds of the soak of planned stops; a seed that fails belongs into stopSoakList of platform/stopsoak_test.go.
+stopsoak:
+	go test ./platform -run 'TestStopSoak$$' -v -count=1 -stopsoak.first 0 -stopsoak.seeds 10 -stopsoak.length 12s -stopsoak.failed -timeout 30m
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
