feat(admission): withdraw a queued call

Cause: a node can take a call back only by cancelling it, which leaves it open whether it has run.

Change: Gate.Withdraw refuses a call that is still queued, as draining and notrun, and leaves a running or unknown one alone.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -245,6 +245,20 @@
 	return g.startQueued(now)
 }
 
+// Withdraw refuses a call that is still queued and reports whether there was one. A call that runs, or that the gate does not know, is
+// not changed.
+func (g *Gate) Withdraw(now time.Time, call string) (Decision, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	i := g.queueIndex(call)
+	if i < 0 {
+		return Decision{}, false
+	}
+	d := g.refuse(now, g.dequeue(i).Call, outcome.Draining, 0)
+	d.Failure.Detail = "The node that sent the call is stopping and withdrew it from the queue."
+	return d, true
+}
+
 // Tick refuses queued calls that can no longer meet their deadline and starts others while slots are free, for example after a
 // pause. Next says when it is due.
 func (g *Gate) Tick(now time.Time) []Decision {
