feat(host): a stopping node withdraws its queued calls from other nodes

Cause: the rule of core/shutdown is asked when an attempt is sent; the wait in the queue of another host comes after that.

Change: when the notice ends, the stopping node names those of its calls that may not begin any more to the nodes that have them. What still waits there is answered as draining, notrun; running calls are left alone. A draining answer after the notice no longer makes the node avoid the endpoint, which stays.

Measured: TestDrainWithdrawsQueuedCall (one slot, work of 2.5 s, stop of 1 s + 3 s): the queued request gets 503 draining, notrun at the end of the notice, the running one its answer, and one request runs.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -138,7 +138,7 @@
 	r := *c.outbound
 	r.Body, r.ContentLength = c.body.attemptBody(c.r.ContentLength, lost)
 	c.tracked.Update(func(p *Progress) {
-		p.Endpoint, p.Host, p.Sent = c.endpoint, e.Node, begin
+		p.Endpoint, p.Host, p.Address, p.Sent = c.endpoint, e.Node, e.Address, begin
 		p.Attempts++
 	})
 	h.attemptStarted(c.endpoint, begin)
--- a/io/caller/inflight.go
+++ b/io/caller/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -13,9 +14,10 @@
 // Progress is the state of a request in flight.
 type Progress struct {
 	Call     string
-	Route    string // empty until the route is known
-	Endpoint string // endpoint of the last attempt; empty before the first
-	Host     string // host of that endpoint
+	Route    string         // empty until the route is known
+	Endpoint string         // endpoint of the last attempt; empty before the first
+	Host     string         // host of that endpoint
+	Address  netip.AddrPort // address of the node on that host
 	Began    time.Time
 	Body     time.Time // time at which the body was complete in memory; zero before
 	Sent     time.Time // start of the last attempt; zero before the first
@@ -135,6 +137,11 @@
 	return n
 }
 
+// Visit calls visit with the state of each request in flight; visit must not block.
+func (f *InFlight) Visit(visit func(p Progress)) {
+	f.visit(func(r *Request) { visit(r.Progress()) })
+}
+
 // Cut marks all requests in flight as cut and returns them, the earliest first.
 func (f *InFlight) Cut() []Progress {
 	var all []Progress
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -10,6 +10,7 @@
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/caller"
 	"godwitspindle/io/hop"
@@ -110,6 +111,9 @@
 	case outcome.Busy, outcome.Limited:
 		h.picker.RecordOccupancy(endpoint, busyLoad, o.At)
 	case outcome.Draining:
+		if h.shutdown.Phase(o.At) > shutdown.Notice {
+			return // the call may have been withdrawn from the queue of an endpoint that stays
+		}
 		h.picker.Avoid(endpoint, o.At.Add(avoidDraining), string(f.Code))
 	case outcome.NoEndpoint:
 		h.picker.Avoid(endpoint, o.At.Add(avoidMissing), routing.Unreachable)
--- a/io/host/drain.go
+++ b/io/host/drain.go
@@ -31,7 +31,12 @@
 	ctx, cancel := context.WithDeadline(context.Background(), h.shutdown.End())
 	defer cancel()
 	h.notice(ctx)
+	withdrawing, finished := context.WithCancel(ctx)
+	var withdrawals sync.WaitGroup
+	withdrawals.Go(func() { h.withdrawCalls(withdrawing) })
 	err := h.finishWork(ctx)
+	finished()
+	withdrawals.Wait()
 	if err != nil {
 		requests, calls := h.stop.cutCounts()
 		h.log.Error(err, "calls were cut at the end of the grace time", "requests", requests, "calls", calls)
--- a/io/host/listeners.go
+++ b/io/host/listeners.go
@@ -24,7 +24,8 @@
 	path, handler := peer.NewHandler(h.peerServer())
 	mux := http.NewServeMux()
 	mux.Handle(path, peer.Authorize(h.settings.Key, handler))
-	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.serveRemote), hop.WithNext(mux), hop.WithMaxBody(callBytes))
+	calls := hop.NewServer(hop.WithServerKey(h.settings.Key), hop.WithDo(h.serveRemote), hop.WithNext(mux), hop.WithMaxBody(callBytes),
+		hop.WithWithdraw(h.serveWithdrawal))
 	s, err := h.listen("listen.peer", h.settings.Listen.Peer, calls, process.Limits{Body: peerBytes, Connections: peerConns},
 		process.WithServer(hop.HTTPServer(calls)), process.WithH2C(), process.WithTLS(h.serverTLS()),
 		process.WithShutdown(func(int) {}, h.cutRequests))
