fix(backend): a call that waits for a connection does not begin after the notice

Cause: the rule of a planned stop was asked before that wait, and a withdrawal did not find the call, which is no longer queued.

Change: after a wait for a connection the rule is asked again, and Backend.Withdraw ends the wait. Nothing has been written by then, so both are draining, notrun. A call that finds an idle connection does not wait and is not changed.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -55,11 +55,13 @@
 	endpoints map[string]*endpoint
 	contexts  map[string]string    // Mesh-Context of running requests, by request id
 	departed  map[string]departure // processes that left, by endpoint key
-	draining  bool
-	running   int           // calls in flight
-	idle      chan struct{} // created by Wait, closed when the last call in flight ends
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	// connecting holds the calls that wait for a connection to their backend server.
+	connecting map[hop.Withdrawn]context.CancelCauseFunc
+	draining   bool
+	running    int           // calls in flight
+	idle       chan struct{} // created by Wait, closed when the last call in flight ends
+	stop       context.CancelFunc
+	done       sync.WaitGroup
 }
 
 // New returns a Backend and starts to remove endpoints whose lease expires, until Close.
@@ -86,6 +88,7 @@
 		endpoints:       map[string]*endpoint{},
 		departed:        map[string]departure{},
 		contexts:        map[string]string{},
+		connecting:      map[hop.Withdrawn]context.CancelCauseFunc{},
 	}
 	b.setHeaders = b.meshHeaders
 	for _, o := range opts {
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -78,9 +78,8 @@
 }
 
 func (l *flight) forward(ctx context.Context, r *http.Request) (*http.Response, error) {
-	c, err := l.pool.acquire(ctx)
-	if err != nil {
-		f := l.classify(ctx, err, false)
+	c, f := l.connect(ctx)
+	if f != nil {
 		l.end(false, false)
 		return nil, f
 	}
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -51,13 +51,8 @@
 	case <-ctx.Done():
 		return nil, &DialError{Err: ctx.Err()}
 	}
-	for c := p.pop(); c != nil; c = p.pop() {
-		if c.reusable() {
-			c.reused = true
-			c.tracked.written.Store(false)
-			return c, nil
-		}
-		_ = c.tracked.Close() // the backend server closed it, or sent bytes while it was idle
+	if c := p.reuse(); c != nil {
+		return c, nil
 	}
 	c, err := p.dial(ctx)
 	if err != nil {
@@ -67,6 +62,33 @@
 	return c, nil
 }
 
+// acquireIdle returns an idle connection for one request, or nil if there is none or all are in use.
+func (p *pool) acquireIdle() *conn {
+	select {
+	case p.tokens <- struct{}{}:
+	default:
+		return nil
+	}
+	c := p.reuse()
+	if c == nil {
+		<-p.tokens
+	}
+	return c
+}
+
+// reuse returns an idle connection, or nil. The caller holds a token.
+func (p *pool) reuse() *conn {
+	for c := p.pop(); c != nil; c = p.pop() {
+		if c.reusable() {
+			c.reused = true
+			c.tracked.written.Store(false)
+			return c
+		}
+		_ = c.tracked.Close() // the backend server closed it, or sent bytes while it was idle
+	}
+	return nil
+}
+
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	n, err := d.DialContext(ctx, "tcp", p.address)
--- a/io/host/withdraw.go
+++ b/io/host/withdraw.go
@@ -77,14 +77,14 @@
 	return calls
 }
 
-// serveWithdrawal refuses those of the calls that wait for a local endpoint, and returns how many it refused.
+// serveWithdrawal refuses those of the calls that wait for a slot of a local endpoint or for a connection to it, and returns how many it refused.
 func (h *Host) serveWithdrawal(calls []hop.Withdrawn) int {
 	n := 0
 	for _, c := range calls {
 		h.mu.Lock()
 		l := h.locals[c.Endpoint]
 		h.mu.Unlock()
-		if l != nil && l.queue.withdraw(c.Call) {
+		if l != nil && l.queue.withdraw(c.Call) || h.backend.Withdraw(c) {
 			n++
 		}
 	}
