fix(hop): a call that waits for a connection to its peer does not begin after the notice

What callers saw: none in the record; found while the waits of a call were gone through.

Cause: the rule of a planned stop was asked before that wait only.

Change: Client asks the rule once more when the call has its connection, before anything is written.

Measured: TestStopWhileDialing; without the check the call is served (got error <nil> and 1 calls served).

--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/shutdown"
 )
 
 // Limits of the client.
@@ -61,6 +62,12 @@
 	return func(c *Client) { c.dial = dial }
 }
 
+// WithStop sets the rule of a planned stop, which each call is asked for once it has a connection: a connection may take the dial
+// timeout to open, and the notice may end in that time.
+func WithStop(decide func(now time.Time, w shutdown.Work) shutdown.Decision) Option {
+	return func(c *Client) { c.stopRule = decide }
+}
+
 // WithNow sets the clock that dates the last use of each peer, by which idle peers are evicted; the default is time.Now.
 func WithNow(now func() time.Time) Option { return func(c *Client) { c.now = now } }
 
@@ -76,6 +83,7 @@
 	now         func() time.Time
 	transport   *http.Transport
 	onMismatch  func()
+	stopRule    func(time.Time, shutdown.Work) shutdown.Decision
 
 	mu     sync.Mutex
 	peers  map[netip.AddrPort]*peer
@@ -100,6 +108,7 @@
 	c := &Client{
 		scheme: "http", connections: defaultConnections, maxPeers: defaultPeers, dialTimeout: defaultDialTimeout, now: time.Now,
 		peers: map[netip.AddrPort]*peer{}, onMismatch: func() {},
+		stopRule: func(time.Time, shutdown.Work) shutdown.Decision { return shutdown.Decision{Allowed: true} },
 	}
 	for _, o := range opts {
 		o(c)
@@ -139,6 +148,9 @@
 		return nil, c.countFailure(f)
 	}
 	defer c.release(address)
+	if f := c.stopRefusal(ctx, m); f != nil {
+		return nil, c.countFailure(f)
+	}
 	p, err := conn.RoundTrip(c.request(ctx, address, m, r))
 	if err != nil {
 		return nil, c.countFailure(classify(ctx, m.Call, err))
@@ -180,6 +192,15 @@
 	return nil
 }
 
+// stopRefusal returns a failure if a call may not begin because of a planned stop.
+func (c *Client) stopRefusal(ctx context.Context, m Meta) *outcome.Failure {
+	deadline, _ := ctx.Deadline()
+	if c.stopRule(time.Now(), shutdown.Work{Deadline: deadline, Expected: max(m.Objective, 0)}).Allowed {
+		return nil
+	}
+	return failure(outcome.Draining, outcome.NotRun, m.Call, "the node is stopping and may not finish the call in time", nil)
+}
+
 func (c *Client) request(ctx context.Context, address netip.AddrPort, m Meta, r *http.Request) *http.Request {
 	h := make(http.Header, len(r.Header)+3)
 	for k, v := range r.Header {
--- a/io/hop/withdraw_test.go
+++ b/io/hop/withdraw_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/shutdown"
 )
 
 // Guards against a withdrawal that names other calls than the sender meant, that is larger than the receiver reads, or that loses
@@ -48,6 +50,45 @@
 	}
 }
 
+// Guards against a call that waits for a connection to its peer until the notice of a planned stop has ended, and is sent although too
+// little time is left.
+func TestStopWhileDialing(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		deadline time.Duration // of the call; the stop ends after 3 s
+		code     outcome.Code  // empty if the call is sent
+	}{
+		{"deadline fits", 2 * time.Second, ""},
+		{"deadline beyond the end", 8 * time.Second, outcome.Draining},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			served := 0
+			address := serve(t, NewServer(WithDo(func(context.Context, Meta, *http.Request) (*http.Response, error) {
+				served++
+				return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
+			})))
+			stop := shutdown.New(shutdown.WithNotice(0), shutdown.WithGrace(3*time.Second))
+			client := New(WithStop(stop.Decide), WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+				stop.Begin(time.Now())
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}))
+			defer func() { _ = client.Close() }()
+			ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+			defer cancel()
+			p, err := client.Call(ctx, address, testMeta("c"), request("POST", "/", ""))
+			if err == nil {
+				_ = p.Body.Close()
+			}
+			if c.code == "" && (err != nil || served != 1) {
+				t.Errorf("got error %v and %d calls served, want none and 1", err, served)
+			}
+			if c.code != "" && (err == nil || AsFailure(err, "").Code != c.code || AsFailure(err, "").Kind != outcome.NotRun || served != 0) {
+				t.Errorf("got error %v and %d calls served, want %s (notrun) and 0", err, served, c.code)
+			}
+		})
+	}
+}
+
 // Guards against a malformed withdrawal that withdraws some of the calls.
 func TestWithdrawalMalformed(t *testing.T) {
 	const valid = "counter/a c1\n"
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -177,7 +177,10 @@
 
 func (h *Host) startTransport() error {
 	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl), peer.WithClientDial(h.dial)}
-	hopOptions := []hop.Option{hop.WithKey(h.settings.Key), hop.WithDial(h.dial), hop.WithMismatch(h.metrics.CrossedAnswers.Inc)}
+	hopOptions := []hop.Option{
+		hop.WithKey(h.settings.Key), hop.WithDial(h.dial), hop.WithMismatch(h.metrics.CrossedAnswers.Inc),
+		hop.WithStop(h.shutdown.Decide),
+	}
 	if h.settings.TLS.Enabled() {
 		t, err := process.NewTLS(h.settings.TLS, process.WithTLSLogger(h.log))
 		if err != nil {
