fix(disk): remove unfinished files of a full disk

It held the last free space, so the check for space failed for good and the replica stayed paused. Cause: NAME.new was removed only when the folder was opened again, which waits for that check. A full disk that refuses to remove or truncate a file was also a *FileError, which ends the replica instead of pausing it. Change: NAME.new is removed after a failure; creation, rename, removal, truncation and the check have one error class and one fault seam, WithFault.

--- a/io/disk/failure.go
+++ b/io/disk/failure.go
@@ -90,9 +90,15 @@
 // Unwrap returns the first failure, or nil if the log was closed without one.
 func (e *ClosedError) Unwrap() error { return e.Err }
 
-func writeError(path string, err error) error {
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+func writeError(path string, err error) error { return operationError("write of", path, err) }
+
+// operationError returns the typed error for a failed operation on a file; nil for none.
+func operationError(o Operation, path string, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT):
 		return &FullError{Path: path, Err: err}
 	}
-	return &FileError{Operation: "write of", Path: path, Err: err}
+	return &FileError{Operation: string(o), Path: path, Err: err}
 }
--- a/io/disk/file.go
+++ b/io/disk/file.go
@@ -17,36 +17,84 @@
 	fileMode     = 0o600
 )
 
-// fileOps are the functions for all writes and syncs; tests replace them to inject faults.
+// Operation is a change of a file other than a write or a sync.
+type Operation string
+
+// Operations that WithFault may let fail.
+const (
+	Create   Operation = "creation of"
+	Rename   Operation = "rename to"
+	Remove   Operation = "removal of"
+	Truncate Operation = "truncation of"
+)
+
+// fileOps are the functions for all writes, syncs and other changes of files; tests replace them to inject faults.
 type fileOps struct {
 	write func(f *os.File, b []byte) (int, error)
 	sync  func(f *os.File) error
+	fault func(o Operation, path string) error // its error replaces the operation
 }
 
 func osFileOps() fileOps {
 	return fileOps{
 		write: func(f *os.File, b []byte) (int, error) { return f.Write(b) },
 		sync:  func(f *os.File) error { return f.Sync() },
+		fault: func(Operation, string) error { return nil },
 	}
 }
 
-// replace atomically replaces a file with one record; kind is the last word of its first line.
-func (s fileOps) replace(path, kind string, payload []byte) error {
+// change carries out an operation on a path unless fault replaces it by an error.
+func (s fileOps) change(o Operation, path string, do func() error) error {
+	err := s.fault(o, path)
+	if err == nil {
+		err = do()
+	}
+	return operationError(o, path, err)
+}
+
+func (s fileOps) create(path string) (f *os.File, err error) {
+	err = s.change(Create, path, func() error {
+		f, err = os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+		return err
+	})
+	return f, err
+}
+
+func (s fileOps) rename(from, to string) error {
+	return s.change(Rename, to, func() error { return os.Rename(from, to) })
+}
+
+func (s fileOps) remove(path string) error {
+	return s.change(Remove, path, func() error { return os.Remove(path) })
+}
+
+// writeNew creates or replaces a file by a synced one with the given content. The file is written under the name PATH.new, which is
+// removed after a failure: on a full disk it would hold the last free space.
+func (s fileOps) writeNew(path string, content []byte) (err error) {
 	next := path + ".new"
-	f, err := os.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	f, err := s.create(next)
 	if err != nil {
-		return writeError(next, err)
+		return err
 	}
-	defer func() { _ = f.Close() }()
-	b := appendRecord([]byte(formatPrefix+kind+"\n"), payload)
-	if _, err := s.write(f, b); err != nil {
+	defer func() {
+		_ = f.Close()
+		if err != nil {
+			_ = s.remove(next) // an error of remove is ignored: err is the cause
+		}
+	}()
+	if _, err := s.write(f, content); err != nil {
 		return writeError(next, err)
 	}
 	if err := s.sync(f); err != nil {
 		return &SyncError{Path: next, Err: err}
 	}
-	if err := os.Rename(next, path); err != nil {
-		return writeError(path, err)
+	return s.rename(next, path)
+}
+
+// replace atomically replaces a file with one record; kind is the last word of its first line.
+func (s fileOps) replace(path, kind string, payload []byte) error {
+	if err := s.writeNew(path, appendRecord([]byte(formatPrefix+kind+"\n"), payload)); err != nil {
+		return err
 	}
 	return s.syncFolder(filepath.Dir(path))
 }
@@ -95,7 +143,7 @@
 	path := filepath.Join(folder, "lock")
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
-		return nil, &FileError{Operation: "open of", Path: path, Err: err}
+		return nil, operationError("open of", path, err)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = f.Close()
@@ -139,16 +187,16 @@
 const probeBytes = 256 << 10
 
 // Probe checks that a folder accepts writes; it fails with *FullError, *SyncError or *FileError.
-func Probe(folder string) error {
+func Probe(folder string, opts ...Option) error {
+	l := &Log{fileOps: osFileOps()}
+	for _, o := range opts {
+		o(l)
+	}
 	path := filepath.Join(folder, "probe")
-	if err := osFileOps().replace(path, "probe", make([]byte, probeBytes)); err != nil {
-		_ = os.Remove(path + ".new") // an error of Remove is ignored: err is the cause
+	if err := l.replace(path, "probe", make([]byte, probeBytes)); err != nil {
 		return err
 	}
-	if err := os.Remove(path); err != nil {
-		return &FileError{Operation: "removal of", Path: path, Err: err}
-	}
-	return nil
+	return l.remove(path)
 }
 
 // SaveFloor durably saves the lowest version that this node may serve.
--- a/io/disk/log.go
+++ b/io/disk/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -29,6 +30,12 @@
 // WithSync sets the function that syncs files and folders, for fault injection.
 func WithSync(f func(f *os.File) error) Option { return func(l *Log) { l.sync = f } }
 
+// WithFault sets a function that is called before a file is created, renamed, removed or truncated; its error, if any, replaces the
+// operation, for fault injection.
+func WithFault(f func(o Operation, path string) error) Option {
+	return func(l *Log) { l.fault = f }
+}
+
 // Loaded is the state that a folder held when it was opened.
 type Loaded struct {
 	State    agreement.HardState
@@ -140,7 +147,8 @@
 	return l.recordFailure(l.append(l.buffer))
 }
 
-// Compact saves a snapshot of the state machine and removes the log up to the index of the snapshot.
+// Compact saves a snapshot of the state machine and removes the log up to the index of the snapshot. After a *FullError the log is
+// usable as before, and Compact may be called again; any other error ends its use, as in Save.
 func (l *Log) Compact(s agreement.Snapshot) error {
 	if err := l.usable(); err != nil {
 		return err
@@ -148,7 +156,11 @@
 	n, _ := slices.BinarySearchFunc(l.tail, s.Index+1, func(e agreement.Entry, i uint64) int {
 		return int(int64(e.Index) - int64(i))
 	})
-	return l.recordFailure(l.saveSnapshot(s, slices.Clone(l.tail[n:])))
+	err := l.saveSnapshot(s, slices.Clone(l.tail[n:]))
+	if errors.As(err, new(*FullError)) {
+		return err
+	}
+	return l.recordFailure(err)
 }
 
 // Close closes the files and unlocks the folder.
@@ -205,13 +217,16 @@
 	return nil
 }
 
-// saveSnapshot saves a snapshot, starts a segment with the remaining entries, and only then removes the older files.
+// saveSnapshot saves a snapshot, which makes the earlier ones useless, and starts a segment with the remaining entries, which makes the
+// earlier segments useless. Earlier snapshots are removed first, so that only one is kept while a disk has no room for the segment.
 func (l *Log) saveSnapshot(s agreement.Snapshot, remain []agreement.Entry) error {
 	path := filepath.Join(l.folder, fmt.Sprintf("snap-%016x", s.Index))
 	if err := l.replace(path, "snap", encodeSnapshot(s)); err != nil {
 		return err
 	}
-	l.tail = remain
+	if err := l.removeOthers("snap-*", path); err != nil {
+		return err
+	}
 	b := appendRecord(nil, encodeStart(s.Index, s.Term))
 	if len(remain) > 0 {
 		b = appendRecord(b, encodeEntries(nil, remain))
@@ -219,23 +234,22 @@
 	if err := l.startSegment(b); err != nil {
 		return err
 	}
-	return l.removeReplaced(path)
+	l.tail = remain
+	return l.removeOthers("log-*", l.active.Name())
 }
 
-// removeReplaced removes all segments and snapshots except the active segment and the given snapshot.
-func (l *Log) removeReplaced(snapshot string) error {
-	for _, g := range []string{"log-*", "snap-*"} {
-		names, err := filepath.Glob(filepath.Join(l.folder, g))
-		if err != nil {
-			return &FileError{Operation: "list of", Path: l.folder, Err: err}
+// removeOthers removes all files that match a pattern except the given one.
+func (l *Log) removeOthers(pattern, except string) error {
+	names, err := filepath.Glob(filepath.Join(l.folder, pattern))
+	if err != nil {
+		return &FileError{Operation: "list of", Path: l.folder, Err: err}
+	}
+	for _, n := range names {
+		if n == except {
+			continue
 		}
-		for _, n := range names {
-			if n == snapshot || n == l.active.Name() {
-				continue
-			}
-			if err := os.Remove(n); err != nil {
-				return &FileError{Operation: "removal of", Path: n, Err: err}
-			}
+		if err := l.remove(n); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/io/disk/segment.go
+++ b/io/disk/segment.go
@@ -33,39 +33,26 @@
 }
 
 // startSegment starts a new segment with the given records. The file gets its name by a rename after its content is
-// synced, so that its header is always complete.
+// synced, so that its header is always complete. Until then the present segment stays in use.
 func (l *Log) startSegment(records []byte) error {
 	head := append([]byte{headerType}, binary.AppendUvarint(nil, l.sequence+1)...)
 	b := append(appendRecord([]byte(formatPrefix+"log\n"), head), records...)
 	path := filepath.Join(l.folder, fmt.Sprintf("log-%016x", l.sequence+1))
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return writeError(path, err)
-	}
-	if l.active != nil {
-		_ = l.active.Close()
-	}
-	l.active, l.size = f, 0
-	if err := l.flush(b); err != nil {
+	if err := l.writeNew(path, b); err != nil {
 		return err
 	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return writeError(path, err)
-	}
 	l.sequence++
 	if err := l.syncFolder(l.folder); err != nil {
 		return err
 	}
-	return l.reopenForAppend(path)
-}
-
-func (l *Log) reopenForAppend(path string) error {
-	_ = l.active.Close()
 	f, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return &FileError{Operation: "open of", Path: path, Err: err}
 	}
-	l.active = f
+	if l.active != nil {
+		_ = l.active.Close()
+	}
+	l.active, l.size = f, int64(len(b))
 	return nil
 }
 
@@ -78,7 +65,7 @@
 	var out []string
 	for _, n := range names {
 		if strings.HasSuffix(n, ".new") {
-			_ = os.Remove(n)
+			_ = l.remove(n)
 			continue
 		}
 		if _, ok := fileNumber(n); !ok {
@@ -230,8 +217,8 @@
 		return nil
 	}
 	if offset < len(b) {
-		if err := os.Truncate(path, int64(offset)); err != nil {
-			return &FileError{Operation: "truncation of", Path: path, Err: err}
+		if err := l.change(Truncate, path, func() error { return os.Truncate(path, int64(offset)) }); err != nil {
+			return err
 		}
 	}
 	l.active, err = os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
