--- a/io/host/control.go
+++ b/io/host/control.go
@@ -98,6 +98,7 @@
 		replica.WithPeerClock(p.sender.Clock),
 		replica.WithApplied(func(uint64) { c.signal() }),
 		replica.WithPaused(c.paused),
+		replica.WithSnapshotFailed(func(err error) { c.log.Error(err, "snapshot not saved, the log grows until the disk has room for it") }),
 		replica.WithSkipped(func(index uint64, entries int) {
 			c.log.Info("membership entries left out, they cannot be decoded; check that all replicas run the same version", "index", index, "entries", entries)
 		}),
--- /dev/null
+++ b/io/replica/fulldisks_day_test.go
@@ -0,0 +1,141 @@
+package replica
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"godwitspindle/io/disk"
+)
+
+// Flags of the search, for instance go test ./io/replica -run TestFullDisksInTurn -fulldisks.seeds 500 -fulldisks.all -timeout 1h.
+var (
+	fullDisksSeeds = flag.Int("fulldisks.seeds", 12, "number of seeds")
+	fullDisksFirst = flag.Int64("fulldisks.first", 1, "first seed")
+	fullDisksAll   = flag.Bool("fulldisks.all", false, "go on after a seed that fails")
+)
+
+// drawRefused draws what a full disk refuses besides writes.
+func (d *day) drawRefused() []disk.Operation {
+	return [][]disk.Operation{nil, nil, {disk.Create}, {disk.Create, disk.Rename, disk.Remove, disk.Truncate}}[d.random.Intn(4)]
+}
+
+// pick returns the leader's site in most cases, or a random one.
+func (d *day) pick() *daySite {
+	if l := d.leader(); l != nil && d.random.Intn(4) > 0 {
+		return l
+	}
+	return d.sites[d.random.Intn(len(d.sites))]
+}
+
+func (d *day) upTo(l time.Duration) time.Duration {
+	return time.Duration(1+d.random.Int63n(int64(l/dayStep))) * dayStep
+}
+
+// fillInTurn lets the disk of every site be full once, one after the other.
+func (d *day) fillInTurn() {
+	longest := []time.Duration{300 * time.Millisecond, 3 * time.Second, 15 * time.Second}[d.random.Intn(3)]
+	gap := []time.Duration{dayStep, 500 * time.Millisecond, 4 * time.Second}[d.random.Intn(3)]
+	d.always = gap >= ackLimit
+	filled := map[*daySite]bool{}
+	for len(filled) < len(d.sites) && d.failed == "" {
+		s := d.pick()
+		for filled[s] {
+			s = d.sites[d.random.Intn(len(d.sites))]
+		}
+		filled[s] = true
+		length := 100*time.Millisecond + d.upTo(longest)
+		s.fill(length, d.drawRefused()...)
+		if !d.always && d.random.Intn(4) == 0 {
+			d.runFor(d.upTo(length))
+			s.kill(d.upTo(2 * time.Second))
+		}
+		d.runFor(s.fullTill.Sub(d.now) + gap)
+	}
+}
+
+// fillAtRandom lets disks be full at the same time, also all of them.
+func (d *day) fillAtRandom() {
+	for range 4 + d.random.Intn(10) {
+		s := d.pick()
+		s.fill(100*time.Millisecond+d.upTo(5*time.Second), d.drawRefused()...)
+		if d.random.Intn(5) == 0 {
+			d.sites[d.random.Intn(len(d.sites))].kill(d.upTo(3 * time.Second))
+		}
+		if d.random.Intn(5) == 0 {
+			d.flood()
+		}
+		d.runFor(d.upTo(2 * time.Second))
+	}
+}
+
+// flood makes the log longer than what a snapshot leaves in it, so that a site that was down needs a snapshot.
+func (d *day) flood() {
+	for range 3 {
+		l := d.leader()
+		if l == nil {
+			return
+		}
+		for range 500 {
+			l.submit("", make(chan reply, 1))
+		}
+		d.runFor(50 * time.Millisecond)
+	}
+}
+
+// playDay plays a seed and returns the failed check, empty for none, and what happened.
+func playDay(t testing.TB, seed int64) (failed string, trace []string) {
+	d := newDay(t, seed)
+	d.begin()
+	defer d.end()
+	d.runFor(5 * time.Second)
+	if d.random.Intn(2) == 0 {
+		d.fillInTurn()
+	} else {
+		d.fillAtRandom()
+	}
+	d.settle()
+	return d.failed, d.trace
+}
+
+// Guards against a group that refuses changes, or leaves them unanswered, after the disks of its replicas were full one after the other
+// or together, and all have room again; against a lost or doubled change, and against a replica that ends or stays paused.
+func TestFullDisksInTurn(t *testing.T) {
+	for seed := *fullDisksFirst; seed < *fullDisksFirst+int64(*fullDisksSeeds); seed++ {
+		failed, trace := playDay(t, seed)
+		if failed == "" {
+			continue
+		}
+		if *fullDisksAll {
+			t.Errorf("seed %d: %s", seed, failed)
+			continue
+		}
+		t.Fatalf("seed %d: %s\n%s", seed, failed, strings.Join(trace, "\n"))
+	}
+}
+
+// Guards against a group that accepts no change while its disks have room for the log but not for a snapshot: each replica paused for
+// the snapshot, resumed, and paused for the same snapshot again.
+func TestNoRoomForSnapshot(t *testing.T) {
+	d := newDay(t, 1)
+	d.compactEntries, d.padding, d.capacity, d.always = 8, smallDisk, smallDisk, true
+	d.begin()
+	defer d.end()
+	d.runFor(20 * time.Second)
+	for _, s := range d.sites {
+		if s.pauses > 0 || s.replica.snapshot.Index > 1 {
+			t.Errorf("%s: got %d pauses and a snapshot at %d, want none of both", s.name, s.pauses, s.replica.snapshot.Index)
+		}
+	}
+	d.capacity = 0
+	d.runFor(compactRetry + time.Second)
+	for _, s := range d.sites {
+		if s.replica.snapshot.Index <= 1 {
+			t.Errorf("%s: got no snapshot within %s of room for it", s.name, compactRetry)
+		}
+	}
+	if d.failed != "" {
+		t.Errorf("%s\n%s", d.failed, strings.Join(d.trace, "\n"))
+	}
+}
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -19,17 +19,27 @@
 			return nil
 		case <-t.C:
 			r.protocol.Tick(r.now())
-			r.processInbox(nil)
+			if err := r.runRound(nil); err != nil {
+				return err
+			}
 		case e := <-r.inbox:
-			r.processInbox(&e)
-		}
-		if err := r.processEffects(); err != nil {
-			return err
+			if err := r.runRound(&e); err != nil {
+				return err
+			}
 		}
-		r.publishStatus()
 	}
 }
 
+// runRound handles first, if any, and the queued events, and carries out what follows from them.
+func (r *Replica) runRound(first *event) error {
+	r.processInbox(first)
+	if err := r.processEffects(); err != nil {
+		return err
+	}
+	r.publishStatus()
+	return nil
+}
+
 // processInbox handles first, if any, and up to roundLimit queued events; their proposals go to the protocol together.
 func (r *Replica) processInbox(first *event) {
 	now := r.now()
@@ -247,9 +257,12 @@
 	}
 }
 
-// compact replaces the applied log by a snapshot if the entries, bytes or apply time since the last one have reached their limits.
+// compact replaces the applied log by a snapshot if the entries, bytes or apply time since the last one have reached their limits. A
+// snapshot for which the disk has no room is tried again later: the log may still have room for entries, and a replica that paused
+// would find the same snapshot due as soon as it resumes.
 func (r *Replica) compact() error {
-	if r.appliedEntries < r.maxEntries && r.appliedBytes < r.maxBytes && r.applyTime < r.maxApplyTime {
+	due := r.appliedEntries >= r.maxEntries || r.appliedBytes >= r.maxBytes || r.applyTime >= r.maxApplyTime
+	if !due || r.now().Before(r.compactAt) {
 		return nil
 	}
 	s, ok := r.protocol.SnapshotAt(r.lastApplied)
@@ -261,7 +274,13 @@
 		return &StateError{Index: r.lastApplied, Step: "marshal", Err: err}
 	}
 	s.Data = data
-	if err := r.log.Compact(s); err != nil {
+	err = r.log.Compact(s)
+	if isFull(err) {
+		r.compactAt = r.now().Add(compactRetry)
+		r.onSnapshotFailed(err)
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	r.protocol.Compact(r.lastApplied)
--- a/io/replica/option.go
+++ b/io/replica/option.go
@@ -18,6 +18,7 @@
 	inboxLimit       = 1024                   // maximum number of queued events; beyond it callers block and messages are dropped
 	roundLimit       = 512                    // maximum number of queued events handled in one round, which share one sync
 	waitingLimit     = 8192                   // maximum number of proposals without a result; more are rejected
+	compactRetry     = 5 * time.Second        // time after which a snapshot that found no room on the disk is tried again
 	diskFullRetry    = 250 * time.Millisecond // time between two checks whether a full disk has space again
 )
 
@@ -38,6 +39,7 @@
 	stateTime            func() time.Time
 	onPaused             func(err error)
 	onSkipped            func(index uint64, entries int)
+	onSnapshotFailed     func(err error)
 	maxEntries, maxBytes int
 	maxApplyTime         time.Duration
 }
@@ -45,15 +47,17 @@
 func defaults() settings {
 	return settings{
 		election: time.Second, heartbeat: 100 * time.Millisecond,
-		now:        time.Now,
-		wallClock:  time.Now,
-		random:     func(d time.Duration) time.Duration { return rand.N(d) },
-		onApplied:  func(uint64) {},
-		peerClock:  func(string) (time.Time, bool) { return time.Time{}, false },
-		stateTime:  func() time.Time { return time.Time{} },
-		onPaused:   func(error) {},
-		onSkipped:  func(uint64, int) {},
-		maxEntries: compactEntries, maxBytes: compactBytes, maxApplyTime: compactApplyTime,
+		now:       time.Now,
+		wallClock: time.Now,
+		random:    func(d time.Duration) time.Duration { return rand.N(d) },
+		onApplied: func(uint64) {},
+		peerClock: func(string) (time.Time, bool) { return time.Time{}, false },
+		stateTime: func() time.Time { return time.Time{} },
+		onPaused:  func(error) {},
+		onSkipped: func(uint64, int) {},
+
+		onSnapshotFailed: func(error) {},
+		maxEntries:       compactEntries, maxBytes: compactBytes, maxApplyTime: compactApplyTime,
 	}
 }
 
@@ -130,6 +134,12 @@
 // resumes or is closed.
 func WithPaused(f func(err error)) Option { return func(s *settings) { s.onPaused = f } }
 
+// WithSnapshotFailed sets the function called from the loop when a snapshot finds no room on the disk; the replica goes on with its log
+// and tries again.
+func WithSnapshotFailed(f func(err error)) Option {
+	return func(s *settings) { s.onSnapshotFailed = f }
+}
+
 // WithSkipped sets the function called from the loop, with the log index, when entries of a membership command could not be decoded and
 // are left out.
 func WithSkipped(f func(index uint64, entries int)) Option {
--- a/io/replica/pause.go
+++ b/io/replica/pause.go
@@ -18,13 +18,15 @@
 	return fmt.Sprintf("the data folder belongs to %s, not to %s", e.Got, e.Want)
 }
 
+// isFull reports whether a failure is that of a full disk, which ends by itself.
+func isFull(err error) bool { return errors.As(err, new(*disk.FullError)) }
+
 // runThroughPauses runs the replica until Close or a failure other than a full disk. After a full disk, it resumes from the
 // state on disk as after a restart: what could not be saved was neither acknowledged nor sent.
 func (r *Replica) runThroughPauses() error {
 	for {
 		err := r.run()
-		var diskFull *disk.FullError
-		if !errors.As(err, &diskFull) {
+		if !isFull(err) {
 			return err
 		}
 		r.onPaused(err)
@@ -46,20 +48,23 @@
 		case <-r.stop:
 			return nil
 		case e := <-r.inbox:
-			if e.answer != nil {
-				e.answer <- reply{err: &BusyError{Err: cause}}
-			}
+			rejectWhilePaused(e, cause)
 			continue
 		case <-t.C:
 		}
-		err := r.reopen()
-		var diskFull *disk.FullError
-		if err == nil || !errors.As(err, &diskFull) {
+		if err := r.reopen(); !isFull(err) {
 			return err
 		}
 	}
 }
 
+// rejectWhilePaused replies to a request that it had no effect, and ignores a message.
+func rejectWhilePaused(e event, cause error) {
+	if e.answer != nil {
+		e.answer <- reply{err: &BusyError{Err: cause}}
+	}
+}
+
 // suspend replies with an error to all waiting requests, publishes a status in which the replica does not lead, and closes the log.
 func (r *Replica) suspend(cause error) {
 	for i, w := range r.waiting {
@@ -79,7 +84,7 @@
 // reopen opens the folder and loads its state. It first checks that the disk accepts writes, since a folder can be read while
 // the disk is full.
 func (r *Replica) reopen() error {
-	if err := disk.Probe(r.folder); err != nil {
+	if err := disk.Probe(r.folder, r.disk...); err != nil {
 		return err
 	}
 	l, err := disk.Open(r.folder, append([]disk.Option{disk.WithName(r.name)}, r.disk...)...)
@@ -87,7 +92,7 @@
 		return err
 	}
 	r.log = l
-	r.appliedEntries, r.appliedBytes = 0, 0
+	r.appliedEntries, r.appliedBytes, r.applyTime = 0, 0, 0
 	if err := r.load(); err != nil {
 		_ = l.Close()
 		return err
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -48,6 +48,7 @@
 	lastApplied                  uint64             // highest applied index
 	appliedEntries, appliedBytes int                // applied entries and their bytes since the last snapshot
 	applyTime                    time.Duration      // time spent applying entries since the last snapshot
+	compactAt                    time.Time          // no snapshot is taken before this time
 	waiting                      map[uint64]waiter  // by log index
 	currentReads                 []chan reply       // reads in the confirmation round in flight
 	nextReads                    []chan reply       // reads for the next confirmation round
@@ -64,6 +65,21 @@
 // New opens the data folder and starts the replica; it fails with *OptionError, *agreement.OptionError, *StateError
 // or an error of package disk.
 func New(opts ...Option) (*Replica, error) {
+	r, err := open(opts...)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		defer close(r.done)
+		r.err = r.runThroughPauses()
+		r.failPending()
+		_ = r.log.Close()
+	}()
+	return r, nil
+}
+
+// open opens the data folder and loads its state; it starts no goroutine.
+func open(opts ...Option) (*Replica, error) {
 	r := &Replica{
 		settings: defaults(), inbox: make(chan event, inboxLimit), stop: make(chan struct{}), done: make(chan struct{}),
 		waiting: map[uint64]waiter{},
@@ -87,12 +103,6 @@
 		return nil, err
 	}
 	r.publishStatus()
-	go func() {
-		defer close(r.done)
-		r.err = r.runThroughPauses()
-		r.failPending()
-		_ = r.log.Close()
-	}()
 	return r, nil
 }
 
