fix(host): put a version in force once its floor can be saved

Callers saw: nodes below a control host served an older version after a change was acknowledged, until the next command. Cause: a version is put in force after its floor is saved. If the disk was full at that moment only, nothing tried again; the log itself had no write to fail and so did not pause and resume.

--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -353,6 +353,9 @@
 	if errors.As(err, &stale) {
 		return nil // this node already has that version or a newer one, from another upstream
 	}
+	if errors.As(err, new(*FloorSaveError)) {
+		return err // the delta fits, so it is asked for again instead of a whole snapshot
+	}
 	if err != nil {
 		f.mismatch()
 		f.wantWhole.Store(true)
--- a/io/peer/holder.go
+++ b/io/peer/holder.go
@@ -25,6 +25,19 @@
 	return fmt.Sprintf("version %d is below the floor %d", e.Version, e.Floor)
 }
 
+// FloorSaveError reports that a new floor could not be made durable; the version before it stays in force, and the same call may succeed
+// later, for instance once a full disk has space again.
+type FloorSaveError struct {
+	Floor uint64
+	Err   error
+}
+
+// Error returns a message with the floor and the cause.
+func (e *FloorSaveError) Error() string { return fmt.Sprintf("save floor %d: %v", e.Floor, e.Err) }
+
+// Unwrap returns the error of the disk.
+func (e *FloorSaveError) Unwrap() error { return e.Err }
+
 // Holder stores the version in force on a node and replaces snapshot and routing table together.
 type Holder struct {
 	save    func(version uint64) error
@@ -112,7 +125,7 @@
 }
 
 // Offer puts s in force if it is newer than the version in force, else it has no effect. It fails with *FloorError if s is
-// below the floor.
+// below the floor, and with *FloorSaveError if the new floor cannot be saved.
 func (h *Holder) Offer(s *config.Snapshot) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -132,7 +145,7 @@
 		return fmt.Errorf("compile version %d: %w", s.Version(), err)
 	}
 	if err := h.save(s.Version()); err != nil {
-		return fmt.Errorf("save floor %d: %w", s.Version(), err)
+		return &FloorSaveError{Floor: s.Version(), Err: err}
 	}
 	h.floor = s.Version()
 	v := View{Snapshot: s, Table: table}
