fix(disk): a reached limit on file sizes is a full disk

Callers saw: a control process whose files may not grow (EFBIG) ended with code 1, one after the other, where one with a full disk pauses. Cause: only ENOSPC and EDQUOT counted as a full disk. Change: EFBIG counts too; it ends when the limit is raised.

--- a/io/disk/failure.go
+++ b/io/disk/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"syscall"
 )
 
@@ -26,7 +27,7 @@
 	return fmt.Sprintf("disk: %s is not a file of this replica (%s): set data to a folder that only godwitspindle uses, or move the file away", e.Path, e.Reason)
 }
 
-// FullError reports that the disk or the quota is full.
+// FullError reports that the disk or the quota is full, or that the limit on the size of files is reached.
 type FullError struct {
 	Path string
 	Err  error
@@ -92,12 +93,15 @@
 
 func writeError(path string, err error) error { return operationError("write of", path, err) }
 
+// noSpace are the errors of a full disk, of a used-up quota and of the limit on the size of files, which may all end by themselves.
+var noSpace = []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG}
+
 // operationError returns the typed error for a failed operation on a file; nil for none.
 func operationError(o Operation, path string, err error) error {
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT):
+	case slices.ContainsFunc(noSpace, func(e syscall.Errno) bool { return errors.Is(err, e) }):
 		return &FullError{Path: path, Err: err}
 	}
 	return &FileError{Operation: string(o), Path: path, Err: err}
--- a/io/disk/full_test.go
+++ b/io/disk/full_test.go
@@ -168,6 +168,17 @@
 	}
 }
 
+// Guards against a process that ends because its quota is used up or its files may not grow, which is a full disk to it.
+func TestWhatCountsAsFull(t *testing.T) {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
+		d := &faultyDisk{armed: true}
+		_, err := Open(t.TempDir(), append(d.options(), WithFault(func(Operation, string) error { return &os.PathError{Err: cause} }))...)
+		if !errors.As(err, new(*FullError)) || !errors.Is(err, cause) {
+			t.Errorf("%v: got %v, want a *FullError with this cause", cause, err)
+		}
+	}
+}
+
 // Guards against a folder whose torn last record cannot be cut off for want of room, which must be a full disk and not the end of the
 // replica, and against a probe that leaves its file.
 func TestReopenOnFullDisk(t *testing.T) {
