--- a/io/replica/fulldisks_day_test.go
+++ b/io/replica/fulldisks_day_test.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"errors"
 	"flag"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,7 +20,7 @@
 
 // drawRefused draws what a full disk refuses besides writes.
 func (d *day) drawRefused() []disk.Operation {
-	return [][]disk.Operation{nil, nil, {disk.Create}, {disk.Create, disk.Rename, disk.Remove, disk.Truncate}}[d.random.Intn(4)]
+	return [][]disk.Operation{nil, nil, {disk.Create}, {disk.Create, disk.Rename, disk.Remove, disk.Truncate}, {syncs}}[d.random.Intn(5)]
 }
 
 // pick returns the leader's site in most cases, or a random one.
@@ -139,3 +141,97 @@
 		t.Errorf("%s\n%s", d.failed, strings.Join(d.trace, "\n"))
 	}
 }
+
+// await plays the day until a condition holds; it fails the day after the limit.
+func (d *day) await(what string, limit time.Duration, ok func() bool) {
+	for end := d.now.Add(limit); !ok() && d.failed == ""; d.step() {
+		if d.now.After(end) {
+			d.fail("%s: not within %s; %s", what, limit, d.describe())
+		}
+	}
+}
+
+// answerTo plays the day until a request is answered.
+func (d *day) answerTo(what string, answer chan reply) reply {
+	d.await(what, time.Second, func() bool { return len(answer) > 0 })
+	if len(answer) == 0 {
+		return reply{}
+	}
+	return <-answer
+}
+
+// Guards against a change that hangs, or is reported as rejected although it may be accepted, when the leader's disk fills; against a
+// request that hangs while the replica is paused; and against a change that is accepted twice when it is sent again.
+func TestRequestsOnFullDisk(t *testing.T) {
+	d := newDay(t, 1)
+	d.compactEntries, d.padding, d.capacity, d.spare, d.loss = 1000, 0, 0, false, 0
+	d.begin()
+	defer d.end()
+	d.runFor(2 * time.Second)
+	full := d.leader()
+	full.fill(3 * time.Second)
+	inFlight, read := make(chan reply, 1), make(chan reply, 1)
+	full.submit("first", inFlight)
+	full.replica.inbox <- event{read: true, answer: read}
+	if got := d.answerTo("the change in flight", inFlight).err; !errors.As(got, new(*UnknownOutcomeError)) {
+		t.Errorf("change in flight: got %v, want *UnknownOutcomeError", got)
+	}
+	if got := d.answerTo("the read in flight", read).err; !errors.As(got, new(*BusyError)) {
+		t.Errorf("read in flight: got %v, want *BusyError", got)
+	}
+	paused := make(chan reply, 1)
+	full.submit("second", paused)
+	if got := d.answerTo("a change to a paused replica", paused).err; !errors.As(got, new(*BusyError)) {
+		t.Errorf("change to a paused replica: got %v, want *BusyError", got)
+	}
+	d.await("another leader", 3*time.Second, func() bool { l := d.leader(); return l != nil && l != full })
+	for range 2 {
+		again := make(chan reply, 1)
+		d.leader().submit("first", again)
+		if got := d.answerTo("the change sent again", again).err; got != nil {
+			t.Errorf("change sent again: got %v, want it accepted", got)
+		}
+	}
+	d.runFor(4 * time.Second)
+	for _, s := range d.sites {
+		if s.cause != nil || s.count("first") != 1 || s.count("second") != 0 {
+			t.Errorf("%s: got paused %v, the change %d times and the rejected one %d times, want running, 1 and 0", s.name, s.cause, s.count("first"), s.count("second"))
+		}
+	}
+	if d.failed != "" {
+		t.Errorf("%s\n%s", d.failed, strings.Join(d.trace, "\n"))
+	}
+}
+
+// Guards against a replica that stays behind, or ends, when its disk is full while a snapshot is installed, on several tries.
+func TestFullDiskDuringInstall(t *testing.T) {
+	d := newDay(t, 1)
+	d.compactEntries, d.padding, d.capacity, d.spare, d.loss = 30, 0, 0, false, 0
+	d.begin()
+	defer d.end()
+	d.runFor(2 * time.Second)
+	behind := d.sites[0]
+	if behind == d.leader() {
+		behind = d.sites[1]
+	}
+	behind.kill(1900 * time.Millisecond)
+	d.flood()
+	d.runFor(1700 * time.Millisecond)
+	d.always = true
+	for range 3 {
+		behind.fill(600 * time.Millisecond)
+		d.runFor(900 * time.Millisecond)
+	}
+	d.settle()
+	if !slices.ContainsFunc(d.trace, func(l string) bool {
+		return strings.Contains(l, behind.name+" pauses") && strings.Contains(l, "/snap-")
+	}) {
+		t.Errorf("got no pause of %s while it installs a snapshot:\n%s", behind.name, strings.Join(d.trace, "\n"))
+	}
+	if got, want := len(behind.ids), len(d.agreed); got != want {
+		t.Errorf("%s: got %d changes, want %d", behind.name, got, want)
+	}
+	if d.failed != "" {
+		t.Errorf("%s\n%s", d.failed, strings.Join(d.trace, "\n"))
+	}
+}
--- a/io/replica/fulldisks_site_test.go
+++ b/io/replica/fulldisks_site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -36,7 +37,7 @@
 
 // isFull reports whether a write of n bytes finds no room.
 func (s *daySite) isFull(n int) bool {
-	if s.day.now.Before(s.fullTill) {
+	if s.day.now.Before(s.fullTill) && !s.refused[syncs] {
 		return true
 	}
 	if s.day.capacity == 0 {
@@ -60,6 +61,10 @@
 			o.random = func(l time.Duration) time.Duration { return time.Duration(d.random.Int63n(int64(l))) }
 		},
 		WithSend(func(m agreement.Message) {
+			d.checkVote(m)
+			if d.random.Float64() < d.loss {
+				return
+			}
 			d.flights = append(d.flights, flight{at: d.now.Add(time.Duration(1+d.random.Intn(10)) * time.Millisecond), m: m})
 		}),
 		WithApply(func(index uint64, c *wire.Command) *wire.Result { return s.apply(index, c) }),
@@ -77,7 +82,12 @@
 		}),
 		WithVersion(func() uint64 { return s.applied }),
 		WithCompaction(d.compactEntries, 1<<20), WithMaxApplyTime(time.Hour),
-		WithDisk(disk.WithSegmentSize(d.segment), disk.WithSync(func(*os.File) error { return nil }),
+		WithDisk(disk.WithSegmentSize(d.segment), disk.WithSync(func(*os.File) error {
+			if s.refused[syncs] && d.now.Before(s.fullTill) {
+				return syscall.EIO
+			}
+			return nil
+		}),
 			disk.WithWrite(func(f *os.File, b []byte) (int, error) {
 				if s.isFull(len(b)) {
 					n, _ := f.Write(b[:d.random.Intn(len(b))])
@@ -120,7 +130,7 @@
 	s.ids, s.applied, s.cause = nil, 0, nil
 	r, err := open(s.options()...)
 	if err != nil {
-		if !isFull(err) {
+		if !endsByItself(err) {
 			s.day.fail("%s does not start: %v", s.name, err)
 		}
 		s.startAt = s.day.now.Add(restartPause)
@@ -141,6 +151,22 @@
 	s.replica, s.startAt = nil, s.day.now.Add(d)
 }
 
+// syncs is an operation that a faulty disk refuses, besides those of package disk.
+const syncs disk.Operation = "sync of"
+
+// endsByItself reports whether a start may fail with an error, because the disk is faulty for the moment.
+func endsByItself(err error) bool { return isFull(err) || errors.As(err, new(*disk.SyncError)) }
+
+// failed ends the process of a replica that has stopped, which only a failed sync may do, and starts it again.
+func (s *daySite) failed(err error) {
+	if !errors.As(err, new(*disk.SyncError)) {
+		s.day.fail("%s ends by itself: %v", s.name, err)
+		return
+	}
+	s.day.logf("%s ends: %v", s.name, err)
+	s.kill(restartPause)
+}
+
 // run plays one step of the site, with the code of the replica's loop.
 func (s *daySite) run() {
 	r, now := s.replica, s.day.now
@@ -163,7 +189,7 @@
 			return
 		}
 		if !isFull(err) {
-			s.day.fail("%s ends by itself: %v", s.name, err)
+			s.failed(err)
 		}
 	default:
 		due := !now.Before(s.tickAt)
@@ -176,10 +202,11 @@
 		}
 		err := r.runRound(nil)
 		if err == nil {
+			s.day.checkLeader(r.Status())
 			return
 		}
 		if !isFull(err) {
-			s.day.fail("%s ends by itself: %v", s.name, err)
+			s.failed(err)
 			return
 		}
 		s.pauses++
@@ -213,3 +240,14 @@
 	default:
 	}
 }
+
+// count returns how often a change is in the state of the site.
+func (s *daySite) count(id string) int {
+	n := 0
+	for _, o := range s.ids {
+		if o == id {
+			n++
+		}
+	}
+	return n
+}
--- a/io/replica/fulldisks_test.go
+++ b/io/replica/fulldisks_test.go
@@ -40,9 +40,13 @@
 	quietAt time.Time
 	always  bool // each change must be acknowledged in time, not only those after the last fault
 	spare   bool
+	votes   map[string]string // recipient of each granted vote, by voter and term
+	leaders map[uint64]string // by term
 	trace   []string
 	failed  string
 
+	loss float64 // share of lost messages
+
 	compactEntries int
 	padding        int   // bytes that each snapshot holds besides the state
 	capacity       int64 // bytes that each folder may hold; 0 for no limit
@@ -84,6 +88,8 @@
 		segment: []int64{300, 2000, 1 << 20}[random.Intn(3)], spare: random.Intn(2) == 0,
 	}
 	d.origin = d.now
+	d.votes, d.leaders = map[string]string{}, map[uint64]string{}
+	d.loss = []float64{0, 0, 0.02}[random.Intn(3)]
 	if random.Intn(4) == 0 {
 		d.padding, d.capacity = smallDisk, smallDisk
 	}
@@ -101,6 +107,9 @@
 	for _, n := range hosts {
 		d.sites = append(d.sites, &daySite{day: d, name: n, folder: filepath.Join(d.t.TempDir(), n)})
 	}
+	if d.random.Intn(4) == 0 {
+		d.sites[d.random.Intn(len(d.sites))].fill(d.upTo(2 * time.Second)) // its first start fails
+	}
 	for _, s := range d.sites {
 		s.start()
 	}
@@ -115,6 +124,29 @@
 	}
 }
 
+// checkVote checks that a replica grants one vote in a term, also if its disk was full between two requests.
+func (d *day) checkVote(m agreement.Message) {
+	if m.Kind != agreement.VoteAnswer || m.Reject {
+		return
+	}
+	key := fmt.Sprint(m.From, " in term ", m.Term)
+	if to := d.votes[key]; to != "" && to != m.To {
+		d.fail("%s votes for %s and for %s", key, to, m.To)
+	}
+	d.votes[key] = m.To
+}
+
+// checkLeader checks that a term has one leader.
+func (d *day) checkLeader(st agreement.Status) {
+	if st.Role != agreement.Leader {
+		return
+	}
+	if l := d.leaders[st.Term]; l != "" && l != st.ID {
+		d.fail("term %d has two leaders, %s and %s", st.Term, l, st.ID)
+	}
+	d.leaders[st.Term] = st.ID
+}
+
 func (d *day) leader() *daySite {
 	var found *daySite
 	for _, s := range d.sites {
