test(replica): a stop while the disk is full

Guards against a stop that hangs while the replica waits for space. The message of a full disk no longer asks for a restart, which is needed only for a process that could not start.

--- a/io/disk/failure.go
+++ b/io/disk/failure.go
@@ -35,7 +35,7 @@
 
 // Error names the file or folder and the fault, and says what the operator should do.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("disk: no space left to write %s: free space and restart the replica: %v", e.Path, e.Err)
+	return fmt.Sprintf("disk: no space left to write %s: free space, a running replica then resumes by itself: %v", e.Path, e.Err)
 }
 
 // Unwrap lets errors.Is and errors.As find the cause.
--- a/io/replica/pause_test.go
+++ b/io/replica/pause_test.go
@@ -76,3 +76,37 @@
 		})
 	}
 }
+
+// Guards against a stop that hangs, or fails, while the replica waits for space on its disk.
+func TestCloseWhilePaused(t *testing.T) {
+	var full atomic.Bool
+	paused := make(chan struct{}, 1)
+	g := newGroup(t, nil, WithPaused(func(err error) {
+		if err != nil {
+			paused <- struct{}{}
+		}
+	}), WithDisk(disk.WithWrite(func(f *os.File, b []byte) (int, error) {
+		if full.Load() {
+			return 0, syscall.ENOSPC
+		}
+		return f.Write(b)
+	})))
+	g.names = []string{"a"}
+	r := g.start("a", t.TempDir())
+	g.propose(g.leader(), 1)
+	full.Store(true)
+	if _, err := r.Propose(t.Context(), &wire.Command{}); err == nil {
+		t.Error("change on a full disk: got it accepted")
+	}
+	<-paused
+	closed := make(chan error, 1)
+	go func() { closed <- r.Close() }()
+	select {
+	case err := <-closed:
+		if err != nil {
+			t.Errorf("Close: got %v, want none", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("Close: got no end within 5 s")
+	}
+}
