--- a/io/replica/fulldisks_test.go
+++ b/io/replica/fulldisks_test.go
@@ -274,7 +274,8 @@
 	}
 }
 
-// settle plays the quiet time after the last fault and then checks that every acknowledged change is in every running replica.
+// settle plays the quiet time after the last fault and then checks that no acknowledged change is lost, that no replica is paused and
+// that the group bears the losses that it must bear.
 func (d *day) settle() {
 	d.runFor(d.quietAt.Sub(d.now))
 	d.runFor(quietTime)
@@ -288,4 +289,13 @@
 			d.fail("%s is still paused: %v", s.name, s.cause)
 		}
 	}
+	l := d.leader()
+	if l == nil {
+		d.fail("no leader; %s", d.describe())
+		return
+	}
+	st := l.replica.Status()
+	if h := st.Health(d.now, dayElection); h.Losses != dayVoters/2 || st.Members.Joint() {
+		d.fail("the group bears %d losses, want %d; members %+v", h.Losses, dayVoters/2, st.Members)
+	}
 }
