fix(caller): claims count as cut only if work on them was left

The log of a stop that had cut requests also said that the work on claims was cut, although no request had a key: Shutdown returned the error of the grace time whenever that was over. It now returns an error only if work was left, with the number of claims.

--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -58,6 +58,7 @@
 	mu      sync.Mutex
 	closed  bool
 	pending sync.WaitGroup
+	working int // number of functions that pending waits for
 }
 
 // New returns a Handler. WithMatch, WithPick and WithSend are required; without WithClaim, keyed requests that are not
@@ -129,17 +130,26 @@
 		return nil
 	case <-ctx.Done():
 	}
+	h.mu.Lock()
+	claims := h.working
+	h.mu.Unlock()
 	h.cancelStores()
 	<-done
-	return &ClaimsCutError{Err: ctx.Err()}
+	if claims == 0 {
+		return nil
+	}
+	return &ClaimsCutError{Claims: claims, Err: ctx.Err()}
 }
 
 // ClaimsCutError reports that outcomes of keyed requests were not stored, or claims not released, before the end of a stop.
-type ClaimsCutError struct{ Err error }
+type ClaimsCutError struct {
+	Claims int // number of claims
+	Err    error
+}
 
 // Error describes what was cut.
 func (e *ClaimsCutError) Error() string {
-	return fmt.Sprintf("the work on claims was cut: %v", e.Err)
+	return fmt.Sprintf("the work on %d claims was cut: %v", e.Claims, e.Err)
 }
 
 // Unwrap returns the cause.
@@ -154,10 +164,14 @@
 		return
 	}
 	h.pending.Add(1)
+	h.working++
 	h.mu.Unlock()
 	go func() {
 		defer h.pending.Done()
 		f()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.working--
 	}()
 }
 
--- a/io/caller/stop_test.go
+++ b/io/caller/stop_test.go
@@ -329,7 +329,7 @@
 	})
 }
 
-// Guards against work on claims that goes on after the end of the stop.
+// Guards against work on claims that goes on after the end of the stop, and against an error although no work was left.
 func TestShutdownCutsClaims(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := New()
@@ -344,8 +344,13 @@
 		defer cancel()
 		begin := time.Now()
 		err := h.Shutdown(ctx)
-		if _, ok := err.(*ClaimsCutError); !ok || time.Since(begin) != 300*time.Millisecond {
-			t.Errorf("got %v after %v, want a *ClaimsCutError after 300ms", err, time.Since(begin))
+		if cut, ok := err.(*ClaimsCutError); !ok || cut.Claims != 1 || time.Since(begin) != 300*time.Millisecond {
+			t.Errorf("got %v after %v, want a *ClaimsCutError for one claim after 300ms", err, time.Since(begin))
+		}
+		for range 100 {
+			if err := New().Shutdown(ctx); err != nil {
+				t.Fatalf("without claims, after the end: got %v, want none", err)
+			}
 		}
 	})
 }
