--- a/io/host/drain_test.go
+++ b/io/host/drain_test.go
@@ -6,11 +6,14 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/backend"
@@ -18,15 +21,24 @@
 	"godwitspindle/io/process"
 )
 
-// startHost starts a node without a source, so that its leave cannot be reported, with a listener for orders that take a time.
-func startHost(t *testing.T, notice, grace, order time.Duration) *Host {
+// startHost starts a node without a source, so that its leave cannot be reported, with a listener for orders that take a time. Its lines go to lines.
+func startHost(t *testing.T, notice, grace, order time.Duration, lines ...*[]string) *Host {
 	t.Helper()
 	any4 := netip.MustParseAddrPort("127.0.0.1:0")
 	s := &process.Settings{
 		Name: "n", Listen: process.Listen{Peer: any4, Caller: any4}, Grace: grace, CloseNotice: notice, Profile: process.Fast,
 		Seeds: process.Seeds{Peers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}},
 	}
-	h, err := New(s, logr.Discard(), WithListener("listen.admin", any4, func(*Host) http.Handler {
+	log := logr.Discard()
+	if len(lines) > 0 {
+		var mu sync.Mutex
+		log = funcr.New(func(_, line string) {
+			mu.Lock()
+			defer mu.Unlock()
+			*lines[0] = append(*lines[0], line)
+		}, funcr.Options{})
+	}
+	h, err := New(s, log, WithListener("listen.admin", any4, func(*Host) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			select {
 			case <-time.After(order):
@@ -74,7 +86,8 @@
 // reported, and against a second call of Drain that shortens the stop or returns before its end.
 func TestDrainEndsInTime(t *testing.T) {
 	const notice, grace, slack = 100 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond
-	h := startHost(t, notice, grace, time.Hour)
+	var lines []string
+	h := startHost(t, notice, grace, time.Hour, &lines)
 	answer := order(h)
 	begin := time.Now()
 	var wait sync.WaitGroup
@@ -91,6 +104,10 @@
 	}
 	wait.Wait()
 	<-answer
+	drains := slices.DeleteFunc(lines, func(l string) bool { return !strings.Contains(l, `"draining"`) })
+	if len(drains) != 1 {
+		t.Errorf("got %d drains %q, want 1", len(drains), drains)
+	}
 }
 
 // Guards against calls of other nodes that a stopping node takes although their answers are due after its end.
