test(host): a withdrawn call does not make its endpoint avoided

TestWithdrawnCallKeepsEndpoint; with the check of the phase left out of observe it fails (finish phase: got endpoint avoided true, want false).

--- a/io/host/withdraw_test.go
+++ b/io/host/withdraw_test.go
@@ -12,6 +12,10 @@
 
 	"github.com/go-logr/logr"
 
+	"godwitspindle/core/config"
+	"godwitspindle/core/notice"
+	"godwitspindle/core/outcome"
+	"godwitspindle/core/routing"
 	"godwitspindle/core/shutdown"
 	"godwitspindle/io/caller"
 	"godwitspindle/io/hop"
@@ -84,3 +88,30 @@
 		t.Errorf("got withdrawals at %v, want 4, the first after the notice (50ms) and the last at 1.45s", at)
 	}
 }
+
+// Guards against a stopping node that takes an endpoint for draining because a call was withdrawn from its queue, and then refuses
+// requests that could still end in time there.
+func TestWithdrawnCallKeepsEndpoint(t *testing.T) {
+	now := time.Now()
+	service := &config.Service{Name: "counter", Endpoints: []config.Endpoint{{Service: "counter", Name: "e1", Slots: 1, Incarnation: 1}}}
+	refused := caller.Observation{Incarnation: 1, Failure: &outcome.Failure{Code: outcome.Draining, Kind: outcome.NotRun}}
+	for _, c := range []struct {
+		phase   string
+		at      time.Duration // after the beginning of the stop
+		avoided bool
+	}{
+		{"notice", 500 * time.Millisecond, true},
+		{"finish", 1500 * time.Millisecond, false},
+	} {
+		h := stoppingHost(t, time.Second, 3*time.Second)
+		h.picker, h.notices = routing.New(), notice.NewTable()
+		if _, err := h.picker.Decide(routing.Call{Service: service, Now: now}); err != nil {
+			t.Fatal(err)
+		}
+		refused.At = now.Add(c.at)
+		h.observe("counter/e1", refused)
+		if _, _, avoided := h.picker.Avoided("counter/e1", refused.At); avoided != c.avoided {
+			t.Errorf("refusal in the %s phase: got endpoint avoided %t, want %t", c.phase, avoided, c.avoided)
+		}
+	}
+}
