fix(process): give each pipelined request its own turn

A caller got the answer of the request that it had pipelined behind another one, whose own request did not run. When withheld requests filled their buffer before the handler of the running request had begun, the next request replaced it as the current one. Turns are now queued in the order in which requests are passed on, and each handler takes the first. OPTIONS * reaches a handler too, so that it takes its turn; its answer is unchanged.

--- a/io/process/early.go
+++ b/io/process/early.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"io"
 	"maps"
 	"net/http"
 	"sync"
@@ -10,6 +11,9 @@
 // maxBufferedAnswer limits the bytes of an answer that are buffered until its turn. Further writes block.
 const maxBufferedAnswer = 64 << 10
 
+// maxOptionsBody limits the bytes of the body of OPTIONS * that are read.
+const maxOptionsBody = 4 << 10
+
 // earlyRequest is a pipelined request that runs before its turn, and the http.ResponseWriter that buffers its answer until the
 // turn.
 type earlyRequest struct {
@@ -186,6 +190,18 @@
 	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
+// answerOptions answers OPTIONS * like net/http, which would do so without the handler that takes the request's turn.
+func answerOptions(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodOptions || r.RequestURI != "*" {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Content-Length", "0")
+		_, _ = io.CopyN(io.Discard, r.Body, maxOptionsBody)
+	})
+}
+
 // serveInOrder answers the requests of each connection in the order in which they were sent.
 func serveInOrder(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -194,7 +210,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if e := c.pipeline.takeCurrent(); e != nil {
+		if e := c.pipeline.takeTurn(); e != nil {
 			e.serve(w)
 			return
 		}
--- a/io/process/pipeline.go
+++ b/io/process/pipeline.go
@@ -39,10 +39,9 @@
 	withheld   []byte          // bytes received after those of pending
 	started    int             // bytes of withheld whose requests are in the queue
 	queue      []*earlyRequest // requests started before their turn, in order
-	current    *earlyRequest   // early request whose bytes are passed to net/http, until the handler takes the request
+	turns      []*earlyRequest // requests passed to net/http whose handler has not begun, in order; nil for one not started early
 	blocked    bool            // the request behind the queue must wait for its turn
 	serial     bool            // no request behind the one that is being passed to net/http may start early
-	ahead      bool            // the request that is being passed to net/http is behind the one that is running
 	reading    bool            // watch reads from the connection
 	closing    bool            // the answer to the last request that was read closes the connection, and no further one is read
 	ended      bool            // the connection has ended
@@ -100,7 +99,6 @@
 		if room := l.withhold(buffer[:n]); n > 0 && (last || !room) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			l.ahead = true
 			return l.deliver(p), nil // read no more until net/http takes a request
 		}
 		if errors.Is(err, errInterrupted) {
@@ -166,6 +164,7 @@
 		}
 		l.partial, l.body, head = nil, newBodyScanner(whole[:end]), end-passed
 		l.serial = simpleRequestLength(whole[:end]) < 0
+		l.turns = append(l.turns, nil)
 	}
 	n, done := l.body.scan(data[head:])
 	l.atBoundary = done
@@ -211,7 +210,7 @@
 	early := len(l.queue) > 0
 	length := l.follow(l.withheld)
 	if early {
-		l.current, l.queue = l.queue[0], l.queue[1:]
+		l.turns[len(l.turns)-1], l.queue = l.queue[0], l.queue[1:]
 		l.started -= length
 	}
 	l.pending, l.withheld = l.withheld[:length], l.withheld[length:]
@@ -244,12 +243,16 @@
 	}
 }
 
-// takeCurrent returns the early request that net/http now serves, or nil if the request was not started early.
-func (l *pipeline) takeCurrent() *earlyRequest {
+// takeTurn returns the early request that net/http now serves, or nil if the request was not started early. Bytes of the next request
+// may have been passed on before the handler of this one begins, so each handler takes the first turn that is left.
+func (l *pipeline) takeTurn() *earlyRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.current
-	l.current, l.ahead = nil, false
+	if len(l.turns) == 0 {
+		return nil // the connection has ended
+	}
+	e := l.turns[0]
+	l.turns = l.turns[1:]
 	return e
 }
 
@@ -269,7 +272,7 @@
 		l.mu.Lock()
 	}
 	h.Del("Connection")
-	if len(l.queue) == 0 && l.current == nil && !(l.ahead && l.atBoundary) && wholeLength(l.withheld) < 0 {
+	if len(l.queue) == 0 && (len(l.turns) == 0 || !l.atBoundary) && wholeLength(l.withheld) < 0 {
 		h.Set("Connection", "close")
 	}
 }
@@ -280,11 +283,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended = true
-	if l.current != nil {
-		l.current.release()
-	}
-	for _, e := range l.queue {
-		e.release()
+	for _, e := range append(l.turns, l.queue...) {
+		if e != nil {
+			e.release()
+		}
 	}
-	l.queue, l.current, l.pending, l.withheld, l.partial, l.started = nil, nil, nil, nil, nil, 0
+	l.queue, l.turns, l.pending, l.withheld, l.partial, l.started = nil, nil, nil, nil, nil, 0
 }
--- a/io/process/server.go
+++ b/io/process/server.go
@@ -150,6 +150,10 @@
 // servePipelines makes the server pass requests to net/http one at a time, and start those that may run before their turn.
 func (s *Server) servePipelines(o serverOptions) {
 	handler := s.http.Handler
+	if !s.http.DisableGeneralOptionsHandler {
+		s.http.DisableGeneralOptionsHandler = true
+		handler = answerOptions(handler)
+	}
 	run := func(e *earlyRequest) { s.early.Go(func() { e.run(handler) }) }
 	s.listener.newPipeline = func(c *countedConn) *pipeline { return newPipeline(o.context, c, run, o.mayRunEarly) }
 	s.http.Handler = serveInOrder(handler)
