--- a/io/process/crossing_test.go
+++ b/io/process/crossing_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -108,3 +110,47 @@
 		wait.Wait()
 	}
 }
+
+// Guards against a request whose head ends just when no further one is read, and which is handled without an answer or gets an answer
+// although it is not handled.
+func TestHeadCrossesLastRead(t *testing.T) {
+	const clients, spread = 64, 10 * time.Millisecond
+	for seed := range uint64(3) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		h := newGatedHandler()
+		s, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lastRead := time.Now().Add(150 * time.Millisecond)
+		var wait sync.WaitGroup
+		for n := range clients {
+			path, conn := fmt.Sprintf("/%d", n), dial(t, s)
+			text := getRequests(path)
+			cut, late := 1+random.IntN(len(text)-1), time.Duration(random.Int64N(int64(2*spread)))-spread
+			_, _ = io.WriteString(conn, text[:cut])
+			wait.Go(func() {
+				time.Sleep(time.Until(lastRead.Add(late)))
+				_, _ = io.WriteString(conn, text[cut:])
+				got, want := readAnswers(conn, 2), "end"
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if h.started[path] > 0 {
+					want = path + "(close) end"
+				}
+				if got != want {
+					t.Errorf("seed %d, cut at %d, %v after the last read: got %q, want %q", seed, cut, late, got, want)
+				}
+				_ = conn.Close()
+			})
+		}
+		time.Sleep(20 * time.Millisecond) // so that the server has read the parts
+		if err := s.Shutdown(t.Context(), lastRead); err != nil {
+			t.Errorf("seed %d: got %v, want none", seed, err)
+		}
+		wait.Wait()
+		if len(h.started) == 0 || len(h.started) == clients {
+			t.Logf("seed %d: %d of %d requests were handled", seed, len(h.started), clients)
+		}
+	}
+}
