fix(caller): a request with a body ends at its deadline, not as cancelled

Callers of requests with a body that ran until their deadline got 499 (canceled) in about half of the cases, in place of 504: the read deadline of the connection was the deadline of the request, and net/http takes a passed read deadline for the end of the caller.

--- a/io/caller/resend_test.go
+++ b/io/caller/resend_test.go
@@ -5,12 +5,15 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/hop"
+	"godwitspindle/io/standin"
 )
 
 // Callers retry after a refusal, on a route whose own deadline is shorter than the time that callers wait. Guards against
@@ -65,3 +68,19 @@
 		t.Error("callers that send again: got LastAttempt true, want false")
 	}
 }
+
+// Guards against a request with a body whose time is over and that is answered as cancelled by its caller (499): the read deadline of
+// its connection must not end it before its own deadline does.
+func TestDeadlineWithBody(t *testing.T) {
+	m := newMesh(t, 1, testRoute(false))
+	var wait sync.WaitGroup
+	for i := range 40 {
+		wait.Go(func() {
+			body := strings.Repeat("x", 1+i%2*100<<10)
+			if got := m.do("POST", "/x", body, standin.HeaderFault, standin.FaultStall); got.err != nil || got.status != http.StatusGatewayTimeout {
+				t.Errorf("body of %d bytes: got status %d, code %q, %v, want 504", len(body), got.status, got.header.Get("Mesh-Code"), got.err)
+			}
+		})
+	}
+	wait.Wait()
+}
--- a/io/caller/stop.go
+++ b/io/caller/stop.go
@@ -68,13 +68,13 @@
 	delete(l.all, w)
 }
 
-// complete ends a wait whose limit must not apply to what follows: the limit becomes the request's deadline again.
+// complete ends a wait whose limit must not apply to what follows: the limit becomes a time shortly after the request's deadline.
 func (l *waits) complete(w *wait) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, ok := l.all[w]; ok {
 		delete(l.all, w)
-		w.limit(w.work.Deadline)
+		w.limit(w.work.Deadline.Add(writeMargin))
 	}
 }
 
@@ -99,7 +99,7 @@
 }
 
 // waitForBody limits the time to read the body. The limit ends with the body, since net/http takes a passed read deadline of a
-// running request for the end of its caller.
+// running request for the end of its caller: the request would end as cancelled, not at its deadline.
 func (c *call) waitForBody() {
 	controller := http.NewResponseController(c.w)
 	c.bodyWait = &wait{work: c.work(), limit: func(t time.Time) { _ = controller.SetReadDeadline(t) }}
