perf(process): parse only heads that are not simple

A kept connection takes the parser of net/http only for requests that are not a simple GET, with a buffer of the head's size.

--- a/io/process/framing.go
+++ b/io/process/framing.go
@@ -24,7 +24,7 @@
 		if i < 0 {
 			return -1
 		}
-		empty := len(bytes.TrimSuffix(data[at:at+i], []byte("\r"))) == 0
+		empty := i == 0 || i == 1 && data[at] == '\r'
 		at += i + 1
 		if empty && begun {
 			return at
@@ -56,7 +56,8 @@
 	}
 	end += len(headEnd)
 	line, fields, _ := bytes.Cut(data[:end], headEnd[:2])
-	if headLength(data) != end || !bytes.HasPrefix(line, []byte("GET ")) || !bytes.HasSuffix(line, []byte(" HTTP/1.1")) {
+	bareLF := bytes.Count(data[:end], []byte("\n")) != bytes.Count(data[:end], headEnd[:2]) // ends a line, too
+	if bareLF || !bytes.HasPrefix(line, []byte("GET ")) || !bytes.HasSuffix(line, []byte(" HTTP/1.1")) {
 		return -1
 	}
 	hosts := 0
@@ -103,7 +104,7 @@
 
 // newBodyScanner returns a scanner for the body behind a complete head. The parser is that of net/http, so both agree on the length.
 func newBodyScanner(head []byte) *bodyScanner {
-	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(bytes.TrimLeft(head, "\r\n"))))
+	r, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(bytes.TrimLeft(head, "\r\n")), len(head)))
 	switch {
 	case err != nil:
 		return &bodyScanner{part: bodyOpaque}
--- a/io/process/pipeline.go
+++ b/io/process/pipeline.go
@@ -162,8 +162,11 @@
 			l.partial, l.atBoundary = bytes.Clone(whole), false
 			return len(data)
 		}
-		l.partial, l.body, head = nil, newBodyScanner(whole[:end]), end-passed
+		l.partial, l.body, head = nil, &bodyScanner{}, end-passed
 		l.serial = simpleRequestLength(whole[:end]) < 0
+		if l.serial {
+			l.body = newBodyScanner(whole[:end])
+		}
 		l.turns = append(l.turns, nil)
 	}
 	n, done := l.body.scan(data[head:])
