--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -8,6 +8,7 @@
 
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/io/hop"
 
 	"github.com/go-logr/logr"
@@ -44,6 +45,7 @@
 	checkAnswer     func(*http.Response) *outcome.Failure
 	namesRequest    func(*http.Request, *http.Response) bool
 	requestID       func(http.Header) string // nil when backend servers do not name requests
+	stopRule        func(time.Time, shutdown.Work) shutdown.Decision
 	bufferLimit     int64
 	renewInterval   time.Duration
 	now             func() time.Time
@@ -53,11 +55,13 @@
 	endpoints map[string]*endpoint
 	contexts  map[string]string    // Mesh-Context of running requests, by request id
 	departed  map[string]departure // processes that left, by endpoint key
-	draining  bool
-	running   int           // calls in flight
-	idle      chan struct{} // created by Wait, closed when the last call in flight ends
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	// connecting holds the calls that wait for a connection to their backend server.
+	connecting map[hop.Withdrawn]context.CancelCauseFunc
+	draining   bool
+	running    int           // calls in flight
+	idle       chan struct{} // created by Wait, closed when the last call in flight ends
+	stop       context.CancelFunc
+	done       sync.WaitGroup
 }
 
 // New returns a Backend and starts to remove endpoints whose lease expires, until Close.
@@ -74,6 +78,7 @@
 		checkQuarantine: pass,
 		onCrash:         func(Crash) {},
 		context:         func(hop.Meta, time.Time) string { return "" },
+		stopRule:        func(time.Time, shutdown.Work) shutdown.Decision { return shutdown.Decision{Allowed: true} },
 		renewInterval:   defaultRenewInterval,
 		now:             time.Now,
 		log:             logr.Discard(),
@@ -83,6 +88,7 @@
 		endpoints:       map[string]*endpoint{},
 		departed:        map[string]departure{},
 		contexts:        map[string]string{},
+		connecting:      map[hop.Withdrawn]context.CancelCauseFunc{},
 	}
 	b.setHeaders = b.meshHeaders
 	for _, o := range opts {
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -10,6 +10,7 @@
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/caller"
 	"godwitspindle/io/hop"
@@ -61,7 +62,7 @@
 // idempotent requests may, because the caller sends a request again if the connection ends before its answer. While the node
 // does not serve or is draining, none may.
 func (h *Host) mayRunEarly(r *http.Request) bool {
-	if !h.holder.Serving() || h.leaving.Load() {
+	if !h.holder.Serving() || h.stopping() {
 		return false
 	}
 	route, ok := h.holder.View().Table.Match(r.Host, r.URL.Path, r.Method)
@@ -110,6 +111,9 @@
 	case outcome.Busy, outcome.Limited:
 		h.picker.RecordOccupancy(endpoint, busyLoad, o.At)
 	case outcome.Draining:
+		if h.shutdown.Phase(o.At) > shutdown.Notice {
+			return // the call may have been withdrawn from the queue of an endpoint that stays
+		}
 		h.picker.Avoid(endpoint, o.At.Add(avoidDraining), string(f.Code))
 	case outcome.NoEndpoint:
 		h.picker.Avoid(endpoint, o.At.Add(avoidMissing), routing.Unreachable)
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -19,6 +19,7 @@
 	"godwitspindle/core/relay"
 	"godwitspindle/core/retry"
 	"godwitspindle/core/routing"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/caller"
 	"godwitspindle/io/disk"
@@ -66,7 +67,12 @@
 	servers map[string]*process.Server // listeners by name, such as "peer"
 	bound   map[string]netip.AddrPort  // addresses of the listeners by name
 	tls     *process.TLS
-	leaving atomic.Bool
+
+	shutdown    *shutdown.Stop // rule of a planned stop
+	drainOnce   sync.Once
+	drainError  error // result of Drain, set by drainOnce
+	leaveReport sync.WaitGroup
+
 	// reportedVersion is the version last reported upstream as in force on every node below this one.
 	reportedVersion atomic.Uint64
 	dial            Dial
@@ -141,6 +147,7 @@
 		h.link = admission.NewLink(s.Link)
 		h.admissionOptions = append(h.admissionOptions, admission.WithLink(h.link))
 	}
+	h.shutdown = shutdown.New(shutdown.WithNotice(h.noticeTime()), shutdown.WithGrace(s.Grace))
 	h.stop = newStopRecord(h.log, h.metrics.StopRequests)
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
@@ -170,7 +177,10 @@
 
 func (h *Host) startTransport() error {
 	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl), peer.WithClientDial(h.dial)}
-	hopOptions := []hop.Option{hop.WithKey(h.settings.Key), hop.WithDial(h.dial), hop.WithMismatch(h.metrics.CrossedAnswers.Inc)}
+	hopOptions := []hop.Option{
+		hop.WithKey(h.settings.Key), hop.WithDial(h.dial), hop.WithMismatch(h.metrics.CrossedAnswers.Inc),
+		hop.WithStop(h.shutdown.Decide),
+	}
 	if h.settings.TLS.Enabled() {
 		t, err := process.NewTLS(h.settings.TLS, process.WithTLSLogger(h.log))
 		if err != nil {
@@ -258,7 +268,8 @@
 			caller.WithDecide(h.decide),
 			caller.WithClaim(h.claim, h.finish, h.release),
 			caller.WithLog(log, sampled.Next),
-			caller.WithDraining(h.leaving.Load),
+			caller.WithDraining(h.stopping),
+			caller.WithStop(h.shutdown.Decide),
 			caller.WithInFlight(&h.stop.callers),
 		}, h.callerOptions...)
 	}
