fix(process): count only looks at the backlog that were made

Without the filter, a busy machine could end three waits for the backlog before any of them had looked at it, and the close reset what it held: once 15 established connections in 60 stops. A wait now counts only if it began before its end. An error such as too many open files no longer closes a listener that drains; net/http tries again.

--- a/io/process/backlog.go
+++ b/io/process/backlog.go
@@ -16,7 +16,7 @@
 	handshakeWait  = 20 * time.Millisecond  // time in which a handshake that has begun ends; a round trip to callers takes up to 16 ms
 	emptyWait      = time.Millisecond       // time without a connection after which the backlog counts as empty
 	floodWait      = 50 * time.Microsecond  // the same while new handshakes may begin, short so that a flood of them has such gaps
-	emptyTries     = 3                      // waits in a row, because a wait that a busy machine begins late ends without a look at the backlog
+	emptyTries     = 3                      // waits in a row, because a busy machine may begin the look of a wait only after its end
 )
 
 // backlogDrain is the state of a planned close of a listener.
@@ -66,26 +66,29 @@
 
 // accept returns the next connection. After DrainBacklog, it closes the listener once the backlog is empty, and waits for Close.
 func (l *countingListener) accept() (net.Conn, error) {
+	var next time.Time
 	for tries := 0; ; {
+		looks := time.Now().Before(next) // else Accept may end without a look at the backlog
 		c, err := l.Listener.Accept()
 		drain := l.drain.Load()
-		if err == nil || drain == nil {
-			return c, err
+		closed := errors.Is(err, net.ErrClosed)
+		if drain == nil || !closed && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err // net/http tries again after an error such as too many open files
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || tries == emptyTries {
+		if closed || tries == emptyTries {
 			_ = l.Listener.Close()
 			close(drain.closed)
 			<-l.closed
 			return nil, net.ErrClosed
 		}
-		next := time.Now().Add(floodWait)
+		next = time.Now().Add(floodWait)
 		switch {
 		case drain.filtered && time.Now().Before(drain.settled):
 			next = drain.settled
 		case drain.filtered:
 			next = time.Now().Add(emptyWait)
-			tries++
-		default:
+		}
+		if looks && !time.Now().Before(drain.settled) {
 			tries++
 		}
 		if err := l.Listener.(deadliner).SetDeadline(next); err != nil {
