fix(disk): an interrupted removal of segments is no damage

Callers saw: a folder that a start refuses as damaged, with nothing damaged. A kill, a refused removal or a power loss between two of them leaves segments that do not follow each other or begin in the middle of the log. Measured: TestInterruptedRemovals fails before, on too, for most subsets of the removed files, and passes with it for all 32.

--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -339,3 +339,54 @@
 		t.Errorf("got %+v (%v), want %+v", got, err, want)
 	}
 }
+
+// Guards against a folder that cannot be opened, or loses entries, after a power loss or a kill while a snapshot replaces several
+// segments: each removal of a file may last or not, whatever came of the others.
+func TestInterruptedRemovals(t *testing.T) {
+	base, before := t.TempDir(), t.TempDir()
+	writeLog(t, base, WithSegmentSize(1))
+	if err := os.CopyFS(before, os.DirFS(base)); err != nil {
+		t.Fatal(err)
+	}
+	l, err := Open(base, WithName("a"), WithSegmentSize(1))
+	if err == nil {
+		err = l.Compact(agreement.Snapshot{Index: 4, Term: 3, Members: founding.Members, Data: []byte("s")})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	var removed []string
+	for _, pattern := range []string{"log-*", "snap-*"} {
+		names, _ := filepath.Glob(filepath.Join(before, pattern))
+		for _, n := range names {
+			if _, err := os.Stat(filepath.Join(base, filepath.Base(n))); err != nil {
+				removed = append(removed, n)
+			}
+		}
+	}
+	if len(removed) < 4 {
+		t.Fatalf("got %v removed, want three segments and a snapshot", removed)
+	}
+	for kept := range 1 << len(removed) {
+		folder, names := t.TempDir(), []string{}
+		err := os.CopyFS(folder, os.DirFS(base))
+		for i, n := range removed {
+			if kept>>i&1 == 0 || err != nil {
+				continue
+			}
+			var b []byte
+			names = append(names, filepath.Base(n))
+			if b, err = os.ReadFile(n); err == nil {
+				err = os.WriteFile(filepath.Join(folder, filepath.Base(n)), b, fileMode)
+			}
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := load(folder)
+		if err != nil || string(got.Snapshot.Data) != "s" || len(got.Entries) != 1 || got.Entries[0].Index != 5 {
+			t.Errorf("with %v not removed: got snapshot %d and %d entries, %v, want the snapshot at 4 and entry 5", names, got.Snapshot.Index, len(got.Entries), err)
+		}
+	}
+}
--- a/io/disk/segment.go
+++ b/io/disk/segment.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -168,6 +170,7 @@
 		}
 		return l.startSegment(appendRecord(nil, encodeStart(s.Index, s.Term)))
 	}
+	names = l.removeReplaced(names)
 	p := &replay{}
 	for i, n := range names {
 		number, _ := fileNumber(n)
@@ -190,6 +193,50 @@
 	return nil
 }
 
+// segmentHeadBytes is enough for the first line of a segment, its header and a start record.
+const segmentHeadBytes = 128
+
+// removeReplaced returns the segments from the newest one on that follows a snapshot, and removes those before it. That segment holds all
+// entries after the snapshot. The removal of those before it may have been interrupted, and a power loss may undo some removals and keep
+// others, so that the remaining ones need not follow each other.
+func (l *Log) removeReplaced(names []string) []string {
+	for i := len(names) - 1; i > 0; i-- {
+		if !followsSnapshot(names[i]) {
+			continue
+		}
+		for _, n := range names[:i] {
+			_ = l.remove(n) // left over until the next snapshot or start, if it fails
+		}
+		return names[i:]
+	}
+	return names
+}
+
+// followsSnapshot reports whether a segment begins with a start record.
+func followsSnapshot(path string) bool {
+	f, err := os.Open(path)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = f.Close() }()
+	head := make([]byte, segmentHeadBytes)
+	n, err := io.ReadFull(f, head)
+	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return false
+	}
+	head = head[:n]
+	offset, err := checkFormat(path, "log", head)
+	if err != nil {
+		return false
+	}
+	_, offset, status := readRecord(head, offset)
+	if status != valid {
+		return false
+	}
+	payload, _, status := readRecord(head, offset)
+	return status == valid && len(payload) > 0 && payload[0] == startType
+}
+
 // readSegment replays one segment. The last one becomes the active segment, and a torn record at its end is truncated.
 func (l *Log) readSegment(path string, last bool, p *replay) error {
 	b, err := os.ReadFile(path)
