--- a/io/disk/full_test.go
+++ b/io/disk/full_test.go
@@ -114,10 +114,28 @@
 	if loadErr != nil || s.before == 4 && got.Snapshot.Index+uint64(len(got.Entries)) < 5 || s.before == 4 && got.State.Term < 3 {
 		t.Errorf("%s with %v: got %+v (%v) after a reload, want term 3 and the entries up to 5", s.name, d.seen, got, loadErr)
 	}
+	if got.Snapshot.Index > 0 {
+		checkGoesOn(t, fmt.Sprint(s.name, " with ", d.seen), folder, got)
+	}
 	return fmt.Sprintf("%s; %s; unfinished files %d; reload: snapshot %d, entries up to %d",
 		errorType(err), use, len(left), got.Snapshot.Index, got.Snapshot.Index+uint64(len(got.Entries)))
 }
 
+// checkGoesOn checks that a folder takes the next entry, and has it after one more start.
+func checkGoesOn(t *testing.T, what, folder string, from Loaded) {
+	t.Helper()
+	next := from.Snapshot.Index + uint64(len(from.Entries)) + 1
+	l, err := Open(folder, WithName("a"))
+	if err == nil {
+		err = l.Save(agreement.Effects{State: &agreement.HardState{Term: 9}, Entries: []agreement.Entry{entry(next, 9, "next")}})
+		_ = l.Close()
+	}
+	got, loadErr := load(folder)
+	if err != nil || loadErr != nil || len(got.Entries) == 0 || got.Entries[len(got.Entries)-1].Index != next {
+		t.Errorf("%s: got %+v (%v, %v) after the next entry %d, want it at the end", what, got, err, loadErr, next)
+	}
+}
+
 func errorType(err error) string {
 	for name, target := range map[string]any{"full": new(*FullError), "sync": new(*SyncError), "file": new(*FileError)} {
 		if errors.As(err, target) {
--- a/io/disk/segment.go
+++ b/io/disk/segment.go
@@ -113,20 +113,26 @@
 // setStart moves the start of the log up to an index. The entries after the index stay only if the log has an entry there with
 // the same term. An index before the start, or the start itself with its term, changes nothing.
 func (p *replay) setStart(index, term uint64) {
-	n := index - p.startIndex
 	switch {
 	case index < p.startIndex:
 		return
-	case index == p.startIndex && term == p.term:
-		return
-	case index > p.startIndex && n <= uint64(len(p.entries)) && p.entries[n-1].Term == term:
-		p.entries = slices.Clone(p.entries[n:])
+	case p.holds(index, term):
+		p.entries = slices.Clone(p.entries[index-p.startIndex:])
 	default:
 		p.entries = nil
 	}
 	p.startIndex, p.term = index, term
 }
 
+// holds reports whether an index with its term is the start of the log or one of its entries. A snapshot that the log does not hold was
+// saved without its segment, so the next entry would not follow the last one in the present segment.
+func (p *replay) holds(index, term uint64) bool {
+	if index == p.startIndex {
+		return term == p.term
+	}
+	return index > p.startIndex && index-p.startIndex <= uint64(len(p.entries)) && p.entries[index-p.startIndex-1].Term == term
+}
+
 func (p *replay) add(es []agreement.Entry) bool {
 	for _, e := range es {
 		if e.Index <= p.startIndex || e.Index > p.startIndex+uint64(len(p.entries))+1 {
@@ -185,11 +191,15 @@
 	if p.startIndex > s.Index {
 		return &DamagedError{Path: l.folder, Reason: fmt.Sprintf("the snapshot at %d is missing", p.startIndex)}
 	}
+	follows := p.holds(s.Index, s.Term)
 	p.setStart(s.Index, s.Term)
 	if l.loaded.State == (agreement.HardState{}) && (s.Index > 1 || len(p.entries) > 0) {
 		return &DamagedError{Path: filepath.Join(l.folder, "state"), Reason: "the file is missing but a log exists"}
 	}
 	l.loaded.Entries, l.tail = p.entries, slices.Clone(p.entries)
+	if !follows {
+		return l.startSegment(appendRecord(nil, encodeStart(s.Index, s.Term)))
+	}
 	return nil
 }
 
