fix(disk): the space check removes unfinished files first

Callers saw: a replica that stayed paused because an unfinished file that a full disk had refused to remove held the last free space. Change: Probe removes unfinished files of the log before it writes its own. The schedules also refuse only half of the writes, or only new segments.

--- a/io/disk/file.go
+++ b/io/disk/file.go
@@ -186,12 +186,22 @@
 // probeBytes is the free space that Probe requires: more than a few records, but less than any usable disk has free.
 const probeBytes = 256 << 10
 
-// Probe checks that a folder accepts writes; it fails with *FullError, *SyncError or *FileError.
+// unfinished are the patterns of the files that only an open log writes before they get their names.
+var unfinished = []string{"log-*.new", "snap-*.new", "state.new"}
+
+// Probe checks that a folder without an open log accepts writes; it fails with *FullError, *SyncError or *FileError. It first removes
+// unfinished files that could not be removed before, since they may hold the last free space.
 func Probe(folder string, opts ...Option) error {
 	l := &Log{fileOps: osFileOps()}
 	for _, o := range opts {
 		o(l)
 	}
+	for _, pattern := range unfinished {
+		names, _ := filepath.Glob(filepath.Join(folder, pattern))
+		for _, n := range names {
+			_ = l.remove(n) // the probe tells whether there is space without it
+		}
+	}
 	path := filepath.Join(folder, "probe")
 	if err := l.replace(path, "probe", make([]byte, probeBytes)); err != nil {
 		return err
--- a/io/disk/full_test.go
+++ b/io/disk/full_test.go
@@ -198,7 +198,7 @@
 }
 
 // Guards against a folder whose torn last record cannot be cut off for want of room, which must be a full disk and not the end of the
-// replica, and against a probe that leaves its file.
+// replica, and against a probe that leaves its file, or one that fails for good because of an unfinished file that could not be removed.
 func TestReopenOnFullDisk(t *testing.T) {
 	folder := t.TempDir()
 	writeLog(t, folder)
@@ -239,6 +239,16 @@
 	if got, err := load(folder); err != nil || len(got.Entries) != 3 {
 		t.Errorf("got %d entries, %v, want 3", len(got.Entries), err)
 	}
+	unfinished := filepath.Join(folder, "snap-0000000000000009.new")
+	if err := os.WriteFile(unfinished, []byte("part"), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if err := Probe(folder); err != nil {
+		t.Errorf("Probe with an unfinished file: got %v", err)
+	}
+	if left, _ := filepath.Glob(filepath.Join(folder, "*.new")); len(left) > 0 {
+		t.Errorf("unfinished files after a probe: got %v, want none", left)
+	}
 	if left, _ := filepath.Glob(filepath.Join(folder, "probe*")); len(left) > 0 {
 		t.Errorf("files of the probe: got %v, want none", left)
 	}
--- a/io/replica/fulldisks_day_test.go
+++ b/io/replica/fulldisks_day_test.go
@@ -20,7 +20,7 @@
 
 // drawRefused draws what a full disk refuses besides writes.
 func (d *day) drawRefused() []disk.Operation {
-	return [][]disk.Operation{nil, nil, {disk.Create}, {disk.Create, disk.Rename, disk.Remove, disk.Truncate}, {syncs}}[d.random.Intn(5)]
+	return [][]disk.Operation{nil, nil, {disk.Create}, {disk.Create, disk.Rename, disk.Remove, disk.Truncate}, {syncs}, {half}, {segments}}[d.random.Intn(7)]
 }
 
 // pick returns the leader's site in most cases, or a random one.
@@ -218,10 +218,12 @@
 	d.flood()
 	d.runFor(1700 * time.Millisecond)
 	d.always = true
-	for range 3 {
-		behind.fill(600 * time.Millisecond)
-		d.runFor(900 * time.Millisecond)
-	}
+	behind.fill(600 * time.Millisecond)
+	d.runFor(900 * time.Millisecond)
+	behind.fill(600*time.Millisecond, segments) // the snapshot is saved, the segment that follows it is not
+	d.runFor(3 * time.Second)
+	behind.fill(600 * time.Millisecond) // the folder is opened once more
+	d.runFor(900 * time.Millisecond)
 	d.settle()
 	if !slices.ContainsFunc(d.trace, func(l string) bool {
 		return strings.Contains(l, behind.name+" pauses") && strings.Contains(l, "/snap-")
--- a/io/replica/fulldisks_site_test.go
+++ b/io/replica/fulldisks_site_test.go
@@ -37,7 +37,7 @@
 
 // isFull reports whether a write of n bytes finds no room.
 func (s *daySite) isFull(n int) bool {
-	if s.day.now.Before(s.fullTill) && !s.refused[syncs] {
+	if s.day.now.Before(s.fullTill) && !s.refused[syncs] && !s.refused[segments] && (!s.refused[half] || s.day.random.Intn(2) == 0) {
 		return true
 	}
 	if s.day.capacity == 0 {
@@ -95,8 +95,9 @@
 				}
 				return f.Write(b)
 			}),
-			disk.WithFault(func(o disk.Operation, _ string) error {
-				if s.refused[o] && d.now.Before(s.fullTill) {
+			disk.WithFault(func(o disk.Operation, path string) error {
+				segment := o == disk.Create && strings.HasPrefix(filepath.Base(path), "log-")
+				if (s.refused[o] || s.refused[segments] && segment) && d.now.Before(s.fullTill) {
 					return syscall.ENOSPC
 				}
 				return nil
@@ -151,8 +152,12 @@
 	s.replica, s.startAt = nil, s.day.now.Add(d)
 }
 
-// syncs is an operation that a faulty disk refuses, besides those of package disk.
-const syncs disk.Operation = "sync of"
+// What a faulty disk refuses instead of all writes: syncs, one half of the writes, or new segments.
+const (
+	syncs    disk.Operation = "syncs only"
+	half     disk.Operation = "half of the writes only"
+	segments disk.Operation = "new segments only"
+)
 
 // endsByItself reports whether a start may fail with an error, because the disk is faulty for the moment.
 func endsByItself(err error) bool { return isFull(err) || errors.As(err, new(*disk.SyncError)) }
