--- a/io/process/flood_test.go
+++ b/io/process/flood_test.go
@@ -54,7 +54,7 @@
 
 func stopInFlood(t *testing.T, keepOut func(net.Listener) error, want int64) {
 	t.Helper()
-	const clients, slack = 16, 150 * time.Millisecond
+	const clients = 16
 	entered, release := make(chan struct{}), make(chan struct{})
 	var closed, bound atomic.Value // the time of the close, and the time of a timer that begins with the stop
 	limits := DefaultLimits()
@@ -107,14 +107,8 @@
 	if got := <-held; got == "" {
 		t.Error("running request: got no answer, want one")
 	}
-	closedAt, atMost := closed.Load().(time.Time), bound.Load().(time.Time).Add(slack)
-	if closedAt.After(atMost) {
-		t.Errorf("listener closed: got %v after the stop began, want at most %v", closedAt.Sub(begun), atMost.Sub(begun))
-	}
 	last := time.Unix(0, latest.Load())
-	if last.After(closedAt) {
-		t.Errorf("last connection: got one that was asked for %v after the listener closed, want none", last.Sub(closedAt))
-	}
+	checkClose(t, begun, closed.Load().(time.Time), bound.Load().(time.Time), last)
 	if got := unanswered.Load(); want >= 0 && got > want {
 		t.Errorf("established connections without an answer: got %d, want %d", got, want)
 	}
@@ -123,3 +117,16 @@
 	}
 	t.Logf("last connection after %v, %d without an answer", last.Sub(begun), unanswered.Load())
 }
+
+// checkClose checks the time of a listener's close against a timer that fired at bound, and the time at which the last established
+// connection was asked for.
+func checkClose(t *testing.T, begun, closed, bound, last time.Time) {
+	t.Helper()
+	const slack = 150 * time.Millisecond
+	if atMost := bound.Add(slack); closed.After(atMost) {
+		t.Errorf("listener closed: got %v after the stop began, want at most %v", closed.Sub(begun), atMost.Sub(begun))
+	}
+	if last.After(closed) {
+		t.Errorf("last connection: got one that was asked for %v after the listener closed, want none", last.Sub(closed))
+	}
+}
