fix(replica): a replica that resumes does not campaign first

Callers saw: no leader, and no change acknowledged, while the disk of one replica took terms and votes but not the next write, such as a new segment or a large change; all processes ran. Cause: a replica that resumes after a full disk has known no leader since its protocol state was made, so it campaigned 0.1 to 0.3 s later, as after a loss of power. It won before the election timeouts of the others, its vote restarted those, and its first entry paused it again. Change: agreement.WithResumed: it campaigns after an election timeout.

--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -43,6 +43,10 @@
 	return func(r *Replica) { r.state, r.snapshot, r.loaded = state, snapshot, entries }
 }
 
+// WithResumed tells that this replica took part before in the same process, so that it campaigns like one that has known a leader. One
+// that resumes after each failure of its disk would otherwise campaign sooner than all others, win, and fail again.
+func WithResumed() Option { return func(r *Replica) { r.leaderSeen = true } }
+
 // WithElectionTimeout sets the election timeout, which must be longer than the heartbeat interval; the default is 1 s.
 func WithElectionTimeout(d time.Duration) Option { return func(r *Replica) { r.election = d } }
 
@@ -88,7 +92,7 @@
 	quorumConfirmed         time.Time // start of the last heartbeat round known to be answered by a quorum
 	votes                   map[string]bool
 	preVote                 bool                 // the current campaign is a pre-vote
-	leaderSeen              bool                 // a leader has been known since the start
+	leaderSeen              bool                 // a leader has been known since the start, or before this replica resumed
 	campaigned              bool                 // this replica has campaigned since the start
 	promises                map[string]string    // founding promises received: initial name to identity
 	progress                map[string]*progress // by identity, without this replica; used only by the leader
--- a/io/replica/fulldisks_day_test.go
+++ b/io/replica/fulldisks_day_test.go
@@ -237,3 +237,26 @@
 		t.Errorf("%s\n%s", d.failed, strings.Join(d.trace, "\n"))
 	}
 }
+
+// Guards against a group without a leader while the disk of one replica takes terms and votes but no new segment: it paused, resumed,
+// campaigned before all others, won, and paused again.
+func TestFaultyDiskWinsNoElections(t *testing.T) {
+	d := newDay(t, 1)
+	d.compactEntries, d.padding, d.capacity, d.segment, d.spare, d.loss, d.always = 1000, 0, 0, 300, false, 0, true
+	d.begin()
+	defer d.end()
+	d.runFor(5 * time.Second)
+	faulty := d.leader()
+	faulty.fill(20*time.Second, segments)
+	d.runFor(20 * time.Second)
+	won := 0
+	for _, l := range d.leaders {
+		if l == faulty.id {
+			won++
+		}
+	}
+	if d.failed != "" || faulty.pauses < 3 || len(d.leaders) > 4 {
+		t.Errorf("got %d pauses, %d terms with a leader, %d of them led by the faulty replica, want at least 3 pauses and at most 4 terms; %s",
+			faulty.pauses, len(d.leaders), won, d.failed)
+	}
+}
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -124,9 +124,14 @@
 		}
 		r.stamper.observe(r.now(), r.stateTime())
 	}
-	r.protocol, err = agreement.New(agreement.WithID(r.id), agreement.WithFounders(r.names...),
-		agreement.WithElectionTimeout(r.election), agreement.WithHeartbeatInterval(r.heartbeat), agreement.WithRandom(r.random),
-		agreement.WithLog(d.State, d.Snapshot, d.Entries))
+	options := []agreement.Option{
+		agreement.WithID(r.id), agreement.WithFounders(r.names...), agreement.WithElectionTimeout(r.election),
+		agreement.WithHeartbeatInterval(r.heartbeat), agreement.WithRandom(r.random), agreement.WithLog(d.State, d.Snapshot, d.Entries),
+	}
+	if r.protocol != nil {
+		options = append(options, agreement.WithResumed())
+	}
+	r.protocol, err = agreement.New(options...)
 	return err
 }
 
