--- a/io/host/control.go
+++ b/io/host/control.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,10 +23,9 @@
 )
 
 const (
-	dutyInterval   = 20 * time.Millisecond  // time between two runs of performDuties
-	floorRetry     = 250 * time.Millisecond // time after which a version whose floor could not be saved is offered again
-	expiryInterval = time.Second            // time between two checks for expired leases
-	memberTimeout  = 3 * time.Second        // limit for one membership command, change of the member set or read of the floor
+	dutyInterval   = 20 * time.Millisecond // time between two runs of performDuties
+	expiryInterval = time.Second           // time between two checks for expired leases
+	memberTimeout  = 3 * time.Second       // limit for one membership command, change of the member set or read of the floor
 	// measureDivisor spaces the checks of a pending version: the next check comes after 1/50 of its age at the earliest,
 	// because a dead node keeps it pending until the lease of the node expires.
 	measureDivisor = 50
@@ -209,31 +207,6 @@
 	}
 }
 
-// publish offers the newest committed snapshot to the holder of this node after commands are applied. It runs outside the loop
-// of the replica because compiling a routing table takes longer than a commit.
-func (c *control) publish(ctx context.Context) {
-	var retry <-chan time.Time // nil unless the last version was not put in force because its floor could not be saved
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.applied:
-		case <-retry:
-		}
-		err := c.holder.Offer(c.snapshot())
-		if err != nil && retry == nil {
-			c.log.Error(err, "committed version not put in force, the earlier one is kept")
-		}
-		if err == nil && retry != nil {
-			c.log.Info("committed version put in force after all", "version", c.version())
-		}
-		retry = nil
-		if errors.As(err, new(*peer.FloorSaveError)) {
-			retry = time.After(floorRetry)
-		}
-	}
-}
-
 // runDuties performs the leader's work at each tick: membership commands, lease expiry and convergence measurement.
 func (c *control) runDuties(ctx context.Context) {
 	ticker := time.NewTicker(dutyInterval)
