fix(caller): the end of the notice does not break off an answer that has begun

Callers saw a 2xx answer end without its last part during a planned stop, long before the end, if the endpoint had begun to answer before it had the rest of a body above 64 KiB.

Cause: the time for the rest of the body ended with the notice, also once the answer had begun. The error of the body ends the attempt, and the answer with it.

Change: when the answer begins, the time for the body is that of the request again. Behind the answer, what the caller still sends is read for a short time only, as behind a refusal.

Measured: TestStopKeepsEarlyAnswer failed with an aborted answer 2.5 s after the beginning of the stop, and passes; io/caller passes, its tests of stops, bodies and cuts also with -race. Not measured with real processes: without a stop, an early answer to a body with more than 256 KiB left is broken as before, because net/http reads the body itself before it writes the answer.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -33,6 +33,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	c.limitDiscard()
 	c.succeeded(p.StatusCode)
 }
 
@@ -154,6 +155,7 @@
 		h.attemptDone(c.endpoint, o)
 		return nil, c.lostOutcome(o.Failure, lost)
 	}
+	c.bodyComplete() // an answer that has begun ends by itself, also if its endpoint still reads the body
 	o.Status, o.Leaving, o.Limit = p.StatusCode, hop.Leaving(p), hop.Limit(p)
 	if load, ok := hop.Load(p); ok {
 		o.Load = load
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -17,6 +17,7 @@
 	prefix   []byte
 	rest     io.Reader   // nil when prefix is the complete body
 	consumed atomic.Bool // an attempt has read from a body that is larger than prefix
+	whole    atomic.Bool // rest was read to its end
 	complete func()      // called once rest was read to its end
 }
 
@@ -83,6 +84,7 @@
 	n, err := p.body.rest.Read(b)
 	switch {
 	case err == io.EOF:
+		p.body.whole.Store(true)
 		p.body.complete()
 	case err != nil && !p.closed.Load():
 		p.lost.set(err)
--- a/io/caller/stop.go
+++ b/io/caller/stop.go
@@ -106,7 +106,7 @@
 	c.handler.waits.add(c.handler.now(), c.bodyWait)
 }
 
-// bodyComplete ends the limit of waitForBody.
+// bodyComplete ends the limit of waitForBody: the body is complete, or the answer has begun.
 func (c *call) bodyComplete() {
 	if c.bodyWait != nil {
 		c.handler.waits.complete(c.bodyWait)
@@ -121,11 +121,11 @@
 	}
 }
 
-// limitDiscard bounds how long the rest of a refused request's body is read during a planned stop.
+// limitDiscard bounds how long the rest of the body of an answered request is read during a planned stop.
 func (c *call) limitDiscard() {
 	now := c.handler.now()
 	d := c.handler.stop(now, shutdown.Work{})
-	complete := c.r.Body == nil || c.r.Body == http.NoBody || c.body != nil && c.body.rest == nil
+	complete := c.r.Body == nil || c.r.Body == http.NoBody || c.body != nil && (c.body.rest == nil || c.body.whole.Load())
 	if d.Until.IsZero() || complete {
 		return
 	}
--- a/io/caller/stop_test.go
+++ b/io/caller/stop_test.go
@@ -315,6 +315,40 @@
 	}
 }
 
+// Guards against an answer that the stop breaks off because the rest of a long body comes after the notice: the endpoint has begun to
+// answer before it. The error of the body ends the answer, as on the connections to nodes and backend servers.
+func TestStopKeepsEarlyAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body := []piece{{1100, hop.MaxFingerprintBytes + 1}, {4000, 100}}
+		r := &stopRun{stopCase: stopCase{arrives: 1000, deadline: 8000, body: body}, begin: time.Now().Add(ms(stopBegins))}
+		r.start()
+		r.handler.send = func(_ context.Context, _ config.Endpoint, _ hop.Meta, q *http.Request) (*http.Response, error) {
+			answer, end := io.Pipe()
+			go func() {
+				_, err := io.Copy(io.Discard, q.Body)
+				if err == nil {
+					_, err = io.WriteString(end, "answer")
+				}
+				_ = end.CloseWithError(err)
+			}()
+			return &http.Response{StatusCode: 200, Header: http.Header{}, Body: answer, ContentLength: -1, ProtoMajor: 1, ProtoMinor: 1}, nil
+		}
+		go func() {
+			time.Sleep(ms(stopBegins))
+			r.stop.Begin(time.Now())
+			r.handler.StopBegun()
+		}()
+		defer func() {
+			if broken := recover(); broken != nil {
+				t.Errorf("%v after the beginning of the stop: got a broken answer (%v), want a whole one at 4s", time.Since(r.begin), broken)
+			}
+		}()
+		if w := r.request(); w.Code != 200 || w.Body.String() != "answer" {
+			t.Errorf("got status %d and %q, want 200 and the answer", w.Code, w.Body.String())
+		}
+	})
+}
+
 // Guards against a refused caller that holds its connection until the end of the stop by sending its body slowly.
 func TestStopLimitsDiscard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
