fix(process): a shortage of descriptors does not reset the backlog in a stop

Callers saw their connection reset at the end of the notice, without an answer, if the stopping process had no descriptor left at that moment.

Cause: after DrainBacklog, accept took each error but a passed deadline for the end of the backlog and closed the listener. The close resets what waits there. Before the close at a known time, net/http tried again.

Change: for lack of a descriptor, accept tries again for up to 400 ms. Idle connections close 200 ms after the beginning of the close, so descriptors become free meanwhile; new handshakes are kept out.

--- a/io/process/backlog.go
+++ b/io/process/backlog.go
@@ -16,6 +16,7 @@
 	handshakeWait  = 20 * time.Millisecond  // time in which a handshake that has begun ends; a round trip to callers takes up to 16 ms
 	emptyWait      = time.Millisecond       // time without a connection after which the backlog counts as empty
 	floodWait      = 50 * time.Microsecond  // the same while new handshakes may begin, short so that a flood of them has such gaps
+	shortageTime   = 2 * maxBacklogTime     // longest wait for a descriptor; connections without a request close after maxBacklogTime
 	emptyTries     = 3                      // waits in a row, because a wait that a busy machine begins late ends without a look at the backlog
 )
 
@@ -23,6 +24,7 @@
 type backlogDrain struct {
 	filtered bool          // the kernel begins no new handshakes
 	settled  time.Time     // handshakes that began before the filter have ended
+	lastTry  time.Time     // end of the wait for a descriptor
 	closed   chan struct{} // closed once the accept loop has closed the listener
 }
 
@@ -43,7 +45,7 @@
 		keepOut = dropHandshakes
 	}
 	began := time.Now()
-	drain := &backlogDrain{closed: make(chan struct{})}
+	drain := &backlogDrain{lastTry: began.Add(shortageTime), closed: make(chan struct{})}
 	if l.drain.Load() != nil {
 		return
 	}
@@ -73,6 +75,12 @@
 		if err == nil || drain == nil {
 			return c, err
 		}
+		if isShortage(err) && time.Now().Before(drain.lastTry) {
+			time.Sleep(emptyWait)
+			_ = l.Listener.(deadliner).SetDeadline(time.Now().Add(emptyWait))
+			tries = 0
+			continue
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || tries == emptyTries {
 			_ = l.Listener.Close()
 			l.onClosed()
@@ -96,6 +104,11 @@
 	}
 }
 
+// isShortage reports whether a connection could not be accepted for lack of descriptors, so that it is still in the backlog.
+func isShortage(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // dropHandshakes makes the kernel drop segments that ask for a new connection (SYN without ACK). Handshakes that have begun end as
 // usual. The client sends a dropped segment again after a second, when the listener is closed and refuses it.
 func dropHandshakes(l net.Listener) error {
