fix(process): an answer that the end of a stop cuts does not look complete in HTTP/1.0

Callers of HTTP/1.0 saw a success whose body had lost its end, without an error, if the stop ended while an answer without a length was passed on.

Cause: for them the end of the connection is the end of such an answer, and the cut closed the connection in an orderly way. Package caller resets the connection for an answer that breaks off, but comes too late when it is closed.

Change: while a handler of a request below HTTP/1.1 runs, a close of its connection resets it.

--- a/io/process/conn.go
+++ b/io/process/conn.go
@@ -61,6 +61,7 @@
 	pending     bool      // the connection closes once the request has ended
 	abandoned   bool      // the connection was closed while no request was running
 	hijacked    bool      // the handler closes the connection, maybe with a reset
+	untilClose  bool      // a handler runs whose answer may end with the connection, as in HTTP/1.0
 	ended       bool      // Close has begun
 	stopped     bool      // no further request is read
 	silent      bool      // it was stopped within the head of a request, to which net/http would invent an answer
@@ -198,7 +199,10 @@
 	}
 	c.ended = true
 	t, ok := c.Conn.(*net.TCPConn)
-	orderly := ok && c.pipeline != nil && !c.hijacked && !c.listener.cut.Load() && !c.isQuiet()
+	if ok && c.untilClose {
+		_ = t.SetLinger(0) // only a reset shows that the answer broke off
+	}
+	orderly := ok && !c.untilClose && c.pipeline != nil && !c.hijacked && !c.listener.cut.Load() && !c.isQuiet()
 	if c.pipeline != nil {
 		c.pipeline.abort()
 	}
@@ -304,6 +308,13 @@
 	}
 }
 
+// setUntilClose records whether a handler runs whose answer may end with the connection.
+func (c *countedConn) setUntilClose(is bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.untilClose = is
+}
+
 // isAbandoned reports whether the connection was closed before its request started.
 func (c *countedConn) isAbandoned() bool {
 	c.mu.Lock()
@@ -323,7 +334,13 @@
 		if c.isAbandoned() {
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(w, r)
+		if !r.ProtoAtLeast(1, 1) {
+			c.setUntilClose(true)
+			next.ServeHTTP(w, r)
+			c.setUntilClose(false) // not after a panic, which breaks the answer off
+		} else {
+			next.ServeHTTP(w, r)
+		}
 		if c.listener.graceful.Load() {
 			_ = c.SetReadDeadline(time.Now().Add(lingerTime)) // net/http reads the rest of a body behind its answer
 		}
