fix(host): a stopping node takes calls of other nodes only if they end in time

The exception of the notice, work that may be cut, holds for requests of the node's own callers; the caller of another node's call can send it elsewhere at once.

Change: such calls are bound (shutdown.Work.Bound): from the signal on they begin only if their deadline leaves time for the answer. TestDrainAsksForRemoteCalls wanted a call with a deadline after the end to be passed on in the notice; it now wants it refused, and one that fits passed on. The table and the schedules of core/shutdown have bound work.

--- a/core/shutdown/schedule_test.go
+++ b/core/shutdown/schedule_test.go
@@ -12,6 +12,7 @@
 	head     time.Time
 	deadline time.Time
 	expected time.Duration
+	bound    bool
 	body     time.Duration // from the head to the last byte of the body
 	attempts []attempt
 }
@@ -31,6 +32,7 @@
 	if r.IntN(2) == 0 {
 		q.body = 0
 	}
+	q.bound = r.IntN(3) == 0
 	for range 1 + r.IntN(4) {
 		q.attempts = append(q.attempts, attempt{queue: upTo(length / 4), work: upTo(length / 2), pause: upTo(length / 8)})
 	}
@@ -54,7 +56,7 @@
 }
 
 func (p player) decide(now time.Time) Decision {
-	return p.stop.Decide(now, Work{Deadline: p.q.deadline, Expected: p.q.expected})
+	return p.stop.Decide(now, Work{Deadline: p.q.deadline, Expected: p.q.expected, Bound: p.q.bound})
 }
 
 // mayBegin asks and checks a refusal: work that could certainly be finished must not be refused.
@@ -66,7 +68,7 @@
 	if d.Allowed || !now.Before(p.stop.LastRead()) {
 		return d.Allowed
 	}
-	inNotice := now.Before(p.stop.NoticeEnd()) && now.Add(p.q.expected).Before(end)
+	inNotice := !p.q.bound && now.Before(p.stop.NoticeEnd()) && now.Add(p.q.expected).Before(end)
 	if inNotice || p.q.deadline.Add(answerMargin).Before(end) {
 		p.t.Errorf("refused at %v: got a refusal of %+v, want it allowed", now.Sub(begin), p.q)
 	}
@@ -90,7 +92,8 @@
 			return i
 		}
 		ends := earliest(p.q.deadline, now.Add(a.work))
-		if answered := ends.Add(answerMargin); !now.Before(p.stop.NoticeEnd()) && answered.After(p.stop.End()) {
+		late := !now.Before(p.stop.NoticeEnd()) || p.q.bound && !now.Before(begin)
+		if answered := ends.Add(answerMargin); late && answered.After(p.stop.End()) {
 			p.t.Errorf("begun at %v: got the answer of %+v at %v, want it by the end", now.Sub(begin), p.q, answered.Sub(begin))
 		}
 		if now, ok = p.wait(ends, a.pause); !ok {
@@ -100,7 +103,7 @@
 	return len(p.q.attempts)
 }
 
-// Guards against work that is allowed after the notice and still runs at the end, however it waited before, and against
+// Guards against work that is allowed after the notice, or bound work after the beginning, and still runs at the end, however it waited before, and against
 // refusals of work that could certainly be finished.
 func TestRandomSchedules(t *testing.T) {
 	const seeds, requests = 200, 100
@@ -129,7 +132,7 @@
 		r := rand.New(rand.NewPCG(seed, 1))
 		s := New(WithNotice(time.Duration(r.IntN(3000))*time.Millisecond), WithGrace(time.Duration(r.IntN(6000))*time.Millisecond))
 		s.Begin(begin)
-		w := Work{Deadline: at(r.IntN(12000)), Expected: time.Duration(r.IntN(8000)) * time.Millisecond}
+		w := Work{Deadline: at(r.IntN(12000)), Expected: time.Duration(r.IntN(8000)) * time.Millisecond, Bound: r.IntN(2) == 0}
 		earlier := at(r.IntN(10000))
 		later := earlier.Add(time.Duration(r.IntN(2000)) * time.Millisecond)
 		first, second := s.Decide(earlier, w), s.Decide(later, w)
--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -32,6 +32,7 @@
 type Work struct {
 	Deadline time.Time     // time by which the work ends in any case; zero if it has none
 	Expected time.Duration // usual time of the work; 0 if unknown
+	Bound    bool          // the work may begin only if its deadline leaves time for its answer, also in the notice
 }
 
 // Decision says whether work may begin.
@@ -51,6 +52,7 @@
 
 // schedule holds the times of a stop that has begun.
 type schedule struct {
+	begin     time.Time
 	noticeEnd time.Time
 	lastRead  time.Time
 	end       time.Time
@@ -78,7 +80,7 @@
 func (s *Stop) Begin(now time.Time) bool {
 	noticeEnd := now.Add(s.notice)
 	end := noticeEnd.Add(s.grace)
-	return s.schedule.CompareAndSwap(nil, &schedule{noticeEnd: noticeEnd, lastRead: end.Add(-lastReadMargin), end: end})
+	return s.schedule.CompareAndSwap(nil, &schedule{begin: now, noticeEnd: noticeEnd, lastRead: end.Add(-lastReadMargin), end: end})
 }
 
 // Phase returns the phase at a time; before Begin it is Serving.
@@ -96,7 +98,7 @@
 }
 
 // Decide says whether work may begin at a time. Work whose deadline leaves time for its answer may begin until LastRead, other
-// work only in the notice and only if its expected time ends before the end.
+// work only in the notice and only if it is not bound and its expected time ends before the end.
 func (s *Stop) Decide(now time.Time, w Work) Decision {
 	p := s.schedule.Load()
 	if p == nil {
@@ -115,6 +117,9 @@
 	if !w.Deadline.IsZero() && !w.Deadline.Add(answerMargin).After(p.end) {
 		return p.lastRead
 	}
+	if w.Bound {
+		return p.begin
+	}
 	return earliest(p.noticeEnd, p.lastRead, p.end.Add(-max(w.Expected, 0)))
 }
 
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -20,28 +20,33 @@
 		expected time.Duration
 		allowed  bool
 		until    int // ms after begin
+		bound    bool
 	}{
-		{"notice, expected time fits", 0, 9000, 400 * time.Millisecond, true, 2500},
-		{"notice, expected time unknown", 2499, 9000, 0, true, 2500},
-		{"notice, no deadline", 2499, never, 0, true, 2500},
-		{"notice, expected time ends just before the end", 999, 9000, 4500 * time.Millisecond, true, 1000},
-		{"notice, expected time ends at the end", 1000, 9000, 4500 * time.Millisecond, false, 1000},
-		{"notice, expected time longer than the stop", 0, 9000, 6 * time.Second, false, -500},
-		{"notice, deadline fits although the expected time does not", 1500, 5250, 9 * time.Second, true, 5400},
-		{"notice, negative expected time", 0, 9000, -time.Second, true, 2500},
-		{"end of the notice, deadline after the end", 2500, 9000, 0, false, 2500},
-		{"finish, deadline and answer end at the end", 2500, 5250, 0, true, 5400},
-		{"finish, answer would end after the end", 2500, 5251, 0, false, 2500},
-		{"finish, no deadline", 3000, never, 0, false, 2500},
-		{"finish, expected time fits but not the deadline", 3000, 9000, time.Millisecond, false, 2500},
-		{"just before the last read", 5399, 5250, 0, true, 5400},
-		{"last read", 5400, 5250, 0, false, 5400},
-		{"after the end", 6000, 100, 0, false, 5400},
+		{"notice, expected time fits", 0, 9000, 400 * time.Millisecond, true, 2500, false},
+		{"notice, expected time unknown", 2499, 9000, 0, true, 2500, false},
+		{"notice, no deadline", 2499, never, 0, true, 2500, false},
+		{"notice, expected time ends just before the end", 999, 9000, 4500 * time.Millisecond, true, 1000, false},
+		{"notice, expected time ends at the end", 1000, 9000, 4500 * time.Millisecond, false, 1000, false},
+		{"notice, expected time longer than the stop", 0, 9000, 6 * time.Second, false, -500, false},
+		{"notice, deadline fits although the expected time does not", 1500, 5250, 9 * time.Second, true, 5400, false},
+		{"notice, negative expected time", 0, 9000, -time.Second, true, 2500, false},
+		{"end of the notice, deadline after the end", 2500, 9000, 0, false, 2500, false},
+		{"finish, deadline and answer end at the end", 2500, 5250, 0, true, 5400, false},
+		{"finish, answer would end after the end", 2500, 5251, 0, false, 2500, false},
+		{"finish, no deadline", 3000, never, 0, false, 2500, false},
+		{"finish, expected time fits but not the deadline", 3000, 9000, time.Millisecond, false, 2500, false},
+		{"just before the last read", 5399, 5250, 0, true, 5400, false},
+		{"last read", 5400, 5250, 0, false, 5400, false},
+		{"after the end", 6000, 100, 0, false, 5400, false},
+		{"bound, at the beginning of the stop", 0, 9000, 400 * time.Millisecond, false, 0, true},
+		{"bound, notice, deadline fits", 1500, 5250, 0, true, 5400, true},
+		{"bound, notice, answer would end after the end", 1500, 5251, 0, false, 0, true},
+		{"bound, finish, deadline fits", 3000, 5250, 0, true, 5400, true},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			s := New(WithNotice(2500*time.Millisecond), WithGrace(3*time.Second))
-			w := Work{Deadline: at(c.deadline), Expected: c.expected}
+			w := Work{Deadline: at(c.deadline), Expected: c.expected, Bound: c.bound}
 			if c.deadline == never {
 				w.Deadline = time.Time{}
 			}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -45,7 +45,7 @@
 	checkAnswer     func(*http.Response) *outcome.Failure
 	namesRequest    func(*http.Request, *http.Response) bool
 	requestID       func(http.Header) string // nil when backend servers do not name requests
-	stopRule        func(time.Time, shutdown.Work) shutdown.Decision
+	stopRule        func(context.Context, time.Time, shutdown.Work) shutdown.Decision
 	bufferLimit     int64
 	renewInterval   time.Duration
 	now             func() time.Time
@@ -78,17 +78,19 @@
 		checkQuarantine: pass,
 		onCrash:         func(Crash) {},
 		context:         func(hop.Meta, time.Time) string { return "" },
-		stopRule:        func(time.Time, shutdown.Work) shutdown.Decision { return shutdown.Decision{Allowed: true} },
-		renewInterval:   defaultRenewInterval,
-		now:             time.Now,
-		log:             logr.Discard(),
-		isForeign:       func(*http.Request, *http.Response) bool { return false },
-		checkAnswer:     func(*http.Response) *outcome.Failure { return nil },
-		namesRequest:    func(*http.Request, *http.Response) bool { return true },
-		endpoints:       map[string]*endpoint{},
-		departed:        map[string]departure{},
-		contexts:        map[string]string{},
-		connecting:      map[hop.Withdrawn]context.CancelCauseFunc{},
+		stopRule: func(context.Context, time.Time, shutdown.Work) shutdown.Decision {
+			return shutdown.Decision{Allowed: true}
+		},
+		renewInterval: defaultRenewInterval,
+		now:           time.Now,
+		log:           logr.Discard(),
+		isForeign:     func(*http.Request, *http.Response) bool { return false },
+		checkAnswer:   func(*http.Response) *outcome.Failure { return nil },
+		namesRequest:  func(*http.Request, *http.Response) bool { return true },
+		endpoints:     map[string]*endpoint{},
+		departed:      map[string]departure{},
+		contexts:      map[string]string{},
+		connecting:    map[hop.Withdrawn]context.CancelCauseFunc{},
 	}
 	b.setHeaders = b.meshHeaders
 	for _, o := range opts {
--- a/io/backend/connect_test.go
+++ b/io/backend/connect_test.go
@@ -32,7 +32,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			stop := shutdown.New(shutdown.WithNotice(0), shutdown.WithGrace(3*time.Second))
-			b, s := start(t, []Option{WithStop(stop.Decide)}, standin.WithSlots(1, 1), standin.WithLatency(200*time.Millisecond))
+			b, s := start(t, []Option{WithStop(func(_ context.Context, now time.Time, w shutdown.Work) shutdown.Decision { return stop.Decide(now, w) })}, standin.WithSlots(1, 1), standin.WithLatency(200*time.Millisecond))
 			ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 			defer cancel()
 			do := func(id string) chan error {
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -129,8 +129,8 @@
 // WithRenew sets the interval at which endpoints renew (default 2 s); an endpoint leaves after three intervals without renewal.
 func WithRenew(d time.Duration) Option { return func(b *Backend) { b.renewInterval = d } }
 
-// WithStop sets the rule of a planned stop, which each call is asked for when it arrives and when it is admitted.
-func WithStop(decide func(now time.Time, w shutdown.Work) shutdown.Decision) Option {
+// WithStop sets the rule of a planned stop, which each call is asked for with its context when it arrives and when it is admitted.
+func WithStop(decide func(ctx context.Context, now time.Time, w shutdown.Work) shutdown.Decision) Option {
 	return func(b *Backend) { b.stopRule = decide }
 }
 
--- a/io/backend/refuse.go
+++ b/io/backend/refuse.go
@@ -40,7 +40,7 @@
 // time in which its answer is usually due.
 func (b *Backend) stopRefusal(ctx context.Context, m hop.Meta) *outcome.Failure {
 	deadline, _ := ctx.Deadline()
-	d := b.stopRule(b.now(), shutdown.Work{Deadline: deadline, Expected: max(m.Objective, 0)})
+	d := b.stopRule(ctx, b.now(), shutdown.Work{Deadline: deadline, Expected: max(m.Objective, 0)})
 	if d.Allowed {
 		return nil
 	}
--- a/io/backend/stop_test.go
+++ b/io/backend/stop_test.go
@@ -37,7 +37,7 @@
 			begin, slots := time.Now(), 0
 			var passed atomic.Int64
 			b, s := start(t, []Option{
-				WithStop(stop.Decide),
+				WithStop(func(_ context.Context, now time.Time, w shutdown.Work) shutdown.Decision { return stop.Decide(now, w) }),
 				WithNow(func() time.Time { return begin.Add(time.Duration(passed.Load())) }),
 				WithAdmit(func(context.Context, string, hop.Meta) (func(Result), *outcome.Failure) {
 					passed.Add(int64(c.queued))
--- a/io/host/drain_test.go
+++ b/io/host/drain_test.go
@@ -119,13 +119,21 @@
 		t.Fatal(f)
 	}
 	h.shutdown.Begin(time.Now())
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	for objective, want := range map[time.Duration]outcome.Code{time.Millisecond: outcome.Unreachable, 3 * time.Second: outcome.Draining} {
-		m := hop.Meta{Call: "c", Service: "archive", Endpoint: "e", Objective: objective}
+	for _, c := range []struct {
+		name                string
+		deadline, objective time.Duration
+		want                outcome.Code // unreachable if the call was passed on, since nothing listens at the endpoint's address
+	}{
+		{"deadline fits", time.Second, time.Millisecond, outcome.Unreachable},
+		{"deadline after the end, objective fits", time.Minute, time.Millisecond, outcome.Draining},
+		{"both after the end", time.Minute, 3 * time.Second, outcome.Draining},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
+		m := hop.Meta{Call: "c", Service: "archive", Endpoint: "e", Objective: c.objective}
 		_, err := h.serveRemote(ctx, m, &http.Request{Method: "GET", URL: &url.URL{Path: "/"}, Header: http.Header{}})
-		if f := hop.AsFailure(err, "c"); f.Code != want || f.Kind != outcome.NotRun {
-			t.Errorf("objective %v: got %v, want code %q", objective, f, want)
+		cancel()
+		if f := hop.AsFailure(err, "c"); f.Code != c.want || f.Kind != outcome.NotRun {
+			t.Errorf("%s: got %v, want code %q", c.name, f, c.want)
 		}
 	}
 }
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -13,6 +13,7 @@
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
+	"godwitspindle/core/shutdown"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/caller"
@@ -150,7 +151,7 @@
 		backend.WithAdmit(h.admit),
 		backend.WithQuarantineCheck(h.checkQuarantine),
 		backend.WithCrashed(h.endpointCrashed),
-		backend.WithStop(h.shutdown.Decide),
+		backend.WithStop(h.decideCall),
 		backend.WithContext(func(m hop.Meta, deadline time.Time) string {
 			share := m.Budget
 			if h.settings.Retries.Percent > 0 {
@@ -201,6 +202,13 @@
 	return r
 }
 
+// decideCall asks the rule of a planned stop for a call. One of another node is bound: if it were cut, that node, which may itself be
+// stopping, would answer in place of an endpoint that is at work, and it can send the call elsewhere.
+func (h *Host) decideCall(ctx context.Context, now time.Time, w shutdown.Work) shutdown.Decision {
+	w.Bound = ctx.Value(remoteKey{}) != nil
+	return h.shutdown.Decide(now, w)
+}
+
 // callBackend runs a call at a local endpoint and reports the occupancy and the limit of the endpoint in the answer.
 func (h *Host) callBackend(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	p, err := h.backend.Do(ctx, m, r)
