fix(hop): the end of a process does not wait for a dial

A process could outlast the end of its stop by the dial timeout (1 s), beyond the half second that it has for its exit, and be killed.

Cause: Close waited for dials in progress, which had only their own timeout. The last withdrawal of a stop begins such a dial 100 ms before the end if its host does not answer.

Change: Close ends the dials in progress.

--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -90,6 +90,9 @@
 	closed bool
 	dials  sync.WaitGroup
 
+	dialing     context.Context // context of all dials; ended by Close
+	cancelDials context.CancelFunc
+
 	dialed, evicted, mismatched, refused, reset atomic.Uint64
 }
 
@@ -113,6 +116,7 @@
 	for _, o := range opts {
 		o(c)
 	}
+	c.dialing, c.cancelDials = context.WithCancel(context.Background())
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(c.dialTLS == nil)
 	protocols.SetHTTP2(c.dialTLS != nil)
@@ -179,8 +183,9 @@
 	}
 }
 
-// Close closes all connections and waits for dials in progress; calls in flight fail.
+// Close closes all connections and ends dials in progress; calls in flight fail.
 func (c *Client) Close() error {
+	c.cancelDials()
 	c.mu.Lock()
 	c.closed = true
 	for a, p := range c.peers {
--- a/io/hop/pool.go
+++ b/io/hop/pool.go
@@ -116,7 +116,7 @@
 	d := &dial{done: make(chan struct{})}
 	p.dial = d
 	c.dials.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), c.dialTimeout)
+		ctx, cancel := context.WithTimeout(c.dialing, c.dialTimeout)
 		defer cancel()
 		d.conn, d.err = c.transport.NewClientConn(ctx, c.scheme, address.String())
 		c.mu.Lock()
