fix(process): a stop closes connections before it says that it is stopping

Cause: finish set stopping, for which the test waits, one line before graceful, which makes the last answer carry Connection: close; an answer between the two lacked it, and its connection was closed behind it without that notice. Change: graceful is set first. No check changes. Measured: the tests of stops in io/process with -race, four runs, pass.

--- a/io/process/listener.go
+++ b/io/process/listener.go
@@ -48,8 +48,8 @@
 // finish waits until all connections have closed or ctx ends. Each one closes once its requests have been answered and no further
 // one has been sent; those without a request so far have maxUnusedWait to send one. From lastRead on, no request is read.
 func (l *countingListener) finish(ctx context.Context, lastRead time.Time) {
-	l.stopping.Store(true)
 	l.graceful.Store(true)
+	l.stopping.Store(true)
 	l.interruptAll()
 	unusedEnd := time.Now().Add(maxUnusedWait)
 	for ctx.Err() == nil && l.open.Load() > 0 {
