--- a/review/bed/standin.go
+++ b/review/bed/standin.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +39,6 @@
 	born     int64
 	sequence atomic.Uint64
 	work     func(w http.ResponseWriter, r *http.Request) // does the work and answers; nil for an answer at once
-	early    int                                          // if above 0, an answer of this many bytes is sent before the body is read
 	server   *http.Server
 	stopBeat chan struct{}
 	stopOnce sync.Once
@@ -74,9 +72,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if e.early > 0 {
-		e.answerFirst(w, id)
-	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		e.m.w.note("%s (%s): the body of %s ended after %d bytes: %v", e.id, e.m.service, id, len(body), err)
@@ -86,9 +81,6 @@
 	e.runs = append(e.runs, run{id: id, method: r.Method, uri: r.RequestURI, body: body, at: time.Now()})
 	e.mu.Unlock()
 	e.m.w.note("%s (%s): runs %s %s %s", e.id, e.m.service, id, r.Method, r.RequestURI)
-	if e.early > 0 {
-		return
-	}
 	if e.work != nil {
 		e.work(w, r)
 		return
@@ -96,17 +88,6 @@
 	e.succeed(w, id)
 }
 
-// answerFirst sends the whole answer before the body of the request is read, and keeps the connection.
-func (e *endpoint) answerFirst(w http.ResponseWriter, id string) {
-	c := http.NewResponseController(w)
-	_ = c.EnableFullDuplex()
-	w.Header().Set(headerSignature, "signed."+e.id)
-	w.Header().Set("Content-Length", strconv.Itoa(e.early))
-	_, _ = w.Write(bytes.Repeat([]byte("r"), e.early))
-	_ = c.Flush()
-	e.m.w.note("%s (%s): answered %s before its body was in", e.id, e.m.service, id)
-}
-
 // succeed writes a success that names the request.
 func (e *endpoint) succeed(w http.ResponseWriter, id string) {
 	w.Header().Set(headerSignature, "signed."+e.id)
