review/8: a proxy that has just started acknowledges a leave that nobody has agreed

LeaveAgreed takes the empty version of a process without a version for one that does not list the endpoint.

--- a/review/bed/latebeat.go
+++ b/review/bed/latebeat.go
@@ -13,8 +13,13 @@
 const stay = 7 * time.Second
 
 // lateBeat lets an endpoint leave, restarts the node beside it, and delivers a heartbeat that the endpoint had sent before its leave.
-func lateBeat(w *world) (int, error) {
-	w.addMachines(3, "archive", "counter", "counter", "counter")
+func lateBeat(w *world) (int, error) { return leaveUnder(w, stay, leaveAndReturn) }
+
+// leaveUnder starts a deployment with three endpoints and traffic, lets one of them leave as the given function does, which returns when
+// the leave was acknowledged, and judges what reaches the endpoint until it exits.
+func leaveUnder(w *world, stay time.Duration, leave func(w *world, e *endpoint) (time.Time, error)) (int, error) {
+	w.addMachines(3, "archive", "counter", "counter", "counter", "archive")
+	w.sides[4].zone = w.sides[3].zone
 	if err := w.startAll(); err != nil {
 		return 0, err
 	}
@@ -25,7 +30,7 @@
 		}
 	}
 	list := make([]*endpoint, 3)
-	for i, m := range w.sides[1:] {
+	for i, m := range w.sides[1:4] {
 		e, err := newEndpoint(m, "i-"+string(rune('a'+i))+"0017f3", work(&list[i]))
 		if err != nil {
 			return 0, err
@@ -49,10 +54,13 @@
 		wait.Go(func() { traffic(w.sides[0], done) })
 	}
 	time.Sleep(5 * time.Second)
-	left, err := leaveAndReturn(w, list[2])
+	left, err := leave(w, list[2])
 	if err != nil {
 		return 0, err
 	}
+	for range 12 { // consumers of a machine that has not met the endpoint before
+		wait.Go(func() { traffic(w.sides[4], done) })
+	}
 	time.Sleep(time.Until(left.Add(stay)))
 	list[2].exit()
 	time.Sleep(2 * time.Second)
@@ -106,11 +114,13 @@
 }
 
 // judgeDrain applies the rule DRAIN: no request reaches the endpoint later than the drain bound after its leave was acknowledged, sent on
-// by a machine that has run for the contact time.
+// while its machine and the core have run for the contact time.
 func judgeDrain(w *world, e *endpoint, left time.Time) (int, error) {
 	from := left.Add(drainBound)
-	if c := e.m.started.Add(contact); c.After(from) {
-		from = c
+	for _, m := range append([]*machine{e.m}, w.cores...) {
+		if c := m.started.Add(contact); c.After(from) {
+			from = c
+		}
 	}
 	before, after := 0, 0
 	for _, r := range e.all() {
