--- a/review/bed/latebeat.go
+++ b/review/bed/latebeat.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -132,6 +133,9 @@
 		}
 	}
 	w.note("requests that reached %s: %d before its leave was acknowledged at %s, %d after %s", e.id, before, w.at(left), after, w.at(from))
+	if before == 0 {
+		return notPlayed, errors.New("no request reached the endpoint before its leave")
+	}
 	if after > 0 {
 		return broken, nil
 	}
