--- a/core/config/entry.go
+++ b/core/config/entry.go
@@ -24,6 +24,7 @@
 	kindEndpoint = "endpoint"
 	kindSuspect  = "suspect" // fingerprint of a request that was running when a backend server crashed
 	kindBounds   = "bounds"  // limits on requests
+	kindCustomer = "customer"
 )
 
 // Entry is one key and value of a snapshot, with the version that last changed it.
@@ -107,6 +108,8 @@
 		m = new(wire.Suspect)
 	case kindBounds:
 		m = new(wire.Bounds)
+	case kindCustomer:
+		m = new(wire.Customer)
 	default:
 		return nil
 	}
@@ -145,6 +148,8 @@
 		return kindEndpoint + "/" + m.GetService() + "/" + m.GetName()
 	case *wire.Bounds:
 		return kindBounds + "/" + m.GetName()
+	case *wire.Customer:
+		return kindCustomer + "/" + m.GetName()
 	case *wire.Suspect:
 		return kindSuspect + "/" + hex.EncodeToString(m.GetFingerprint())
 	}
--- a/core/config/route.go
+++ b/core/config/route.go
@@ -21,6 +21,7 @@
 	Splits     []Split       // services that share the requests by weight, in place of Service; empty if Service gets all
 	Latency    time.Duration // latency objective; 0 for none
 	Attempts   int           // maximum number of endpoints tried for one request; 0 if only Retries limits them
+	Public     bool          // requests need no API key
 }
 
 // Split is the weight of one service in a route.
@@ -83,6 +84,7 @@
 	Slots       int            // maximum number of requests in flight
 	Connections int            // maximum number of connections
 	Incarnation uint64
+	Release     string // version of the backend server's software; empty if not stated
 }
 
 // Key returns SERVICE/NAME, which is unique in the mesh.
--- a/core/config/table.go
+++ b/core/config/table.go
@@ -30,6 +30,8 @@
 	nodeIndexes    map[string]int                 // index in nodes, by name
 	suspects       map[string]*wire.Suspect       // by fingerprint
 	bounds         *Bounds                        // limits on callers' requests; nil if none are configured
+	customers      map[string]*Customer           // by name
+	keys           map[keyDigest]*Customer        // by digest of an API key
 }
 
 // CallerBounds is the name of the bounds entry that applies to callers' requests.
@@ -142,6 +144,8 @@
 		if m.GetName() == CallerBounds {
 			b.bounds = boundsOf(m)
 		}
+	case *wire.Customer:
+		b.addCustomer(m)
 	case *wire.Suspect:
 		b.suspects[string(m.GetFingerprint())] = m
 	}
@@ -212,6 +216,7 @@
 		Splits:     splits,
 		Latency:    time.Duration(m.GetLatency()) * time.Millisecond,
 		Attempts:   int(m.GetAttempts()),
+		Public:     m.GetPublic(),
 	})
 }
 
@@ -239,6 +244,7 @@
 		Slots:       orDefault(int(m.GetSlots()), service.Slots),
 		Connections: orDefault(int(m.GetConnections()), service.Connections),
 		Incarnation: m.GetIncarnation(),
+		Release:     m.GetRelease(),
 	}
 	for _, l := range b.serviceLimits[m.GetService()] {
 		e.Slots = applyLimit(e.Slots, int(l.GetSlots()))
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -27,6 +27,7 @@
 	headerLoad      = "Mesh-Load"    // on answers: calls running and waiting at the endpoint, in percent of its slots
 	headerLimit     = "Mesh-Limit"   // on answers: requests per second that the endpoint takes; on calls: a KnownLimit
 	headerLeaving   = "Mesh-Leaving" // on answers: 1 if the endpoint has stated that it leaves
+	headerCustomer  = "Mesh-Customer"
 )
 
 // answerHeaders are the headers that one node sends to another with an answer.
@@ -86,6 +87,7 @@
 	Resent      bool          // the caller has sent this request before; transmitted only with an objective, without LastAttempt
 	LastAttempt bool          // the caller does not retry after a refusal; transmitted only with an objective
 	Limit       KnownLimit    // limit of the endpoint that the sender knows; zero for none
+	Customer    string        // name of the customer; empty without one
 }
 
 // MetaError reports a metadata header, or a field of Mesh-Meta, that is missing, malformed or out of range.
@@ -120,6 +122,9 @@
 	if m.Objective != 0 {
 		h[headerObjective] = []string{m.encodeObjective()}
 	}
+	if m.Customer != "" {
+		h[headerCustomer] = []string{m.Customer}
+	}
 	if m.Limit.Rate > 0 {
 		h[headerLimit] = []string{m.Limit.encode()}
 	}
@@ -152,6 +157,9 @@
 	if route := h[headerRoute]; len(route) > 0 {
 		m.Route = d.name(headerRoute, route[0])
 	}
+	if customer := h[headerCustomer]; len(customer) > 0 {
+		m.Customer = d.name(headerCustomer, customer[0])
+	}
 	if values := h[headerObjective]; len(values) > 0 {
 		d.objective(values[0], &m)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -38,6 +38,7 @@
 	OnAnnounce func(ctx context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error)
 	OnStatus   func(ctx context.Context, r *rpc.StatusRequest) (*rpc.StatusResponse, error)
 	OnReplicas func(ctx context.Context, r *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error)
+	OnQuota    func(ctx context.Context, r *rpc.QuotaRequest) (*rpc.QuotaResponse, error)
 }
 
 // NewHandler returns the path and the handler of the protocol between nodes.
@@ -139,3 +140,15 @@
 	}
 	return connect.NewResponse(resp), nil
 }
+
+// Quota answers a node's request for tokens of customers' quotas.
+func (s *Server) Quota(ctx context.Context, r *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error) {
+	if s.OnQuota == nil {
+		return nil, notReplica("quota")
+	}
+	resp, err := s.OnQuota(ctx, r.Msg)
+	if err != nil {
+		return nil, unavailable("quota", err)
+	}
+	return connect.NewResponse(resp), nil
+}
--- a/io/rpc/rpcconnect/rpc.connect.go
+++ b/io/rpc/rpcconnect/rpc.connect.go
@@ -47,6 +47,8 @@
 	MeshStatusProcedure = "/godwitspindle.rpc.Mesh/Status"
 	// MeshReplicasProcedure is the fully-qualified name of the Mesh's Replicas RPC.
 	MeshReplicasProcedure = "/godwitspindle.rpc.Mesh/Replicas"
+	// MeshQuotaProcedure is the fully-qualified name of the Mesh's Quota RPC.
+	MeshQuotaProcedure = "/godwitspindle.rpc.Mesh/Quota"
 )
 
 // MeshClient is a client for the godwitspindle.rpc.Mesh service.
@@ -58,6 +60,7 @@
 	Announce(context.Context, *connect.Request[rpc.AnnounceRequest]) (*connect.Response[rpc.AnnounceResponse], error)
 	Status(context.Context, *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error)
 	Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error)
+	Quota(context.Context, *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error)
 }
 
 // NewMeshClient constructs a client for the godwitspindle.rpc.Mesh service. By default, it uses the
@@ -113,6 +116,12 @@
 			connect.WithSchema(meshMethods.ByName("Replicas")),
 			connect.WithClientOptions(opts...),
 		),
+		quota: connect.NewClient[rpc.QuotaRequest, rpc.QuotaResponse](
+			httpClient,
+			baseURL+MeshQuotaProcedure,
+			connect.WithSchema(meshMethods.ByName("Quota")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -125,6 +134,7 @@
 	announce *connect.Client[rpc.AnnounceRequest, rpc.AnnounceResponse]
 	status   *connect.Client[rpc.StatusRequest, rpc.StatusResponse]
 	replicas *connect.Client[rpc.ReplicasRequest, rpc.ReplicasResponse]
+	quota    *connect.Client[rpc.QuotaRequest, rpc.QuotaResponse]
 }
 
 // Deliver calls godwitspindle.rpc.Mesh.Deliver.
@@ -162,6 +172,11 @@
 	return c.replicas.CallUnary(ctx, req)
 }
 
+// Quota calls godwitspindle.rpc.Mesh.Quota.
+func (c *meshClient) Quota(ctx context.Context, req *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error) {
+	return c.quota.CallUnary(ctx, req)
+}
+
 // MeshHandler is an implementation of the godwitspindle.rpc.Mesh service.
 type MeshHandler interface {
 	Deliver(context.Context, *connect.Request[rpc.DeliverRequest]) (*connect.Response[rpc.DeliverResponse], error)
@@ -171,6 +186,7 @@
 	Announce(context.Context, *connect.Request[rpc.AnnounceRequest]) (*connect.Response[rpc.AnnounceResponse], error)
 	Status(context.Context, *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error)
 	Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error)
+	Quota(context.Context, *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error)
 }
 
 // NewMeshHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -222,6 +238,12 @@
 		connect.WithSchema(meshMethods.ByName("Replicas")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshQuotaHandler := connect.NewUnaryHandler(
+		MeshQuotaProcedure,
+		svc.Quota,
+		connect.WithSchema(meshMethods.ByName("Quota")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/godwitspindle.rpc.Mesh/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshDeliverProcedure:
@@ -238,6 +260,8 @@
 			meshStatusHandler.ServeHTTP(w, r)
 		case MeshReplicasProcedure:
 			meshReplicasHandler.ServeHTTP(w, r)
+		case MeshQuotaProcedure:
+			meshQuotaHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -274,3 +298,7 @@
 func (UnimplementedMeshHandler) Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("godwitspindle.rpc.Mesh.Replicas is not implemented"))
 }
+
+func (UnimplementedMeshHandler) Quota(context.Context, *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("godwitspindle.rpc.Mesh.Quota is not implemented"))
+}
