fix(caller): an answer that breaks off between nodes does not close the caller's connection

Cause: the node that a caller reaches passed an answer's head on as soon as it arrived from the endpoint's node. When the rest was lost on that way, only an aborted connection could tell the caller, although an idempotent request could have been sent again.

A broken one is a failure of unknown outcome: retried if the request is idempotent, else 502.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -144,6 +144,12 @@
 	})
 	h.attemptStarted(c.endpoint, begin)
 	p, err := h.send(ctx, e, m, &r)
+	if err == nil {
+		c.bodyComplete() // an answer that has begun ends by itself, also if its endpoint still reads the body
+		if f := c.readAhead(p); f != nil {
+			p, err = nil, f
+		}
+	}
 	lost.detach()
 	o := Observation{At: h.now(), Incarnation: e.Incarnation}
 	o.Took = o.At.Sub(begin)
@@ -155,7 +161,6 @@
 		h.attemptDone(c.endpoint, o)
 		return nil, c.lostOutcome(o.Failure, lost)
 	}
-	c.bodyComplete() // an answer that has begun ends by itself, also if its endpoint still reads the body
 	o.Status, o.Leaving, o.Limit = p.StatusCode, hop.Leaving(p), hop.Limit(p)
 	if load, ok := hop.Load(p); ok {
 		o.Load = load
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -31,6 +31,7 @@
 type Handler struct {
 	local          bool
 	maxBody        int64
+	bufferLimit    int64 // answers up to this size are read to their end first; 0 for none
 	match          func(host, path, method string) (Match, *outcome.Failure)
 	pick           func(PickRequest) (config.Endpoint, string, error)
 	attemptStarted func(string, time.Time)
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -166,6 +166,10 @@
 // WithInFlight sets the set that holds the requests in flight.
 func WithInFlight(f *InFlight) Option { return func(h *Handler) { h.inFlight = f } }
 
+// WithBufferedAnswers makes the handler read answers of up to n bytes to their end before it passes any of them on, so that an
+// answer that breaks off between two nodes is a failure, not an aborted connection of the caller. By default answers are streamed.
+func WithBufferedAnswers(n int64) Option { return func(h *Handler) { h.bufferLimit = n } }
+
 // WithMaxBody limits request bodies to n bytes.
 func WithMaxBody(n int64) Option { return func(h *Handler) { h.maxBody = n } }
 
--- a/io/host/option.go
+++ b/io/host/option.go
@@ -33,6 +33,11 @@
 	return func(h *Host) { h.callerOptions = append(h.callerOptions, caller.WithIdentify(f)) }
 }
 
+// WithBufferedAnswers makes the node read answers of up to n bytes to their end before it passes any of them on to a caller.
+func WithBufferedAnswers(n int64) Option {
+	return func(h *Host) { h.callerOptions = append(h.callerOptions, caller.WithBufferedAnswers(n)) }
+}
+
 // WithBackend adds options for the connection to local backend servers.
 func WithBackend(opts ...backend.Option) Option {
 	return func(h *Host) { h.backendOptions = append(h.backendOptions, opts...) }
