feat(store): contents hold customers, and configurations set them

An edit states that the customers are unchanged, so that a storm of changes does not repeat them in the log. A revert leaves the customers as they are, since those of an older version may hold keys that were withdrawn since. Differences count keys and never show them. Validation names the field and position of a fault and does not quote a key.

--- a/core/config/customer.go
+++ b/core/config/customer.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
+	"math"
 
 	"godwitspindle/core/wire"
 )
@@ -62,3 +64,69 @@
 	c, ok := t.keys[sha256.Sum256([]byte(key))]
 	return c, ok
 }
+
+// ValidKey reports whether an API key may be part of a header: 1 to MaxKey bytes without blanks and control bytes.
+func ValidKey(key string) bool {
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] == 0x7f {
+			return false
+		}
+	}
+	return key != "" && len(key) <= MaxKey
+}
+
+// checkCustomers names the field and position of each fault, but never quotes a key.
+func checkCustomers(f *faults, list []*wire.Customer) {
+	keys := 0
+	for _, c := range list {
+		keys += len(c.GetKeys())
+	}
+	if len(list) > MaxCustomers || keys > MaxKeys {
+		f.add("customers", "at most %d customers with %d keys together, not %d with %d", MaxCustomers, MaxKeys, len(list), keys)
+		return
+	}
+	names := make(map[string]int, len(list))
+	holders := make(map[string]string, keys)
+	for i, c := range list {
+		where := fmt.Sprintf("customers[%d]", i)
+		if !ValidName(c.GetName()) {
+			f.add(where+".name", expectedName)
+		} else if first, repeated := names[c.GetName()]; repeated {
+			f.add(where+".name", "a unique name, not that of customers[%d]", first)
+		} else {
+			names[c.GetName()] = i
+		}
+		checkKeys(f, where, c, holders)
+		checkQuota(f, where+".rate", c.GetRate())
+		checkQuota(f, where+".burst", c.GetBurst())
+		f.checkMaximum(where+".priority", c.GetPriority(), MaxPriority)
+	}
+}
+
+// checkKeys checks the keys of one customer; holders maps each key of earlier customers to its position.
+func checkKeys(f *faults, where string, c *wire.Customer, holders map[string]string) {
+	if len(c.GetKeys()) == 0 {
+		f.add(where+".keys", "1 or more")
+	}
+	if len(c.GetDigests()) > 0 {
+		f.add(where+".digests", "none; they are computed from the keys")
+	}
+	for i, k := range c.GetKeys() {
+		field := fmt.Sprintf("%s.keys[%d]", where, i)
+		if !ValidKey(k) {
+			f.add(field, "1 to %d bytes without blanks and control bytes", MaxKey)
+			continue
+		}
+		if first, repeated := holders[k]; repeated {
+			f.add(field, "a key that is not also %s", first)
+			continue
+		}
+		holders[k] = field
+	}
+}
+
+func checkQuota(f *faults, field string, value float64) {
+	if value < 0 || math.IsNaN(value) || math.IsInf(value, 0) {
+		f.add(field, "a finite number of 0 or more")
+	}
+}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -29,6 +29,9 @@
 	MaxWeight      = 1_000_000        // weight of one service of a route
 	MaxAttempts    = 100              // attempts of one request
 	MaxBody        = 1 << 40          // bytes in a request's body
+	MaxCustomers   = 10_000           // customers in a configuration
+	MaxKeys        = 20_000           // API keys of all customers together
+	MaxKey         = 256              // bytes in an API key
 )
 
 const expectedName = "a name of 1 to 64 lower-case letters, digits, '-', '_' or '.', beginning with a letter or digit"
@@ -46,13 +49,14 @@
 	return name != "" && len(name) <= MaxName
 }
 
-// Validate checks a register, all rule sets, the references between them and the bounds; *InvalidError lists the faults.
+// Validate checks a register, all rule sets, the references between them, the bounds and the customers; *InvalidError lists the faults.
 func Validate(c *wire.Content) error {
 	var f faults
 	checkRegister(&f, c.GetRegister())
 	checkRules(&f, c.GetSets())
 	checkReferences(&f, c)
 	checkBounds(&f, c.GetBounds())
+	checkCustomers(&f, c.GetCustomers())
 	return f.err()
 }
 
--- a/core/store/change.go
+++ b/core/store/change.go
@@ -168,7 +168,7 @@
 	switch b := c.GetBody().(type) {
 	case *wire.Change_Register:
 		p.part = "register"
-		p.content = newContent(b.Register, base.sets, base.bounds)
+		p.content = base.withRegister(b.Register)
 	case *wire.Change_Rules:
 		p.part = "rules/" + b.Rules.GetSet()
 		// The validation below does not see the name of an empty set, since an empty set is removed.
@@ -181,7 +181,7 @@
 		if faults := checkSetNames(b.Content.GetSets()); len(faults) > 0 {
 			return nil, refusal(Invalid, faults...)
 		}
-		p.content = contentFromWire(b.Content)
+		p.content = contentFromWire(b.Content, base)
 	case *wire.Change_Edit:
 		p.part = "content"
 		w := base.expand(c)
@@ -191,12 +191,13 @@
 		if faults := checkSetNames(w.GetSets()); len(faults) > 0 {
 			return nil, refusal(Invalid, faults...)
 		}
-		p.content = contentFromWire(w)
+		p.content = contentFromWire(w, base)
 	case *wire.Change_Revert:
 		p.part = fmt.Sprintf("revert/%d", b.Revert)
+		// The customers stay as they are in the base, since those of the older version may hold keys that were withdrawn since.
 		for _, r := range s.history {
 			if r.accepted.GetVersion() == b.Revert && r.content != nil {
-				p.content = r.content.withEntries()
+				p.content = newContent(r.content.withCustomers(base.customers.GetCustomers(), base), base)
 			}
 		}
 		if p.content == nil {
--- a/core/store/content.go
+++ b/core/store/content.go
@@ -15,24 +15,36 @@
 // content is the configuration that operators set in one version. It is immutable; versions share registers and rule sets.
 type content struct {
 	register *wire.Register
-	sets     []*wire.RuleSet          // sorted by name
-	bounds   *wire.Bounds             // limits on requests of callers; nil for none
-	entries  map[string]proto.Message // snapshot entries by key; nil in the history
+	sets     []*wire.RuleSet // sorted by name
+	bounds   *wire.Bounds    // limits on requests of callers; nil for none
+	// The customers with their keys, in a message without other fields, which is one part of the history; nil for none.
+	customers *wire.Content
+	entries   map[string]proto.Message // snapshot entries by key; nil in the history
 }
 
-func newContent(register *wire.Register, sets []*wire.RuleSet, bounds *wire.Bounds) *content {
-	c := &content{register: register, sets: sets, bounds: bounds, entries: make(map[string]proto.Message)}
+// newContent returns the content of the given parts with its entries. It takes the customers' entries from base if base has the same
+// customers, since hashing all keys takes milliseconds at the limits; base may be nil.
+func newContent(parts content, base *content) *content {
+	c := &parts
+	c.entries = make(map[string]proto.Message)
 	put := func(m proto.Message) { c.entries[config.KeyOf(m)] = m }
-	for _, s := range register.GetServices() {
+	for _, m := range c.customers.GetCustomers() {
+		if base != nil && base.customers == c.customers && base.entries != nil {
+			put(base.entries[config.KeyOf(m)])
+			continue
+		}
+		put(config.HashedCustomer(m))
+	}
+	for _, s := range c.register.GetServices() {
 		put(s)
 	}
-	for _, d := range register.GetDomains() {
+	for _, d := range c.register.GetDomains() {
 		put(d)
 	}
-	if bounds != nil {
-		put(bounds)
+	if c.bounds != nil {
+		put(c.bounds)
 	}
-	for _, s := range sets {
+	for _, s := range c.sets {
 		for _, r := range s.GetRoutes() {
 			put(r)
 		}
@@ -48,7 +60,9 @@
 
 // withoutEntries returns a copy for the history without the entries, which would take about 50 KB per version at the design size.
 func (c *content) withoutEntries() *content {
-	return &content{register: c.register, sets: c.sets, bounds: c.bounds}
+	n := *c
+	n.entries = nil
+	return &n
 }
 
 // withEntries returns the content with its entries, which it rebuilds if they are missing.
@@ -56,19 +70,22 @@
 	if c.entries != nil {
 		return c
 	}
-	return newContent(c.register, c.sets, c.bounds)
+	return newContent(*c, nil)
 }
 
 func (c *content) wire() *wire.Content {
-	return &wire.Content{Register: c.register, Sets: c.sets, Bounds: c.bounds}
+	return &wire.Content{Register: c.register, Sets: c.sets, Bounds: c.bounds, Customers: c.customers.GetCustomers()}
 }
 
-// parts returns the register, the bounds and the rule sets, which versions may share.
+// parts returns the register, the bounds, the customers and the rule sets, which versions may share.
 func (c *content) parts() []proto.Message {
 	list := []proto.Message{c.register}
 	if c.bounds != nil {
 		list = append(list, c.bounds)
 	}
+	if c.customers != nil {
+		list = append(list, c.customers)
+	}
 	for _, r := range c.sets {
 		list = append(list, r)
 	}
@@ -90,7 +107,36 @@
 	case !empty:
 		sets = slices.Insert(sets, at, r)
 	}
-	return newContent(c.register, sets, c.bounds)
+	n := *c
+	n.sets = sets
+	return newContent(n, c)
+}
+
+// withRegister returns the content with another register.
+func (c *content) withRegister(r *wire.Register) *content {
+	n := *c
+	n.register = r
+	return newContent(n, c)
+}
+
+// withCustomers returns the content with the given customers, without entries. It keeps the message of the base if both have the same
+// customers, so that versions share them.
+func (c *content) withCustomers(list []*wire.Customer, base *content) content {
+	n := *c
+	n.entries = nil
+	switch {
+	case len(list) == 0:
+		n.customers = nil
+	case base != nil && sameCustomers(list, base.customers.GetCustomers()):
+		n.customers = base.customers
+	default:
+		n.customers = &wire.Content{Customers: list}
+	}
+	return n
+}
+
+func sameCustomers(a, b []*wire.Customer) bool {
+	return slices.EqualFunc(a, b, func(a, b *wire.Customer) bool { return a == b || proto.Equal(a, b) })
 }
 
 // normalizeSet returns the rule set with the set's name in every rule, since operators' tools may leave that name out. Routes
--- a/core/store/difference.go
+++ b/core/store/difference.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -46,6 +47,10 @@
 	fields := b.Descriptor().Fields()
 	for i := range fields.Len() {
 		f := fields.Get(i)
+		if f.Name() == digestsField {
+			list = append(list, keysDifference(key, before, after)...)
+			continue
+		}
 		was, is := fieldText(b, f), fieldText(a, f)
 		if was != is {
 			list = append(list, &wire.Difference{Key: key, Field: string(f.Name()), Before: was, After: is})
@@ -54,6 +59,44 @@
 	return list
 }
 
+// digestsField holds the digests of a customer's keys in its entry. Differences state only their number, since the digest of a key
+// that is easy to guess gives the key away.
+const digestsField = "digests"
+
+func keysDifference(key string, before, after proto.Message) []*wire.Difference {
+	b, a := before.(*wire.Customer).GetDigests(), after.(*wire.Customer).GetDigests()
+	if slices.EqualFunc(b, a, bytes.Equal) {
+		return nil
+	}
+	was, is := fmt.Sprint(len(b)), fmt.Sprint(len(a))
+	added, withdrawn := missing(a, b), missing(b, a)
+	if added+withdrawn == 0 {
+		is += " in another order"
+	}
+	if added > 0 {
+		is += fmt.Sprintf(", %d added", added)
+	}
+	if withdrawn > 0 {
+		is += fmt.Sprintf(", %d withdrawn", withdrawn)
+	}
+	return []*wire.Difference{{Key: key, Field: "keys", Before: was, After: is}}
+}
+
+// missing returns how many digests of list are not in others.
+func missing(list, others [][]byte) int {
+	held := make(map[string]bool, len(others))
+	for _, d := range others {
+		held[string(d)] = true
+	}
+	n := 0
+	for _, d := range list {
+		if !held[string(d)] {
+			n++
+		}
+	}
+	return n
+}
+
 // summary returns the fields of an entry that are set, except its name.
 func summary(m proto.Message) string {
 	var parts []string
@@ -61,6 +104,10 @@
 	fields := r.Descriptor().Fields()
 	for i := range fields.Len() {
 		f := fields.Get(i)
+		if f.Name() == digestsField {
+			parts = append(parts, fmt.Sprintf("keys=%d", r.Get(f).List().Len()))
+			continue
+		}
 		if f.Name() != "name" && r.Has(f) {
 			parts = append(parts, string(f.Name())+"="+fieldText(r, f))
 		}
--- a/core/store/edit.go
+++ b/core/store/edit.go
@@ -24,6 +24,9 @@
 		return c
 	}
 	e := &wire.Edit{Digest: []byte(bodyDigest(c)), Frame: &wire.Content{Register: w.GetRegister(), Bounds: w.GetBounds()}}
+	if e.Customers = sameCustomers(w.GetCustomers(), b.content.customers.GetCustomers()); !e.Customers {
+		e.Frame.Customers = w.GetCustomers()
+	}
 	for i, r := range w.GetSets() {
 		e.Frame.Sets = append(e.Frame.Sets, &wire.RuleSet{Set: r.GetSet(), Limits: r.GetLimits(), Drains: r.GetDrains()})
 		e.Spans = append(e.Spans, routeSpans(uint32(i), b.content.routes(r.GetSet()), r.GetRoutes())...)
@@ -78,7 +81,10 @@
 // expand applies an edit to this content and returns the whole new content, or nil if its digest is not that of the edit.
 func (c *content) expand(short *wire.Change) *wire.Content {
 	e := short.GetEdit()
-	w := &wire.Content{Register: e.GetFrame().GetRegister(), Bounds: e.GetFrame().GetBounds()}
+	w := &wire.Content{Register: e.GetFrame().GetRegister(), Bounds: e.GetFrame().GetBounds(), Customers: e.GetFrame().GetCustomers()}
+	if e.GetCustomers() {
+		w.Customers = c.customers.GetCustomers()
+	}
 	for _, r := range e.GetFrame().GetSets() {
 		w.Sets = append(w.Sets, &wire.RuleSet{Set: r.GetSet(), Limits: r.GetLimits(), Drains: r.GetDrains()})
 	}
--- a/core/store/numbered.go
+++ b/core/store/numbered.go
@@ -41,8 +41,8 @@
 	return s.propose(s.content, c)
 }
 
-// contentFromWire converts the body of a change that replaces the whole content, and sorts the rule sets by name.
-func contentFromWire(w *wire.Content) *content {
+// contentFromWire converts the body of a change that replaces the whole content of base, and sorts the rule sets by name.
+func contentFromWire(w *wire.Content, base *content) *content {
 	var sets []*wire.RuleSet
 	for _, r := range w.GetSets() {
 		sets = append(sets, normalizeSet(r))
@@ -52,7 +52,8 @@
 	if register == nil {
 		register = &wire.Register{}
 	}
-	return newContent(register, sets, w.GetBounds())
+	c := &content{register: register, sets: sets, bounds: w.GetBounds()}
+	return newContent(c.withCustomers(w.GetCustomers(), base), base)
 }
 
 // checkSetNames returns a fault for each rule set without a valid name, which would be lost or misread once stored.
@@ -71,6 +72,7 @@
 	partRules uint64 = iota
 	partRegister
 	partBounds
+	partCustomers
 )
 
 func partKind(p proto.Message) uint64 {
@@ -79,6 +81,8 @@
 		return partRegister
 	case *wire.Bounds:
 		return partBounds
+	case *wire.Content:
+		return partCustomers
 	}
 	return partRules
 }
@@ -92,6 +96,8 @@
 		return new(wire.Register)
 	case partBounds:
 		return new(wire.Bounds)
+	case partCustomers:
+		return new(wire.Content)
 	}
 	return nil
 }
--- a/core/store/state.go
+++ b/core/store/state.go
@@ -24,8 +24,8 @@
 // Unwrap lets errors.Is and errors.As find the cause.
 func (e *StateError) Unwrap() error { return e.Err }
 
-// Marshal encodes the whole state; equal states give equal bytes. Registers, rule sets and bounds that versions share are
-// written once.
+// Marshal encodes the whole state; equal states give equal bytes. Registers, rule sets, bounds and customers that versions
+// share are written once.
 func (s *Store) Marshal() ([]byte, error) {
 	w := new(pack.Writer)
 	w.Uint(formatVersion)
@@ -155,7 +155,7 @@
 	for range r.Count() {
 		m := newPart(r.Uint())
 		if m == nil {
-			r.Fail("unknown kind of part; a register, a rule set or bounds expected")
+			r.Fail("unknown kind of part; a register, a rule set, bounds or customers expected")
 			return
 		}
 		r.Message(m)
@@ -192,9 +192,7 @@
 }
 
 func readContent(r *pack.Reader, parts []proto.Message) *content {
-	var register *wire.Register
-	var sets []*wire.RuleSet
-	var bounds *wire.Bounds
+	c := new(content)
 	count := r.Count()
 	for range count {
 		n := r.Uint()
@@ -204,17 +202,19 @@
 		}
 		switch p := parts[n].(type) {
 		case *wire.Register:
-			register = p
+			c.register = p
 		case *wire.RuleSet:
-			sets = append(sets, p)
+			c.sets = append(c.sets, p)
 		case *wire.Bounds:
-			bounds = p
+			c.bounds = p
+		case *wire.Content:
+			c.customers = p
 		}
 	}
 	if count == 0 {
 		return nil
 	}
-	return &content{register: register, sets: sets, bounds: bounds}
+	return c
 }
 
 func (m *members) marshal() ([]byte, error) {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -15,7 +15,7 @@
 // Limits of the state. They must be equal on all replicas, or the states of replicas diverge.
 const (
 	MaxHistory      = 1000           // accepted changes in the history
-	MaxContentBytes = 8 << 20        // bytes of distinct registers, rule sets and bounds kept for reverts
+	MaxContentBytes = 8 << 20        // bytes of distinct registers, rule sets, bounds and customers kept for reverts
 	IDRetention     = 24 * time.Hour // state time for which ids of accepted changes are kept, within MinIDs and MaxIDs
 	MinIDs          = 1000           // number of newest ids that are kept whatever their age
 	MaxIDs          = 4096           // most ids kept; dropping one early is safe: a resend with it conflicts with a later change
