feat(caller): requests need the API key of a customer

In a configuration with customers, a request is served if its route is public or if it carries one known key as a bearer token; else it gets 401 (code unauthorized). The key is not forwarded, neither as a header nor as a trailer; the backend server gets the customer's name. The customer's priority replaces that of the route, and the scope of idempotency keys is the customer, so that none is sent the stored answer of another. Nested calls have the customer of their request, which Mesh-Context carries in a second version of its format. A call without a key that names a request that does not run on this host gets 503 (orphaned). Without customers in the configuration nothing changes.

--- a/core/outcome/failure.go
+++ b/core/outcome/failure.go
@@ -41,6 +41,10 @@
 	ClaimFailed      Code = "nokey"       // the claim on the idempotency key could not be made durable
 	Oversize         Code = "oversize"    // the request exceeds a size limit
 	Canceled         Code = "canceled"    // the caller canceled the request or disconnected
+
+	// Codes in a configuration with customers.
+	Unauthorized Code = "unauthorized" // the route needs an API key, and the request has no known one
+	Orphaned     Code = "orphaned"     // a call without a key names a request that does not run on this host
 )
 
 // MaxDepth is the maximum length of a call chain in hops.
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -18,6 +18,7 @@
 // Names of the headers that a backend server receives.
 const (
 	headerContext  = "Mesh-Context"
+	headerCustomer = "Mesh-Customer" // name of the customer
 	headerDeadline = "Mesh-Deadline" // remaining time in milliseconds
 )
 
@@ -167,6 +168,9 @@
 // meshHeaders sets the default headers for a backend server; WithHeaders replaces this function.
 func (b *Backend) meshHeaders(h http.Header, m hop.Meta, deadline time.Time) {
 	h[outcome.HeaderCall] = []string{m.Call}
+	if m.Customer != "" {
+		h[headerCustomer] = []string{m.Customer}
+	}
 	if deadline.IsZero() {
 		return
 	}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
 	"godwitspindle/io/hop"
@@ -30,6 +31,8 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	match     Match
+	customer  *config.Customer // nil without a customer
+	hideKey   bool             // the configuration has customers, so Authorization is not forwarded
 	deadline  time.Time
 	depth     int
 	objective time.Time // time by which the answer should arrive, by the route's latency objective; zero for none
@@ -69,7 +72,14 @@
 	if f := c.route(); f != nil {
 		return f
 	}
-	if f := c.inheritLimits(contexts, waitValue); f != nil {
+	parent, f := c.parent(contexts)
+	if f != nil {
+		return f
+	}
+	if f := c.authenticate(parent); f != nil {
+		return f
+	}
+	if f := c.inheritLimits(parent, waitValue); f != nil {
 		return f
 	}
 	if f := c.readKey(); f != nil {
@@ -109,20 +119,28 @@
 	return nil
 }
 
+// parent returns the context of the request that a backend server makes the call for; nil for a request of a caller.
+func (c *call) parent(contexts []string) (*Context, *outcome.Failure) {
+	if !c.handler.local || len(contexts) == 0 {
+		return nil, nil
+	}
+	parent, err := ParseContext(contexts[0])
+	if err != nil || len(contexts) > 1 {
+		return nil, c.fail(outcome.Depth, http.StatusBadRequest, "the header Mesh-Context is malformed or repeated", err)
+	}
+	return &parent, nil
+}
+
 // inheritLimits sets depth, deadline and retry budget from the route, from the time that the caller waits and, for a call of a
 // backend server, from the Mesh-Context of the request that it is made for.
-func (c *call) inheritLimits(contexts []string, waitValue string) *outcome.Failure {
+func (c *call) inheritLimits(parent *Context, waitValue string) *outcome.Failure {
 	route := c.match.Route
 	c.depth, c.deadline, c.budget = 1, c.began.Add(min(route.Deadline, hop.MaxDeadline)), retry.Initial(max(route.Retries, route.Attempts-1))
 	wait, stated := parseDeadlineHeader(waitValue)
 	if stated {
 		c.deadline = earlier(c.deadline, c.began.Add(wait))
 	}
-	if c.handler.local && len(contexts) > 0 {
-		parent, err := ParseContext(contexts[0])
-		if err != nil || len(contexts) > 1 {
-			return c.fail(outcome.Depth, http.StatusBadRequest, "the header Mesh-Context is malformed or repeated", err)
-		}
+	if parent != nil {
 		c.depth, c.budget = parent.Depth+1, min(c.budget, parent.Budget)
 		c.deadline = earlier(c.deadline, parent.Deadline)
 	}
@@ -206,8 +224,12 @@
 	b, err := readBody(c.r)
 	if err == nil {
 		c.body = b
-		b.complete = c.bodyComplete
+		b.complete = func() {
+			c.hideTrailerKey()
+			c.bodyComplete()
+		}
 		if b.rest == nil {
+			c.hideTrailerKey()
 			c.bodyComplete()
 		}
 		c.bodyRead()
@@ -246,9 +268,13 @@
 	identity := hop.Identity{Service: service, Method: c.r.Method, Path: u.Path, Query: u.RawQuery, Key: c.key, Body: c.body.prefix}
 	c.meta = hop.Meta{
 		Call: c.id, Service: service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
-		Priority: route.Priority, Caller: c.callerAddress(), Fingerprint: identity.Fingerprint(), Route: route.Name,
+		Priority: c.priority(), Caller: c.callerAddress(), Fingerprint: identity.Fingerprint(), Route: route.Name,
+		Customer: c.customerName(),
 	}
 	c.outbound = &http.Request{Method: c.r.Method, URL: u, Host: c.r.Host, Header: hop.Outbound(c.r), Trailer: c.r.Trailer}
+	if c.hideKey {
+		delete(c.outbound.Header, headerAuthorization)
+	}
 }
 
 // callerAddress returns the caller's IP address, which admission control uses to share capacity fairly among callers.
@@ -263,13 +289,16 @@
 // refuse answers with a failure and logs it.
 func (c *call) refuse(f *outcome.Failure) {
 	f = c.keyedOutcome(hop.AsFailure(f, c.id))
-	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
-		"outcome", f.Kind, "version", c.match.Version, "reason", f.Detail, "retry", c.retryReason, "after", f.RetryAfter.String(), "error", cause(f), "took", c.took())
+	c.handler.log.Info("request failed", c.withCustomer("call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
+		"outcome", f.Kind, "version", c.match.Version, "reason", f.Detail, "retry", c.retryReason, "after", f.RetryAfter.String(), "error", cause(f), "took", c.took())...)
 	c.finished(Finished{Code: f.Code, Kind: f.Kind, Overhead: -1, Took: c.handler.now().Sub(c.began)})
-	if c.match.Route != nil && f.Kind == outcome.NotRun {
+	if c.match.Route != nil && f.Kind == outcome.NotRun && f.Code != outcome.Unauthorized && f.Code != outcome.Orphaned {
 		c.handler.callerWaits.Refused(c.match.Route.Name)
 	}
 	hop.Strip(c.w.Header())
+	if f.Code == outcome.Unauthorized {
+		c.w.Header().Set("WWW-Authenticate", bearerScheme)
+	}
 	c.limitDiscard()
 	f.Write(c.w)
 }
@@ -292,19 +321,19 @@
 	if !c.refused && !c.handler.logSuccess() {
 		return
 	}
-	c.handler.log.Info("request answered", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "status", status,
-		"version", c.match.Version, "reason", c.pickReason, "retry", c.retryReason, "took", c.took())
+	c.handler.log.Info("request answered", c.withCustomer("call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "status", status,
+		"version", c.match.Version, "reason", c.pickReason, "retry", c.retryReason, "took", c.took())...)
 }
 
 func (c *call) answerBroken(err error) {
-	c.handler.log.Info("answer broke off", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "error", err.Error(),
-		"version", c.match.Version, "reason", c.pickReason, "took", c.took())
+	c.handler.log.Info("answer broke off", c.withCustomer("call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "error", err.Error(),
+		"version", c.match.Version, "reason", c.pickReason, "took", c.took())...)
 	c.finished(Finished{Code: outcome.Truncated, Kind: outcome.Lost, Overhead: -1})
 }
 
 // finished reports the end of the request.
 func (c *call) finished(f Finished) {
-	f.Route, f.Began, f.Cut = c.match.Route, c.began, c.tracked.end()
+	f.Route, f.Began, f.Cut, f.Customer = c.match.Route, c.began, c.tracked.end(), c.customerName()
 	c.handler.requestDone(f)
 }
 
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -43,6 +43,7 @@
 	release        func(context.Context, Claim) error
 
 	newCallID   func(r *http.Request) string
+	nested      func(r *http.Request) bool
 	callerWaits *retry.CallerWaits
 	draining    func() bool
 	stop        func(time.Time, shutdown.Work) shutdown.Decision
@@ -71,6 +72,7 @@
 		requestDone:    func(Finished) {},
 		decideRetry:    func(Attempt) Verdict { return Verdict{} },
 		newCallID:      callIDs(),
+		nested:         func(*http.Request) bool { return false },
 		callerWaits:    retry.NewCallerWaits(),
 		draining:       func() bool { return false },
 		stop:           func(time.Time, shutdown.Work) shutdown.Decision { return shutdown.Decision{Allowed: true} },
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -27,7 +27,7 @@
 // granted claim.
 func (c *call) serveKeyed() {
 	claim := Claim{
-		Route: c.match.Route.Name, Key: c.key, Fingerprint: c.meta.Fingerprint, Owner: c.id, Deadline: c.deadline.Add(claimMargin),
+		Route: c.claimRoute(), Key: c.key, Fingerprint: c.meta.Fingerprint, Owner: c.id, Deadline: c.deadline.Add(claimMargin),
 	}
 	a, f := c.acquire(claim)
 	if f != nil {
@@ -57,6 +57,15 @@
 	c.storeAndStream(claim, p)
 }
 
+// claimRoute returns the scope of idempotency keys: the route and the customer, so that no customer is sent the stored answer of
+// another one that used the same idempotency key. Names of routes contain no slash.
+func (c *call) claimRoute() string {
+	if c.customer == nil {
+		return c.match.Route.Name
+	}
+	return c.match.Route.Name + "/" + c.customer.Name
+}
+
 // acquire asks for the claim and waits while another request with the key runs. It returns once the claim is granted or the
 // other request's outcome is stored. It fails if the claim fails, is denied or conflicts, if the other request ends without a
 // stored outcome, and if the caller disconnects or the deadline passes first.
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -18,6 +18,8 @@
 	Route   *config.Route
 	Service *config.Service
 	Version uint64 // version of the configuration that holds route and service
+
+	Customers Customers // customers of the same version; nil for none
 }
 
 // PickRequest is a request to choose an endpoint.
@@ -44,6 +46,7 @@
 // Finished describes a request that has ended, for metrics.
 type Finished struct {
 	Route    *config.Route // nil when no route matched
+	Customer string        // name of the customer; empty without one
 	Code     outcome.Code  // empty when the request was answered completely
 	Kind     outcome.Kind  // outcome.None when the request was answered completely
 	Began    time.Time     // the request's arrival
@@ -157,6 +160,10 @@
 // WithIdentify sets the function that makes call ids, which must be unique.
 func WithIdentify(f func(r *http.Request) string) Option { return func(h *Handler) { h.newCallID = f } }
 
+// WithNested sets the function that reports whether a request states by its id that it is made for another request. Such a request
+// without a key and without the context of the other one is refused with 503, since its sender cannot get a key.
+func WithNested(f func(r *http.Request) bool) Option { return func(h *Handler) { h.nested = f } }
+
 // WithLog sets the log, and the function that selects which successful requests are logged. Failures, and refusals by a backend
 // server that are passed on as answers, are always logged.
 func WithLog(log logr.Logger, sample func() bool) Option {
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -55,7 +55,7 @@
 	if !ok {
 		return caller.Match{}, nil
 	}
-	return caller.Match{Route: r, Service: s, Version: t.Version()}, nil
+	return caller.Match{Route: r, Service: s, Version: t.Version(), Customers: t}, nil
 }
 
 // mayRunEarly reports whether a pipelined request may start before earlier requests on its connection are answered. Only
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -157,7 +157,7 @@
 			if h.settings.Retries.Percent > 0 {
 				share = retry.MaxShare // the shared budget also limits the retries of nested calls
 			}
-			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share}.String()
+			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share, Customer: m.Customer}.String()
 		}),
 		backend.WithLog(h.log.WithName("backend")),
 	}, h.backendOptions...)...)
--- a/io/host/option.go
+++ b/io/host/option.go
@@ -33,6 +33,12 @@
 	return func(h *Host) { h.callerOptions = append(h.callerOptions, caller.WithIdentify(f)) }
 }
 
+// WithNested sets the function that reports whether a request states by its id that it is made for another request; see
+// caller.WithNested.
+func WithNested(f func(r *http.Request) bool) Option {
+	return func(h *Host) { h.callerOptions = append(h.callerOptions, caller.WithNested(f)) }
+}
+
 // WithBackend adds options for the connection to local backend servers.
 func WithBackend(opts ...backend.Option) Option {
 	return func(h *Host) { h.backendOptions = append(h.backendOptions, opts...) }
