fix(backend): read backend servers' responses strictly and require an orderly close

Cause: net/http's ReadResponse accepts statuses 600 to 999, a blank before a colon or within a name, folded lines, control bytes in the reason, the same length twice, a length beside chunks, chunks in HTTP/1.0 and framing fields in trailers. Without a length, a body ended with any end of the connection: after a reset the error of the socket may reach the goroutine that writes the request, and the read then returns io.EOF.

What callers saw: such responses as valid ones. With an endpoint that responds to a long upload with a 200 without a length, 5,000 bytes and a reset, they got the 5,000 bytes as a complete response.

Fix: io/backend parses heads and trailers itself (response.go). At the end of a body without a length, the state of the socket decides (CLOSE_WAIT after an orderly close, CLOSE after a reset), whichever goroutine got the error. An invalid response has an unknown outcome with its own detail, and its connection is closed.

--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -163,7 +163,7 @@
 	w.readingHead, w.headBytesLeft = true, maxHeaderBytes
 	defer func() { w.readingHead = false }()
 	for skipped := 0; ; {
-		p, err := http.ReadResponse(x.conn.reader, x.request)
+		p, err := x.readResponse()
 		if err != nil {
 			return nil, err
 		}
--- a/io/backend/exchange_test.go
+++ b/io/backend/exchange_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 type endless struct {
 	stall  bool
 	closed chan struct{}
+	once   sync.Once // net/http and the exchange may close a body at the same time
 }
 
 func (e *endless) Read(b []byte) (int, error) {
@@ -29,11 +31,7 @@
 }
 
 func (e *endless) Close() error {
-	select {
-	case <-e.closed:
-	default:
-		close(e.closed)
-	}
+	e.once.Do(func() { close(e.closed) })
 	return nil
 }
 
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -210,7 +211,8 @@
 	head, err := io.ReadAll(io.LimitReader(p.Body, limit+1))
 	if err != nil {
 		f := l.classify(ctx, err, true)
-		if f.Code == outcome.Reset {
+		var invalid *ResponseError
+		if f.Code == outcome.Reset && !errors.As(err, &invalid) {
 			f.Code, f.Detail = outcome.Truncated, "the backend server's answer ended early"
 		}
 		l.end(ctx.Err() == nil, false)
@@ -266,6 +268,10 @@
 	case !wrote:
 		return l.failure(outcome.Unreachable, kind, http.StatusServiceUnavailable, "no connection to the backend server", err)
 	}
+	var invalid *ResponseError
+	if errors.As(err, &invalid) {
+		return l.failure(outcome.Reset, kind, http.StatusBadGateway, "the backend server's response is not valid", err)
+	}
 	return l.failure(outcome.Reset, kind, http.StatusBadGateway, "the connection to the backend server broke", err)
 }
 
