fix(hop): refuse answers of peers with an odd status or length

Cause: over HTTP/2, net/http accepts any number as a status and ignores a content-length that is repeated or not a decimal. The calling node passed both on to its HTTP/1.1 callers.

Fix: such an answer has an unknown outcome, as one without the id of its call. Truncated and reset answers were already seen as broken (TestCutFrames, TestBrokenAnswer).

--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,6 +167,10 @@
 		c.onMismatch()
 		return nil, c.countFailure(failure(outcome.Reset, outcome.Unknown, m.Call, "the peer's answer lacks the id of this call", nil))
 	}
+	if !isValid(p) {
+		_ = p.Body.Close()
+		return nil, c.countFailure(failure(outcome.Reset, outcome.Unknown, m.Call, "the peer's answer is not valid", nil))
+	}
 	if p.Header.Get(outcome.HeaderOutcome) != "" {
 		return nil, c.countFailure(c.readFailure(p, m.Call))
 	}
@@ -172,6 +178,20 @@
 	return p, nil
 }
 
+// isValid reports whether an answer has a status of three digits and at most one length, a plain decimal. net/http accepts others over
+// HTTP/2, where they do not change the framing; an HTTP/1.1 caller of this node would get them.
+func isValid(p *http.Response) bool {
+	if p.StatusCode < 100 || p.StatusCode > 599 || !strings.HasPrefix(p.Status, strconv.Itoa(p.StatusCode)+" ") {
+		return false
+	}
+	lengths := p.Header["Content-Length"]
+	if len(lengths) == 0 {
+		return true
+	}
+	_, err := strconv.ParseUint(lengths[0], 10, 63) // accepts digits only
+	return len(lengths) == 1 && err == nil
+}
+
 // Stats returns the current number of peers and the counters.
 func (c *Client) Stats() Stats {
 	c.mu.Lock()
--- a/io/hop/odd_test.go
+++ b/io/hop/odd_test.go
@@ -163,6 +163,44 @@
 	}
 }
 
+// Guards against an answer of a peer that is passed on though its status or its length is not valid.
+func TestInvalidAnswers(t *testing.T) {
+	const body = "answer"
+	for _, c := range []struct {
+		name   string
+		fields []string // besides the id of the call
+		want   string
+	}{
+		{"valid", []string{":status", "200"}, body},
+		{"valid, with its length", []string{":status", "200", "content-length", "6"}, body},
+		{"status 000", []string{":status", "000"}, "unknown"},
+		{"status 099", []string{":status", "099"}, "unknown"},
+		{"status 600", []string{":status", "600"}, "unknown"},
+		{"status 1200", []string{":status", "1200"}, "unknown"},
+		{"status +200", []string{":status", "+200"}, "unknown"},
+		{"status 2xx", []string{":status", "2xx"}, "unknown"},
+		{"longer than its length", []string{":status", "200", "content-length", "3"}, "unknown"},
+		{"shorter than its length", []string{":status", "200", "content-length", "9"}, "unknown"},
+		{"two lengths", []string{":status", "200", "content-length", "6", "content-length", "7"}, "unknown"},
+		{"the same length twice", []string{":status", "200", "content-length", "6", "content-length", "6"}, "unknown"},
+		{"+6 as a length", []string{":status", "200", "content-length", "+6"}, "unknown"},
+		{"control byte in a value", []string{":status", "200", "x-odd", "a\x01"}, "unknown"},
+		{"blank in a name", []string{":status", "200", "x-odd ", "1"}, "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := rawPeer(t, func(_ net.Conn, f *http2.Framer, n uint32, _ int) {
+				writeHead(f, n, false, append(c.fields, "mesh-call", "c1")...)
+				_ = f.WriteData(n, true, []byte(body))
+			})
+			client := New()
+			defer func() { _ = client.Close() }()
+			if got := callText(t, client, a, "c1"); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a backend server that writes the refusal headers of the mesh itself, so that the calling node reports a request that ran
 // as not run.
 func TestRefusalHeadersOfBackend(t *testing.T) {
