--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -96,7 +96,7 @@
 }
 
 func readRoute(o *object, set string) *wire.Route {
-	o.reportUnknown("name", "service", "host", "path", "methods", "idempotent", "late", "priority", "deadline", "retries")
+	o.reportUnknown("name", "service", "host", "path", "methods", "idempotent", "late", "priority", "deadline", "retries", "public")
 	return &wire.Route{
 		Name:       o.text("name"),
 		Service:    o.text("service"),
@@ -108,6 +108,7 @@
 		Priority:   o.count("priority"),
 		Deadline:   o.duration("deadline"),
 		Retries:    o.count("retries"),
+		Public:     o.boolean("public"),
 		Set:        set,
 	}
 }
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -31,6 +31,7 @@
 		"deadline fraction": {data: `{"set":"main","routes":[{"name":"a","service":"b","path":"/","deadline":"1ns"}]}`, want: []string{"routes[0].deadline"}},
 		"deadline range":    {data: `{"set":"main","routes":[{"name":"a","service":"b","path":"/","deadline":"6m"}]}`, want: []string{"rules/main/route/a.deadline"}},
 		"ranges":            {data: route(`"priority":10,"retries":4,"idempotent":true`), want: []string{"rules/main/route/buy.priority", "rules/main/route/buy.retries"}},
+		"public number":     {data: route(`"public":1`), want: []string{"routes[0].public"}},
 		"unsafe retries":    {data: route(`"retries":1`), want: []string{"rules/main/route/buy.retries"}},
 		"host":              {data: route(`"host":"a:80"`), want: []string{"rules/main/route/buy.host"}},
 		"path":              {data: `{"set":"main","routes":[{"name":"a","service":"b","path":"/x/../y","deadline":"1s"}]}`, want: []string{"rules/main/route/a.path"}},
--- a/io/operator/content.go
+++ b/io/operator/content.go
@@ -53,6 +53,7 @@
 	Priority   uint32   `json:"priority"`
 	Deadline   Duration `json:"deadline"`
 	Retries    uint32   `json:"retries"`
+	Public     bool     `json:"public,omitempty"`
 }
 
 // Limit is one limit of a rules file.
@@ -92,7 +93,7 @@
 		v.Routes = append(v.Routes, Route{
 			Name: r.GetName(), Service: r.GetService(), Host: r.GetHost(), Path: r.GetPath(),
 			Methods: append([]string{}, r.GetMethods()...), Idempotent: r.GetIdempotent(), Late: r.GetLate(),
-			Priority: r.GetPriority(), Deadline: Duration(time.Duration(r.GetDeadline()) * time.Millisecond), Retries: r.GetRetries(),
+			Priority: r.GetPriority(), Deadline: Duration(time.Duration(r.GetDeadline()) * time.Millisecond), Retries: r.GetRetries(), Public: r.GetPublic(),
 		})
 	}
 	for _, l := range s.GetLimits() {
