feat(admission): customers share an endpoint within a priority

Queued calls of a rank start by level: how much the customer used in the last seconds and has queued, in relation to the mean of the rank's customers and to its weight, if known. The estimated wait of a new call counts only calls that start before it, and a full queue gives up a call of the customer that uses most. Callers that leave the queue or state that they sent a request before do not count as demand. Without customers the decisions are as before.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -19,10 +19,12 @@
 
 // Request describes a call that asks for a slot.
 type Request struct {
-	Call         string // call id, unique among the running and queued calls of this gate
-	Caller       string // name of the caller, for fairness between callers
-	Kind         string // kind of request; requests of one kind should have similar service times
-	Priority     int    // 0 (shed first) to 9 (shed last)
+	Call         string  // call id, unique among the running and queued calls of this gate
+	Caller       string  // name of the caller, for fairness between callers
+	Customer     string  // name of the customer, for fairness between customers; empty without one
+	Weight       float64 // what the customer may use in relation to others, such as the rate of its quota; 0 if unknown
+	Kind         string  // kind of request; requests of one kind should have similar service times
+	Priority     int     // 0 (shed first) to 9 (shed last)
 	Deadline     time.Time
 	Objective    time.Time // a response after this time is of little use; zero for none
 	Resent       bool      // the request was sent again, after a refusal or a lost response
@@ -80,6 +82,7 @@
 	rate            rateLimit
 	waitFactors     waitFactors
 	shares          shares
+	customers       customers
 	link            *Link // network link of the host; nil if its load is not tracked
 	paused          time.Time
 	draining        bool
@@ -100,6 +103,7 @@
 	arrived  time.Time
 	sequence uint64
 	estimate time.Duration // wait estimated from the queue when the call arrived, without the learned factor
+	heavy    bool          // on arrival, the customer had used more than the mean of its rank
 	overdue  bool          // the call was expected on arrival to miss its objective, so it starts after calls that can meet theirs
 }
 
@@ -157,6 +161,7 @@
 		return g.refuse(now, r.Call, outcome.Refused, 0)
 	}
 	g.shares.countRequest(now, r.rank())
+	g.customers.ask(now, &r)
 	service := g.limit.serviceTime(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
 		return g.refuse(now, r.Call, outcome.DeadlineExceeded, 0)
@@ -168,7 +173,8 @@
 	if g.mayStart(now) && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
 		return g.admit(now, r, 0)
 	}
-	w := queuedCall{Request: r, arrived: now, sequence: g.sequence}
+	_, level := g.customers.level(now, g.queue, &r)
+	w := queuedCall{Request: r, arrived: now, sequence: g.sequence, heavy: level > 0}
 	g.sequence++
 	wait := g.expectedWait(now, &w)
 	w.overdue = !r.LastAttempt && !r.Objective.IsZero() && now.Add(wait+service).After(r.Objective)
@@ -186,7 +192,7 @@
 	}
 	var displaced *Decision
 	if len(g.queue) >= g.maxQueue {
-		i := g.victim(&w)
+		i := g.victim(now, &w)
 		if i < 0 && !r.Objective.IsZero() {
 			return g.refuse(now, r.Call, g.busyCode(now, &w), wait)
 		}
@@ -234,7 +240,8 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if i := g.queueIndex(call); i >= 0 {
-		g.dequeue(i)
+		w := g.dequeue(i)
+		g.customers.leave(&w)
 		g.stats.Canceled++
 		return nil
 	}
--- a/core/admission/objective_test.go
+++ b/core/admission/objective_test.go
@@ -21,6 +21,20 @@
 	callerWait time.Duration // wait of the caller for a response, counted from the first attempt
 	resent     bool
 	nested     bool // made for a running request; not retried
+
+	customer  string
+	weight    float64
+	atOnce    bool          // a refused caller returns at once, as if with a new request, until callerWait
+	leaves    time.Duration // a caller that waits this long in the queue leaves and returns like a refused one; 0 for never
+	forgotten bool          // the caller does not state that it has sent the request before
+}
+
+// name returns the key of the request in the results: its customer, or else its kind.
+func (v *simRequest) name() string {
+	if v.customer != "" {
+		return v.customer
+	}
+	return v.kind
 }
 
 type simEvent struct {
@@ -28,6 +42,7 @@
 	seq     int
 	call    string
 	request *simRequest // arriving request; nil if the event is the end of a call
+	leaves  bool        // the caller leaves if the call still waits
 }
 
 type simEvents []simEvent
@@ -83,25 +98,44 @@
 
 func (p *simulation) refused(now time.Duration, d Decision, v *simRequest) {
 	if now-v.at > v.objective/8 {
-		p.results[v.kind].refusedLate++
+		p.results[v.name()].refusedLate++
+	}
+	p.returns(now, d.Call, max(d.Failure.RetryAfter, 50*time.Millisecond), v)
+}
+
+// returns lets the caller of a refused call send it again after the wait, or counts the request as refused.
+func (p *simulation) returns(now time.Duration, call string, wait time.Duration, v *simRequest) {
+	again := v.resent
+	if v.atOnce {
+		again, wait = false, 5*time.Millisecond
 	}
-	retryAfter := max(d.Failure.RetryAfter, 50*time.Millisecond)
-	if v.nested || v.resent || now+retryAfter+v.work >= v.first+v.callerWait {
-		p.results[v.kind].refused++
+	if v.nested || again || now+wait+v.work >= v.first+v.callerWait {
+		p.results[v.name()].refused++
 		return
 	}
 	n := *v
-	n.at, n.resent = now+retryAfter, true
-	p.push(n.at, d.Call+"r", &n)
+	n.at, n.resent = now+wait, !v.forgotten
+	p.push(n.at, call+"r", &n)
+}
+
+// left handles the end of a caller's patience.
+func (p *simulation) left(now time.Duration, call string) {
+	v := p.waiting[call]
+	if v == nil {
+		return
+	}
+	delete(p.waiting, call)
+	p.apply(now, p.gate.Cancel(start.Add(now), call))
+	p.returns(now, call, 5*time.Millisecond, v)
 }
 
 func (p *simulation) ended(at time.Duration, call string) {
 	v := p.running[call]
 	delete(p.running, call)
 	if at-v.first <= v.objective {
-		p.results[v.kind].onTime++
+		p.results[v.name()].onTime++
 	} else {
-		p.results[v.kind].late++
+		p.results[v.name()].late++
 	}
 	p.apply(at, p.gate.Done(start.Add(at), call, v.work, true))
 }
@@ -111,6 +145,7 @@
 	p.waiting[call] = v
 	d := p.gate.Decide(now, Request{
 		Call: call, Kind: v.kind, Priority: v.priority, Resent: v.resent, Nested: v.nested, LastAttempt: v.nested,
+		Customer: v.customer, Weight: v.weight,
 		Objective: start.Add(v.first + v.objective), Deadline: start.Add(v.first + v.callerWait),
 	})
 	if d.Displaced != nil {
@@ -118,6 +153,10 @@
 	}
 	p.apply(at, []Decision{d})
 	p.apply(at, p.gate.Tick(now))
+	if v.leaves > 0 {
+		heap.Push(&p.queue, simEvent{at: at + v.leaves, seq: p.seq, call: call, leaves: true})
+		p.seq++
+	}
 }
 
 // simulateOverload runs all arrivals and returns the results by request kind.
@@ -125,14 +164,18 @@
 	p := &simulation{gate: New(append([]Option{WithSlots(slots), WithFixedLimit()}, opts...)...), results: map[string]*tally{}, waiting: map[string]*simRequest{}, running: map[string]*simRequest{}}
 	for i := range arrivals {
 		v := &arrivals[i]
-		if p.results[v.kind] == nil {
-			p.results[v.kind] = &tally{}
+		if p.results[v.name()] == nil {
+			p.results[v.name()] = &tally{}
 		}
-		p.results[v.kind].asked++
+		p.results[v.name()].asked++
 		p.push(v.at, fmt.Sprint("c", i), v)
 	}
 	for len(p.queue) > 0 {
 		e := heap.Pop(&p.queue).(simEvent)
+		if e.leaves {
+			p.left(e.at, e.call)
+			continue
+		}
 		if e.request == nil {
 			p.ended(e.at, e.call)
 			continue
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -47,6 +47,9 @@
 	if g.sharesByPriority {
 		return g.nextByShare(now)
 	}
+	if levels, _ := g.customers.level(now, g.queue, nil); levels != nil {
+		return g.nextByCustomer(levels)
+	}
 	first := -1
 	half := max(1, g.limit.value()/2)
 	for i := range g.queue {
@@ -94,10 +97,12 @@
 // victim returns the index of the queued call that the new one displaces, or -1. Calls that tolerate late responses go first,
 // then lower priorities, then the last in the queue. A queued call of the same priority is displaced only if the new call is a
 // last attempt and the queued one is not, if the queued call tolerates late responses and the new one does not, or if the caller
-// of the queued call is above its share and the caller of the new call, another one, is below.
-func (g *Gate) victim(r *queuedCall) int {
+// of the queued call is above its share and the caller of the new call, another one, is below. If none of these exists, a call of a
+// customer that uses more than that of the new call gives way.
+func (g *Gate) victim(now time.Time, r *queuedCall) int {
+	levels, level := g.customers.level(now, g.queue, &r.Request)
 	if g.sharesByPriority {
-		return g.victimByShare(r)
+		return g.victimByShare(r, levels, level)
 	}
 	best := -1
 	reachedShare := g.callers[r.Caller].running+g.callers[r.Caller].queued >= g.callerShare()
@@ -119,6 +124,9 @@
 			best = i
 		}
 	}
+	if best < 0 {
+		return g.victimByCustomer(r, levels, level)
+	}
 	return best
 }
 
@@ -222,7 +230,7 @@
 // queueWait estimates the wait from the number of calls ahead and the longer of what the slots and the rate need for them, plus the
 // remaining pause.
 func (g *Gate) queueWait(now time.Time, w queuedCall) time.Duration {
-	ahead := g.ahead(&w)
+	ahead := g.ahead(now, &w)
 	return max(g.slotWait(ahead), g.rate.wait(now, ahead+1)) + max(g.paused.Sub(now), 0)
 }
 
@@ -235,7 +243,7 @@
 
 // busyCode returns the code of a refusal because of the expected wait: Limited if the rate causes it, else Busy.
 func (g *Gate) busyCode(now time.Time, w *queuedCall) outcome.Code {
-	ahead := g.ahead(w)
+	ahead := g.ahead(now, w)
 	if g.rate.wait(now, ahead+1) > g.slotWait(ahead) {
 		return outcome.Limited
 	}
@@ -243,9 +251,13 @@
 }
 
 // ahead estimates how many queued calls start before w.
-func (g *Gate) ahead(w *queuedCall) int {
+func (g *Gate) ahead(now time.Time, w *queuedCall) int {
+	levels, level := g.customers.level(now, g.queue, &w.Request)
 	if g.sharesByPriority {
-		return g.aheadByShare(w)
+		return g.aheadByShare(w, levels, level)
+	}
+	if levels != nil {
+		return g.aheadByCustomer(w, levels, level)
 	}
 	n := 0
 	for n < len(g.queue) && before(&g.queue[n], w) {
@@ -268,6 +280,7 @@
 	g.callers[r.Caller] = u
 	g.stats.Admitted++
 	g.rate.start(now)
+	g.customers.grant(now, &r)
 	g.shares.granted[r.rank()]++
 	return Decision{Call: r.Call, Action: Admit, Wait: waited}
 }
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -67,9 +67,11 @@
 }
 
 // nextByShare returns the index of the queued call to start, or -1: the first call of the rank with the lowest score, with
-// penalties for calls that miss their objective and for callers that run half of the limit.
+// penalties for calls that miss their objective and for callers that run half of the limit. Of calls with the same score, those of
+// customers that used less come first.
 func (g *Gate) nextByShare(now time.Time) int {
 	best, low := -1, 0.0
+	levels, _ := g.customers.level(now, g.queue, nil)
 	half := max(1, g.limit.value()/2)
 	for i := range g.queue {
 		w := &g.queue[i]
@@ -83,7 +85,7 @@
 		if !g.ignoreCallers && g.callers[w.Caller].running >= half {
 			v += callerPenalty
 		}
-		if best < 0 || v < low {
+		if best < 0 || v < low || v == low && levels != nil && levels[i] < levels[best] {
 			best, low = i, v
 		}
 	}
@@ -98,7 +100,7 @@
 
 // aheadByShare estimates how many queued calls start before w: those of the same rank ahead of it, all other nested calls
 // and, for a new request, as many of the other ranks as their share of the demand admits in that time.
-func (g *Gate) aheadByShare(w *queuedCall) int {
+func (g *Gate) aheadByShare(w *queuedCall, levels []int, level int) int {
 	rank := w.rank()
 	sameRank, nested, otherRanks := 0, 0, 0
 	demand := 0.0
@@ -108,7 +110,7 @@
 		k := q.rank()
 		switch {
 		case k == rank:
-			if before(q, w) {
+			if levels != nil && startsBefore(q, w, levels[i], level) || levels == nil && before(q, w) {
 				sameRank++
 			}
 		case q.Nested:
@@ -129,9 +131,9 @@
 }
 
 // victimByShare returns the index of the queued call that the new one displaces, or -1. The first choice is the last overdue new
-// request, unless the new call is one itself. A nested call has a second choice: the last new request of the rank with the
-// highest score.
-func (g *Gate) victimByShare(r *queuedCall) int {
+// request, unless the new call is one itself. For a nested call, the second choice is a new request of the rank with the highest score,
+// the last one of the customer that uses most. The last choice is a call of the same rank of a customer that uses more.
+func (g *Gate) victimByShare(r *queuedCall, levels []int, level int) int {
 	for i := len(g.queue) - 1; i >= 0; i-- {
 		w := &g.queue[i]
 		if w.Nested || r.overdue && !r.Nested {
@@ -142,15 +144,22 @@
 		}
 	}
 	if !r.Nested {
-		return -1
+		return g.victimByCustomer(r, levels, level)
 	}
 	best, high := -1, 0.0
 	for i := range g.queue {
 		if w := &g.queue[i]; !w.Nested {
-			if v := g.shares.score(w.rank()); best < 0 || v >= high {
+			v := g.shares.score(w.rank())
+			if best >= 0 && v == high && levels != nil && levels[i] < levels[best] {
+				continue
+			}
+			if best < 0 || v >= high {
 				best, high = i, v
 			}
 		}
 	}
+	if best < 0 {
+		return g.victimByCustomer(r, levels, level)
+	}
 	return best
 }
