feat(host): the admission of calls knows their customers

The customer takes the place of the caller's address, with the rate of its quota as weight. Log lines about a call name its customer, and godwitspindle_customer_requests_total counts requests by customer and result, for at most 200 names.

--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -180,7 +181,8 @@
 		Nested:       nested,
 		Remote:       ctx.Value(remoteKey{}) != nil,
 		Call:         m.Call,
-		Caller:       m.Caller,
+		Caller:       cmp.Or(m.Customer, m.Caller),
+		Customer:     m.Customer,
 		Kind:         m.Route,
 		Priority:     m.Priority,
 		Deadline:     deadline,
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -89,6 +89,8 @@
 	// redirected is used only on replicas.
 	redirected redirects
 
+	customerLabels customerLabels
+
 	mu     sync.Mutex
 	locals map[string]*localEndpoint
 }
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -95,8 +95,11 @@
 
 func (h *Host) admit(ctx context.Context, endpoint string, m hop.Meta) (func(backend.Result), *outcome.Failure) {
 	l := h.endpoint(endpoint)
-	q := l.queue
-	if f := q.enter(ctx, admissionRequest(ctx, m)); f != nil {
+	q, r := l.queue, admissionRequest(ctx, m)
+	if c, ok := h.holder.View().Table.Customer(m.Customer); ok {
+		r.Weight = c.Rate
+	}
+	if f := q.enter(ctx, r); f != nil {
 		l.explainLimit(f)
 		if f.Code == outcome.Busy || f.Code == outcome.Limited {
 			f.RetryAfter += rand.N(f.RetryAfter/2 + 1) // jitter, so that callers refused together do not retry together
@@ -234,8 +237,14 @@
 	}
 	if err != nil {
 		f, state := hop.AsFailure(err, m.Call), tracked.Progress()
-		h.log.WithName("backend").Info("call refused", "call", m.Call, "endpoint", m.Service+"/"+m.Endpoint, "code", f.Code, "outcome", f.Kind,
-			"reason", f.Detail, "error", errorText(f.Err), "waited", waited(state, time.Now()), "took", time.Since(state.Began).String())
+		fields := []any{
+			"call", m.Call, "endpoint", m.Service + "/" + m.Endpoint, "code", f.Code, "outcome", f.Kind,
+			"reason", f.Detail, "error", errorText(f.Err), "waited", waited(state, time.Now()), "took", time.Since(state.Began).String(),
+		}
+		if m.Customer != "" {
+			fields = append(fields, "customer", m.Customer)
+		}
+		h.log.WithName("backend").Info("call refused", fields...)
 	}
 	return p, err
 }
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"godwitspindle/core/config"
+	"godwitspindle/core/outcome"
 	"godwitspindle/core/routing"
 	"godwitspindle/io/caller"
 )
@@ -13,6 +15,9 @@
 // countCall records the outcome of a call at the node that received it from its caller.
 func (h *Host) countCall(f caller.Finished) {
 	h.metrics.Calls.WithLabelValues(string(f.Kind), string(f.Code), classLabel(f.Route)).Inc()
+	if f.Customer != "" {
+		h.metrics.CustomerRequests.WithLabelValues(h.customerLabels.of(f.Customer), resultLabel(f.Kind)).Inc()
+	}
 	h.stop.finished(f)
 	h.metrics.RequestTime.WithLabelValues(string(f.Kind), classLabel(f.Route)).Observe(f.Took.Seconds())
 	if f.Overhead >= 0 {
@@ -20,6 +25,42 @@
 	}
 }
 
+// maxCustomerLabels bounds the series of customers in the metrics of one process.
+const maxCustomerLabels = 200
+
+// customerLabels returns the metrics label of customers: their names, and one label for all beyond maxCustomerLabels.
+type customerLabels struct {
+	mu    sync.Mutex
+	names map[string]bool
+}
+
+func (l *customerLabels) of(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.names[name] {
+		return name
+	}
+	if len(l.names) >= maxCustomerLabels {
+		return "(other)" // not a valid name
+	}
+	if l.names == nil {
+		l.names = make(map[string]bool)
+	}
+	l.names[name] = true
+	return name
+}
+
+func resultLabel(k outcome.Kind) string {
+	switch k {
+	case outcome.None:
+		return "served"
+	case outcome.NotRun:
+		return "refused"
+	case outcome.Unknown, outcome.Lost:
+	}
+	return "failed"
+}
+
 func classLabel(r *config.Route) string {
 	if r == nil {
 		return ""
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -47,6 +47,8 @@
 	RefusedConnections *prometheus.CounterVec   // connections closed above the limit of their listener, by listener
 	OperatorRequests   *prometheus.CounterVec   // requests of operators, by path and status
 	ContentChanges     *prometheus.CounterVec   // complete contents proposed, by form: edit, whole, or mismatch (edit resent whole)
+
+	CustomerRequests *prometheus.CounterVec // requests of customers, by customer and result: served, refused or failed
 }
 
 const namespace = "godwitspindle"
@@ -121,11 +123,14 @@
 
 		OperatorRequests: counters("operator_requests_total", "Requests of operators, by path and status.", "path", "status"),
 		ContentChanges:   counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
+
+		CustomerRequests: counters("customer_requests_total", "Requests of customers, by customer ((other) beyond 200 names) and result: served, refused (not run) or failed.", "customer", "result"),
 	}
 	m.Registry.MustRegister(
 		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.StopRequests, m.StopTime, m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
+		m.CustomerRequests,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
