feat(cmd): explain states why a request was refused for its key

The detail of a refusal says whether the key is missing, repeated, malformed or unknown in the version in force, and explain no longer names an empty endpoint when none was tried.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -193,6 +193,9 @@
 		outcome = "was not run"
 	}
 	text := fmt.Sprintf("the request %s; attempt %d, at endpoint %s, ended with code %s: %s", outcome, attempts, f.field("endpoint"), f.field("code"), f.field("reason"))
+	if f.field("endpoint") == "" {
+		text = fmt.Sprintf("the request %s; no endpoint was tried, since it ended with code %s: %s", outcome, f.field("code"), f.field("reason"))
+	}
 	if after := f.field("after"); after != "" && after != "0s" {
 		text = strings.TrimSuffix(text, ".") + "; the caller was told to return after " + after
 	}
--- a/cmd/explain_test.go
+++ b/cmd/explain_test.go
@@ -12,6 +12,18 @@
 	explainsAs(t, "a1", "testdata/limited.log", "testdata/limited.txt")
 }
 
+// Guards against an explanation from which on-call cannot tell why a request was refused for its key, or one that names an endpoint
+// although none was tried.
+func TestExplainKeys(t *testing.T) {
+	for name, id := range map[string]string{
+		"keymissing": "a7",
+		"keyunknown": "a8",
+		"keyparent":  "a9.1",
+	} {
+		t.Run(name, func(t *testing.T) { explainsAs(t, id, "testdata/keys.log", "testdata/"+name+".txt") })
+	}
+}
+
 // Guards against an explanation from which on-call cannot tell that a stop cut a request, when the request was begun and sent, how
 // much time was left then, and whether it was run.
 func TestExplainCut(t *testing.T) {
--- a/io/caller/authenticate.go
+++ b/io/caller/authenticate.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -34,7 +35,8 @@
 		return nil
 	}
 	values := c.r.Header.Values(headerAuthorization)
-	if key, ok := bearerKey(values); ok {
+	key, wellFormed := bearerKey(values)
+	if wellFormed {
 		c.customer, _ = customers.CustomerByKey(key)
 	}
 	if c.customer != nil || c.match.Route.Public {
@@ -43,7 +45,16 @@
 	if len(values) == 0 && c.handler.nested(c.r) {
 		return c.fail(outcome.Orphaned, http.StatusServiceUnavailable, "the call names a request that does not run on this host, and carries no key", nil)
 	}
-	return c.fail(outcome.Unauthorized, http.StatusUnauthorized, "the route needs one known API key: "+headerAuthorization+": "+bearerScheme+" KEY", nil)
+	detail := fmt.Sprintf("the API key is not that of a customer in version %d", c.match.Version)
+	switch {
+	case len(values) == 0:
+		detail = "the route needs an API key, and the request carries none"
+	case len(values) > 1:
+		detail = "the request carries more than one " + headerAuthorization
+	case !wellFormed:
+		detail = headerAuthorization + " is not of the form " + bearerScheme + " KEY"
+	}
+	return c.fail(outcome.Unauthorized, http.StatusUnauthorized, detail, nil)
 }
 
 // customerNamed returns a customer that may have left the configuration while its request ran; nil without a name.
