--- a/core/config/customer.go
+++ b/core/config/customer.go
@@ -35,6 +35,9 @@
 }
 
 func (b *builder) addCustomer(m *wire.Customer) {
+	if b.sharesCustomers {
+		return
+	}
 	c := &Customer{Name: m.GetName(), Priority: -1, Rate: m.GetRate(), Burst: m.GetBurst()}
 	if m.Priority != nil {
 		c.Priority = int(m.GetPriority())
--- a/core/config/next.go
+++ b/core/config/next.go
@@ -8,11 +8,14 @@
 	"godwitspindle/core/wire"
 )
 
-// NextTable returns the same table and faults for s as NewTable. Unless a service was removed, it reuses the unchanged routes of
-// previous, which is the table of old, so that a burst of versions on a small host does not rebuild thousands of routes each
-// time.
+// NextTable returns the same table and faults for s as NewTable. Unless a service was removed, it reuses the unchanged routes and
+// customers of previous, which is the table of old, so that a burst of versions on a small host does not rebuild thousands of routes
+// and keys each time.
 func NextTable(previous *RoutingTable, old, s *Snapshot) (*RoutingTable, error) {
 	b := newBuilder(s)
+	if slices.Equal(old.ofKind(kindCustomer), s.ofKind(kindCustomer)) {
+		b.sharesCustomers, b.customers, b.keys = true, previous.customers, previous.keys
+	}
 	b.readRecords(s)
 	for name := range previous.services {
 		if b.services[name] == nil {
--- a/core/config/next_test.go
+++ b/core/config/next_test.go
@@ -55,6 +55,11 @@
 					removes = append(removes, "service/"+name)
 				}
 			}
+			if i := rapid.IntRange(0, 8).Draw(r, "customer"); i < 3 {
+				puts = append(puts, entryOf(HashedCustomer(customer(fmt.Sprint("c", i), fmt.Sprint("key", i, version)))))
+			} else if i < 6 {
+				removes = append(removes, fmt.Sprint("customer/c", i-3))
+			}
 			next := s.With(version, puts, removes)
 			rebuilt, err := NewTable(s)
 			if err != nil {
@@ -75,6 +80,24 @@
 	})
 }
 
+// Guards against keys that every version reads again, which takes milliseconds at the limits.
+func TestNextTableSharesCustomers(t *testing.T) {
+	s := NewSnapshot().With(1, []Entry{entryOf(HashedCustomer(customer("a", "k1"))), entryOf(&wire.Service{Name: "s", Slots: 1})}, nil)
+	first, err := NewTable(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := s.With(2, []Entry{entryOf(&wire.Service{Name: "s", Slots: 2})}, nil)
+	second, err := NextTable(first, s, next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, _ := first.CustomerByKey("k1")
+	if after, ok := second.CustomerByKey("k1"); !ok || after != before {
+		t.Errorf("customer after a version that changes another entry: got %p, want the same %p", after, before)
+	}
+}
+
 // BenchmarkNextTable measures a version that changes one of many routes in a mesh of 200 hosts.
 func BenchmarkNextTable(b *testing.B) {
 	for _, routes := range []int{100, 1400, 2400} {
--- a/core/config/table.go
+++ b/core/config/table.go
@@ -45,6 +45,8 @@
 	sortedLimits   []*wire.Limit            // limits sorted by name, so that faults are reported in a fixed order
 	drains         []*wire.Drain
 	endpointCounts map[string]int // number of endpoints by service, to size its slice
+
+	sharesCustomers bool // the customers are those of another table, and none are added
 }
 
 // NewTable validates the references between entries and builds the table of a snapshot; *InvalidError lists the
