feat(quota): tokens of customers' quotas over all nodes

A coordinator on the leading replica holds one bucket per customer and grants tokens; a node spends them and returns those it does not need. A node without an answer spends at the rate that was promised to it, and the coordinator deducts that rate.

--- /dev/null
+++ b/core/quota/local.go
@@ -0,0 +1,493 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// horizon is how much of its recent demand a node holds as tokens while there are enough of them. It bridges most of the time without
+	// a coordinator after the loss of a leader.
+	horizon = time.Second
+	// demandTime and spendTime are the time constants of the averages of arrivals, and of granted and spent tokens.
+	demandTime = 500 * time.Millisecond
+	spendTime  = time.Second
+	// idleAfter is the time without requests of a customer after which a node returns its tokens.
+	idleAfter = 2 * time.Second
+	// askSpacing is the shortest time between two requests of a node to the coordinator.
+	askSpacing = 10 * time.Millisecond
+	// failedSpacing is the time after a failed request to the coordinator until the next.
+	failedSpacing = 50 * time.Millisecond
+	// minimumShare is the part of the rate at which all nodes together spend after the promises have ended. Half of the nodes then use
+	// less than what heldShare leaves of the allowance.
+	minimumShare = 0.05
+	// fallbackBurst is the depth of the bucket of a node without a coordinator, in seconds of its rate.
+	fallbackBurst = 200 * time.Millisecond
+	maxWaiting    = 256 // requests of one customer that wait for tokens at a node
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// Local spends the tokens granted to one node. It is safe for concurrent use.
+type Local struct {
+	node        string
+	incarnation uint64
+	nodes       func() int     // number of agreed nodes
+	random      func() float64 // in [0, 1)
+
+	mutex    sync.Mutex
+	accounts map[string]*account
+	waiting  int // requests that wait, over all customers
+	term     uint64
+	number   uint64 // of the last request to the coordinator
+	seen     uint64 // number of the last response
+	interval time.Duration
+	inFlight bool
+	sent     time.Time // last request to the coordinator
+	answered time.Time // last request that was answered
+	failing  time.Time // first request after it that failed; zero if none has
+	notAsked time.Time // no request is sent before
+	told     string    // coordinator that answered last
+	greet    bool      // a request is due although no customer is active
+	totals   Totals
+}
+
+// account is the state of one customer at a node.
+type account struct {
+	limit   Limit
+	tokens  int
+	expires time.Time
+	waiting []*Waiter
+	hold    time.Time // until then the coordinator has no tokens for this node
+	spacing time.Duration
+	scarce  bool
+	sharing int // nodes at which the customer is active
+
+	arrived, spent, granted int // since measured
+	measured                time.Time
+	lastArrival             time.Time
+	demand, rate, gain      float64 // per second: requests, granted tokens spent, granted tokens
+	grantedAt               time.Time
+
+	promised, total float64
+	promiseEnds     time.Time
+	spare           float64 // tokens of the fallback
+	spareAt         time.Time
+	returnAt        time.Time // time at which the last refused request was told to return
+}
+
+// Verdict is the decision on one request.
+type Verdict struct {
+	Granted    bool
+	Fallback   bool          // granted without a token, as no coordinator answers
+	RetryAfter time.Duration // of a refused request
+	State      State         // for logs
+}
+
+// State describes a customer at a node when a request was refused.
+type State struct {
+	Limit  Limit
+	Tokens int
+	Demand float64       // requests per second
+	Age    time.Duration // since tokens were last granted; negative if none were
+	Term   uint64
+}
+
+// Totals counts the decisions of a Local.
+type Totals struct {
+	Granted, Spent, Refused, Asks uint64
+	Fallback                      uint64    // requests that ran without a token, as no coordinator answered
+	Answered                      time.Time // last answered request; zero if there was none
+	Alone                         bool      // no coordinator answers
+}
+
+// Waiter is a request that waits for a token. Decided gets its verdict.
+type Waiter struct {
+	Decided  chan Verdict
+	customer string
+}
+
+// LocalOption replaces a default of the Local that NewLocal returns.
+type LocalOption func(*Local)
+
+// WithNodes sets the function that returns the number of agreed nodes.
+func WithNodes(f func() int) LocalOption { return func(l *Local) { l.nodes = f } }
+
+// WithRandom sets the source of random numbers in [0, 1).
+func WithRandom(f func() float64) LocalOption { return func(l *Local) { l.random = f } }
+
+// NewLocal returns a Local without tokens for one process of a node.
+func NewLocal(node string, incarnation uint64, opts ...LocalOption) *Local {
+	l := &Local{
+		node: node, incarnation: incarnation, nodes: func() int { return 1 }, random: func() float64 { return 0.5 },
+		accounts: map[string]*account{}, interval: DefaultInterval,
+	}
+	for _, o := range opts {
+		o(l)
+	}
+	return l
+}
+
+// Take decides on a request of a customer with a quota. If it returns a Waiter, the verdict comes later: at the next Answer, or from
+// Leave.
+func (l *Local) Take(now time.Time, customer string, limit Limit) (Verdict, *Waiter) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	a := l.account(now, customer, limit)
+	a.arrived++
+	a.lastArrival = now
+	if a.spend(now) {
+		l.totals.Spent++
+		return Verdict{Granted: true}, nil
+	}
+	if l.alone(now) {
+		if a.spendSpare(now, l.aloneSince(), l.minimum(a)) {
+			l.totals.Fallback++
+			return Verdict{Granted: true, Fallback: true}, nil
+		}
+		return l.refuse(now, a), nil
+	}
+	if now.Before(a.hold) || len(a.waiting) >= maxWaiting {
+		return l.refuse(now, a), nil
+	}
+	w := &Waiter{Decided: make(chan Verdict, 1), customer: customer}
+	a.waiting = append(a.waiting, w)
+	l.waiting++
+	return Verdict{}, w
+}
+
+// Leave ends the wait of a request and returns its verdict, which may have been decided before.
+func (l *Local) Leave(now time.Time, w *Waiter) Verdict {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	select {
+	case v := <-w.Decided:
+		return v
+	default:
+	}
+	a := l.accounts[w.customer]
+	if a == nil {
+		return Verdict{RetryAfter: minRetryAfter}
+	}
+	if i := slices.Index(a.waiting, w); i >= 0 {
+		a.waiting = slices.Delete(a.waiting, i, i+1)
+		l.waiting--
+	}
+	return l.refuse(now, a)
+}
+
+// GiveBack returns the token of a request that was admitted at the given time and then refused without running.
+func (l *Local) GiveBack(now, admitted time.Time, customer string, v Verdict) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	a := l.accounts[customer]
+	if a == nil || now.Sub(admitted) > tokenLife {
+		return
+	}
+	if v.Fallback {
+		a.spare++
+		l.totals.Fallback--
+		return
+	}
+	a.tokens++
+	a.spent--
+	l.totals.Spent--
+	l.serve(now, a)
+}
+
+// account returns the account of a customer with the limit in force.
+func (l *Local) account(now time.Time, customer string, limit Limit) *account {
+	a := l.accounts[customer]
+	if a == nil {
+		a = &account{limit: limit, measured: now}
+		l.accounts[customer] = a
+	}
+	if a.limit == limit {
+		return a
+	}
+	if limit.Rate < a.limit.Rate {
+		part := limit.Rate / a.limit.Rate
+		a.tokens = int(float64(a.tokens) * part)
+		a.promised *= part
+	}
+	a.limit = limit
+	return a
+}
+
+// spend uses a token if there is a valid one.
+func (a *account) spend(now time.Time) bool {
+	if a.tokens <= 0 || !now.Before(a.expires) {
+		return false
+	}
+	a.tokens--
+	a.spent++
+	return true
+}
+
+// alone reports whether no coordinator answers this node.
+func (l *Local) alone(now time.Time) bool {
+	return !l.failing.IsZero() && now.After(l.aloneSince())
+}
+
+func (l *Local) aloneSince() time.Time {
+	since := l.answered.Add(fallbackAfter(l.interval))
+	// A node that was quiet may find the coordinator at the second try, while its requests wait.
+	if tried := l.failing.Add(2 * MaxWait); tried.After(since) {
+		return tried
+	}
+	return since
+}
+
+// minimum returns the rate of this node after its promise has ended.
+func (l *Local) minimum(a *account) float64 {
+	return a.limit.Rate * minimumShare / float64(max(l.nodes(), 1))
+}
+
+// spendSpare runs a request without a token if the promised rate, or later the minimum, allows it.
+func (a *account) spendSpare(now, since time.Time, minimum float64) bool {
+	if a.spareAt.Before(since) {
+		a.spare, a.spareAt = 0, since
+	}
+	until := a.promiseEnds
+	if until.After(now) {
+		until = now
+	}
+	if until.After(a.spareAt) {
+		a.spare += a.promised * until.Sub(a.spareAt).Seconds()
+		a.spareAt = until
+	}
+	a.spare += minimum * now.Sub(a.spareAt).Seconds()
+	a.spareAt = now
+	a.spare = min(a.spare, max(a.promised*fallbackBurst.Seconds(), 1))
+	if a.spare < 1 {
+		return false
+	}
+	a.spare--
+	return true
+}
+
+// refuse returns the verdict for a request over the quota. Refused requests are told to return one after the other, at the rate at which
+// this node gets tokens, and at random within that time.
+func (l *Local) refuse(now time.Time, a *account) Verdict {
+	l.totals.Refused++
+	rate := max(a.gain, a.limit.Rate/float64(max(a.sharing, 1)))
+	if l.alone(now) {
+		rate = max(a.promised, l.minimum(a))
+	}
+	gap := maxRetryAfter
+	if rate*maxRetryAfter.Seconds() > 1 {
+		gap = time.Duration(float64(time.Second) / rate)
+	}
+	at := now.Add(minRetryAfter)
+	if a.hold.After(at) {
+		at = a.hold
+	}
+	if a.returnAt.After(at) {
+		at = a.returnAt
+	}
+	a.returnAt = at.Add(gap)
+	after := at.Sub(now) + time.Duration(l.random()*float64(gap))
+	if after > maxRetryAfter { // more requests than there is room for spread over the second half of the time
+		a.returnAt = now.Add(maxRetryAfter)
+		after = maxRetryAfter/2 + time.Duration(l.random()*float64(maxRetryAfter/2))
+	}
+	s := State{Limit: a.limit, Tokens: a.tokens, Demand: a.demand, Age: -1, Term: l.term}
+	if !a.grantedAt.IsZero() {
+		s.Age = now.Sub(a.grantedAt)
+	}
+	return Verdict{RetryAfter: after, State: s}
+}
+
+// serve gives tokens to requests that wait.
+func (l *Local) serve(now time.Time, a *account) {
+	for len(a.waiting) > 0 && a.spend(now) {
+		l.totals.Spent++
+		l.decide(a, Verdict{Granted: true})
+	}
+}
+
+// decide ends the wait of the first waiting request.
+func (l *Local) decide(a *account, v Verdict) {
+	w := a.waiting[0]
+	a.waiting = a.waiting[1:]
+	l.waiting--
+	w.Decided <- v
+}
+
+// Greet makes a request due at once, since a new coordinator needs to hear from every node.
+func (l *Local) Greet() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.greet = true
+}
+
+// Due returns the time of the next request to the coordinator, and false if none is due before a request waits.
+func (l *Local) Due() (time.Time, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.inFlight || len(l.accounts) == 0 && !l.greet {
+		return time.Time{}, false
+	}
+	at := l.sent.Add(l.interval)
+	if l.waiting > 0 || l.greet {
+		at = l.sent.Add(askSpacing)
+	}
+	if l.notAsked.After(at) {
+		at = l.notAsked
+	}
+	return at, true
+}
+
+// Ask returns the request to send to a coordinator now. Answer or Failed must follow.
+func (l *Local) Ask(now time.Time, coordinator string) Request {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.number++
+	l.totals.Asks++
+	l.inFlight, l.sent, l.greet = true, now, false
+	r := Request{Node: l.node, Incarnation: l.incarnation, Number: l.number, Seen: l.seen}
+	changed := coordinator != l.told || !l.failing.IsZero()
+	for customer, a := range l.accounts {
+		a.measure(now, l.failing.IsZero())
+		ask := a.ask(now, l.interval)
+		ask.Customer = customer
+		if changed && now.Before(a.promiseEnds) {
+			ask.Promised, ask.Total = a.promised, a.total
+		}
+		r.Asks = append(r.Asks, ask)
+		if a.done(now) {
+			delete(l.accounts, customer)
+		}
+	}
+	return r
+}
+
+// measure updates the averages. Without a coordinator the rate of spent tokens stays as it was.
+func (a *account) measure(now time.Time, connected bool) {
+	elapsed := now.Sub(a.measured)
+	if elapsed < askSpacing {
+		return
+	}
+	a.demand = average(a.demand, a.arrived, elapsed, demandTime)
+	a.arrived = 0
+	if connected {
+		a.rate = max(average(a.rate, a.spent, elapsed, spendTime), 0)
+		a.gain = average(a.gain, a.granted, elapsed, spendTime)
+	}
+	a.spent, a.granted, a.measured = 0, 0, now
+}
+
+// average returns an exponential average of events per second after a count in the elapsed time.
+func average(old float64, count int, elapsed, constant time.Duration) float64 {
+	weight := math.Exp(-elapsed.Seconds() / constant.Seconds())
+	return old*weight + float64(count)/elapsed.Seconds()*(1-weight)
+}
+
+// ask returns what to ask for, and takes the tokens that the node returns out of the account.
+func (a *account) ask(now time.Time, interval time.Duration) Ask {
+	if !now.Before(a.expires) {
+		a.tokens = 0
+	}
+	soon, most := a.demand*interval.Seconds(), a.demand*horizon.Seconds()
+	if a.scarce {
+		soon, most = a.demand*max(a.spacing, minSpacing).Seconds(), a.demand*interval.Seconds()
+	}
+	want, keep := int(math.Ceil(most)), int(math.Ceil(most))+1
+	if a.scarce {
+		want, keep = int(soon), int(most) // a token that may not be needed is left to other nodes
+	}
+	if now.Sub(a.lastArrival) > idleAfter {
+		soon, want, keep = 0, 0, 0
+		a.demand = 0
+	}
+	n := Ask{Rate: a.rate, Returned: max(a.tokens-keep, 0)}
+	if a.rate < minimumRate {
+		n.Rate = 0
+	}
+	a.tokens -= n.Returned
+	n.Held = a.tokens
+	n.Waiting = len(a.waiting)
+	n.Need = n.Waiting + max(int(soon)-a.tokens, 0)
+	n.Want = max(n.Waiting+want-a.tokens, n.Need)
+	return n
+}
+
+// minimumRate is the rate of spent tokens below which a node needs no promise.
+const minimumRate = 0.05
+
+// done reports whether the customer is no longer active at this node.
+func (a *account) done(now time.Time) bool {
+	return a.tokens == 0 && len(a.waiting) == 0 && a.rate < minimumRate && now.Sub(a.lastArrival) > idleAfter
+}
+
+// Answer applies the response to the request in flight. It reports false if the replica grants nothing or in an earlier term.
+func (l *Local) Answer(now time.Time, coordinator string, p Response) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if p.Term == 0 || p.Term < l.term {
+		l.fail(now)
+		return false
+	}
+	l.inFlight = false
+	l.term, l.seen, l.told = p.Term, p.Number, coordinator
+	l.answered, l.failing = l.sent, time.Time{}
+	if p.Interval > 0 {
+		l.interval = min(p.Interval, maxInterval)
+	}
+	for _, g := range p.Grants {
+		if a := l.accounts[g.Customer]; a != nil {
+			l.apply(now, a, g)
+		}
+	}
+	return true
+}
+
+// apply adds the tokens of a grant and decides on the requests that wait.
+func (l *Local) apply(now time.Time, a *account, g Grant) {
+	a.tokens += g.Tokens
+	a.granted += g.Tokens
+	l.totals.Granted += uint64(g.Tokens)
+	a.expires = l.sent.Add(tokenLife)
+	if g.Tokens > 0 {
+		a.grantedAt = now
+	}
+	a.promised, a.total, a.promiseEnds = g.Promised, g.Total, l.sent.Add(promiseLife)
+	a.scarce, a.sharing = g.Scarce, g.Sharing
+	l.serve(now, a)
+	if g.Wait == 0 {
+		a.hold = time.Time{}
+		return
+	}
+	// The random part keeps nodes from asking in a fixed order, in which the same node would find no tokens each time.
+	a.spacing = min(g.Wait, maxSpacing)
+	a.hold = now.Add(time.Duration(float64(a.spacing) * (0.85 + 0.3*l.random())))
+	for len(a.waiting) > 0 {
+		l.decide(a, l.refuse(now, a))
+	}
+}
+
+// Failed records that the request in flight was not answered.
+func (l *Local) Failed(now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.fail(now)
+}
+
+func (l *Local) fail(now time.Time) {
+	l.inFlight = false
+	if l.failing.IsZero() {
+		l.failing = l.sent
+	}
+	l.notAsked = now.Add(failedSpacing + time.Duration(l.random()*float64(failedSpacing)))
+}
+
+// Totals returns the counters of the Local.
+func (l *Local) Totals(now time.Time) Totals {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	t := l.totals
+	t.Answered, t.Alone = l.answered, l.alone(now)
+	return t
+}
