--- a/core/quota/coordinator.go
+++ b/core/quota/coordinator.go
@@ -180,7 +180,7 @@
 	b.level += float64(returned)
 	c.clamp(now, b)
 
-	tokens := min(max(a.Need, 0), int(b.level))
+	tokens := min(max(a.Need, 0), int(min(b.level, maxGrant)))
 	if tokens < a.Need {
 		b.scarce = now.Add(scarceTime)
 	}
@@ -289,7 +289,7 @@
 // other nodes, and what the nodes hold must leave room for a full bucket.
 func (c *Coordinator) spare(now time.Time, b *bucket, needed int) int {
 	depth := c.bounds.depth(b.limit)
-	return int(min(b.level-float64(needed)-depth/2, c.room(now, b)-float64(needed)-depth))
+	return int(min(b.level-float64(needed)-depth/2, c.room(now, b)-float64(needed)-depth, maxGrant))
 }
 
 // promise returns the rate that a node may spend without a coordinator, and the sum for all nodes, which does not exceed the limit.
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -64,6 +64,8 @@
 	// over its quota, since spent tokens that a node has not reported yet still count as held.
 	asksPerSecond     = 200
 	overAsksPerSecond = 250
+	// maxGrant keeps the tokens of one grant within what a message can state.
+	maxGrant = 1 << 30
 	// minSpacing is the shortest time between two requests of a node for a customer whose tokens are used up.
 	minSpacing = 50 * time.Millisecond
 	// maxSpacing bounds the time after which a node asks again for a customer whose tokens are used up.
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -468,6 +468,13 @@
 	}
 }
 
+// Moved records that the request in flight was answered by a replica that does not lead. The leader can be asked at once.
+func (l *Local) Moved() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.inFlight = false
+}
+
 // Failed records that the request in flight was not answered.
 func (l *Local) Failed(now time.Time) {
 	l.mutex.Lock()
