--- a/io/process/fields.go
+++ b/io/process/fields.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"os"
@@ -16,6 +17,11 @@
 	minKeyBytes = 16               // shortest key; a shorter one can be guessed
 	maxGrace    = 10 * time.Minute // longest grace, because a rolling restart waits for each stop
 	maxSample   = 1_000_000        // most calls for one success line
+	// A shorter window than minWindow is less than the time for which nodes hold tokens of a quota.
+	minWindow  = time.Second
+	maxWindow  = 10 * time.Minute
+	maxOverage = 1         // twice the quota
+	maxSlack   = 1_000_000 // requests
 )
 
 // Field describes one setting.
@@ -58,6 +64,9 @@
 		{Path: "log.level", Unit: `"debug", "info" or "error"`, Default: "info", set: setLevel},
 		{Path: "log.sample", Unit: "calls for one success line", Default: "1000", set: setSample},
 		{Path: "grace", Unit: "time with unit", Default: "30s", set: setGrace},
+		{Path: "quota.window", Unit: "time with unit", Default: "5s", set: setWindow},
+		{Path: "quota.overage", Unit: "share of the quota", Default: "0.1", set: setNumber(func(s *Settings) *float64 { return &s.Quota.Overage }, maxOverage)},
+		{Path: "quota.slack", Unit: "requests", Default: "20", set: setNumber(func(s *Settings) *float64 { return &s.Quota.Slack }, maxSlack)},
 	}
 }
 
@@ -140,6 +149,29 @@
 	return ""
 }
 
+func setWindow(s *Settings, raw json.RawMessage) string {
+	const expected = `a time with its unit from "1s" to "10m", such as "5s"`
+	var text string
+	if json.Unmarshal(raw, &text) != nil {
+		return expected
+	}
+	window, err := time.ParseDuration(text)
+	if err != nil || window < minWindow || window > maxWindow {
+		return expected
+	}
+	s.Quota.Window = window
+	return ""
+}
+
+func setNumber(field func(*Settings) *float64, most float64) func(*Settings, json.RawMessage) string {
+	return func(s *Settings, raw json.RawMessage) string {
+		if json.Unmarshal(raw, field(s)) != nil || *field(s) < 0 || *field(s) > most {
+			return fmt.Sprintf("a number from 0 to %.0f", most)
+		}
+		return ""
+	}
+}
+
 func setGrace(s *Settings, raw json.RawMessage) string {
 	var text string
 	if json.Unmarshal(raw, &text) != nil {
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -74,6 +74,7 @@
 	Seeds       Seeds         // used if Replicas is empty
 	Timing      Timing
 	Retries     Retries
+	Quota       Quota
 }
 
 // Retries limits the retries of all nodes together, for each service and 10 s. If Percent is 0, each node has its own budget.
@@ -82,6 +83,17 @@
 	Slack   int // retries allowed in addition, whatever the number of calls
 }
 
+// Quota says how far the requests of a customer may exceed its quota: in any sliding window of length Window, at most
+// (rate x Window + burst) x (1 + Overage) + Slack of them run.
+type Quota struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// DefaultQuota returns the default bounds of quotas.
+func DefaultQuota() Quota { return Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20} }
+
 // Seeds lets nodes find the control replicas where settings cannot list them. A node with a control replica is then named by
 // its IP address, and all peer listeners use the same port.
 type Seeds struct {
@@ -160,6 +172,7 @@
 		Profile: Fast,
 		Log:     Log{Level: slog.LevelInfo, Sample: 1000},
 		Grace:   30 * time.Second,
+		Quota:   DefaultQuota(),
 	}
 }
 
--- a/io/process/settings_test.go
+++ b/io/process/settings_test.go
@@ -25,6 +25,9 @@
 	if s.Listen.Peer != want.Listen.Peer || s.Profile != Fast || s.Log.Sample != 1000 || s.IsReplica() {
 		t.Errorf("got %+v, want the defaults", s)
 	}
+	if s.Quota != DefaultQuota() {
+		t.Errorf("got quota %+v, want %+v", s.Quota, DefaultQuota())
+	}
 	if s.Grace != 2*time.Second || s.Data != filepath.Join("dir", "d") {
 		t.Errorf("got grace %s data %s, want 2s and a path beside the file", s.Grace, s.Data)
 	}
@@ -52,6 +55,8 @@
 		{"same address", strings.Replace(minimal, `"caller"`, `"metrics":"127.0.0.1:7003","caller"`, 1)},
 		{"short key", strings.Replace(minimal, `"name"`, `"key":"short","listen2":0,"name"`, 1)},
 		{"missing key file", strings.Replace(minimal, `"caller"`, `"peer":"10.0.0.1:1","caller"`, 1)[:1] + `"key":{"file":"/nonexistent"},` + strings.Replace(minimal, `"caller"`, `"peer":"10.0.0.1:1","caller"`, 1)[1:]},
+		{"quota out of range", strings.Replace(minimal, `"name"`, `"quota":{"window":"5ms","overage":-0.1,"slack":1e9},"name"`, 1)},
+		{"quota of wrong types", strings.Replace(minimal, `"name"`, `"quota":{"window":5,"overage":"a tenth","slack":null,"depth":1},"name"`, 1)},
 		{"half of tls", strings.Replace(minimal, `"name"`, `"tls":{"cert":"/nonexistent"},"name"`, 1)},
 	}
 	var out strings.Builder
