feat(caller): requests of customers are taken off their quota

A request of a caller asks WithQuota once, after its route is known. Over the quota it is refused with 429, code quota and Retry-After; ended without having run, it is given back.

--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -53,6 +53,8 @@
 	retries     int
 	mayHaveRun  bool // at least one attempt may have run
 	tracked     Request
+	customer    string // name of the customer that sends the request; empty without one
+	giveBack    func() // returns the request to the customer's quota; nil without one
 }
 
 func (c *call) fail(code outcome.Code, status int, detail string, err error) *outcome.Failure {
@@ -69,6 +71,9 @@
 	if f := c.route(); f != nil {
 		return f
 	}
+	if f := c.takeQuota(); f != nil {
+		return f
+	}
 	if f := c.inheritLimits(contexts, waitValue); f != nil {
 		return f
 	}
@@ -262,7 +267,9 @@
 
 // refuse answers with a failure and logs it.
 func (c *call) refuse(f *outcome.Failure) {
-	f = c.keyedOutcome(hop.AsFailure(f, c.id))
+	f = hop.AsFailure(f, c.id)
+	c.returnQuota(f)
+	f = c.keyedOutcome(f)
 	c.handler.log.Info("request failed", "call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
 		"outcome", f.Kind, "version", c.match.Version, "reason", f.Detail, "retry", c.retryReason, "after", f.RetryAfter.String(), "error", cause(f), "took", c.took())
 	c.finished(Finished{Code: f.Code, Kind: f.Kind, Overhead: -1, Took: c.handler.now().Sub(c.began)})
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -41,6 +41,7 @@
 	claim          func(context.Context, Claim) (ClaimAnswer, error)
 	finish         func(context.Context, Claim, *Answer) error
 	release        func(context.Context, Claim) error
+	takeQuota      func(context.Context, string) (func(), *outcome.Failure)
 
 	newCallID   func(r *http.Request) string
 	callerWaits *retry.CallerWaits
@@ -70,6 +71,7 @@
 		attemptDone:    func(string, Observation) {},
 		requestDone:    func(Finished) {},
 		decideRetry:    func(Attempt) Verdict { return Verdict{} },
+		takeQuota:      func(context.Context, string) (func(), *outcome.Failure) { return nil, nil },
 		newCallID:      callIDs(),
 		callerWaits:    retry.NewCallerWaits(),
 		draining:       func() bool { return false },
--- /dev/null
+++ b/io/caller/quota_test.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"godwitspindle/core/outcome"
+)
+
+// Guards against a request that is taken off a quota twice or not at all, a refusal that a caller cannot tell from others, and quota that
+// a request which did not run keeps.
+func TestQuota(t *testing.T) {
+	refusal := outcome.Failure{Code: outcome.Quota, Kind: outcome.NotRun, Status: http.StatusTooManyRequests, RetryAfter: 1500 * time.Millisecond}
+	for _, c := range []struct {
+		name         string
+		customer     string
+		local        bool
+		over         bool
+		failure      *outcome.Failure // of the request after it was taken off the quota
+		taken, given int
+	}{
+		{"without a customer", "", false, true, nil, 0, 0},
+		{"call of a backend server", "a", true, true, nil, 0, 0},
+		{"over the quota", "a", false, true, nil, 1, 0},
+		{"admitted", "a", false, false, nil, 1, 0},
+		{"admitted and not run", "a", false, false, &outcome.Failure{Code: outcome.Overload, Kind: outcome.NotRun, Status: 503}, 1, 1},
+		{"admitted, may have run", "a", false, false, &outcome.Failure{Code: outcome.Reset, Kind: outcome.Unknown, Status: 502}, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			taken, given := 0, 0
+			h := New(WithLocalCalls(c.local), WithQuota(func(_ context.Context, customer string) (func(), *outcome.Failure) {
+				taken++
+				if customer != c.customer {
+					t.Errorf("customer: got %q, want %q", customer, c.customer)
+				}
+				if c.over {
+					f := refusal
+					return nil, &f
+				}
+				return func() { given++ }, nil
+			}))
+			w := httptest.NewRecorder()
+			k := &call{handler: h, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), id: "c", customer: c.customer, began: time.Now()}
+			f := k.takeQuota()
+			if f == nil {
+				f = c.failure
+			}
+			if f != nil {
+				k.refuse(f)
+			}
+			if taken != c.taken || given != c.given {
+				t.Errorf("got %d taken and %d given back, want %d and %d", taken, given, c.taken, c.given)
+			}
+			if c.over && c.taken > 0 && (w.Code != http.StatusTooManyRequests || w.Header().Get("Retry-After") != "2" ||
+				w.Header().Get(outcome.HeaderCode) != "quota" || w.Header().Get(outcome.HeaderOutcome) != "notrun") {
+				t.Errorf("refusal: got %d %v, want 429 with Retry-After 2, code quota and outcome notrun", w.Code, w.Header())
+			}
+		})
+	}
+}
