feat(host): quotas of customers over all nodes

Each node asks the leading replica for tokens once per interval, and at once when a request waits. The loop runs only while the table in force has a customer with a quota. Metrics and a bounded log line tell what was granted, spent and refused.

--- a/io/host/host.go
+++ b/io/host/host.go
@@ -62,6 +62,7 @@
 	backend       *backend.Backend
 	callers       *caller.Handler
 	localCallers  *caller.Handler
+	quotas        *quotas
 
 	peers   *process.Server
 	servers map[string]*process.Server // listeners by name, such as "peer"
@@ -151,6 +152,7 @@
 	h.stop = newStopRecord(h.log, h.metrics.StopRequests)
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
+	h.quotas = h.hostQuotas()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
 		h.dial = process.Dial(s.Timing.AckTimeout)
 	}
@@ -164,6 +166,7 @@
 		h.startPeers,
 		h.startFollower,
 		h.startListeners,
+		h.startQuotas,
 	}
 	for _, start := range steps {
 		if err := start(); err != nil {
@@ -271,6 +274,7 @@
 			caller.WithDraining(h.stopping),
 			caller.WithStop(h.shutdown.Decide),
 			caller.WithInFlight(&h.stop.callers),
+			caller.WithQuota(h.quotas.take),
 		}, h.callerOptions...)
 	}
 	h.callers = caller.New(options(false)...)
@@ -282,6 +286,7 @@
 func (h *Host) versionChanged(v peer.View) {
 	h.metrics.Version.Set(float64(v.Snapshot.Version()))
 	h.upstream.update(v)
+	h.quotas.update(v.Table)
 	h.picker.Retain(func(key string) bool {
 		_, ok := v.Table.Endpoint(key)
 		return ok
@@ -349,6 +354,7 @@
 // Close stops the process at once and cuts calls in flight.
 func (h *Host) Close() error {
 	var errs []error
+	h.quotas.close()
 	if a := h.announce.Load(); a != nil {
 		a.close()
 	}
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -277,6 +277,7 @@
 		s.OnAnnounce = h.control.announce
 		s.OnStatus = h.control.status
 		s.OnReplicas = h.control.replicas
+		s.OnQuota = h.quotas.handle
 	}
 	return s
 }
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -46,6 +46,12 @@
 	StopTime           prometheus.Gauge         // seconds since a planned stop began, 0 before
 	RefusedConnections *prometheus.CounterVec   // connections closed above the limit of their listener, by listener
 	OperatorRequests   *prometheus.CounterVec   // requests of operators, by path and status
+	QuotaGranted       prometheus.Counter       // tokens of customers' quotas that were granted to this node
+	QuotaSpent         *prometheus.CounterVec   // requests taken off a quota, by what admitted them: token, or fallback without a coordinator
+	QuotaReturned      prometheus.Counter       // requests given back to a quota, since they ended without having run
+	QuotaRefused       prometheus.Counter       // requests over a quota
+	QuotaFallback      prometheus.Gauge         // 1 while no coordinator of quotas answers
+	QuotaAge           prometheus.Gauge         // seconds since the last answered request to the coordinator was sent; negative if there was none
 	ContentChanges     *prometheus.CounterVec   // complete contents proposed, by form: edit, whole, or mismatch (edit resent whole)
 }
 
@@ -120,12 +126,19 @@
 		RefusedConnections: counters("connections_refused_total", "Connections closed over a listener's limit.", "listener"),
 
 		OperatorRequests: counters("operator_requests_total", "Requests of operators, by path and status.", "path", "status"),
+		QuotaGranted:     counter("quota_granted_total", "Tokens of customers' quotas granted to this node."),
+		QuotaSpent:       counters("quota_spent_total", "Requests taken off a quota, by what admitted them (token, or fallback without a coordinator).", "by"),
+		QuotaReturned:    counter("quota_returned_total", "Requests given back to a quota, since they ended without having run."),
+		QuotaRefused:     counter("quota_refused_total", "Requests over a customer's quota."),
+		QuotaFallback:    gauge("quota_fallback", "1 while no coordinator of quotas answers this node."),
+		QuotaAge:         gauge("quota_grant_age_seconds", "Time since the last answered request for tokens; negative when never."),
 		ContentChanges:   counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
 	}
 	m.Registry.MustRegister(
 		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.StopRequests, m.StopTime, m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
+		m.QuotaGranted, m.QuotaSpent, m.QuotaReturned, m.QuotaRefused, m.QuotaFallback, m.QuotaAge,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
