feat(admission): nested calls move to another endpoint while time is left

A nested call counts as a last attempt, so the gate kept it to its deadline and then refused it with the code deadline, which is not retried: in the tests of core/nested nearly all refusals of nested calls were of this kind, while other endpoints had room. A call that its caller marks as movable is refused as busy instead if it would wait for more than a third of its time, and when a third of its time has passed in the queue. Nothing changes for other calls.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -30,6 +30,7 @@
 	Nested       bool      // made for a running request, whose work is lost if this call is refused
 	Idempotent   bool
 	LateTolerant bool // tolerates a late response, so it is displaced first
+	Movable      bool // is tried at another endpoint at once after a busy refusal, so it leaves the queue while time for that is left
 	Remote       bool // the response leaves the host
 	Suspect      bool // the request may crash the backend server; at most one suspect runs at a time
 }
@@ -159,7 +160,7 @@
 	g.shares.countRequest(now, r.rank())
 	service := g.limit.serviceTime(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
-		return g.refuse(now, r.Call, outcome.DeadlineExceeded, 0)
+		return g.refuse(now, r.Call, r.missedDeadline(), 0)
 	}
 	linkWait := g.linkWait(now, &r, service)
 	if linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
@@ -178,6 +179,9 @@
 	if lateness := w.lateness(now, wait, service); lateness > 0 {
 		return g.refuse(now, r.Call, g.busyCode(now, &w), w.retryAfter(now, lateness, service))
 	}
+	if w.moves(now.Add(wait), service) {
+		return g.refuse(now, r.Call, outcome.Busy, wait)
+	}
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
 		return g.refuse(now, r.Call, outcome.DeadlineExceeded, wait)
 	}
@@ -278,6 +282,9 @@
 		if d := g.queue[i].Deadline; !d.IsZero() && (next.IsZero() || d.Before(next)) {
 			next = d
 		}
+		if d := g.queue[i].moveAt(g.limit.serviceTime(g.queue[i].Kind)); !d.IsZero() && (next.IsZero() || d.Before(next)) {
+			next = d
+		}
 	}
 	if len(g.queue) > 0 && !g.paused.IsZero() && (next.IsZero() || g.paused.Before(next)) {
 		next = g.paused
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -20,14 +20,15 @@
 func (g *Gate) startQueued(now time.Time) []Decision {
 	var out []Decision
 	for i := 0; i < len(g.queue); {
-		d := g.queue[i].Deadline
-		if d.IsZero() || !now.Add(g.limit.serviceTime(g.queue[i].Kind)).After(d) {
+		w, service := &g.queue[i], g.limit.serviceTime(g.queue[i].Kind)
+		if !w.expires(now, service) && !w.moves(now, service) {
 			i++
 			continue
 		}
 		g.stats.Expired++
-		g.waitFactors.observe(&g.queue[i], now)
-		out = append(out, g.refuse(now, g.dequeue(i).Call, outcome.DeadlineExceeded, 0))
+		g.waitFactors.observe(w, now)
+		out = append(out, g.refuse(now, w.Call, w.missedDeadline(), 0))
+		g.dequeue(i)
 	}
 	for g.mayStart(now) {
 		i := g.next(now)
