feat(host): connect the throttle of parents to the calls of a node

A run is known to the calls that it makes by its call id in Mesh-Context. caller.Finished tells parent, service and whether the backend server shed the call. The time of a run that broke for its calls does not count as service time of its route. The caller marks the last try of a nested call, so that its endpoint keeps it. All of it is off for an endpoint until nestedCalls.enabled reports that it has stated a pace; the header Mesh-Context is then as before too.

--- a/core/outcome/failure.go
+++ b/core/outcome/failure.go
@@ -30,6 +30,7 @@
 	Overload         Code = "overload"    // the slots and the queue of the endpoint are full
 	Busy             Code = "busy"        // the endpoint cannot respond within the objective; nothing was sent to its backend server
 	Limited          Code = "limited"     // the rate limit that the endpoint states does not allow the call within the objective; nothing was sent
+	Downstream       Code = "downstream"  // a service that the request calls has no room for these calls; the request was not sent
 	DeadlineExceeded Code = "deadline"    // the deadline has passed or cannot be met
 	Draining         Code = "draining"    // the endpoint or node is draining
 	Quarantined      Code = "quarantined" // the request is quarantined, because it has crashed backend servers
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -132,7 +132,7 @@
 	m := c.meta
 	m.Endpoint, m.Remaining = e.Name, c.deadline.Sub(begin)
 	if !c.objective.IsZero() {
-		m.Objective, m.Resent, m.LastAttempt = c.objective.Sub(begin), c.resent, c.noResends
+		m.Objective, m.Resent, m.LastAttempt = c.objective.Sub(begin), c.resent, c.noResends || c.isLastTry()
 	}
 	m.Budget, c.budget = retry.Split(c.budget)
 	ctx, lost := c.bodyContext()
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -32,6 +32,7 @@
 	match     Match
 	deadline  time.Time
 	depth     int
+	parent    string    // call id of the run that makes this call; empty if it is not known
 	objective time.Time // time by which the answer should arrive, by the route's latency objective; zero for none
 	resent    bool      // the caller has sent this request before
 	noResends bool      // callers of this route do not send a refused request again
@@ -123,7 +124,7 @@
 		if err != nil || len(contexts) > 1 {
 			return c.fail(outcome.Depth, http.StatusBadRequest, "the header Mesh-Context is malformed or repeated", err)
 		}
-		c.depth, c.budget = parent.Depth+1, min(c.budget, parent.Budget)
+		c.depth, c.parent, c.budget = parent.Depth+1, parent.Parent, min(c.budget, parent.Budget)
 		c.deadline = earlier(c.deadline, parent.Deadline)
 	}
 	c.setObjective(wait, stated)
@@ -305,6 +306,10 @@
 // finished reports the end of the request.
 func (c *call) finished(f Finished) {
 	f.Route, f.Began, f.Cut = c.match.Route, c.began, c.tracked.end()
+	f.Parent, f.Shed = c.parent, c.refused
+	if c.match.Service != nil {
+		f.Service = c.match.Service.Name
+	}
 	c.handler.requestDone(f)
 }
 
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -444,10 +444,17 @@
 	}
 }
 
-// Checks that a Mesh-Context value parses back to the same context.
+// Checks that a Mesh-Context value parses back to the same context, and that a malformed parent is refused.
 func TestContextValue(t *testing.T) {
-	want := Context{Depth: 3, Deadline: time.UnixMilli(1700000000123), Budget: 2}
-	if got, err := ParseContext(want.String()); err != nil || got != want {
-		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	for _, parent := range []string{"", "a.1-x.2", "\x00 \"é"} {
+		want := Context{Depth: 3, Deadline: time.UnixMilli(1700000000123), Budget: 2, Parent: parent}
+		if got, err := ParseContext(want.String()); err != nil || got != want {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+	}
+	for _, value := range []string{"1.3.1700000000123.2.!", "1.3.1700000000123.2.YQ.YQ"} {
+		if got, err := ParseContext(value); err == nil {
+			t.Errorf("%s: got %+v, want an error", value, got)
+		}
 	}
 }
--- a/io/caller/context.go
+++ b/io/caller/context.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"encoding/base64"
 	"fmt"
 	"strconv"
 	"strings"
@@ -24,6 +25,8 @@
 	Depth    int // position of the request in the call chain
 	Deadline time.Time
 	Budget   int // retries left to the calls made to handle the request
+	// Parent is the call id of the request, by which its node knows the run that makes the calls; empty if that is not recorded.
+	Parent string
 }
 
 // ContextError reports a malformed Mesh-Context value.
@@ -31,18 +34,22 @@
 
 // Error names the header and quotes the value.
 func (e *ContextError) Error() string {
-	return fmt.Sprintf("header %s: got %q, want 1.DEPTH.DEADLINE.BUDGET", HeaderContext, e.Value)
+	return fmt.Sprintf("header %s: got %q, want 1.DEPTH.DEADLINE.BUDGET or 1.DEPTH.DEADLINE.BUDGET.PARENT", HeaderContext, e.Value)
 }
 
 // String formats the context as a header value.
 func (c Context) String() string {
-	return contextVersion + "." + strconv.Itoa(c.Depth) + "." + strconv.FormatInt(c.Deadline.UnixMilli(), 10) + "." + strconv.Itoa(c.Budget)
+	s := contextVersion + "." + strconv.Itoa(c.Depth) + "." + strconv.FormatInt(c.Deadline.UnixMilli(), 10) + "." + strconv.Itoa(c.Budget)
+	if c.Parent == "" {
+		return s
+	}
+	return s + "." + base64.RawURLEncoding.EncodeToString([]byte(c.Parent))
 }
 
 // ParseContext parses a Mesh-Context value; the error is a *ContextError.
 func ParseContext(value string) (Context, error) {
 	parts := strings.Split(value, ".")
-	if len(parts) != 4 || parts[0] != contextVersion {
+	if len(parts) < 4 || len(parts) > 5 || parts[0] != contextVersion {
 		return Context{}, &ContextError{Value: value}
 	}
 	depth, err1 := strconv.Atoi(parts[1])
@@ -51,5 +58,14 @@
 	if err1 != nil || err2 != nil || err3 != nil || depth < 1 || depth > outcome.MaxDepth || budget < 0 {
 		return Context{}, &ContextError{Value: value}
 	}
-	return Context{Depth: depth, Deadline: time.UnixMilli(deadline), Budget: budget}, nil
+	c := Context{Depth: depth, Deadline: time.UnixMilli(deadline), Budget: budget}
+	if len(parts) == 4 {
+		return c, nil
+	}
+	parent, err := base64.RawURLEncoding.DecodeString(parts[4])
+	if err != nil {
+		return Context{}, &ContextError{Value: value}
+	}
+	c.Parent = string(parent)
+	return c, nil
 }
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -49,6 +49,9 @@
 	Began    time.Time     // the request's arrival
 	Cut      bool          // the request was in flight when InFlight.Cut was called
 	Took     time.Duration // from the request's arrival to the end of its answer or its failure; 0 when the answer broke off
+	Service  string        // service that the request was for; empty when no route matched
+	Parent   string        // call id of the run that made the request, see Context; empty for requests of callers
+	Shed     bool          // the answer is a refusal of the backend server (503)
 	Overhead time.Duration // from arrival to the response headers, minus the last backend server's time; negative when unknown
 }
 
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -56,6 +56,7 @@
 	stop    *stopRecord
 	splits  *splitCounter
 	notices *notice.Table
+	nested  *nestedCalls
 	// invalidLimits bounds the log lines about limits that are not valid.
 	invalidLimits rate.Sometimes
 	hops          *hop.Client
@@ -151,6 +152,7 @@
 	h.stop = newStopRecord(h.log, h.metrics.StopRequests)
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
+	h.nested = newNestedCalls(h.metrics, h.log.WithName("nested"))
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
 		h.dial = process.Dial(s.Timing.AckTimeout)
 	}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -96,7 +96,13 @@
 func (h *Host) admit(ctx context.Context, endpoint string, m hop.Meta) (func(backend.Result), *outcome.Failure) {
 	l := h.endpoint(endpoint)
 	q := l.queue
-	if f := q.enter(ctx, admissionRequest(ctx, m)); f != nil {
+	if f := h.nested.refusal(endpoint, m); f != nil {
+		h.metrics.Refusals.WithLabelValues(string(f.Code)).Inc()
+		return nil, f
+	}
+	r := admissionRequest(ctx, m)
+	r.Movable = h.nested.movable(endpoint, m)
+	if f := q.enter(ctx, r); f != nil {
 		l.explainLimit(f)
 		if f.Code == outcome.Busy || f.Code == outcome.Limited {
 			f.RetryAfter += rand.N(f.RetryAfter/2 + 1) // jitter, so that callers refused together do not retry together
@@ -107,11 +113,12 @@
 	if r, ok := ctx.Value(remoteKey{}).(*caller.Request); ok {
 		r.Update(func(p *caller.Progress) { p.Sent = time.Now() })
 	}
+	h.nested.started(endpoint, m)
 	h.metrics.Running.Inc()
 	h.metrics.Sent.WithLabelValues(sentKind(m)).Inc()
 	return func(r backend.Result) {
 		h.metrics.Running.Dec()
-		q.leave(m.Call, r)
+		q.leave(m.Call, h.nested.ended(m.Call, r))
 	}, nil
 }
 
@@ -157,7 +164,7 @@
 			if h.settings.Retries.Percent > 0 {
 				share = retry.MaxShare // the shared budget also limits the retries of nested calls
 			}
-			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share}.String()
+			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share, Parent: h.nested.parent(m)}.String()
 		}),
 		backend.WithLog(h.log.WithName("backend")),
 	}, h.backendOptions...)...)
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -14,6 +14,7 @@
 func (h *Host) countCall(f caller.Finished) {
 	h.metrics.Calls.WithLabelValues(string(f.Kind), string(f.Code), classLabel(f.Route)).Inc()
 	h.stop.finished(f)
+	h.nested.finished(f)
 	h.metrics.RequestTime.WithLabelValues(string(f.Kind), classLabel(f.Route)).Observe(f.Took.Seconds())
 	if f.Overhead >= 0 {
 		h.metrics.AddedTime.Observe(f.Overhead.Seconds())
@@ -44,6 +45,7 @@
 		h.metrics.StopTime.Set(h.stop.seconds(time.Now()))
 		h.metrics.Quarantine.Set(float64(h.holder.View().Table.Quarantined(time.Now())))
 		h.measureLimitUse(time.Now())
+		h.nested.measure(time.Now())
 		next.ServeHTTP(w, r)
 	})
 }
--- /dev/null
+++ b/io/host/nested_test.go
@@ -0,0 +1,113 @@
+package host
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/outcome"
+	"godwitspindle/core/retry"
+	"godwitspindle/io/backend"
+	"godwitspindle/io/caller"
+	"godwitspindle/io/hop"
+	"godwitspindle/io/process"
+)
+
+// Load pattern: parents whose nested calls are refused. Guards against an effect at endpoints that have stated no pace, and against a
+// refusal that does not state that the request has not run, is tried at other endpoints, has no time to return or fills the log.
+func TestParentsRefused(t *testing.T) {
+	for _, enabled := range []bool{false, true} {
+		t.Run(fmt.Sprint(enabled), func(t *testing.T) {
+			lines := 0
+			n := newNestedCalls(process.NewMetrics(), funcr.New(func(string, string) { lines++ }, funcr.Options{}))
+			n.enabled = func(endpoint string) bool { return enabled && endpoint == "front/a" }
+			var refused []*outcome.Failure
+			for i := range 50 {
+				m := hop.Meta{Call: fmt.Sprint(i), Service: "front", Endpoint: "a", Route: "order", Depth: 1, Objective: time.Second}
+				if f := n.refusal("front/a", m); f != nil {
+					refused = append(refused, f)
+					continue
+				}
+				n.started("front/a", m)
+				n.finished(caller.Finished{Service: "store", Parent: n.parent(m), Code: outcome.Busy, Kind: outcome.NotRun})
+				r := n.ended(m.Call, backend.Result{Status: http.StatusBadGateway, OK: true})
+				if r.OK == enabled {
+					t.Fatalf("time of a run without its calls counts: got %v, want %v", r.OK, !enabled)
+				}
+			}
+			n.measure(time.Now())
+			if !enabled {
+				if len(refused) != 0 || lines != 0 {
+					t.Errorf("got %d refusals and %d log lines, want none", len(refused), lines)
+				}
+				return
+			}
+			if len(refused) < 25 || lines != 1 {
+				t.Errorf("got %d refusals of 50 and %d log lines, want at least 25 and one", len(refused), lines)
+			}
+			for _, f := range refused {
+				if f.Code != outcome.Downstream || f.Kind != outcome.NotRun || f.Status != http.StatusServiceUnavailable || f.RetryAfter < 100*time.Millisecond || f.RetryAfter > time.Second {
+					t.Fatalf("refusal: got %+v, want downstream, not run, 503, after 0.1 s to 1 s", f)
+				}
+			}
+			v := retry.Decide(retry.FailedAttempt{Kind: outcome.NotRun, Code: outcome.Downstream, Retries: 2, Share: 2, Now: time.Now(), Deadline: time.Now().Add(time.Second)}, retry.NewBudget())
+			if v.Action != retry.Stop {
+				t.Errorf("after the refusal: got action %d, want none", v.Action)
+			}
+		})
+	}
+}
+
+// Guards against results of nested calls that are taken for a lack of room although a lower load would not change them, or the reverse.
+func TestNestedResults(t *testing.T) {
+	tests := []struct {
+		f    caller.Finished
+		want string
+	}{
+		{caller.Finished{}, "served"},
+		{caller.Finished{Shed: true}, "refused"},
+		{caller.Finished{Code: outcome.Busy, Kind: outcome.NotRun}, "refused"},
+		{caller.Finished{Code: outcome.Overload, Kind: outcome.Unknown}, "refused"},
+		{caller.Finished{Code: outcome.Downstream, Kind: outcome.NotRun}, "refused"},
+		{caller.Finished{Code: outcome.NoEndpoint, Kind: outcome.NotRun}, "refused"},
+		{caller.Finished{Code: outcome.DeadlineExceeded, Kind: outcome.NotRun}, "refused"},
+		{caller.Finished{Code: outcome.DeadlineExceeded, Kind: outcome.Unknown}, "late"},
+		{caller.Finished{Code: outcome.Reset, Kind: outcome.Unknown}, "failed"},
+		{caller.Finished{Code: outcome.Truncated, Kind: outcome.Lost}, "failed"},
+		{caller.Finished{Code: outcome.NoRoute, Kind: outcome.NotRun}, "failed"},
+		{caller.Finished{Code: outcome.Quarantined, Kind: outcome.NotRun}, "failed"},
+	}
+	for _, c := range tests {
+		c.f.Route = &config.Route{}
+		if got := nestedResult(c.f).String(); got != c.want {
+			t.Errorf("%+v: got %s, want %s", c.f, got, c.want)
+		}
+	}
+}
+
+// Guards against nested calls that are refused for good because they count as movable although no other endpoint follows, and against
+// an effect on requests of callers or at endpoints that have stated no pace.
+func TestMovable(t *testing.T) {
+	n := newNestedCalls(process.NewMetrics(), funcr.New(func(string, string) {}, funcr.Options{}))
+	n.enabled = func(endpoint string) bool { return endpoint == "store/a" }
+	tests := []struct {
+		endpoint string
+		m        hop.Meta
+		want     bool
+	}{
+		{"store/a", hop.Meta{Depth: 2, Objective: time.Second}, true},
+		{"store/a", hop.Meta{Depth: 2, Objective: time.Second, LastAttempt: true}, false},
+		{"store/a", hop.Meta{Depth: 2}, false},
+		{"store/a", hop.Meta{Depth: 1, Objective: time.Second}, false},
+		{"store/b", hop.Meta{Depth: 2, Objective: time.Second}, false},
+	}
+	for _, c := range tests {
+		if got := n.movable(c.endpoint, c.m); got != c.want {
+			t.Errorf("%s %+v: got %v, want %v", c.endpoint, c.m, got, c.want)
+		}
+	}
+}
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -21,6 +21,8 @@
 	Queued             prometheus.Gauge         // calls waiting for a slot
 	Refusals           *prometheus.CounterVec   // calls refused by admission or quarantine, by code
 	Sent               *prometheus.CounterVec   // calls admitted to a local backend server, by kind: first, resent or nested
+	NestedCalls        *prometheus.CounterVec   // calls that runs at local endpoints made, by service and result
+	NestedShare        *prometheus.GaugeVec     // share of parents that are admitted, by the service that lacks room for their calls
 	Limit              *prometheus.GaugeVec     // limits in force that local endpoints state, in requests per second, by endpoint
 	LimitUse           *prometheus.GaugeVec     // calls per second that started at endpoints with a limit, in the last 4 s, by endpoint
 	InvalidLimits      prometheus.Counter       // limits of local endpoints that are not valid
@@ -90,6 +92,8 @@
 		Queued:         gauge("admission_queued", "Calls waiting for a slot."),
 		Refusals:       counters("admission_refused_total", "Calls refused by admission, by code.", "code"),
 		Sent:           counters("admission_sent_total", "Calls admitted to a backend server, by kind (first, resent by the caller, or nested).", "kind"),
+		NestedCalls:    counters("nested_calls_total", "Calls that runs at local endpoints made, by service and result (served, refused, late or failed).", "service", "result"),
+		NestedShare:    gauges("nested_admitted_share", "Share of the requests that call a service which are admitted; absent while it is 1.", "service"),
 		Limit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limit_requests_per_second", Help: "Limit in force that the endpoint states.",
 		}, []string{"endpoint"}),
@@ -123,7 +127,7 @@
 		ContentChanges:   counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
 	}
 	m.Registry.MustRegister(
-		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
+		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.NestedCalls, m.NestedShare, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.StopRequests, m.StopTime, m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
