--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -35,6 +35,7 @@
 	hideKey   bool             // the configuration has customers, so Authorization is not forwarded
 	deadline  time.Time
 	depth     int
+	parent    string    // call id of the run that makes this call; empty if it is not known
 	objective time.Time // time by which the answer should arrive, by the route's latency objective; zero for none
 	resent    bool      // the caller has sent this request before
 	noResends bool      // callers of this route do not send a refused request again
@@ -73,7 +74,7 @@
 	if f := c.route(); f != nil {
 		return f
 	}
-	parent, f := c.parent(contexts)
+	parent, f := c.parentContext(contexts)
 	if f != nil {
 		return f
 	}
@@ -123,8 +124,8 @@
 	return nil
 }
 
-// parent returns the context of the request that a backend server makes the call for; nil for a request of a caller.
-func (c *call) parent(contexts []string) (*Context, *outcome.Failure) {
+// parentContext returns the context of the request that a backend server makes the call for; nil for a request of a caller.
+func (c *call) parentContext(contexts []string) (*Context, *outcome.Failure) {
 	if !c.handler.local || len(contexts) == 0 {
 		return nil, nil
 	}
@@ -145,7 +146,7 @@
 		c.deadline = earlier(c.deadline, c.began.Add(wait))
 	}
 	if parent != nil {
-		c.depth, c.budget = parent.Depth+1, min(c.budget, parent.Budget)
+		c.depth, c.parent, c.budget = parent.Depth+1, parent.Parent, min(c.budget, parent.Budget)
 		c.deadline = earlier(c.deadline, parent.Deadline)
 	}
 	c.setObjective(wait, stated)
@@ -340,6 +341,10 @@
 // finished reports the end of the request.
 func (c *call) finished(f Finished) {
 	f.Route, f.Began, f.Cut, f.Customer = c.match.Route, c.began, c.tracked.end(), c.customerName()
+	f.Parent, f.Shed = c.parent, c.refused
+	if c.match.Service != nil {
+		f.Service = c.match.Service.Name
+	}
 	c.handler.requestDone(f)
 }
 
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -95,7 +95,12 @@
 
 func (h *Host) admit(ctx context.Context, endpoint string, m hop.Meta) (func(backend.Result), *outcome.Failure) {
 	l := h.endpoint(endpoint)
+	if f := h.nested.refusal(endpoint, m); f != nil {
+		h.metrics.Refusals.WithLabelValues(string(f.Code)).Inc()
+		return nil, f
+	}
 	q, r := l.queue, admissionRequest(ctx, m)
+	r.Movable = h.nested.movable(endpoint, m)
 	if c, ok := h.holder.View().Table.Customer(m.Customer); ok {
 		r.Weight = c.Rate
 	}
@@ -110,11 +115,12 @@
 	if r, ok := ctx.Value(remoteKey{}).(*caller.Request); ok {
 		r.Update(func(p *caller.Progress) { p.Sent = time.Now() })
 	}
+	h.nested.started(endpoint, m)
 	h.metrics.Running.Inc()
 	h.metrics.Sent.WithLabelValues(sentKind(m)).Inc()
 	return func(r backend.Result) {
 		h.metrics.Running.Dec()
-		q.leave(m.Call, r)
+		q.leave(m.Call, h.nested.ended(m.Call, r))
 	}, nil
 }
 
@@ -160,7 +166,7 @@
 			if h.settings.Retries.Percent > 0 {
 				share = retry.MaxShare // the shared budget also limits the retries of nested calls
 			}
-			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share, Customer: m.Customer}.String()
+			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share, Parent: h.nested.parent(m), Customer: m.Customer}.String()
 		}),
 		backend.WithLog(h.log.WithName("backend")),
 	}, h.backendOptions...)...)
