--- /dev/null
+++ b/core/rollout/play_test.go
@@ -0,0 +1,503 @@
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwitspindle/core/wire"
+)
+
+// play is a service of a mesh during one rollout, in steps of 10 ms: nodes send requests by the agreed share, report their counts
+// and learn of steps with a delay.
+type play struct {
+	policy   *Policy
+	random   *rand.Rand
+	nodes    int
+	routes   []string
+	rate     func(at time.Duration) float64 // requests per second
+	duration time.Duration
+	capacity Capacity
+	lag      time.Duration // time until nodes use a new share and the leader knows their counts
+	interval time.Duration // time between two reports of a node
+
+	// fails and takes give the chance of a failure and the time of an answer, by release, route, time and share of the new release.
+	fails func(fresh bool, route string, at time.Duration, share float64) float64
+	takes func(fresh bool, route string, at time.Duration, share float64) float64
+	// usable reports whether the new endpoints can be used.
+	usable func(at time.Duration) bool
+	// reported reports whether the report of a node reaches the leader.
+	reported func(node int, at time.Duration) bool
+	// leaderless reports whether there is no leader; the next one begins with an empty tally.
+	leaderless func(at time.Duration) bool
+
+	state   *wire.Rollout
+	tally   *Tally
+	counts  []map[Key]Counts
+	missed  []uint64
+	urgent  []bool          // nodes that have not reported a failure of the new release yet
+	last    []time.Duration // time of the last report
+	history []*wire.Rollout // states by step
+	total   int
+	exposed int
+	bad     int
+	ended   time.Duration // time of the verdict; 0 for none
+	late    int           // requests to the new release later than the rollback time after the 50th bad answer
+	fifty   time.Duration
+}
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+func newPlay(seed uint64, rate float64) *play {
+	p := &play{
+		policy: New(), random: rand.New(rand.NewPCG(seed, 1)), nodes: 20, routes: []string{"a", "a", "a", "a", "a", "b", "b", "b", "c"},
+		rate: func(time.Duration) float64 { return rate }, duration: 12 * time.Second,
+		capacity: Capacity{New: 24, NewSlots: 24 * 18, OldSlots: 24 * 18, Nodes: 20}, lag: 150 * time.Millisecond, interval: time.Second,
+		fails:      func(bool, string, time.Duration, float64) float64 { return 0.004 },
+		usable:     func(time.Duration) bool { return true },
+		reported:   func(int, time.Duration) bool { return true },
+		leaderless: func(time.Duration) bool { return false },
+	}
+	p.takes = func(fresh bool, _ string, at time.Duration, _ float64) float64 { return p.usual(fresh, at) }
+	return p
+}
+
+// usual is the time of an answer in milliseconds: endpoints of three speeds, noise, and a slow start of the new release.
+func (p *play) usual(fresh bool, at time.Duration) float64 {
+	speed := []float64{0.7, 0.7, 1.6}[p.random.IntN(3)]
+	t := 20 * speed * math.Exp(0.3*p.random.NormFloat64())
+	if p.random.Float64() < 0.15 {
+		t *= 2.5
+	}
+	if fresh && at < 3*time.Second {
+		t *= 2
+	}
+	return t
+}
+
+// shareAt returns the share that nodes use at a time, which is the agreed one some time before.
+func (p *play) shareAt(at time.Duration) float64 {
+	known := epoch.Add(at - p.lag).UnixMilli()
+	share := 0.0
+	for _, h := range p.history {
+		if h.GetSince() <= known {
+			share = float64(h.GetShare()) / Whole
+		}
+	}
+	return share
+}
+
+func (p *play) run() {
+	p.state = Start(7, epoch, &wire.RolloutOrder{Service: "s", Release: "v2", Duration: p.duration.Milliseconds()})
+	p.history = []*wire.Rollout{p.state}
+	p.counts, p.missed = make([]map[Key]Counts, p.nodes), make([]uint64, p.nodes)
+	p.urgent, p.last = make([]bool, p.nodes), make([]time.Duration, p.nodes)
+	for i := range p.counts {
+		p.counts[i] = map[Key]Counts{}
+	}
+	type delayed struct {
+		at     time.Duration
+		report Report
+	}
+	var queue []delayed
+	const tick = 10 * time.Millisecond
+	var owed float64
+	for at := time.Duration(0); at < p.duration+8*time.Second; at += tick {
+		share := p.shareAt(at)
+		owed += p.rate(at) * tick.Seconds()
+		for ; owed >= 1; owed-- {
+			p.send(at, share)
+		}
+		for i := range p.nodes {
+			interval := p.interval
+			if share >= 0.1 {
+				interval /= 4
+			}
+			offset := time.Duration(i) * interval / time.Duration(p.nodes) / tick * tick
+			due := (at+offset)%interval == 0
+			if p.urgent[i] && at-p.last[i] >= 100*time.Millisecond { // a node reports a failure of the new release at once
+				due = true
+			}
+			if due && p.reported(i, at) {
+				p.urgent[i], p.last[i] = false, at
+				c := make(map[Key]Counts, len(p.counts[i]))
+				for k, v := range p.counts[i] {
+					c[k] = v
+				}
+				queue = append(queue, delayed{at + p.lag/2, Report{Node: string(rune('A' + i)), Incarnation: 1, Missed: p.missed[i], Counts: c}})
+			}
+		}
+		now := epoch.Add(at)
+		if p.leaderless(at) {
+			p.tally, queue = nil, nil
+			continue
+		}
+		if p.tally == nil {
+			p.tally = NewTally(now, epoch)
+		}
+		for len(queue) > 0 && queue[0].at <= at {
+			p.tally.Add(now, queue[0].report)
+			queue = queue[1:]
+		}
+		if at%(100*time.Millisecond) == 0 {
+			p.decide(at)
+		}
+	}
+}
+
+func (p *play) send(at time.Duration, share float64) {
+	node := p.random.IntN(p.nodes)
+	fresh := p.random.Float64() < share
+	if fresh && !p.usable(at) {
+		p.missed[node]++
+		fresh = false
+	}
+	route := p.routes[p.random.IntN(len(p.routes))]
+	failed := p.random.Float64() < p.fails(fresh, route, at, share)
+	k := Key{Route: route, New: fresh}
+	c := p.counts[node][k]
+	c.Record(time.Duration(p.takes(fresh, route, at, share)*float64(time.Millisecond)), failed)
+	p.counts[node][k] = c
+	p.urgent[node] = p.urgent[node] || fresh && failed
+	if at < p.duration {
+		p.total++
+	}
+	if !fresh || at >= p.duration {
+		return
+	}
+	p.exposed++
+	if p.fifty > 0 && at > p.fifty+p.policy.Rollback() {
+		p.late++
+	}
+	if failed {
+		if p.bad++; p.bad == 50 {
+			p.fifty = at
+		}
+	}
+}
+
+func (p *play) decide(at time.Duration) {
+	now := epoch.Add(at)
+	a := p.policy.Decide(now, p.state, p.tally, p.capacity)
+	if a == nil {
+		return
+	}
+	next, ok := Apply(now, p.state, a)
+	if !ok {
+		panic("a step that was just decided does not apply")
+	}
+	p.state = next
+	p.history = append(p.history, next)
+	if !Running(next) {
+		p.ended = at
+	}
+}
+
+func (p *play) describe(t *testing.T) {
+	t.Helper()
+	for _, h := range p.history {
+		t.Logf("%6d ms: share %5d %s: %s (sent %d, bad %d, total %d)", h.GetSince()-epoch.UnixMilli(), h.GetShare(),
+			h.GetState(), h.GetReason(), h.GetSent(), h.GetBad(), h.GetTotal())
+	}
+	t.Logf("%d of %d requests to the new release, %d bad", p.exposed, p.total, p.bad)
+}
+
+func (p *play) wantCompleted(t *testing.T) {
+	t.Helper()
+	if p.state.GetState() != wire.RolloutState_ROLLOUT_STATE_COMPLETED || p.ended > p.duration {
+		p.describe(t)
+		t.Errorf("got %s at %s, want completed within %s", p.state.GetState(), p.ended, p.duration)
+	}
+}
+
+func (p *play) wantRolledBack(t *testing.T) {
+	t.Helper()
+	bound := int(0.1*float64(p.total)) + 50
+	if p.state.GetState() != wire.RolloutState_ROLLOUT_STATE_ROLLED_BACK || p.ended > p.duration || p.exposed > bound || p.late > 0 {
+		p.describe(t)
+		t.Errorf("got %s at %s with %d requests to the release, %d of them late; want rolled back within %s with at most %d",
+			p.state.GetState(), p.ended, p.exposed, p.late, p.duration, bound)
+	}
+}
+
+var rates = []float64{3, 10, 60, 200, 600, 1800}
+
+// each plays a case at several rates and seeds.
+func each(t *testing.T, rates []float64, change func(*play), check func(*play)) {
+	t.Helper()
+	for _, rate := range rates {
+		for seed := range uint64(6) {
+			p := newPlay(seed, rate)
+			change(p)
+			p.run()
+			check(p)
+			if t.Failed() {
+				t.Fatalf("at %v requests/s with seed %d", rate, seed)
+			}
+		}
+	}
+}
+
+// TestGoodCompletes covers a good release that is rolled back for ordinary failures, noise, endpoints of different speed or a slow start.
+func TestGoodCompletes(t *testing.T) {
+	each(t, rates, func(*play) {}, func(p *play) { p.wantCompleted(t) })
+}
+
+// TestBadRolledBack covers releases of which a part of the answers are failures or slow, from the start.
+func TestBadRolledBack(t *testing.T) {
+	for _, part := range []float64{0.2, 0.5, 1} {
+		each(t, []float64{60, 200, 600, 1800}, func(p *play) { p.failing(part, always) }, func(p *play) { p.wantRolledBack(t) })
+	}
+	for _, part := range []float64{0.5, 1} {
+		each(t, []float64{200, 600, 1800}, func(p *play) { p.slow(part, 4, always) }, func(p *play) { p.wantRolledBack(t) })
+	}
+}
+
+func always(string, time.Duration, float64) bool { return true }
+
+type condition func(route string, at time.Duration, share float64) bool
+
+func (p *play) failing(part float64, c condition) {
+	p.fails = func(fresh bool, route string, at time.Duration, share float64) float64 {
+		if fresh && c(route, at, share) {
+			return part
+		}
+		return 0.004
+	}
+}
+
+func (p *play) slow(part, factor float64, c condition) {
+	p.takes = func(fresh bool, route string, at time.Duration, share float64) float64 {
+		took := p.usual(fresh, at)
+		if fresh && c(route, at, share) && p.random.Float64() < part {
+			return took * factor
+		}
+		return took
+	}
+}
+
+// TestBadLater covers a release that turns bad after it was judged for a while, also in the last steps.
+func TestBadLater(t *testing.T) {
+	for _, at := range []time.Duration{4 * time.Second, 8 * time.Second, 9500 * time.Millisecond} {
+		later := func(_ string, now time.Duration, _ float64) bool { return now >= at }
+		each(t, []float64{60, 200, 600, 1800}, func(p *play) { p.failing(0.3, later) }, func(p *play) { p.wantRolledBack(t) })
+		each(t, []float64{600, 1800}, func(p *play) { p.slow(0.7, 5, later) }, func(p *play) { p.wantRolledBack(t) })
+	}
+}
+
+// TestBadUnderLoad covers a release that fails only once it gets most of the requests.
+func TestBadUnderLoad(t *testing.T) {
+	loaded := func(_ string, _ time.Duration, share float64) bool { return share >= 0.5 }
+	each(t, []float64{60, 200, 600, 1800}, func(p *play) { p.failing(0.3, loaded) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{200, 600, 1800}, func(p *play) { p.slow(0.8, 4, loaded) }, func(p *play) { p.wantRolledBack(t) })
+}
+
+// TestBadOnOneRoute covers a release that is bad on a route with a ninth of the requests.
+func TestBadOnOneRoute(t *testing.T) {
+	one := func(route string, _ time.Duration, _ float64) bool { return route == "c" }
+	each(t, []float64{200, 600, 1800}, func(p *play) { p.failing(0.5, one) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{600, 1800}, func(p *play) { p.slow(1, 4, one) }, func(p *play) { p.wantRolledBack(t) })
+}
+
+// TestWaves covers demand that doubles in the ramp, so that the steps get more requests than the mean: the exposure must hold.
+func TestWaves(t *testing.T) {
+	for _, phase := range []float64{0, 1.5, 3, 4.5} {
+		wave := func(p *play) {
+			mean := p.rate(0)
+			p.rate = func(at time.Duration) float64 { return mean * (1 + 0.55*math.Sin(2*math.Pi*at.Seconds()/13+phase)) }
+		}
+		each(t, []float64{200, 600}, wave, func(p *play) { p.wantCompleted(t) })
+		last := func(_ string, now time.Duration, _ float64) bool { return now >= 10*time.Second }
+		each(t, []float64{200, 600}, func(p *play) { wave(p); p.failing(0.5, last) }, func(p *play) { p.wantRolledBack(t) })
+	}
+}
+
+// TestBothSlow covers a slow-down of both releases, which is not the new one's fault.
+func TestBothSlow(t *testing.T) {
+	each(t, rates, func(p *play) {
+		p.takes = func(fresh bool, _ string, at time.Duration, _ float64) float64 {
+			took := p.usual(fresh, at)
+			if at > 5*time.Second && at < 8*time.Second {
+				took *= 6
+			}
+			return took
+		}
+	}, func(p *play) { p.wantCompleted(t) })
+}
+
+// TestLeaderLost covers the loss of the leader at each time of the rollout: the next one goes on from the step reached, a good
+// release completes and a bad one is rolled back within its bounds.
+func TestLeaderLost(t *testing.T) {
+	for lost := time.Duration(0); lost < 9500*time.Millisecond; lost += 500 * time.Millisecond {
+		gone := func(at time.Duration) bool { return at >= lost && at < lost+1200*time.Millisecond }
+		each(t, []float64{10, 600}, func(p *play) { p.leaderless = gone }, func(p *play) {
+			p.wantCompleted(t)
+			p.wantSteps(t)
+		})
+		each(t, []float64{600}, func(p *play) { p.leaderless = gone; p.failing(0.5, always) }, func(p *play) { p.wantRolledBack(t) })
+	}
+}
+
+// wantSteps checks that no step lowers the share of a release without fault in the ramp, or skips one.
+func (p *play) wantSteps(t *testing.T) {
+	t.Helper()
+	for i := 1; i < len(p.history); i++ {
+		before, after := p.history[i-1], p.history[i]
+		if after.GetStep() != before.GetStep()+1 || after.GetReason() == ReasonStep && after.GetShare() <= before.GetShare() {
+			p.describe(t)
+			t.Errorf("step %d to share %d follows step %d with share %d", after.GetStep(), after.GetShare(), before.GetStep(), before.GetShare())
+		}
+	}
+}
+
+// TestLeaderLostInLastStep covers a leader that is lost too late to end in time: the next one completes within the rollback time.
+func TestLeaderLostInLastStep(t *testing.T) {
+	each(t, []float64{600}, func(p *play) {
+		p.leaderless = func(at time.Duration) bool { return at >= 10500*time.Millisecond && at < 13*time.Second }
+	}, func(p *play) {
+		if p.state.GetState() != wire.RolloutState_ROLLOUT_STATE_COMPLETED || p.ended > p.duration+p.policy.Rollback() {
+			p.describe(t)
+			t.Errorf("got %s at %s, want completed", p.state.GetState(), p.ended)
+		}
+	})
+}
+
+// TestFewRequests covers services with too few requests to judge: a release without a fault completes.
+func TestFewRequests(t *testing.T) {
+	each(t, []float64{0, 0.2, 1}, func(*play) {}, func(p *play) { p.wantCompleted(t) })
+}
+
+// TestShortAndLong covers durations other than that of the platform's tests.
+func TestShortAndLong(t *testing.T) {
+	for _, d := range []time.Duration{3 * time.Second, 6 * time.Second, 40 * time.Second, 2 * time.Minute} {
+		each(t, []float64{10, 300}, func(p *play) { p.duration = d }, func(p *play) { p.wantCompleted(t) })
+		each(t, []float64{300}, func(p *play) { p.duration = d; p.failing(0.5, always) }, func(p *play) { p.wantRolledBack(t) })
+	}
+}
+
+// TestNoEndpoints covers new endpoints that never come, or crash and stay away: the rollout ends rolled back.
+func TestNoEndpoints(t *testing.T) {
+	each(t, rates, func(p *play) { p.capacity.New, p.capacity.NewSlots = 0, 0; p.usable = never }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{60, 600}, func(p *play) {
+		p.usable = func(at time.Duration) bool { return at < 6*time.Second }
+	}, func(p *play) { p.wantRolledBack(t) })
+}
+
+func never(time.Duration) bool { return false }
+
+// TestCrashAndReturn covers new endpoints that are away for a moment: the rollout goes on.
+func TestCrashAndReturn(t *testing.T) {
+	each(t, []float64{60, 600}, func(p *play) {
+		p.usable = func(at time.Duration) bool { return at < 2*time.Second || at > 4*time.Second }
+	}, func(p *play) { p.wantCompleted(t) })
+}
+
+// TestTooFewSlots covers new endpoints that cannot take all requests: the rollout does not complete.
+func TestTooFewSlots(t *testing.T) {
+	each(t, []float64{600, 1800}, func(p *play) { p.capacity.NewSlots = 18 }, func(p *play) { p.wantRolledBack(t) })
+}
+
+// TestFewSlotsEnough covers new endpoints with fewer slots that still suffice for the requests.
+func TestFewSlotsEnough(t *testing.T) {
+	each(t, []float64{10, 60}, func(p *play) { p.capacity.NewSlots = 18 }, func(p *play) { p.wantCompleted(t) })
+}
+
+// TestCountsLost covers reports that do not arrive: with a third of them lost a bad release is still found, and without any a rollout
+// does not complete.
+func TestCountsLost(t *testing.T) {
+	some := func(p *play) {
+		p.reported = func(node int, at time.Duration) bool { return (node+int(at/(500*time.Millisecond)))%3 > 0 }
+	}
+	each(t, []float64{60, 600}, some, func(p *play) { p.wantCompleted(t) })
+	each(t, []float64{200, 600}, func(p *play) { some(p); p.failing(0.5, always) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{60}, func(p *play) { p.reported = func(int, time.Duration) bool { return false } }, func(p *play) { p.wantRolledBack(t) })
+}
+
+// TestOrders covers two orders at once and repeated orders.
+func TestOrders(t *testing.T) {
+	order := func(release string, d time.Duration) *wire.RolloutOrder {
+		return &wire.RolloutOrder{Service: "s", Release: release, Duration: d.Milliseconds()}
+	}
+	running := Start(1, epoch, order("v2", time.Minute))
+	ended := func(s wire.RolloutState) *wire.Rollout {
+		r := proto.CloneOf(running)
+		r.State = s
+		return r
+	}
+	completed, back := ended(wire.RolloutState_ROLLOUT_STATE_COMPLETED), ended(wire.RolloutState_ROLLOUT_STATE_ROLLED_BACK)
+	for _, c := range []struct {
+		name    string
+		current *wire.Rollout
+		order   *wire.RolloutOrder
+		after   time.Duration
+		want    Verdict
+	}{
+		{"first", nil, order("v2", time.Minute), 0, Fresh},
+		{"repeated", running, order("v2", time.Minute), 30 * time.Second, Repeated},
+		{"other release", running, order("v3", time.Minute), time.Second, Conflict},
+		{"other duration", running, order("v2", time.Hour), time.Second, Conflict},
+		{"repeated after the rollback", back, order("v2", time.Minute), 4 * time.Second, Repeated},
+		{"again after the rollback", back, order("v2", time.Minute), time.Minute, Fresh},
+		{"repeated after completion", completed, order("v2", time.Minute), 4 * time.Second, Repeated},
+		{"again after completion", completed, order("v2", time.Hour), time.Hour, Repeated},
+		{"next release", completed, order("v3", time.Minute), time.Second, Fresh},
+	} {
+		if got := Judge(epoch.Add(c.after), c.current, c.order); got != c.want {
+			t.Errorf("%s: got verdict %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestStaleStep covers the command of a deposed leader, of an earlier rollout or sent twice: it does nothing.
+func TestStaleStep(t *testing.T) {
+	r := Start(5, epoch, &wire.RolloutOrder{Service: "s", Release: "v2", Duration: 1000})
+	first := &wire.RolloutAdvance{Service: "s", Order: 5, Share: 1000, State: wire.RolloutState_ROLLOUT_STATE_RUNNING, Bad: 3}
+	after, ok := Apply(epoch, r, first)
+	if !ok || after.GetShare() != 1000 || after.GetStep() != 1 || after.GetBad() != 3 {
+		t.Fatalf("got %v, %t, want step 1 with share 1000 and 3 bad answers", after, ok)
+	}
+	for name, a := range map[string]*wire.RolloutAdvance{
+		"twice":         first,
+		"other order":   {Order: 4, Step: 1, Share: Whole, State: wire.RolloutState_ROLLOUT_STATE_RUNNING},
+		"later step":    {Order: 5, Step: 2, Share: Whole, State: wire.RolloutState_ROLLOUT_STATE_RUNNING},
+		"invalid share": {Order: 5, Step: 1, Share: Whole + 1, State: wire.RolloutState_ROLLOUT_STATE_RUNNING},
+		"no state":      {Order: 5, Step: 1},
+	} {
+		if got, ok := Apply(epoch, after, a); ok || !proto.Equal(got, after) {
+			t.Errorf("%s: got %v, %t, want no change", name, got, ok)
+		}
+	}
+	lower, _ := Apply(epoch, after, &wire.RolloutAdvance{Order: 5, Step: 1, Share: 10, State: wire.RolloutState_ROLLOUT_STATE_RUNNING, Bad: 1})
+	if lower.GetBad() != 3 {
+		t.Errorf("got %d bad answers after a leader that knows of fewer, want the 3 of before", lower.GetBad())
+	}
+	over, _ := Abandon(epoch, lower)
+	if got, ok := Apply(epoch, over, &wire.RolloutAdvance{Order: 5, Step: 3, Share: 10, State: wire.RolloutState_ROLLOUT_STATE_RUNNING}); ok {
+		t.Errorf("got %v after the rollback, want no change", got)
+	}
+}
+
+// TestNodeFailing covers a node that stops by itself: at a few clear failures, not at ordinary ones or if the old release fails too.
+func TestNodeFailing(t *testing.T) {
+	counts := func(oldAnswers, oldFailures, answers, failures uint64) map[Key]Counts {
+		return map[Key]Counts{{Route: "a"}: {Answers: oldAnswers, Failures: oldFailures}, {Route: "a", New: true}: {Answers: answers, Failures: failures}}
+	}
+	for _, c := range []struct {
+		name   string
+		counts map[Key]Counts
+		want   bool
+	}{
+		{"ordinary", counts(1000, 4, 300, 3), false},
+		{"two failures", counts(100, 0, 0, 2), false},
+		{"all fail", counts(100, 0, 0, 3), true},
+		{"half fail", counts(100, 0, 5, 5), true},
+		{"old fails too", counts(50, 50, 5, 5), false},
+	} {
+		if got := Failing(c.counts); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -39,6 +39,7 @@
 	OnStatus   func(ctx context.Context, r *rpc.StatusRequest) (*rpc.StatusResponse, error)
 	OnReplicas func(ctx context.Context, r *rpc.ReplicasRequest) (*rpc.ReplicasResponse, error)
 	OnQuota    func(ctx context.Context, r *rpc.QuotaRequest) (*rpc.QuotaResponse, error)
+	OnOutcomes func(ctx context.Context, r *rpc.OutcomesRequest) (*rpc.OutcomesResponse, error)
 }
 
 // NewHandler returns the path and the handler of the protocol between nodes.
@@ -152,3 +153,15 @@
 	}
 	return connect.NewResponse(resp), nil
 }
+
+// Outcomes takes a node's counts of the answers of services with a running rollout.
+func (s *Server) Outcomes(ctx context.Context, r *connect.Request[rpc.OutcomesRequest]) (*connect.Response[rpc.OutcomesResponse], error) {
+	if s.OnOutcomes == nil {
+		return nil, notReplica("outcomes")
+	}
+	resp, err := s.OnOutcomes(ctx, r.Msg)
+	if err != nil {
+		return nil, unavailable("outcomes", err)
+	}
+	return connect.NewResponse(resp), nil
+}
--- a/io/rpc/rpcconnect/rpc.connect.go
+++ b/io/rpc/rpcconnect/rpc.connect.go
@@ -49,6 +49,8 @@
 	MeshReplicasProcedure = "/godwitspindle.rpc.Mesh/Replicas"
 	// MeshQuotaProcedure is the fully-qualified name of the Mesh's Quota RPC.
 	MeshQuotaProcedure = "/godwitspindle.rpc.Mesh/Quota"
+	// MeshOutcomesProcedure is the fully-qualified name of the Mesh's Outcomes RPC.
+	MeshOutcomesProcedure = "/godwitspindle.rpc.Mesh/Outcomes"
 )
 
 // MeshClient is a client for the godwitspindle.rpc.Mesh service.
@@ -61,6 +63,7 @@
 	Status(context.Context, *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error)
 	Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error)
 	Quota(context.Context, *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error)
+	Outcomes(context.Context, *connect.Request[rpc.OutcomesRequest]) (*connect.Response[rpc.OutcomesResponse], error)
 }
 
 // NewMeshClient constructs a client for the godwitspindle.rpc.Mesh service. By default, it uses the
@@ -122,6 +125,12 @@
 			connect.WithSchema(meshMethods.ByName("Quota")),
 			connect.WithClientOptions(opts...),
 		),
+		outcomes: connect.NewClient[rpc.OutcomesRequest, rpc.OutcomesResponse](
+			httpClient,
+			baseURL+MeshOutcomesProcedure,
+			connect.WithSchema(meshMethods.ByName("Outcomes")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -135,6 +144,7 @@
 	status   *connect.Client[rpc.StatusRequest, rpc.StatusResponse]
 	replicas *connect.Client[rpc.ReplicasRequest, rpc.ReplicasResponse]
 	quota    *connect.Client[rpc.QuotaRequest, rpc.QuotaResponse]
+	outcomes *connect.Client[rpc.OutcomesRequest, rpc.OutcomesResponse]
 }
 
 // Deliver calls godwitspindle.rpc.Mesh.Deliver.
@@ -177,6 +187,11 @@
 	return c.quota.CallUnary(ctx, req)
 }
 
+// Outcomes calls godwitspindle.rpc.Mesh.Outcomes.
+func (c *meshClient) Outcomes(ctx context.Context, req *connect.Request[rpc.OutcomesRequest]) (*connect.Response[rpc.OutcomesResponse], error) {
+	return c.outcomes.CallUnary(ctx, req)
+}
+
 // MeshHandler is an implementation of the godwitspindle.rpc.Mesh service.
 type MeshHandler interface {
 	Deliver(context.Context, *connect.Request[rpc.DeliverRequest]) (*connect.Response[rpc.DeliverResponse], error)
@@ -187,6 +202,7 @@
 	Status(context.Context, *connect.Request[rpc.StatusRequest]) (*connect.Response[rpc.StatusResponse], error)
 	Replicas(context.Context, *connect.Request[rpc.ReplicasRequest]) (*connect.Response[rpc.ReplicasResponse], error)
 	Quota(context.Context, *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error)
+	Outcomes(context.Context, *connect.Request[rpc.OutcomesRequest]) (*connect.Response[rpc.OutcomesResponse], error)
 }
 
 // NewMeshHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -244,6 +260,12 @@
 		connect.WithSchema(meshMethods.ByName("Quota")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshOutcomesHandler := connect.NewUnaryHandler(
+		MeshOutcomesProcedure,
+		svc.Outcomes,
+		connect.WithSchema(meshMethods.ByName("Outcomes")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/godwitspindle.rpc.Mesh/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshDeliverProcedure:
@@ -262,6 +284,8 @@
 			meshReplicasHandler.ServeHTTP(w, r)
 		case MeshQuotaProcedure:
 			meshQuotaHandler.ServeHTTP(w, r)
+		case MeshOutcomesProcedure:
+			meshOutcomesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -302,3 +326,7 @@
 func (UnimplementedMeshHandler) Quota(context.Context, *connect.Request[rpc.QuotaRequest]) (*connect.Response[rpc.QuotaResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("godwitspindle.rpc.Mesh.Quota is not implemented"))
 }
+
+func (UnimplementedMeshHandler) Outcomes(context.Context, *connect.Request[rpc.OutcomesRequest]) (*connect.Response[rpc.OutcomesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("godwitspindle.rpc.Mesh.Outcomes is not implemented"))
+}
