feat(store): orders and steps of rollouts are agreed state

An order starts a rollout, a repeated one has the result of the first, and another one while a rollout runs is refused. A step applies only to the order and step that it was decided for. A rollout whose service leaves the configuration is rolled back and kept.

--- a/core/config/entry.go
+++ b/core/config/entry.go
@@ -25,6 +25,7 @@
 	kindSuspect  = "suspect" // fingerprint of a request that was running when a backend server crashed
 	kindBounds   = "bounds"  // limits on requests
 	kindCustomer = "customer"
+	kindRollout  = "rollout" // newest rollout of a service
 )
 
 // Entry is one key and value of a snapshot, with the version that last changed it.
@@ -110,6 +111,8 @@
 		m = new(wire.Bounds)
 	case kindCustomer:
 		m = new(wire.Customer)
+	case kindRollout:
+		m = new(wire.Rollout)
 	default:
 		return nil
 	}
@@ -150,6 +153,8 @@
 		return kindBounds + "/" + m.GetName()
 	case *wire.Customer:
 		return kindCustomer + "/" + m.GetName()
+	case *wire.Rollout:
+		return kindRollout + "/" + m.GetService()
 	case *wire.Suspect:
 		return kindSuspect + "/" + hex.EncodeToString(m.GetFingerprint())
 	}
--- a/core/config/route.go
+++ b/core/config/route.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"godwitspindle/core/wire"
 )
 
 // Route maps requests to a service and states how they are handled.
@@ -71,6 +73,7 @@
 	Protocol    string
 	TLS         bool
 	Endpoints   []Endpoint
+	Rollout     *wire.Rollout // newest rollout, also if it has ended; nil for none
 }
 
 // Endpoint is one endpoint of a service, announced by a backend server; calls reach it through the node on its host.
--- a/core/config/table.go
+++ b/core/config/table.go
@@ -44,6 +44,7 @@
 	serviceLimits  map[string][]*wire.Limit // limits by name of the service
 	sortedLimits   []*wire.Limit            // limits sorted by name, so that faults are reported in a fixed order
 	drains         []*wire.Drain
+	rollouts       []*wire.Rollout
 	endpointCounts map[string]int // number of endpoints by service, to size its slice
 }
 
@@ -82,6 +83,7 @@
 		b.readRecord(r)
 	}
 	b.checkRules()
+	b.addRollouts()
 }
 
 func (b *builder) addEndpoints(s *Snapshot) {
@@ -146,6 +148,8 @@
 		}
 	case *wire.Customer:
 		b.addCustomer(m)
+	case *wire.Rollout:
+		b.rollouts = append(b.rollouts, m)
 	case *wire.Suspect:
 		b.suspects[string(m.GetFingerprint())] = m
 	}
--- a/core/store/change.go
+++ b/core/store/change.go
@@ -68,6 +68,7 @@
 	*dirty = append(*dirty, changedKeys(s.content, p.content, s.members)...)
 	a := s.newAccepted(index, c, p)
 	s.content = p.content
+	*dirty = append(*dirty, s.abandonRollouts()...)
 	s.appendHistory(&record{accepted: a, content: p.content.withoutEntries()})
 	r := &acceptedID{id: c.GetId(), digest: bodyDigest(c), accepted: a}
 	s.ids[r.id] = r
--- a/core/store/state.go
+++ b/core/store/state.go
@@ -135,6 +135,7 @@
 	if n.snapshot, err = config.Unmarshal(snapshot); err != nil {
 		return &StateError{Err: err}
 	}
+	n.rollouts = n.snapshot.Rollouts() // the snapshot holds all of their state
 	if err := n.quarantine.Restore(suspects); err != nil {
 		return &StateError{Err: err}
 	}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -21,6 +21,7 @@
 	MaxIDs          = 4096           // most ids kept; dropping one early is safe: a resend with it conflicts with a later change
 	MaxNodes        = 21_000         // nodes; ten times the design size
 	MaxEndpoints    = 42_000         // endpoints, including those of unknown services
+	MaxRollouts     = 4096           // rollouts kept, those of services that have left the configuration included
 	MaxRetiredKeys  = 4096           // nodes and endpoints whose former incarnations are kept
 )
 
@@ -30,6 +31,7 @@
 	Reused   = "reused"   // an accepted change with other content has the id
 	Expired  = "expired"  // changes after the base are no longer in the history
 	Missing  = "missing"  // the content to revert to is not in the history
+	Running  = "running"  // another rollout of the service is running
 	Mismatch = "mismatch" // the edit does not produce the content of its digest; the client must send the whole content
 )
 
@@ -45,6 +47,7 @@
 	ids            map[string]*acceptedID // by id of the change
 	idOrder        []*acceptedID          // the values of ids, oldest first
 	members        *members
+	rollouts       map[string]*wire.Rollout // newest rollout by service, including services that have left the configuration
 	claims         *claim.Table
 	quarantine     *quarantine.Table
 }
@@ -62,6 +65,7 @@
 		content:    &content{register: &wire.Register{}},
 		ids:        make(map[string]*acceptedID),
 		members:    newMembers(),
+		rollouts:   make(map[string]*wire.Rollout),
 		claims:     claim.New(),
 		quarantine: quarantine.New(),
 	}
@@ -102,6 +106,10 @@
 		answer = &wire.Result{Body: &wire.Result_Claims{Claims: s.applyClaims(now, b.Claims)}}
 	case *wire.Command_Marks:
 		dirty = append(dirty, suspectKeys(s.quarantine.Apply(now, b.Marks.GetMarks()))...)
+	case *wire.Command_Order:
+		answer = s.applyOrder(index, b.Order, &dirty)
+	case *wire.Command_Advance:
+		answer = s.applyAdvance(b.Advance, &dirty)
 	}
 	s.updateSnapshot(index, dirty, answer.GetAccepted() != nil && answer.GetAccepted().GetVersion() == index)
 	if answer == nil {
@@ -160,6 +168,11 @@
 			return nil
 		}
 		return e
+	case "rollout":
+		if r := s.rollouts[name]; r != nil {
+			return r
+		}
+		return nil
 	case "suspect":
 		if q, ok := s.quarantine.Suspect(decodeFingerprint(name)); ok {
 			return q
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -234,7 +234,7 @@
 func randomCommand(t *rapid.T, s *Store, number int) *wire.Command {
 	c := &wire.Command{Time: start + rapid.Int64Range(0, 3_600_000).Draw(t, "time")}
 	name := rapid.SampledFrom([]string{"a", "b", "c"})
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
 	case 0, 1:
 		base := rapid.SampledFrom([]uint64{0, s.Snapshot().Version(), s.Snapshot().Version()}).Draw(t, "base")
 		id := fmt.Sprint(rapid.SampledFrom([]int{1, number, number}).Draw(t, "id"))
@@ -257,6 +257,17 @@
 		c.Body = &wire.Command_Claims{Claims: &wire.Claims{Claims: []*wire.Claim{{
 			Kind: wire.ClaimKind(rapid.IntRange(1, 3).Draw(t, "claim")), Key: "k", Owner: name.Draw(t, "owner"), Deadline: start + 3_600_000,
 		}}}}
+	case 5:
+		c.Body = &wire.Command_Order{Order: &wire.RolloutOrder{
+			Service: name.Draw(t, "service"), Release: name.Draw(t, "release"), Duration: rapid.Int64Range(0, 2).Draw(t, "duration"),
+		}}
+	case 6:
+		service := name.Draw(t, "service")
+		current := s.Rollout(service)
+		c.Body = &wire.Command_Advance{Advance: &wire.RolloutAdvance{
+			Service: service, Order: current.GetOrder(), Step: current.GetStep() + rapid.Uint32Range(0, 1).Draw(t, "step"),
+			Share: rapid.Uint32Range(0, 10_001).Draw(t, "share"), State: wire.RolloutState(rapid.IntRange(0, 3).Draw(t, "state")),
+		}}
 	default:
 		c.Body = &wire.Command_Marks{Marks: &wire.Marks{Marks: []*wire.Mark{{
 			Kind: wire.MarkKind(rapid.IntRange(1, 3).Draw(t, "mark")), Fingerprint: []byte(name.Draw(t, "print")), Incarnation: 1,
