feat(host): announcements carry the release of the backend server

A heartbeat's version becomes the release of the agreed endpoint. It is kept when a restarted node adopts its endpoints, and a changed release is announced again. A release that is too long or not valid UTF-8 counts as not stated.

--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -24,6 +24,7 @@
 	Load        float64        `json:"load"`                  // 0 when idle, 1 when full, above 1 when overloaded
 	Incarnation uint64         `json:"incarnation,omitempty"` // differs for each process; 0 when not stated
 	Sequence    uint64         `json:"sequence,omitempty"`    // grows with each announcement; 0 if incarnations do not grow
+	Release     string         `json:"release,omitempty"`     // version of the backend server's software; empty if not stated
 }
 
 // Key returns SERVICE/ENDPOINT.
--- a/io/host/adopt_test.go
+++ b/io/host/adopt_test.go
@@ -29,7 +29,7 @@
 	h.adopted.address, h.adopted.window = netip.MustParseAddrPort("127.0.0.1:9000"), time.Minute
 	var puts []config.Entry
 	for name, e := range map[string]*wire.Endpoint{
-		"good": {Slots: 1, Connections: 1}, "slots": {Connections: 1}, "connections": {Slots: 1},
+		"good": {Slots: 1, Connections: 1, Release: "v2"}, "slots": {Connections: 1}, "connections": {Slots: 1},
 		"many": {Slots: math.MaxUint32, Connections: math.MaxUint32}, "other": {Slots: 1, Connections: 1, Node: "m"},
 	} {
 		e.Service, e.Name = "a", name
@@ -48,6 +48,9 @@
 		if a.Endpoint != "good" {
 			t.Errorf("adopted: got %s, want only good", a.Endpoint)
 		}
+		if a.Endpoint == "good" && a.Release != "v2" {
+			t.Errorf("adopted: got release %q, want v2", a.Release)
+		}
 	}
 	if got := len(b.Endpoints()); got == 0 {
 		t.Error("adopted: got none, want good")
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -114,7 +114,7 @@
 			}
 			h.backend.Adopt(backend.Announcement{
 				Service: e.GetService(), Endpoint: e.GetName(), Address: h.adopted.address, Slots: int(e.GetSlots()),
-				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(),
+				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(), Release: e.GetRelease(),
 			}, h.adopted.window)
 		}
 		h.notifyAnnouncer()
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -9,10 +9,12 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
+	"godwitspindle/core/rollout"
 	"godwitspindle/core/shutdown"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/backend"
@@ -197,11 +199,20 @@
 			Slots:       uint32(a.Slots),
 			Connections: uint32(a.Connections),
 			Incarnation: incarnation,
+			Release:     announcedRelease(a.Release),
 		})
 	}
 	return r
 }
 
+// announcedRelease returns the release of an announcement, or an empty text if it cannot be agreed.
+func announcedRelease(name string) string {
+	if len(name) > rollout.MaxRelease || !utf8.ValidString(name) {
+		return ""
+	}
+	return name
+}
+
 // decideCall asks the rule of a planned stop for a call. One of another node is bound: if it were cut, that node, which may itself be
 // stopping, would answer in place of an endpoint that is at work, and it can send the call elsewhere.
 func (h *Host) decideCall(ctx context.Context, now time.Time, w shutdown.Work) shutdown.Decision {
