feat(routing): a call may be limited to one side of a rollout

The picker keeps a view for each side, so that each has its own subset of endpoints and its own limit of ejections. Calls without a side use all endpoints as before.

--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -36,6 +36,7 @@
 	Service *config.Service
 	Class   Class
 	Domain  string   // failure domain of the caller; empty for that of the node
+	Side    Side     // releases that the call may use
 	Tried   []string // keys of the endpoints to which this call was already sent; they are not chosen
 	Now     time.Time
 }
@@ -95,9 +96,9 @@
 
 	// clock is the latest time passed in, up to 1 ms late, in Unix nanoseconds. Done uses it, since it has no time parameter.
 	clock  atomic.Int64
-	seed   atomic.Uint64                    // state of splitMix
-	views  atomic.Pointer[map[string]*view] // by service name
-	shards [shardCount]shard                // states of endpoints, sharded by key
+	seed   atomic.Uint64 // state of splitMix
+	views  atomic.Pointer[map[viewKey]*view]
+	shards [shardCount]shard // states of endpoints, sharded by key
 
 	mutex      sync.Mutex // guards changes to views; locked before shards and endpoints
 	ejectMutex sync.Mutex // serializes ejections; locked after the mutex of an endpoint
@@ -146,7 +147,7 @@
 	for i := range p.shards {
 		p.shards[i].states = map[string]*state{}
 	}
-	p.views.Store(&map[string]*view{})
+	p.views.Store(&map[viewKey]*view{})
 	for _, o := range opts {
 		o(p)
 	}
@@ -165,7 +166,7 @@
 // Decide chooses an endpoint for a call, or returns a *NoEndpointError.
 func (p *Picker) Decide(c Call) (Choice, error) {
 	now := p.advanceClock(c.Now)
-	v := p.view(c.Service, now)
+	v := p.view(c.Service, c.Side, now)
 	if len(v.candidates) == 0 {
 		return Choice{}, &NoEndpointError{Service: c.Service.Name}
 	}
--- a/core/routing/picker_test.go
+++ b/core/routing/picker_test.go
@@ -202,7 +202,7 @@
 	subsets := map[string]int{}
 	for n := range 300 {
 		p := New(WithNode(fmt.Sprint("node", n)), WithDomain("a"), WithSubset(8))
-		chosen := p.selectEndpoints(s)
+		chosen := p.selectEndpoints(s, AnyRelease)
 		if len(chosen) != 8 {
 			t.Fatalf("subset: got %d, want 8", len(chosen))
 		}
@@ -215,7 +215,7 @@
 		smaller := *s
 		smaller.Endpoints = smaller.Endpoints[:199]
 		unchanged := 0
-		for _, i := range p.selectEndpoints(&smaller) {
+		for _, i := range p.selectEndpoints(&smaller, AnyRelease) {
 			if slices.Contains(chosen, i) {
 				unchanged++
 			}
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -154,19 +154,20 @@
 // caller holds t.mutex.
 func (p *Picker) ejectLocked(endpoint string, t *state, now int64) {
 	name, _, _ := strings.Cut(endpoint, "/")
-	v := (*p.views.Load())[name]
-	if v == nil {
-		return
-	}
 	p.ejectMutex.Lock() // two concurrent ejections must not exceed the limit of a third
 	defer p.ejectMutex.Unlock()
-	ejected := 0
-	for i := range v.candidates {
-		if v.candidates[i].state.ejectedUntil.Load() > now {
-			ejected++
+	known := false
+	for _, side := range sides {
+		v := (*p.views.Load())[viewKey{name, side}]
+		if v == nil || !v.contains(t) {
+			continue
+		}
+		known = true
+		if v.ejected(now)+1 > len(v.candidates)/ejectDivisor {
+			return
 		}
 	}
-	if ejected+1 > len(v.candidates)/ejectDivisor {
+	if !known {
 		return
 	}
 	d := min(ejectMinimum<<min(t.ejections, 8), ejectMaximum)
@@ -176,6 +177,21 @@
 	t.slowStartAt.Store(now + int64(d)) // the endpoint returns with a slow start
 }
 
+func (v *view) contains(t *state) bool {
+	return slices.ContainsFunc(v.candidates, func(m candidate) bool { return m.state == t })
+}
+
+// ejected returns the number of ejected endpoints.
+func (v *view) ejected(now int64) int {
+	n := 0
+	for i := range v.candidates {
+		if v.candidates[i].state.ejectedUntil.Load() > now {
+			n++
+		}
+	}
+	return n
+}
+
 // RecordLoad records the load that the endpoint itself reports, from 0 (idle) to 1 (full); other values are limited to that range.
 func (p *Picker) RecordLoad(endpoint string, load float64, now time.Time) {
 	n := p.advanceClock(now)
@@ -253,7 +269,7 @@
 		}
 		s.mutex.Unlock()
 	}
-	next := map[string]*view{}
+	next := map[viewKey]*view{}
 	for n, v := range *p.views.Load() {
 		if slices.ContainsFunc(v.candidates, func(m candidate) bool { return keep(m.key) }) {
 			next[n] = &view{candidates: v.candidates}
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -24,7 +24,7 @@
 	state    *state
 }
 
-// view holds the endpoints of one service that this node uses, indexed so that a decision allocates nothing.
+// view holds the endpoints of one service and side that this node uses, indexed so that a decision allocates nothing.
 type view struct {
 	service    *config.Service
 	candidates []candidate
@@ -33,31 +33,32 @@
 	sameHost   *candidate       // candidate on the host of this node; nil for none
 }
 
-// view returns the view of a service; it builds a new view if the stored one was built from another *Service than s.
-func (p *Picker) view(s *config.Service, now int64) *view {
-	if v := (*p.views.Load())[s.Name]; v != nil && v.service == s {
+// view returns the view of a service for a side; it builds a new view if the stored one was built from another *Service than s.
+func (p *Picker) view(s *config.Service, side Side, now int64) *view {
+	key := viewKey{s.Name, side}
+	if v := (*p.views.Load())[key]; v != nil && v.service == s {
 		return v
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	views := *p.views.Load()
-	previous := views[s.Name]
+	previous := views[key]
 	if previous != nil && previous.service == s {
 		return previous
 	}
-	v := p.buildView(s, now, previous != nil)
+	v := p.buildView(s, side, now, previous != nil)
 	next := maps.Clone(views)
-	next[s.Name] = v
+	next[key] = v
 	p.views.Store(&next)
 	return v
 }
 
 // buildView builds a view. New endpoints begin with a slow start if cold is set. It is not set for a service that has no view yet,
 // since nothing shows that its endpoints are cold.
-func (p *Picker) buildView(s *config.Service, now int64, cold bool) *view {
+func (p *Picker) buildView(s *config.Service, side Side, now int64, cold bool) *view {
 	v := &view{service: s, byDomain: map[string][]int{}}
 	sameHost := -1
-	for _, i := range p.selectEndpoints(s) {
+	for _, i := range p.selectEndpoints(s, side) {
 		e := &s.Endpoints[i]
 		k := e.Key()
 		n := len(v.candidates)
@@ -74,18 +75,20 @@
 	return v
 }
 
-// selectEndpoints returns the indexes of the endpoints that this node uses: all of a small service or without a node name, else those
+// selectEndpoints returns the indexes of the side's endpoints that this node uses: all of a small service or without a node name, else those
 // with the highest rendezvous hash of node and endpoint (Thaler and Ravishankar, 1998), at least half of them in the node's failure
 // domain if it has as many. An endpoint on the host of this node is always among them.
-func (p *Picker) selectEndpoints(s *config.Service) []int {
-	order := make([]int, len(s.Endpoints))
-	for i := range order {
-		order[i] = i
+func (p *Picker) selectEndpoints(s *config.Service, side Side) []int {
+	order := make([]int, 0, len(s.Endpoints))
+	for i := range s.Endpoints {
+		if side.includes(s, &s.Endpoints[i]) {
+			order = append(order, i)
+		}
 	}
 	if p.node == "" || len(order) <= p.subset {
 		return order
 	}
-	weights := make([]uint64, len(order))
+	weights := make([]uint64, len(s.Endpoints))
 	for i := range s.Endpoints {
 		weights[i] = xxhash.Sum64String(p.node + "\x00" + s.Endpoints[i].Key())
 		if s.Endpoints[i].Node == p.node {
