feat(host): rollouts place requests, count results and advance on the leader

Each node assigns every attempt to the old or the new release by the agreed share, counts results by service, release and route, and reports the counts to the leader, which decides and commits the steps. A node that sees the new release fail, or reaches no leader for most of the rollback time, sends nothing more to it.

--- a/core/store/rollouts.go
+++ b/core/store/rollouts.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/rollout"
@@ -13,6 +14,18 @@
 // Rollout returns the newest rollout of a service, or nil if it had none; callers must not modify the message.
 func (s *Store) Rollout(service string) *wire.Rollout { return s.rollouts[service] }
 
+// RunningRollouts returns the running rollouts, sorted by service; callers must not modify the messages.
+func (s *Store) RunningRollouts() []*wire.Rollout {
+	var list []*wire.Rollout
+	for _, r := range s.rollouts {
+		if rollout.Running(r) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *wire.Rollout) int { return strings.Compare(a.GetService(), b.GetService()) })
+	return list
+}
+
 // applyOrder starts a rollout. The same order again has the result of the first; another one while a rollout runs is refused with
 // Running.
 func (s *Store) applyOrder(index uint64, o *wire.RolloutOrder, dirty *[]string) *wire.Result {
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -145,7 +145,7 @@
 	h.attemptStarted(c.endpoint, begin)
 	p, err := h.send(ctx, e, m, &r)
 	lost.detach()
-	o := Observation{At: h.now(), Incarnation: e.Incarnation}
+	o := Observation{At: h.now(), Incarnation: e.Incarnation, Release: e.Release, Route: c.match.Route.Name}
 	o.Took = o.At.Sub(begin)
 	if err != nil {
 		o.Failure = hop.AsFailure(err, c.id)
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -37,6 +37,8 @@
 	Load    float64 // calls running and waiting at the endpoint, divided by its slots; 0 when unknown
 
 	Incarnation uint64  // process of the endpoint that the attempt was sent to
+	Release     string  // release of that process
+	Route       string  // name of the request's route
 	Leaving     bool    // the endpoint has stated that it leaves
 	Limit       float64 // requests per second that the endpoint takes from all hosts; 0 without a limit
 }
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -86,7 +86,8 @@
 	if len(p.Tried) == 0 {
 		h.budgets.Of(p.Service.Name).Count(p.Now)
 	}
-	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now})
+	call := routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now}
+	c, err := h.rollouts.decide(call, h.picker.Decide)
 	if err != nil {
 		return config.Endpoint{}, "", err
 	}
@@ -97,6 +98,7 @@
 func (h *Host) observe(endpoint string, o caller.Observation) {
 	f := o.Failure
 	h.noticesObserved(endpoint, o)
+	h.rollouts.observe(endpoint, o)
 	if f == nil {
 		h.picker.RecordOccupancy(endpoint, o.Load, o.At)
 		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -52,6 +52,7 @@
 	catchUp   time.Duration // time after which a successor must have replaced a lost replica
 	replica   *replica.Replica
 	leases    *lease.Table
+	rollouts  *rolloutDuty
 
 	mu    sync.Mutex // guards store
 	store *store.Store
@@ -59,11 +60,12 @@
 	applied     chan struct{} // signaled after a command is applied
 	convergence convergence
 
-	// The next five fields are used only by the goroutine of runDuties.
+	// The next six fields are used only by the goroutine of runDuties.
 	leading      bool
 	leader       string    // name of the leader at the last run of performDuties
 	lastExpiry   time.Time // time of the last check for expired leases
 	lastMeasured time.Time // time of the last check whether the oldest pending version is in force on all nodes
+	lastRollouts time.Time // time of the last decision on the running rollouts
 	voters       votersLog
 
 	attempted    atomic.Pointer[changeAttempt] // last planned change of the member set; nil for none
@@ -81,6 +83,7 @@
 		maxLosses:    s.Seeds.Losses,
 		catchUp:      cmp.Or(s.Seeds.CatchUp, agreement.DefaultCatchUp),
 		leases:       lease.New(lease.WithLease(leaseTime(s))),
+		rollouts:     newRolloutDuty(rolloutPolicy(s.Rollouts)),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
 	}
@@ -248,6 +251,7 @@
 		c.commit(ctx, m)
 	}
 	c.proveFloor(ctx)
+	c.advanceRollouts(ctx, now)
 	c.measure(now)
 }
 
@@ -274,6 +278,8 @@
 	}
 	c.leading = false
 	c.leases.Stop()
+	c.rollouts.reset()
+	c.metrics.RolloutShare.Reset()
 	c.metrics.Leader.Set(0)
 	c.forgetVoters()
 	c.log.Info("leadership ended", "term", st.Term, "leader", agreement.Name(st.Leader), "silent", describeSilence(now, st))
@@ -286,6 +292,7 @@
 	nodes, endpoints := c.snapshot().Members()
 	c.leases.Reset(now, nodes, endpoints)
 	c.convergence.reset()
+	c.rollouts.reset()
 	c.metrics.Leader.Set(1)
 	c.log.Info("leadership began", "nodes", len(nodes), "endpoints", len(endpoints))
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -55,7 +55,9 @@
 	budgets *retry.Budgets
 	stop    *stopRecord
 	splits  *splitCounter
-	notices *notice.Table
+	// rollouts assigns requests to releases while services have rollouts.
+	rollouts *rollouts
+	notices  *notice.Table
 	// invalidLimits bounds the log lines about limits that are not valid.
 	invalidLimits rate.Sometimes
 	hops          *hop.Client
@@ -151,6 +153,7 @@
 	h.stop = newStopRecord(h.log, h.metrics.StopRequests)
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
+	h.rollouts = h.newRollouts()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
 		h.dial = process.Dial(s.Timing.AckTimeout)
 	}
@@ -287,6 +290,7 @@
 		return ok
 	})
 	go h.resize()
+	h.rollouts.versionChanged()
 	h.notifyAnnouncer()
 	if h.follower.Load() != nil {
 		h.reportComplete(v.Snapshot.Version()) // nodes below may already hold the version from another upstream
@@ -361,6 +365,7 @@
 	if h.backend != nil {
 		errs = append(errs, h.backend.Close())
 	}
+	h.rollouts.close()
 	if h.control != nil {
 		errs = append(errs, h.control.close())
 	}
--- /dev/null
+++ b/io/host/rollout.go
@@ -0,0 +1,388 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"godwitspindle/core/config"
+	"godwitspindle/core/outcome"
+	"godwitspindle/core/rollout"
+	"godwitspindle/core/routing"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/caller"
+	"godwitspindle/io/process"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	reportTick    = 50 * time.Millisecond  // time between two checks whether a report is due
+	reportTime    = time.Second            // time between two reports while the new release is judged
+	rampTime      = 250 * time.Millisecond // the same while most requests move
+	urgentTime    = 100 * time.Millisecond // least time between two reports if the new release fails
+	longestTime   = 2 * time.Second        // longest time between two reports, less than half of the time without contact
+	reportTimeout = time.Second
+	rampShare     = rollout.Whole / 10 // share from which on reports come at rampTime
+	// leaderTime is the leader's time per report of a node: with more nodes, each reports less often.
+	leaderTime = 5 * time.Millisecond
+	// contactPart is the part of the rollback time without an answer of the leader after which a node sends nothing more to the new
+	// release. The rest is for requests that were already assigned.
+	contactPart = 0.8
+	// maxCountedRoutes limits the routes of a service that a node counts separately; all others are counted together.
+	maxCountedRoutes = 64
+	// goldenRatio is 2^64 divided by the golden ratio; its multiples are spread evenly modulo 2^64 (Knuth, TAOCP volume 3, 6.4).
+	goldenRatio = 0x9e3779b97f4a7c15
+)
+
+// rolloutParts are the parts of the process that rollouts use.
+type rolloutParts struct {
+	table    func() *config.RoutingTable
+	report   func(context.Context, *rpc.OutcomesRequest) (*rpc.OutcomesResponse, error)
+	now      func() time.Time
+	node     string
+	identity uint64        // incarnation of the node
+	rollback time.Duration // time after which no request is sent to a bad release any more
+	metrics  *process.Metrics
+	log      logr.Logger
+}
+
+// rollouts assigns the requests of this node to the old and the new release of services with a rollout, counts their results and
+// reports the counts to the leader.
+type rollouts struct {
+	rolloutParts
+	changed chan struct{} // signaled when a version comes into force
+	ctx     context.Context
+	stop    context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu       sync.Mutex
+	services map[string]*serviceRollout // by name, of services with a running rollout
+}
+
+// serviceRollout is one running rollout as this node sees it.
+type serviceRollout struct {
+	newest *wire.Rollout // newest state known, from the version in force or from the leader's answer
+	number uint64        // numbers the requests, so that the new release gets its share of them
+	counts map[rollout.Key]rollout.Counts
+	acked  map[rollout.Key]uint64 // sums of the counts in the last report that was answered
+	missed uint64
+	cut    bool      // too many failures: nothing more is sent to the new release
+	silent bool      // the leader has not answered for too long, which is logged
+	urgent bool      // the new release failed since the last report
+	heard  time.Time // time at which the last answered report was sent, or of the order
+	sent   time.Time // time of the last report
+}
+
+func newRollouts(p rolloutParts) *rollouts {
+	r := &rollouts{rolloutParts: p, changed: make(chan struct{}, 1), services: map[string]*serviceRollout{}}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	return r
+}
+
+// start begins to report to the leader.
+func (r *rollouts) start() { r.wait.Go(func() { r.run(r.ctx) }) }
+
+// close ends the reports.
+func (r *rollouts) close() {
+	r.stop()
+	r.wait.Wait()
+}
+
+// newer returns the newer of two states of a service's rollouts.
+func newer(a, b *wire.Rollout) *wire.Rollout {
+	if a.GetOrder() > b.GetOrder() || a.GetOrder() == b.GetOrder() && a.GetStep() >= b.GetStep() {
+		return a
+	}
+	return b
+}
+
+// ofLocked returns this node's view of a service's rollout, or nil if none is running; the caller holds the mutex.
+func (r *rollouts) ofLocked(name string, agreed *wire.Rollout, now time.Time) *serviceRollout {
+	s := r.services[name]
+	if s != nil {
+		agreed = newer(agreed, s.newest)
+	}
+	if !rollout.Running(agreed) {
+		return nil
+	}
+	if s == nil || s.newest.GetOrder() != agreed.GetOrder() {
+		s = &serviceRollout{
+			number: rand.Uint64(), counts: map[rollout.Key]rollout.Counts{}, acked: map[rollout.Key]uint64{}, heard: now,
+			sent: now.Add(-rand.N(reportTime)), // nodes report at different times
+		}
+		r.services[name] = s
+	}
+	s.newest = agreed
+	return s
+}
+
+// assign returns the side of one request to a service, and whether a rollout of it is running.
+func (r *rollouts) assign(service *config.Service, now time.Time) (side routing.Side, running bool) {
+	if service.Rollout == nil {
+		return routing.AnyRelease, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.ofLocked(service.Name, service.Rollout, now)
+	if s == nil {
+		return endedSide(newer(service.Rollout, r.newestLocked(service.Name))), false
+	}
+	s.number++
+	if s.cut || now.Sub(s.heard) > r.contact() || s.number*goldenRatio>>32*rollout.Whole>>32 >= uint64(s.newest.GetShare()) {
+		return routing.OldReleases, true
+	}
+	return routing.NewRelease, true
+}
+
+func (r *rollouts) newestLocked(name string) *wire.Rollout {
+	if s := r.services[name]; s != nil {
+		return s.newest
+	}
+	return nil
+}
+
+func endedSide(r *wire.Rollout) routing.Side {
+	if r.GetState() == wire.RolloutState_ROLLOUT_STATE_COMPLETED {
+		return routing.NewRelease
+	}
+	return routing.OldReleases
+}
+
+func (r *rollouts) contact() time.Duration { return time.Duration(contactPart * float64(r.rollback)) }
+
+// decide chooses an endpoint of the side that the request is assigned to. If the new release has no usable one, the old ones take
+// the request; the new release never gets more than its share.
+func (r *rollouts) decide(c routing.Call, pick func(routing.Call) (routing.Choice, error)) (routing.Choice, error) {
+	side, running := r.assign(c.Service, c.Now)
+	c.Side = side
+	choice, err := pick(c)
+	if side != routing.NewRelease || err == nil && (!running || choice.Reason != routing.ReasonLastResort) {
+		return choice, err
+	}
+	if !running {
+		return r.decideAfter(c, choice, err, pick)
+	}
+	if len(c.Tried) == 0 {
+		r.miss(c.Service.Name)
+	}
+	c.Side = routing.OldReleases
+	return pick(c)
+}
+
+// decideAfter chooses an endpoint of any release if the release of a completed rollout has none at all: a release that replaced it
+// without an order must still be reachable.
+func (r *rollouts) decideAfter(c routing.Call, choice routing.Choice, err error, pick func(routing.Call) (routing.Choice, error)) (routing.Choice, error) {
+	for i := range c.Service.Endpoints {
+		if c.Service.Endpoints[i].Release == c.Service.Rollout.GetRelease() {
+			return choice, err
+		}
+	}
+	c.Side = routing.AnyRelease
+	return pick(c)
+}
+
+func (r *rollouts) miss(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[service]; s != nil {
+		s.missed++
+	}
+}
+
+// observe counts the result of an attempt. A request that a new endpoint refused without running it counts as one that found no usable
+// endpoint; refusals by old endpoints, and requests that their callers gave up, do not count.
+func (r *rollouts) observe(endpoint string, o caller.Observation) {
+	name, _, _ := strings.Cut(endpoint, "/")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[name]
+	if s == nil || o.Failure != nil && o.Failure.Code == outcome.Canceled {
+		return
+	}
+	fresh := o.Release == s.newest.GetRelease()
+	if o.Failure != nil && o.Failure.Kind == outcome.NotRun {
+		if fresh {
+			s.missed++
+		}
+		return
+	}
+	k := rollout.Key{Route: o.Route, New: fresh}
+	if _, known := s.counts[k]; !known && len(s.counts) >= 2*maxCountedRoutes {
+		k.Route = ""
+	}
+	failed := o.Failure != nil || o.Status >= 500
+	c := s.counts[k]
+	c.Record(o.Took, failed)
+	s.counts[k] = c
+	r.metrics.RolloutAnswers.WithLabelValues(name, sideLabel(fresh), resultLabel(failed)).Inc()
+	if !fresh || !failed {
+		return
+	}
+	s.urgent = true
+	if !s.cut && rollout.Failing(s.counts) {
+		s.cut = true
+		r.log.Info("new release fails, nothing more is sent to it", "service", name, "release", s.newest.GetRelease(), "route", o.Route,
+			"failures", c.Failures, "answers", c.Sum())
+	}
+}
+
+func sideLabel(fresh bool) string {
+	if fresh {
+		return "new"
+	}
+	return "old"
+}
+
+func resultLabel(failed bool) string {
+	if failed {
+		return "failed"
+	}
+	return "answered"
+}
+
+// versionChanged makes run look for running rollouts.
+func (r *rollouts) versionChanged() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// run reports to the leader while a rollout runs, until ctx ends.
+func (r *rollouts) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.update(r.now()) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-r.changed:
+			}
+			continue
+		}
+		if request := r.due(r.now()); request != nil {
+			r.send(ctx, request)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(reportTick):
+		}
+	}
+}
+
+// update takes the rollouts of the version in force, drops those that have ended and returns the number of running ones.
+func (r *rollouts) update(now time.Time) int {
+	t := r.table()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range t.Running() {
+		r.ofLocked(s.Name, s.Rollout, now)
+	}
+	for name, s := range r.services {
+		service, ok := t.Service(name)
+		if !ok || newer(service.Rollout, s.newest) == service.Rollout && !rollout.Running(service.Rollout) {
+			delete(r.services, name)
+			continue
+		}
+		s.newest = newer(service.Rollout, s.newest)
+	}
+	return len(r.services)
+}
+
+// due returns a report if one is due, with the counts that changed since the last one that was answered.
+func (r *rollouts) due(now time.Time) *rpc.OutcomesRequest {
+	nodes := len(r.table().Nodes())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := false
+	for _, s := range r.services {
+		age := now.Sub(s.sent)
+		due = due || age >= s.interval(nodes) || s.urgent && age >= urgentTime
+	}
+	if !due {
+		return nil
+	}
+	q := &rpc.OutcomesRequest{Node: r.node, Incarnation: r.identity}
+	for name, s := range r.services {
+		s.sent, s.urgent = now, false
+		q.Services = append(q.Services, s.report(name))
+	}
+	return q
+}
+
+// interval returns the time between two reports.
+func (s *serviceRollout) interval(nodes int) time.Duration {
+	d := reportTime
+	if s.newest.GetShare() >= rampShare {
+		d = rampTime
+	}
+	return min(max(d, time.Duration(nodes)*leaderTime), longestTime)
+}
+
+func (s *serviceRollout) report(name string) *rpc.ServiceOutcomes {
+	o := &rpc.ServiceOutcomes{Service: name, Order: s.newest.GetOrder(), Missed: s.missed, Cut: s.cut}
+	for k, c := range s.counts {
+		if s.acked[k] == c.Sum() {
+			continue
+		}
+		times := c.Times[:]
+		for len(times) > 0 && times[len(times)-1] == 0 {
+			times = times[:len(times)-1]
+		}
+		o.Routes = append(o.Routes, &rpc.RouteOutcomes{
+			Route: k.Route, New: k.New, Answers: c.Answers, Failures: c.Failures, Times: append([]uint32(nil), times...),
+		})
+	}
+	return o
+}
+
+// send sends a report and takes the leader's answer.
+func (r *rollouts) send(ctx context.Context, q *rpc.OutcomesRequest) {
+	sent := r.now()
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	a, err := r.report(ctx, q)
+	if err != nil {
+		r.log.V(1).Info("counts of a rollout not reported", "error", err.Error())
+		r.unanswered()
+		return
+	}
+	r.answered(sent, q, a)
+}
+
+// unanswered makes the next report due soon, since another leader may answer, and logs once that none has for too long.
+func (r *rollouts) unanswered() {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, s := range r.services {
+		s.sent, s.urgent = now, true
+		if silent := now.Sub(s.heard); silent > r.contact() && !s.silent {
+			s.silent = true
+			r.log.Info("no leader answers, nothing more is sent to the new release", "service", name, "release", s.newest.GetRelease(),
+				"silent", silent.String())
+		}
+	}
+}
+
+func (r *rollouts) answered(sent time.Time, q *rpc.OutcomesRequest, a *rpc.OutcomesResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range q.GetServices() {
+		s := r.services[o.GetService()]
+		if s == nil || s.newest.GetOrder() != o.GetOrder() {
+			continue
+		}
+		s.heard, s.silent = sent, false
+		for _, c := range o.GetRoutes() {
+			s.acked[rollout.Key{Route: c.GetRoute(), New: c.GetNew()}] = c.GetAnswers() + c.GetFailures()
+		}
+	}
+	for _, n := range a.GetRollouts() {
+		if s := r.services[n.GetService()]; s != nil && s.newest.GetOrder() == n.GetOrder() {
+			s.newest = newer(n, s.newest)
+		}
+	}
+}
--- /dev/null
+++ b/io/host/rolloutlead.go
@@ -0,0 +1,197 @@
+package host
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/config"
+	"godwitspindle/core/rollout"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/rpc"
+)
+
+const (
+	rolloutInterval = 100 * time.Millisecond // time between two decisions on the running rollouts
+	advanceTimeout  = time.Second            // limit for the commit of one step
+	// leaderAge is the age of the last confirmation by a majority up to which a leader takes counts. A leader that was cut off must not
+	// keep nodes sending to a release that another leader has rolled back.
+	leaderAge = time.Second
+)
+
+// UnconfirmedError reports a leader that no majority has confirmed lately.
+type UnconfirmedError struct{ Age time.Duration }
+
+// Error states the time since the last confirmation.
+func (e *UnconfirmedError) Error() string {
+	return "no majority has confirmed this leader for " + e.Age.String()
+}
+
+// rolloutDuty adds up the counts of all nodes and decides the steps of the running rollouts, on the leader.
+type rolloutDuty struct {
+	policy *rollout.Policy
+
+	mu      sync.Mutex
+	tallies map[string]*orderTally // by service, of running rollouts
+}
+
+// orderTally is the tally of one rollout.
+type orderTally struct {
+	order uint64
+	tally *rollout.Tally
+}
+
+func newRolloutDuty(p *rollout.Policy) *rolloutDuty {
+	return &rolloutDuty{policy: p, tallies: map[string]*orderTally{}}
+}
+
+// reset drops all counts; a new leader gets them again from the nodes.
+func (d *rolloutDuty) reset() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.tallies)
+}
+
+// tallyLocked returns the tally of a rollout; the caller holds the mutex.
+func (d *rolloutDuty) tallyLocked(now time.Time, r *wire.Rollout) *rollout.Tally {
+	t := d.tallies[r.GetService()]
+	if t == nil || t.order != r.GetOrder() {
+		t = &orderTally{order: r.GetOrder(), tally: rollout.NewTally(now, time.UnixMilli(r.GetAccepted()))}
+		d.tallies[r.GetService()] = t
+	}
+	return t.tally
+}
+
+// add adds a node's counts of one service. Counts of another rollout than the newest, and of one that has ended, are ignored.
+func (d *rolloutDuty) add(now time.Time, r *wire.Rollout, q *rpc.OutcomesRequest, o *rpc.ServiceOutcomes) {
+	if !rollout.Running(r) || r.GetOrder() != o.GetOrder() {
+		return
+	}
+	report := rollout.Report{
+		Node: q.GetNode(), Incarnation: q.GetIncarnation(), Missed: o.GetMissed(), Cut: o.GetCut(),
+		Counts: make(map[rollout.Key]rollout.Counts, len(o.GetRoutes())),
+	}
+	for _, n := range o.GetRoutes() {
+		c := rollout.Counts{Answers: n.GetAnswers(), Failures: n.GetFailures()}
+		copy(c.Times[:], n.GetTimes())
+		report.Counts[rollout.Key{Route: n.GetRoute(), New: n.GetNew()}] = c
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tallyLocked(now, r).Add(now, report)
+}
+
+// decide returns the steps that are due.
+func (d *rolloutDuty) decide(now time.Time, running []*wire.Rollout, t *config.RoutingTable) []*wire.RolloutAdvance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var steps []*wire.RolloutAdvance
+	for _, r := range running {
+		if a := d.policy.Decide(now, r, d.tallyLocked(now, r), rolloutCapacity(t, r)); a != nil {
+			steps = append(steps, a)
+		}
+	}
+	if len(d.tallies) > len(running) {
+		d.dropLocked(running)
+	}
+	return steps
+}
+
+func (d *rolloutDuty) dropLocked(running []*wire.Rollout) {
+	kept := make(map[string]*orderTally, len(running))
+	for _, r := range running {
+		kept[r.GetService()] = d.tallies[r.GetService()]
+	}
+	d.tallies = kept
+}
+
+// rolloutCapacity describes the endpoints of a service with a rollout.
+func rolloutCapacity(t *config.RoutingTable, r *wire.Rollout) rollout.Capacity {
+	c := rollout.Capacity{Nodes: len(t.Nodes())}
+	s, ok := t.Service(r.GetService())
+	if !ok {
+		return c
+	}
+	for i := range s.Endpoints {
+		if e := &s.Endpoints[i]; e.Release == r.GetRelease() {
+			c.New++
+			c.NewSlots += e.Slots
+		} else {
+			c.OldSlots += e.Slots
+		}
+	}
+	return c
+}
+
+// outcomes takes a node's counts and answers with the agreed state of its rollouts. Only a confirmed leader answers.
+func (c *control) outcomes(_ context.Context, q *rpc.OutcomesRequest) (*rpc.OutcomesResponse, error) {
+	st := c.replica.Status()
+	if st.Role != agreement.Leader {
+		return nil, &agreement.NotLeaderError{Leader: st.Leader}
+	}
+	if age := c.replica.Confirmed(); age < 0 || age > leaderAge {
+		return nil, &UnconfirmedError{Age: age}
+	}
+	now := time.Now()
+	a := &rpc.OutcomesResponse{Leader: agreement.Name(st.Leader)}
+	for _, o := range q.GetServices() {
+		r := c.rollout(o.GetService())
+		if r == nil {
+			continue
+		}
+		c.rollouts.add(now, r, q, o)
+		a.Rollouts = append(a.Rollouts, r)
+	}
+	return a, nil
+}
+
+// rollout returns the newest rollout of a service as this replica knows it, or nil.
+func (c *control) rollout(service string) *wire.Rollout {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Rollout(service)
+}
+
+// advanceRollouts commits the steps that are due. It is called only on the leader.
+func (c *control) advanceRollouts(ctx context.Context, now time.Time) {
+	if now.Sub(c.lastRollouts) < rolloutInterval {
+		return
+	}
+	c.lastRollouts = now
+	c.mu.Lock()
+	running := c.store.RunningRollouts()
+	c.mu.Unlock()
+	for _, a := range c.rollouts.decide(now, running, c.holder.View().Table) {
+		c.advance(ctx, a)
+	}
+	c.metrics.RolloutShare.Reset()
+	for _, r := range running {
+		c.metrics.RolloutShare.WithLabelValues(r.GetService()).Set(float64(r.GetShare()) / rollout.Whole)
+	}
+}
+
+func (c *control) advance(ctx context.Context, a *wire.RolloutAdvance) {
+	ctx, cancel := context.WithTimeout(ctx, advanceTimeout)
+	defer cancel()
+	result, err := c.replica.Propose(ctx, &wire.Command{Body: &wire.Command_Advance{Advance: a}})
+	if err != nil {
+		c.log.Info("step of a rollout not committed, it is decided again", "service", a.GetService(), "state", stateLabel(a.GetState()),
+			"reason", a.GetReason(), "error", err.Error())
+		return
+	}
+	r := result.GetRollout()
+	if r.GetOrder() != a.GetOrder() || r.GetStep() != a.GetStep()+1 {
+		return // another leader's step came first
+	}
+	c.metrics.RolloutSteps.WithLabelValues(r.GetService(), stateLabel(r.GetState())).Inc()
+	c.log.Info("rollout advanced", "service", r.GetService(), "release", r.GetRelease(), "state", stateLabel(r.GetState()),
+		"step", r.GetStep(), "share", float64(r.GetShare())/rollout.Whole, "reason", r.GetReason(), "sent", r.GetSent(), "bad", r.GetBad(),
+		"total", r.GetTotal())
+}
+
+// stateLabel returns the name of a state for logs, metrics and operators.
+func stateLabel(s wire.RolloutState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "ROLLOUT_STATE_"))
+}
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -74,6 +74,7 @@
 		return err
 	}
 	h.follower.Store(f)
+	h.rollouts.start()
 	h.announce.Store(newAnnouncer(announcerParts{
 		current: h.announceable,
 		agreed:  func() *config.Snapshot { return h.holder.View().Snapshot },
@@ -259,10 +260,10 @@
 	})
 }
 
-// propose commits a command if the local replica is the leader. Configuration changes are refused until there are enough
-// voters to bear the configured losses.
+// propose commits a command if the local replica is the leader. Configuration changes and orders of rollouts are refused until there are
+// enough voters to bear the configured losses.
 func (h *Host) propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
-	if c.GetChange() != nil && !h.control.durable() {
+	if (c.GetChange() != nil || c.GetOrder() != nil) && !h.control.durable() {
 		return nil, &FormingError{Losses: h.control.maxLosses}
 	}
 	return h.control.replica.Propose(ctx, c)
@@ -277,6 +278,7 @@
 		s.OnAnnounce = h.control.announce
 		s.OnStatus = h.control.status
 		s.OnReplicas = h.control.replicas
+		s.OnOutcomes = h.control.outcomes
 	}
 	return s
 }
--- a/io/host/withdraw_test.go
+++ b/io/host/withdraw_test.go
@@ -104,7 +104,7 @@
 		{"finish", 1500 * time.Millisecond, false},
 	} {
 		h := stoppingHost(t, time.Second, 3*time.Second)
-		h.picker, h.notices = routing.New(), notice.NewTable()
+		h.picker, h.notices, h.rollouts = routing.New(), notice.NewTable(), newRollouts(rolloutParts{})
 		if _, err := h.picker.Decide(routing.Call{Service: service, Now: now}); err != nil {
 			t.Fatal(err)
 		}
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -27,6 +27,9 @@
 	Claims             *prometheus.CounterVec   // answers to claims, by state
 	Quarantine         prometheus.Gauge         // fingerprints in quarantine
 	ControlBytes       *prometheus.CounterVec   // bytes between nodes, by message and direction (sent or received)
+	RolloutAnswers     *prometheus.CounterVec   // results of services with a running rollout, by service, release (old or new) and result
+	RolloutShare       *prometheus.GaugeVec     // share of the new release of each service's running rollout, on the leader
+	RolloutSteps       *prometheus.CounterVec   // steps that this replica committed as the leader, by service and state
 	Convergence        prometheus.Histogram     // seconds from acceptance until in force on every node
 	Version            prometheus.Gauge         // snapshot version in force on this node
 	ConfirmationAge    prometheus.Gauge         // seconds since the last quorum confirmation; negative if there was none
@@ -100,6 +103,9 @@
 		Claims:             counters("claims_total", "Answers to claims, by state.", "state"),
 		Quarantine:         gauge("quarantine_fingerprints", "Requests in quarantine."),
 		ControlBytes:       counters("control_bytes_total", "Bytes of distribution, by message and direction.", "message", "direction"),
+		RolloutAnswers:     counters("rollout_answers_total", "Results of services with a running rollout, by service, release (old or new) and result.", "service", "release", "result"),
+		RolloutShare:       gauges("rollout_share", "Share of the new release of a running rollout, by service; only on the leader.", "service"),
+		RolloutSteps:       counters("rollout_steps_total", "Steps of rollouts that this replica committed as the leader, by service and state.", "service", "state"),
 		Convergence:        histogram("convergence_seconds", "Time from an accepted change to in force on every node.", 0.01, 2, 14),
 		Version:            gauge("snapshot_version", "Configuration version in force."),
 		ConfirmationAge:    gauge("confirmation_age_seconds", "Time since the last quorum confirmation; negative when never."),
@@ -124,7 +130,7 @@
 	}
 	m.Registry.MustRegister(
 		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
-		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
+		m.ControlBytes, m.RolloutAnswers, m.RolloutShare, m.RolloutSteps, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.StopRequests, m.StopTime, m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -74,6 +74,14 @@
 	Seeds       Seeds         // used if Replicas is empty
 	Timing      Timing
 	Retries     Retries
+	Rollouts    Rollouts
+}
+
+// Rollouts limits what a bad release may get in a rollout; a field that is 0 has the default of package rollout.
+type Rollouts struct {
+	Share    float64       // part of all requests from the order to the end of the duration
+	Slack    float64       // requests in addition; used only with Share
+	Rollback time.Duration // time after which no request is sent to it any more
 }
 
 // Retries limits the retries of all nodes together, for each service and 10 s. If Percent is 0, each node has its own budget.
