--- a/io/process/fields.go
+++ b/io/process/fields.go
@@ -11,11 +11,14 @@
 	"time"
 )
 
-// Limits of the settings key, grace and log.sample.
+// Limits of the settings key, grace, log.sample and rollout.
 const (
 	minKeyBytes = 16               // shortest key; a shorter one can be guessed
 	maxGrace    = 10 * time.Minute // longest grace, because a rolling restart waits for each stop
 	maxSample   = 1_000_000        // most calls for one success line
+	maxSlack    = 1_000_000        // most requests for a bad release beside its share
+	minRollback = time.Second      // covers one report of a node and one step of the leader
+	maxRollback = time.Minute
 )
 
 // Field describes one setting.
@@ -58,6 +61,9 @@
 		{Path: "log.level", Unit: `"debug", "info" or "error"`, Default: "info", set: setLevel},
 		{Path: "log.sample", Unit: "calls for one success line", Default: "1000", set: setSample},
 		{Path: "grace", Unit: "time with unit", Default: "30s", set: setGrace},
+		{Path: "rollout.share", Unit: "part of all requests", Default: "0.1", set: setRolloutShare},
+		{Path: "rollout.slack", Unit: "requests", Default: "50", set: setRolloutSlack},
+		{Path: "rollout.rollback", Unit: "time with unit", Default: "5s", set: setRollback},
 	}
 }
 
@@ -152,3 +158,31 @@
 	s.Grace = grace
 	return ""
 }
+
+func setRolloutShare(s *Settings, raw json.RawMessage) string {
+	if v := &s.Rollouts.Share; json.Unmarshal(raw, v) != nil || *v <= 0 || *v > 1 {
+		return "a number above 0 and up to 1"
+	}
+	return ""
+}
+
+func setRolloutSlack(s *Settings, raw json.RawMessage) string {
+	if v := &s.Rollouts.Slack; json.Unmarshal(raw, v) != nil || *v < 0 || *v > maxSlack {
+		return "a number from 0 to 1000000"
+	}
+	return ""
+}
+
+func setRollback(s *Settings, raw json.RawMessage) string {
+	const expected = `a time with its unit from "1s" to "1m", such as "5s"`
+	var text string
+	if json.Unmarshal(raw, &text) != nil {
+		return expected
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < minRollback || d > maxRollback {
+		return expected
+	}
+	s.Rollouts.Rollback = d
+	return ""
+}
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -168,6 +168,8 @@
 		Profile: Fast,
 		Log:     Log{Level: slog.LevelInfo, Sample: 1000},
 		Grace:   30 * time.Second,
+
+		Rollouts: Rollouts{Share: 0.1, Slack: 50, Rollback: 5 * time.Second},
 	}
 }
 
