--- a/io/host/host.go
+++ b/io/host/host.go
@@ -55,8 +55,10 @@
 	budgets *retry.Budgets
 	stop    *stopRecord
 	splits  *splitCounter
-	notices *notice.Table
-	nested  *nestedCalls
+	// rollouts assigns requests to releases while services have rollouts.
+	rollouts *rollouts
+	notices  *notice.Table
+	nested   *nestedCalls
 	// invalidLimits bounds the log lines about limits that are not valid.
 	invalidLimits rate.Sometimes
 	hops          *hop.Client
@@ -118,7 +120,7 @@
 			}
 			h.backend.Adopt(backend.Announcement{
 				Service: e.GetService(), Endpoint: e.GetName(), Address: h.adopted.address, Slots: int(e.GetSlots()),
-				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(),
+				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(), Release: e.GetRelease(),
 			}, h.adopted.window)
 		}
 		h.notifyAnnouncer()
@@ -157,6 +159,7 @@
 	h.budgets = h.newBudgets()
 	h.quotas = h.hostQuotas()
 	h.nested = newNestedCalls(h.metrics, h.log.WithName("nested"))
+	h.rollouts = h.newRollouts()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
 		h.dial = process.Dial(s.Timing.AckTimeout)
 	}
@@ -296,6 +299,7 @@
 		return ok
 	})
 	go h.resize()
+	h.rollouts.versionChanged()
 	h.notifyAnnouncer()
 	if h.follower.Load() != nil {
 		h.reportComplete(v.Snapshot.Version()) // nodes below may already hold the version from another upstream
@@ -371,6 +375,7 @@
 	if h.backend != nil {
 		errs = append(errs, h.backend.Close())
 	}
+	h.rollouts.close()
 	if h.control != nil {
 		errs = append(errs, h.control.close())
 	}
--- a/io/process/settings.go
+++ b/io/process/settings.go
@@ -75,6 +75,14 @@
 	Timing      Timing
 	Retries     Retries
 	Quota       Quota
+	Rollouts    Rollouts
+}
+
+// Rollouts limits what a bad release may get in a rollout; a field that is 0 has the default of package rollout.
+type Rollouts struct {
+	Share    float64       // part of all requests from the order to the end of the duration
+	Slack    float64       // requests in addition; used only with Share
+	Rollback time.Duration // time after which no request is sent to it any more
 }
 
 // Retries limits the retries of all nodes together, for each service and 10 s. If Percent is 0, each node has its own budget.
@@ -173,6 +181,8 @@
 		Log:     Log{Level: slog.LevelInfo, Sample: 1000},
 		Grace:   30 * time.Second,
 		Quota:   DefaultQuota(),
+
+		Rollouts: Rollouts{Share: 0.1, Slack: 50, Rollback: 5 * time.Second},
 	}
 }
 
