fix(host): read the leader's name under its mutex when a replica redirects a node

Cause: Host.redirect called upstream.direct, which read upstream.leader without the mutex that setLeader and applyResponse hold. A node could be redirected by a leader's name that was being replaced; seven tests of ./platform failed at times with -race.

Fix: direct takes the leader's name; redirect asks leaderName for it. The other fields of upstream, Host and directory were looked through: each is set before the first goroutine that reads it, or is read under its mutex.

--- a/io/host/redirect.go
+++ b/io/host/redirect.go
@@ -35,7 +35,7 @@
 func (h *Host) redirect(node, domain string) []string {
 	nodes := relayNodes(h.holder.View().Table, h.directory)
 	now := time.Now()
-	if _, direct := h.upstream.direct(relay.Node{Domain: domain}, nodes); direct {
+	if _, direct := h.upstream.direct(relay.Node{Domain: domain}, nodes, h.upstream.leaderName()); direct {
 		return h.domainReplicas(node, domain, nodes, now)
 	}
 	alive := h.tracker.RecentlyHeard(now)
--- a/io/host/start_test.go
+++ b/io/host/start_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -152,6 +153,42 @@
 	return s.Snapshot()
 }
 
+// Guards against fields that are used without their mutex while several goroutines serve polls and the leader, the version and the seeds
+// change. Only the race detector sees it.
+func TestDirectoryWhileLeaderChanges(t *testing.T) {
+	const port = ":7000"
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("10.1.0.1" + port), netip.MustParseAddrPort("10.2.0.1" + port)}
+	holder, err := peer.NewHolder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := &process.Settings{Name: "10.1.0.1", Domain: "a", Seeds: process.Seeds{Peers: seeds}, Listen: process.Listen{Peer: seeds[0]}}
+	h := &Host{settings: settings, holder: holder, directory: newDirectory(settings)}
+	h.upstream = newUpstream(settings, h.directory)
+	var done sync.WaitGroup
+	for _, f := range []func(i int){
+		func(i int) { h.redirect(fmt.Sprint("n", i), "b") },
+		func(i int) { h.upstream.setLeader(fmt.Sprintf("10.%d.0.1", i%3+1), holder.View()) },
+		func(i int) {
+			h.upstream.applyResponse(&rpc.SyncResponse{Leader: fmt.Sprintf("10.%d.0.1", i%3+1), Relays: []string{"10.1.0.9" + port}}, holder.View())
+		},
+		func(int) { h.upstream.update(holder.View()) },
+		func(i int) { h.Reseed(seeds[i%2:]) },
+		func(int) { h.upstream.preferred() },
+		func(int) { h.upstream.reportsTo(seeds[0]) },
+		func(int) { h.upstream.replicas() },
+		func(int) { h.directory.founders() },
+		func(int) { h.leader() },
+	} {
+		done.Go(func() {
+			for i := range 200 {
+				f(i)
+			}
+		})
+	}
+	done.Wait()
+}
+
 // Load pattern: hundreds of nodes start and know only the seeds. Guards against whole snapshots that cross failure domains
 // although a replica in the node's own domain could send them, against a node that is redirected over and over, and against a
 // leader outside the seeds that no node can ask for its floor.
--- a/io/host/upstream.go
+++ b/io/host/upstream.go
@@ -132,7 +132,7 @@
 	nodes := relayNodes(v.Table, u.directory)
 	u.isRelay = isRelay(nodes, u.settings)
 	self := relay.Node{Name: u.settings.Name, Domain: u.settings.Domain, Replica: u.settings.IsReplica()}
-	upstreams, direct := u.direct(self, nodes)
+	upstreams, direct := u.direct(self, nodes, u.leader)
 	if !direct {
 		upstreams = relay.Upstreams(self, nodes, u.leader, nil)
 	}
@@ -147,11 +147,11 @@
 
 // direct returns the upstreams of a node that needs no relays. It reports false if the mesh is too large to do without relays
 // or if the settings list the replicas.
-func (u *upstream) direct(self relay.Node, nodes []relay.Node) ([]relay.Node, bool) {
+func (u *upstream) direct(self relay.Node, nodes []relay.Node, leader string) ([]relay.Node, bool) {
 	if !u.directory.seeded() {
 		return nil, false
 	}
-	return relay.DirectUpstreams(self, nodes, u.leader)
+	return relay.DirectUpstreams(self, nodes, leader)
 }
 
 // leaderName returns the leader's name, or an empty string if it is unknown.
