--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -243,13 +243,21 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	err = json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(value)
-	if err != nil {
+	if err := decodeAnswer(answer.Body, value); err != nil {
 		return fmt.Errorf("answer incomplete or not JSON: %w", err)
 	}
 	return nil
 }
 
+// decodeAnswer decodes an answer, which must consist of one JSON document.
+func decodeAnswer(body io.Reader, to any) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, to)
+}
+
 // send makes one request. An answer with a status other than 200 becomes a *Problem if it holds one, or else an *AnswerError.
 func (c *Client) send(ctx context.Context, method string, a netip.AddrPort, path string, body []byte) (*http.Response, error) {
 	r, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+a.String()+path, bytes.NewReader(body))
@@ -271,7 +279,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	p := &Problem{}
-	err = json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(p)
+	err = decodeAnswer(answer.Body, p)
 	if err != nil || p.Code == "" {
 		return nil, &AnswerError{Status: answer.StatusCode, Err: err}
 	}
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -118,6 +118,7 @@
 		{"two bodies", "POST", "/v1/changes", `{"rules":{},"revert":3}`, "", ""},
 		{"control characters", "POST", "/v1/changes", change(`\u001b[2J`), "", ""},
 		{"two values", "POST", "/v1/changes", change("x") + "{}", "", ""},
+		{"replica change with two values", "POST", "/v1/replicas", `{"action":"remove","name":"a"}{}`, "", ""},
 		{"oversize", "POST", "/v1/changes", `{"reason":"` + strings.Repeat("x", maxBodyBytes) + `"}`, "", ""},
 		{"faults of a file", "POST", "/v1/plan", `{"rules":{"bad":1}}`, "", ""},
 		{"conflict", "POST", "/v1/changes", change("conflict"), "", ""},
--- a/io/operator/replicas.go
+++ b/io/operator/replicas.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"mime"
 	"net/http"
 )
@@ -25,6 +27,9 @@
 	if err := d.Decode(&a); err != nil {
 		return malformedProblem(err.Error())
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return malformedProblem("expected one JSON object")
+	}
 	if a.Action != ActionAdd && a.Action != ActionPromote && a.Action != ActionRemove {
 		return malformedProblem("action: expected add, promote or remove")
 	}
