fix(platform): remove the headers that a caller names in Connection before setting ours

Cause: callerHandler set Godwitspindle-Caller-Service, and io/hop removed the headers that Connection names afterwards. Endpoints ran requests without the header if a consumer named it there. Trailers of a request were passed on unseen, so a consumer could also send the header, or Godwitspindle-Expected-Instance, in a trailer.

Fix: hop.RemoveNamed removes what Connection names, and Connection itself, before the first header is set; Clean uses the same function.

--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -21,15 +21,23 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings",
 }
 
-// Clean removes hop-by-hop headers, including those that Connection names, and all Mesh-* headers.
-func Clean(h http.Header) {
+// RemoveNamed removes the headers that Connection names, and Connection itself, so that no header which is set from here on can be one
+// that the sender named. It keeps the hop-by-hop headers that Outbound and IsUpgrade read.
+func RemoveNamed(h http.Header) {
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
-			if name = textproto.TrimString(name); name != "" {
-				h.Del(name)
+			name = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))
+			if !slices.Contains(hopByHopHeaders, name) {
+				delete(h, name)
 			}
 		}
 	}
+	delete(h, "Connection")
+}
+
+// Clean removes hop-by-hop headers, including those that Connection names, and all Mesh-* headers.
+func Clean(h http.Header) {
+	RemoveNamed(h)
 	for _, k := range hopByHopHeaders {
 		delete(h, k)
 	}
