fix(caller): an encoded slash in a path belongs to its segment

Cause: routes were matched against the decoded path, so that %2F ended a segment. A request whose segment held %2F ran at the service of a longer prefix that does not begin its path. A path that held a byte which a path must not contain, such as "|", was forwarded decoded and encoded anew: %2F arrived as a slash, and %3B, %2C, %40 and %3D as the characters.

Fix: hop.RoutePath decides which bytes count, also for pipelined requests that start early and for the fingerprint: all escapes are decoded as before but that of a slash. hop.FixPath encodes the bytes that a path must not contain and keeps all others. A path like /read%2Fx, which no prefix begins, now has no route (404).

--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -63,6 +63,7 @@
 func (c *call) prepare() *outcome.Failure {
 	contexts, waitValue := c.r.Header.Values(HeaderContext), c.r.Header.Get(HeaderDeadline)
 	hop.Strip(c.r.Header)
+	hop.FixPath(c.r.URL)
 	if hop.IsUpgrade(c.r) {
 		return c.fail(outcome.Refused, http.StatusNotImplemented, "upgrades and tunnels are not supported", nil)
 	}
@@ -95,7 +96,7 @@
 		// A backend server might resolve dot segments to a path that belongs to another route.
 		return c.fail(outcome.NoRoute, http.StatusBadRequest, fmt.Sprintf("dot segments in the path, or a host of more than %d bytes", maxHostBytes), nil)
 	}
-	m, f := c.handler.match(strings.ToLower(host), c.r.URL.Path, c.r.Method)
+	m, f := c.handler.match(strings.ToLower(host), hop.RoutePath(c.r.URL), c.r.Method)
 	if f != nil {
 		return f
 	}
@@ -243,7 +244,7 @@
 func (c *call) buildOutbound() {
 	route, service := c.match.Route, c.match.Service.Name
 	u := c.r.URL
-	identity := hop.Identity{Service: service, Method: c.r.Method, Path: u.Path, Query: u.RawQuery, Key: c.key, Body: c.body.prefix}
+	identity := hop.Identity{Service: service, Method: c.r.Method, Path: hop.RoutePath(u), Query: u.RawQuery, Key: c.key, Body: c.body.prefix}
 	c.meta = hop.Meta{
 		Call: c.id, Service: service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
 		Priority: route.Priority, Caller: c.callerAddress(), Fingerprint: identity.Fingerprint(), Route: route.Name,
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -65,7 +65,7 @@
 	if !h.holder.Serving() || h.stopping() {
 		return false
 	}
-	route, ok := h.holder.View().Table.Match(r.Host, r.URL.Path, r.Method)
+	route, ok := h.holder.View().Table.Match(r.Host, hop.RoutePath(r.URL), r.Method)
 	return ok && route.Idempotent
 }
 
