fix(caller): leave the body to the attempt while its answer is passed on

Cause: net/http discards up to 256 KiB of a request body that is not read yet when it writes the header of an answer. An endpoint that begins an answer of over 64 KiB before it has read a long body then got the bytes behind the discarded ones, and the end of a chunked body 262,145 bytes early as a complete one. A body with a length never ended, so the answer broke off at the deadline.

Fix: the caller listener is put in full duplex before an answer is passed on whose request body is not read to its end. After a refusal, or once an attempt is closed, its reader returns neither bytes nor an end.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -26,6 +26,7 @@
 // the part for a complete answer.
 func (c *call) stream(p *http.Response) {
 	c.tracked.Update(func(p *Progress) { p.Answered = true })
+	c.keepBody()
 	if err := hop.Copy(c.w, p); err != nil {
 		c.answerBroken(err)
 		if !c.r.ProtoAtLeast(1, 1) {
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -18,6 +18,7 @@
 	rest     io.Reader   // nil when prefix is the complete body
 	consumed atomic.Bool // an attempt has read from a body that is larger than prefix
 	whole    atomic.Bool // rest was read to its end
+	given    atomic.Bool // net/http may read rest itself, so that no attempt may read on
 	complete func()      // called once rest was read to its end
 }
 
@@ -70,9 +71,10 @@
 }
 
 // Read returns the kept prefix and then the rest. It fails after Close, so that a finished attempt cannot consume bytes that
-// the next attempt needs.
+// the next attempt needs, and once net/http may read the rest itself: the bytes or the end behind a part that it has discarded are not
+// those that are due.
 func (p *attemptReader) Read(b []byte) (int, error) {
-	if p.closed.Load() {
+	if p.ended() {
 		return 0, http.ErrBodyReadAfterClose
 	}
 	p.body.consumed.Store(true)
@@ -82,22 +84,43 @@
 		return n, nil
 	}
 	n, err := p.body.rest.Read(b)
-	switch {
-	case err == io.EOF:
+	if err == io.EOF && !p.body.given.Load() {
 		p.body.whole.Store(true)
 		p.body.complete()
-	case err != nil && !p.closed.Load():
+	}
+	if p.ended() {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	if err != nil && err != io.EOF {
 		p.lost.set(err)
 	}
 	return n, err
 }
 
+func (p *attemptReader) ended() bool { return p.closed.Load() || p.body.given.Load() }
+
 // Close makes further reads of this attempt fail; the underlying body stays open.
 func (p *attemptReader) Close() error {
 	p.closed.Store(true)
 	return nil
 }
 
+// keepBody leaves the rest of the body to the attempt whose answer is about to be passed on. Without it, net/http discards up to 256 KiB of
+// the body when it writes the header of the answer, while the attempt still reads, and the endpoint would get the bytes behind them.
+func (c *call) keepBody() {
+	if c.body == nil || c.body.rest == nil || c.body.whole.Load() {
+		return
+	}
+	_ = http.NewResponseController(c.w).EnableFullDuplex() // a writer without it is not that of net/http and discards nothing
+}
+
+// giveBody leaves the rest of the body to net/http.
+func (c *call) giveBody() {
+	if c.body != nil {
+		c.body.given.Store(true)
+	}
+}
+
 // lostBody ends an attempt when the rest of the body cannot be read. Without it, the endpoint would wait for the rest, and the
 // attempt for the endpoint, until the deadline. Once the endpoint answers, the attempt no longer depends on the body.
 type lostBody struct {
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -272,6 +272,7 @@
 	}
 	hop.Strip(c.w.Header())
 	c.limitDiscard()
+	c.giveBody()
 	f.Write(c.w)
 }
 
