feat(operator): operators set customers with a file of their own

A change may hold all customers, which replace those before; register, rules and reverts leave them alone, so that each part has one owner. Show prints customers with the number of their keys.

--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"godwitspindle/io/operator"
@@ -15,6 +16,8 @@
 type ContentFlags struct {
 	Register string `arg:"--register" placeholder:"FILE" help:"register to put in force"`
 	Rules    string `arg:"--rules" placeholder:"FILE" help:"rule set to put in force"`
+
+	Customers string `arg:"--customers" placeholder:"FILE" help:"all customers with their API keys and quotas, in place of those before"`
 }
 
 // ChangeFlags holds the flags that describe a change.
@@ -49,23 +52,27 @@
 
 // change reads the file that the flags name and checks it before anything is sent.
 func (c *ContentFlags) change(iv *invocation) (operator.Change, error) {
-	if (c.Register == "") == (c.Rules == "") {
-		return operator.Change{}, &InputError{Name: "--register, --rules", Expected: "exactly one of them, as each change has one owner"}
+	files := slices.DeleteFunc([]string{c.Register, c.Rules, c.Customers}, func(name string) bool { return name == "" })
+	if len(files) != 1 {
+		return operator.Change{}, &InputError{Name: "--register, --rules, --customers", Expected: "exactly one of them, as each change has one owner"}
 	}
-	file := c.Register + c.Rules
+	file := files[0]
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return operator.Change{}, &InputError{Name: file, Expected: "a readable file"}
 	}
-	faults := iv.checkContent(c.Register, c.Rules)
+	faults := iv.checkContent(c.Register, c.Rules, c.Customers)
 	if len(faults) > 0 {
 		return operator.Change{}, &FaultsError{Faults: faults}
 	}
 	if !json.Valid(data) {
 		return operator.Change{}, &InputError{Name: file, Expected: "one valid JSON object"}
 	}
-	if c.Register != "" {
+	switch {
+	case c.Register != "":
 		return operator.Change{Register: data}, nil
+	case c.Customers != "":
+		return operator.Change{Customers: data}, nil
 	}
 	return operator.Change{Rules: data}, nil
 }
--- a/cmd/check.go
+++ b/cmd/check.go
@@ -17,10 +17,12 @@
 	File     string `arg:"positional" placeholder:"FILE" help:"settings"`
 	Register string `arg:"--register" placeholder:"FILE" help:"register"`
 	Rules    string `arg:"--rules" placeholder:"FILE" help:"rule set"`
+
+	Customers string `arg:"--customers" placeholder:"FILE" help:"customers"`
 }
 
 func (c *checkCommand) run(iv *invocation) error {
-	if c.File == "" && c.Register == "" && c.Rules == "" {
+	if c.File == "" && c.Register == "" && c.Rules == "" && c.Customers == "" {
 		return &InputError{Name: "FILE", Expected: "a file to check"}
 	}
 	var faults []process.Fault
@@ -30,7 +32,7 @@
 			faults = append(faults, e.Faults...)
 		}
 	}
-	faults = append(faults, iv.checkContent(c.Register, c.Rules)...)
+	faults = append(faults, iv.checkContent(c.Register, c.Rules, c.Customers)...)
 	if len(faults) > 0 {
 		return &FaultsError{Faults: faults}
 	}
@@ -46,8 +48,8 @@
 	return err
 }
 
-// checkContent returns the faults of a register and a rules file; it skips a file without a name or without a parser.
-func (iv *invocation) checkContent(register, rules string) []process.Fault {
+// checkContent returns the faults of a register, a rules and a customers file; it skips a file without a name or without a parser.
+func (iv *invocation) checkContent(register, rules, customers string) []process.Fault {
 	var list []process.Fault
 	if register != "" && iv.ParseRegister != nil {
 		list = iv.checkFile(register, func(data []byte) error {
@@ -61,6 +63,12 @@
 			return err
 		})...)
 	}
+	if customers != "" && iv.ParseCustomers != nil {
+		list = append(list, iv.checkFile(customers, func(data []byte) error {
+			_, err := iv.ParseCustomers(data)
+			return err
+		})...)
+	}
 	return list
 }
 
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -34,21 +34,23 @@
 	Demo          func(ctx context.Context, keep bool, stdout, stderr io.Writer) error
 	ParseRegister func(data []byte) (*wire.Register, error)
 	ParseRules    func(data []byte) (*wire.RuleSet, error)
-	Faults        func(err error) []*wire.Fault // returns the faults in an error of ParseRegister or ParseRules
+	Faults        func(err error) []*wire.Fault // returns the faults in an error of one of the parsers
+
+	ParseCustomers func(data []byte) (*wire.Customers, error) // its errors must not quote keys
 }
 
 // arguments holds the subcommands; the parser sets the one that the command line names.
 type arguments struct {
 	Node     *nodeCommand     `arg:"subcommand:node" help:"run a node"`
-	Apply    *applyCommand    `arg:"subcommand:apply" help:"propose a register or a rule set"`
+	Apply    *applyCommand    `arg:"subcommand:apply" help:"propose a register, a rule set or customers"`
 	Plan     *planCommand     `arg:"subcommand:plan" help:"show what apply would change"`
 	History  *historyCommand  `arg:"subcommand:history" help:"list accepted changes"`
-	Show     *showCommand     `arg:"subcommand:show" help:"print register and rules as files"`
+	Show     *showCommand     `arg:"subcommand:show" help:"print register and rules as files, and customers without keys"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"show versions, replicas and endpoints"`
 	Wait     *waitCommand     `arg:"subcommand:wait" help:"wait until a version is in force everywhere"`
 	Replica  *replicaCommand  `arg:"subcommand:replica" help:"list, add, promote or remove control replicas"`
 	Revert   *revertCommand   `arg:"subcommand:revert" help:"propose the content of an earlier version"`
-	Check    *checkCommand    `arg:"subcommand:check" help:"check settings, register and rules files"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"check settings, register, rules and customers files"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run a process on the users' platform, with the settings file that GODWITSPINDLE_CONFIG names"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the way of one request through logs"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a small mesh in one process on loopback"`
--- a/cmd/run_test.go
+++ b/cmd/run_test.go
@@ -34,9 +34,10 @@
 		return nil
 	}
 	return &Program{
-		Node:          func(context.Context, *process.Settings, logr.Logger) error { return nil },
-		ParseRegister: func(data []byte) (*wire.Register, error) { return &wire.Register{}, check(data) },
-		ParseRules:    func(data []byte) (*wire.RuleSet, error) { return &wire.RuleSet{}, check(data) },
+		Node:           func(context.Context, *process.Settings, logr.Logger) error { return nil },
+		ParseRegister:  func(data []byte) (*wire.Register, error) { return &wire.Register{}, check(data) },
+		ParseRules:     func(data []byte) (*wire.RuleSet, error) { return &wire.RuleSet{}, check(data) },
+		ParseCustomers: func(data []byte) (*wire.Customers, error) { return &wire.Customers{}, check(data) },
 		Faults: func(error) []*wire.Fault {
 			return []*wire.Fault{{Field: "routes[0].deadline", Expected: `a time from "1ms" to "5m"`}, {Field: "routes[1].service", Expected: "a name"}}
 		},
@@ -106,6 +107,7 @@
 			return nil
 		}),
 		operator.WithParsers(func([]byte) (*wire.Register, error) { return &wire.Register{}, nil }, func([]byte) (*wire.RuleSet, error) { return &wire.RuleSet{}, nil }, nil),
+		operator.WithCustomersParser(func([]byte) (*wire.Customers, error) { return &wire.Customers{}, nil }),
 	))
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
@@ -142,6 +144,9 @@
 		{"check", ExitUsage},
 		{"check " + settings, ExitDone},
 		{"check " + bad + " --register " + bad + " --rules missing.json", ExitUsage},
+		{"check --customers " + bad, ExitUsage},
+		{"plan --at AT --customers " + good, ExitDone},
+		{"plan --at AT --customers " + bad, ExitUsage},
 		{"plan --at AT --rules " + good, ExitDone},
 		{"plan --at AT --json --rules " + good, ExitDone},
 		{"plan --at AT --rules " + bad, ExitUsage},
--- a/cmd/show.go
+++ b/cmd/show.go
@@ -1,6 +1,6 @@
 package cmd
 
-// showCommand prints register and rules, or with --register or --rules one of them as a file for apply.
+// showCommand prints register, rules and the customers without their keys, or with --register or --rules one of them as a file for apply.
 type showCommand struct {
 	Version  uint64 `arg:"--version" placeholder:"VERSION" help:"version of a change [default: the current one]"`
 	Register bool   `arg:"--register" help:"print the register only, as a file for apply"`
--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -116,6 +116,12 @@
 	return v
 }
 
+// number decodes a number, or returns 0; validation checks its range later.
+func (o *object) number(name string) (v float64) {
+	o.decodeField(name, "a finite number", &v)
+	return v
+}
+
 // duration decodes a time such as "250ms" and returns it in milliseconds, or 0 if it is absent or faulty.
 func (o *object) duration(name string) int64 {
 	const expected = `a time such as "250ms" or "2s", in whole milliseconds`
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"google.golang.org/protobuf/proto"
+
 	"godwitspindle/core/wire"
 )
 
@@ -87,6 +89,32 @@
 	return r, nil
 }
 
+// ParseCustomers parses a customers file and validates it; *InvalidError lists the faults and never quotes a key.
+func ParseCustomers(data []byte) (*wire.Customers, error) {
+	var f faults
+	o := parseFile(&f, data)
+	if o == nil {
+		return nil, f.err()
+	}
+	list := new(wire.Customers)
+	o.reportUnknown("customers")
+	o.eachObject("customers", func(o *object) {
+		o.reportUnknown("name", "keys", "priority", "rate", "burst")
+		c := &wire.Customer{Name: o.text("name"), Keys: o.textList("keys"), Rate: o.number("rate"), Burst: o.number("burst")}
+		if _, stated := o.fields["priority"]; stated {
+			c.Priority = proto.Uint32(o.count("priority"))
+		}
+		list.Customers = append(list.Customers, c)
+	})
+	if len(f.list) == 0 {
+		checkCustomers(&f, list.GetCustomers())
+	}
+	if err := f.err(); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
 func parseFile(f *faults, data []byte) *object {
 	if len(data) > MaxFile {
 		f.add("file", "at most %d bytes, not %d", MaxFile, len(data))
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -64,6 +65,50 @@
 	}
 }
 
+// Guards against faults in a customers file that are accepted or reported for the wrong field, and against a fault that quotes a key.
+func TestParseCustomers(t *testing.T) {
+	tests := []struct {
+		name, data string
+		want       string // fields of the faults, or the customers
+	}{
+		{"valid", `{"customers":[{"name":"a","keys":["sk-2","sk-1"],"priority":0,"rate":2.5,"burst":9},{"name":"b","keys":["sk-3"]}]}`, "a 2 0 2.5 9, b 1 - 0 0"},
+		{"none", `{"customers":[]}`, ""},
+		{"example", string(read(t, "bureau-customers.json")), "court-interpreters 2 8 45 90, print-house 1 - 120 240, archive-readers 1 3 0 0"},
+		{"keys as a text", `{"customers":[{"name":"a","keys":"sk-1"}]}`, "customers[0].keys"},
+		{"key as a number", `{"customers":[{"name":"a","keys":[4711]}]}`, "customers[0].keys"},
+		{"key of two", `{"customers":[{"name":"a","keys":["sk-1"]},{"name":"b","keys":["sk-1"]}]}`, "customers[1].keys[0]"},
+		{"rate as a text", `{"customers":[{"name":"a","keys":["sk-1"],"rate":"sk-1"}]}`, "customers[0].rate"},
+		{"rate out of range", `{"customers":[{"name":"a","keys":["sk-1"],"rate":1e999}]}`, "customers[0].rate"},
+		{"negative burst", `{"customers":[{"name":"a","keys":["sk-1"],"burst":-1}]}`, "customers[0].burst"},
+		{"priority", `{"customers":[{"name":"a","keys":["sk-1"],"priority":10}]}`, "customers[0].priority"},
+		{"unknown field", `{"customers":[{"name":"a","keys":["sk-1"],"key":"sk-2"}]}`, "customers[0].key"},
+		{"cut short", `{"customers":[{"name":"a","keys":["sk-1"`, "file"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			list, err := ParseCustomers([]byte(c.data))
+			var parts []string
+			for _, m := range list.GetCustomers() {
+				priority := "-"
+				if m.Priority != nil {
+					priority = fmt.Sprint(m.GetPriority())
+				}
+				parts = append(parts, fmt.Sprintf("%s %d %s %v %v", m.GetName(), len(m.GetKeys()), priority, m.GetRate(), m.GetBurst()))
+			}
+			got := strings.Join(parts, ", ")
+			if e := new(InvalidError); errors.As(err, &e) {
+				got = e.Faults[0].Field
+			}
+			if got != c.want {
+				t.Errorf("got %q (%v), want %q", got, err, c.want)
+			}
+			if err != nil && strings.Contains(err.Error(), "sk-") {
+				t.Errorf("error: got %v, want one without a key", err)
+			}
+		})
+	}
+}
+
 // Guards against panics and against registers that ParseRegister accepts and Validate refuses.
 func FuzzParseRegister(f *testing.F) {
 	f.Add(read(f, "sahyadri-register.json"))
--- a/core/store/change.go
+++ b/core/store/change.go
@@ -33,6 +33,9 @@
 	accepted *wire.Accepted
 }
 
+// partNameCustomers is the part of a change that sets the customers only.
+const partNameCustomers = "customers"
+
 // proposal is the effect of a change that passed all checks.
 type proposal struct {
 	content     *content
@@ -176,6 +179,9 @@
 			return nil, refusal(Invalid, &wire.Fault{Field: "set", Expected: "a valid name of a rule set"})
 		}
 		p.content = base.withRules(normalizeSet(b.Rules))
+	case *wire.Change_Customers:
+		p.part = partNameCustomers
+		p.content = newContent(base.withCustomers(b.Customers.GetCustomers(), base), base)
 	case *wire.Change_Content:
 		p.part = "content"
 		if faults := checkSetNames(b.Content.GetSets()); len(faults) > 0 {
@@ -205,7 +211,7 @@
 				"the version of a change whose content is still in the history, not %d", b.Revert)})
 		}
 	default:
-		return nil, refusal(Invalid, &wire.Fault{Field: "body", Expected: "a register, rules, a whole content or version to revert to"})
+		return nil, refusal(Invalid, &wire.Fault{Field: "body", Expected: "a register, rules, customers, a whole content or version to revert to"})
 	}
 	if err := config.Validate(p.content.wire()); err != nil {
 		return nil, refusal(Invalid, validationFaults(err)...)
--- a/core/store/customer_test.go
+++ b/core/store/customer_test.go
@@ -57,9 +57,15 @@
 		{"rules", change("rules", 2, rules("more", "archive", 50)), "accepted 5", "- a a b"},
 		{"register", change("register", 5, register("archive", "ledger")), "accepted 6", "- a a b"},
 		{"revert to the first", change("revert", 6, uint64(1)), "accepted 7", "- a a b"},
-		{"customers reordered, moved key", numberedCustomers(6, 5, "b key-b key-both", "a key-new"), "accepted 8", "- b a b"},
-		{"no customers", numberedCustomers(7, 6), "accepted 9", "- - - -"},
-		{"revert to customers", change("again", 9, uint64(8)), "accepted 10", "- - - -"},
+		{"customers only", &wire.Change{Id: "only", Base: 7, Author: "ann", Body: &wire.Change_Customers{Customers: &wire.Customers{Customers: []*wire.Customer{
+			{Name: "b", Keys: []string{"key-b"}}, {Name: "a", Keys: []string{"key-new", "key-both", "key-more"}},
+		}}}}, "accepted 8 customers", "- a a b"},
+		{"invalid customers", &wire.Change{Id: "bad", Base: 8, Author: "ann", Body: &wire.Change_Customers{Customers: &wire.Customers{Customers: []*wire.Customer{
+			{Name: "b", Keys: []string{"key-b", "key-b"}},
+		}}}}, "invalid customers[0].keys[1]", "- a a b"},
+		{"customers reordered, moved key", numberedCustomers(8, 6, "b key-b key-both", "a key-new"), "accepted 10", "- b a b"},
+		{"no customers", numberedCustomers(9, 8), "accepted 11", "- - - -"},
+		{"revert to customers", change("again", 11, uint64(10)), "accepted 12", "- - - -"},
 	}
 	s := New()
 	for i, c := range tests {
--- a/core/store/history.go
+++ b/core/store/history.go
@@ -18,6 +18,8 @@
 		for _, p := range b.parts() {
 			s.contentBytes += proto.Size(p)
 		}
+	case r.accepted.GetPart() == partNameCustomers && b.customers != nil:
+		s.contentBytes += proto.Size(b.customers)
 	case strings.HasPrefix(r.accepted.GetPart(), "register"):
 		s.contentBytes += proto.Size(b.register)
 	case strings.HasPrefix(r.accepted.GetPart(), "rules/"):
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -1,4 +1,4 @@
-// Package examples embeds the registers and rules of two deployments.
+// Package examples embeds the registers and rules of two deployments, and the customers of a third.
 package examples
 
 import _ "embed" // for the files below
@@ -14,3 +14,9 @@
 	//go:embed karrakatta-rules.json
 	KarrakattaRules []byte
 )
+
+// BureauCustomers are customers of a translation bureau, in JSON: one whose key is being replaced, one without a priority of its own,
+// and one without a quota.
+//
+//go:embed bureau-customers.json
+var BureauCustomers []byte
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -40,10 +40,11 @@
 		operator.WithWait(h.progress),
 		operator.WithReplicas(h.replicas),
 		operator.WithParsers(config.ParseRegister, config.ParseRules, Faults),
+		operator.WithCustomersParser(config.ParseCustomers),
 	)
 }
 
-// Faults returns the faults in an error of config.ParseRegister or config.ParseRules, or nil for any other error.
+// Faults returns the faults in an error of config.ParseRegister, config.ParseRules or config.ParseCustomers, or nil for any other error.
 func Faults(err error) []*wire.Fault {
 	var invalid *config.InvalidError
 	if errors.As(err, &invalid) {
--- a/io/operator/content.go
+++ b/io/operator/content.go
@@ -6,11 +6,22 @@
 	"godwitspindle/core/wire"
 )
 
-// Content is the answer of GET /v1/show; register and sets have the format of the files that operators apply.
+// Content is the answer of GET /v1/show; register and sets, but not customers, have the format of the files that operators apply.
 type Content struct {
 	Version  uint64    `json:"version"`
 	Register Register  `json:"register"`
 	Sets     []RuleSet `json:"sets"`
+
+	Customers []Customer `json:"customers,omitempty"`
+}
+
+// Customer is one customer without its keys, which are never shown.
+type Customer struct {
+	Name     string  `json:"name"`
+	Keys     int     `json:"keys"` // number of keys
+	Priority *uint32 `json:"priority,omitempty"`
+	Rate     float64 `json:"rate,omitempty"`
+	Burst    float64 `json:"burst,omitempty"`
 }
 
 // Register is the content of a register file.
@@ -84,6 +95,11 @@
 	for _, s := range c.GetSets() {
 		v.Sets = append(v.Sets, newRuleSet(s))
 	}
+	for _, m := range c.GetCustomers() {
+		v.Customers = append(v.Customers, Customer{
+			Name: m.GetName(), Keys: len(m.GetKeys()), Priority: m.Priority, Rate: m.GetRate(), Burst: m.GetBurst(),
+		})
+	}
 	return v
 }
 
--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -126,12 +126,20 @@
 		}
 		out.Body = &wire.Change_Rules{Rules: rules}
 	}
+	if len(c.Customers) > 0 && s.customers != nil {
+		parts++
+		customers, err := s.customers(c.Customers)
+		if err != nil {
+			return nil, s.invalidProblem(err)
+		}
+		out.Body = &wire.Change_Customers{Customers: customers}
+	}
 	if c.Revert > 0 {
 		parts++
 		out.Body = &wire.Change_Revert{Revert: c.Revert}
 	}
 	if parts != 1 {
-		return nil, malformedProblem("expected exactly one of register, rules and revert")
+		return nil, malformedProblem("expected exactly one of register, rules, customers and revert")
 	}
 	return out, nil
 }
--- a/io/operator/messages.go
+++ b/io/operator/messages.go
@@ -43,7 +43,7 @@
 	return nil
 }
 
-// Change is the body of POST /v1/changes and /v1/plan; exactly one of Register, Rules and Revert is set.
+// Change is the body of POST /v1/changes and /v1/plan; exactly one of Register, Rules, Customers and Revert is set.
 type Change struct {
 	ID       string          `json:"id,omitempty"`
 	Base     uint64          `json:"base"`
@@ -51,7 +51,9 @@
 	Reason   string          `json:"reason"`
 	Register json.RawMessage `json:"register,omitempty"`
 	Rules    json.RawMessage `json:"rules,omitempty"`
-	Revert   uint64          `json:"revert,omitempty"` // version of the change whose content is restored
+	Revert   uint64          `json:"revert,omitempty"` // version of the change whose content is restored, but for its customers
+
+	Customers json.RawMessage `json:"customers,omitempty"`
 }
 
 // Difference is one changed field, or with an empty Field one entry that was added or removed.
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"godwitspindle/core/wire"
 )
 
@@ -63,7 +65,9 @@
 			if version > 42 {
 				return 0, nil, &MissingError{Version: version}
 			}
-			return 42, &wire.Content{Sets: []*wire.RuleSet{{Set: "main", Routes: []*wire.Route{{Name: "buy", Deadline: 2000}}}}}, nil
+			return 42, &wire.Content{Sets: []*wire.RuleSet{{Set: "main", Routes: []*wire.Route{{Name: "buy", Deadline: 2000, Public: true}}}}, Customers: []*wire.Customer{
+				{Name: "acme", Keys: []string{"sk-1", "sk-2"}, Priority: proto.Uint32(0), Rate: 12.5, Burst: 30}, {Name: "plain", Keys: []string{"sk-3"}},
+			}}, nil
 		}),
 		WithLocalContent(func(context.Context, uint64) (uint64, *wire.Content, error) { return 41, &wire.Content{}, nil }),
 		WithReplicas(func(_ context.Context, action, name string) (*Replicas, error) {
@@ -94,6 +98,12 @@
 				return []*wire.Fault{{Field: "set", Expected: "a name"}, {Field: "routes[1].deadline", Expected: "1ms to 5m"}}
 			}),
 	}
+	base = append(base, WithCustomersParser(func(data []byte) (*wire.Customers, error) {
+		if bytes.Contains(data, []byte(`"sk-1","sk-1"`)) {
+			return nil, faultsError{}
+		}
+		return &wire.Customers{}, nil
+	}))
 	return New(append(base, opts...)...)
 }
 
@@ -120,6 +130,9 @@
 		{"two values", "POST", "/v1/changes", change("x") + "{}", "", ""},
 		{"oversize", "POST", "/v1/changes", `{"reason":"` + strings.Repeat("x", maxBodyBytes) + `"}`, "", ""},
 		{"faults of a file", "POST", "/v1/plan", `{"rules":{"bad":1}}`, "", ""},
+		{"faults of customers", "POST", "/v1/plan", `{"customers":{"customers":[{"name":"acme","keys":["sk-1","sk-1"]}]}}`, "", ""},
+		{"rules and customers", "POST", "/v1/plan", `{"rules":{},"customers":{}}`, "", ""},
+		{"customers", "POST", "/v1/plan", `{"customers":{"customers":[{"name":"acme","keys":["sk-1"]}]}}`, "", ""},
 		{"conflict", "POST", "/v1/changes", change("conflict"), "", ""},
 		{"invalid", "POST", "/v1/changes", change("invalid"), "", ""},
 		{"reused", "POST", "/v1/changes", change("reused"), "", ""},
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -50,6 +50,7 @@
 	register     func([]byte) (*wire.Register, error)
 	rules        func([]byte) (*wire.RuleSet, error)
 	faults       func(error) []*wire.Fault
+	customers    func([]byte) (*wire.Customers, error) // nil if customers cannot be set
 }
 
 // Option is an argument of New, which says which options are required.
@@ -116,6 +117,11 @@
 	return func(s *Server) { s.register, s.rules, s.faults = register, rules, faults }
 }
 
+// WithCustomersParser sets the strict parser of customers files; its errors must not quote keys.
+func WithCustomersParser(customers func([]byte) (*wire.Customers, error)) Option {
+	return func(s *Server) { s.customers = customers }
+}
+
 // Limits returns the limits for the operator listener.
 func Limits() process.Limits {
 	l := process.DefaultLimits()
--- a/main.go
+++ b/main.go
@@ -21,6 +21,8 @@
 		ParseRegister: config.ParseRegister,
 		ParseRules:    config.ParseRules,
 		Faults:        host.Faults,
+
+		ParseCustomers: config.ParseCustomers,
 	}
 	os.Exit(p.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 }
