--- a/core/admission/customers_test.go
+++ b/core/admission/customers_test.go
@@ -93,6 +93,7 @@
 		{"heavy, sizes unequal", customerLoad{customers: 20, load: 0.8, odd: 4, times: 7.5}, 0.92},
 		{"heavy, sizes equal", customerLoad{customers: 20, equal: true, load: 0.8, odd: 4, times: 7.5}, 0.98},
 		{"extremely heavy", customerLoad{customers: 20, equal: true, load: 0.5, odd: 4, times: 60}, 0.97},
+		{"extremely heavy beside others that fill the endpoint", customerLoad{customers: 20, equal: true, load: 1, odd: 4, times: 40}, 0.7},
 		{"many small ones", customerLoad{customers: 60, equal: true, load: 1.5, odd: -1}, 0.55},
 		{"many small ones at three times the capacity", customerLoad{customers: 60, equal: true, load: 3, odd: -1}, 0.27},
 		{"returns at once", customerLoad{customers: 20, equal: true, load: 0.8, odd: 4, times: 8, change: atOnce}, 0.87},
