fix(admission): levels compare a customer with the others of its rank

With few customers the mean of all holds much of the heavy one itself, so that half of its burst started before another customer's only call.

--- a/core/admission/customers.go
+++ b/core/admission/customers.go
@@ -7,7 +7,9 @@
 
 const (
 	customerHalfLife = 4 * time.Second // time after which a call counts half
-	customerPrior    = 1.0             // added to the calls of a customer, so that the first ones change its level little
+	customerPrior    = 1.0             // added to asked and granted calls, so that the first ones change a share little
+	usePrior         = 2.0             // added to the use of a customer, so that the first calls change its level little
+	minActive        = 0.3             // a customer with fewer recent calls and none in the queue is not one of those that others are compared with
 	maxCustomers     = 256             // tracked pairs of customer and rank; the one with the fewest recent calls makes room for a new one
 	minAsked         = 0.01            // a customer with fewer recent calls is forgotten
 	maxDoublings     = 20              // half-lives after which the counts are scaled down, to stay within the precision of a float64
@@ -15,8 +17,8 @@
 	// starvedShare is the fraction of the rank's granted share below which a customer comes first. Its margin above a quarter, below
 	// which no customer may be served, is for what the counts of a few seconds miss.
 	starvedShare = 0.3
-	maxLevel     = 3    // level of the calls above four times the mean use
-	levelMargin  = 1.25 // level 0 ends at this multiple of the mean use; each further level ends at twice the one before
+	maxLevel     = 3
+	levelMargin  = 1.25 // level 0 ends at this multiple of the mean use of the others; each further level ends at twice the one before
 )
 
 // starvedLevel comes before the calls of all other customers of the rank.
@@ -24,7 +26,7 @@
 
 // customers counts the recent calls of customers at the endpoint, with exponential decay. While there are calls of customers, it orders
 // the queued calls of a rank by level: how much the customer used and has queued before the call, in relation to the mean of the
-// rank's customers. Levels instead of an exact order let calls of customers with similar use start in the order of their deadlines.
+// rank's other customers. Levels instead of an exact order let calls of customers with similar use start in the order of their deadlines.
 type customers struct {
 	origin time.Time // time at which a call counts 1; later calls count more, which takes the place of decaying all counts
 	index  map[customerRank]int
@@ -44,14 +46,17 @@
 	asked   float64 // calls that asked for a slot, without those whose caller left the queue
 	granted float64
 	queued  int // calls in the queue; valid only within the method level
+
+	active bool    // counts in the mean of its rank; set by the method sum
+	total  float64 // the use with all queued calls; set by the method sum
 }
 
 // rankUse sums the use of all customers of a rank.
 type rankUse struct {
-	count, weighted int // customers, and those with a weight
-	weight          float64
-	asked, granted  float64
-	mean            float64 // mean use of a customer
+	active, weighted int     // active customers, and customers with a weight
+	weight           float64 // mean of the weights
+	asked, granted   float64
+	total            float64 // use of all active customers
 }
 
 // unit returns what a call at the given time counts.
@@ -178,7 +183,9 @@
 	unit := c.unit(now)
 	for i := range c.uses {
 		u, s := &c.uses[i], &all[c.uses[i].rank]
-		s.count++
+		if u.active = u.asked/unit >= minActive || u.queued > 0; u.active {
+			s.active++
+		}
 		s.asked += u.asked / unit
 		s.granted += u.granted / unit
 		if u.weight > 0 {
@@ -190,8 +197,11 @@
 		all[i].weight /= float64(max(all[i].weighted, 1))
 	}
 	for i := range c.uses {
-		s := &all[c.uses[i].rank]
-		s.mean += c.uses[i].relative(s, unit) / float64(s.count)
+		u, s := &c.uses[i], &all[c.uses[i].rank]
+		u.total = u.relative(s, unit)
+		if u.active {
+			s.total += u.total
+		}
 	}
 	return all
 }
@@ -216,7 +226,14 @@
 	if served < starvedShare*(s.granted+customerPrior)/(s.asked+customerPrior) {
 		return starvedLevel
 	}
-	ratio := (u.relative(s, unit) + customerPrior) / (s.mean + customerPrior)
+	others, rest := s.active, s.total
+	if u.active {
+		others, rest = others-1, rest-u.total
+	}
+	if others == 0 {
+		return 0
+	}
+	ratio := (u.relative(s, unit) + usePrior) / (rest/float64(others) + usePrior)
 	level := 0
 	for limit := levelMargin; ratio > limit && level < maxLevel; limit *= 2 {
 		level++
--- a/core/admission/customers_test.go
+++ b/core/admission/customers_test.go
@@ -260,3 +260,62 @@
 		})
 	}
 }
+
+// Load pattern: the callers of one customer leave the queue early and return at once. Guards against that customer being taken for one
+// that is served too rarely, so that its calls start before those of others.
+func TestLeavingCallersAreNoDemand(t *testing.T) {
+	g := New(WithSlots(1), WithFixedLimit(), WithShares(), WithSingleCaller())
+	now := start
+	for i := range 40 {
+		name := "modest"
+		if i < 8 {
+			name = "leaver"
+		}
+		now = now.Add(10 * time.Millisecond)
+		g.Decide(now, Request{Call: fmt.Sprint(i), Customer: name})
+		g.Done(now, fmt.Sprint(i), customerWork, true)
+	}
+	g.Decide(now, Request{Call: "running", Customer: "modest"})
+	for i := range 100 {
+		call := fmt.Sprint("left", i)
+		if d := g.Decide(now, Request{Call: call, Customer: "leaver"}); d.Action != Queue {
+			t.Fatalf("call %d of the leaving customer: got action %d, want it queued", i, d.Action)
+		}
+		g.Cancel(now, call)
+	}
+	queue := []queuedCall{{Request: Request{Call: "next", Customer: "leaver"}}}
+	if levels, _ := g.customers.level(now, queue, nil); levels[0] == starvedLevel {
+		t.Errorf("level of the leaving customer: got %d, want that of a customer that is served", levels[0])
+	}
+}
+
+// Load pattern: of two customers that used as much, one sends many calls at once. Guards against another customer
+// whose only call waits behind most of them.
+func TestBurstOfOneCustomer(t *testing.T) {
+	for _, opts := range [][]Option{{WithShares(), WithSingleCaller()}, {WithSingleCaller()}} {
+		g := New(append([]Option{WithSlots(1), WithQueue(40), WithFixedLimit()}, opts...)...)
+		for i := range 20 {
+			g.Decide(start, Request{Call: "warm", Customer: []string{"burst", "small"}[i%2]})
+			g.Done(start, "warm", customerWork, true)
+		}
+		for i := range 30 {
+			g.Decide(start, Request{Call: fmt.Sprint("b", i), Customer: "burst"})
+		}
+		d := g.Decide(start, Request{Call: "small", Customer: "small"})
+		if limit := 5 * customerWork; d.Action != Queue || d.Wait > limit {
+			t.Errorf("estimated wait: got action %d and %s, want a wait of at most %s", d.Action, d.Wait, limit)
+		}
+		started, running := 0, "b0"
+		for running != "small" && started < 31 {
+			list := g.Done(start, running, customerWork, true)
+			if len(list) != 1 {
+				t.Fatalf("after %d starts: got %d decisions, want 1", started, len(list))
+			}
+			running = list[0].Call
+			started++
+		}
+		if started > 5 {
+			t.Errorf("starts until the other customer's call: got %d, want at most 5", started)
+		}
+	}
+}
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -103,7 +103,6 @@
 	arrived  time.Time
 	sequence uint64
 	estimate time.Duration // wait estimated from the queue when the call arrived, without the learned factor
-	heavy    bool          // on arrival, the customer had used more than the mean of its rank
 	overdue  bool          // the call was expected on arrival to miss its objective, so it starts after calls that can meet theirs
 }
 
@@ -173,8 +172,7 @@
 	if g.mayStart(now) && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
 		return g.admit(now, r, 0)
 	}
-	_, level := g.customers.level(now, g.queue, &r)
-	w := queuedCall{Request: r, arrived: now, sequence: g.sequence, heavy: level > 0}
+	w := queuedCall{Request: r, arrived: now, sequence: g.sequence}
 	g.sequence++
 	wait := g.expectedWait(now, &w)
 	w.overdue = !r.LastAttempt && !r.Objective.IsZero() && now.Add(wait+service).After(r.Objective)
--- a/core/admission/waitfactors.go
+++ b/core/admission/waitfactors.go
@@ -11,18 +11,15 @@
 )
 
 // waitFactors learns the ratio of actual to estimated wait. Calls wait longer than the queue at their arrival suggests, since
-// calls of higher priority arrive later and start earlier. Each rank has one factor for overdue calls, one for calls of customers
-// that used much, which others overtake, one for calls that are both, and one for all others.
-type waitFactors [ranks][4]float64
+// calls of higher priority arrive later and start earlier. Each rank has one factor for overdue calls and one for all
+// others.
+type waitFactors [ranks][2]float64
 
 func (d *waitFactors) entry(w *queuedCall) *float64 {
 	index := 0
 	if w.overdue {
 		index = 1
 	}
-	if w.heavy {
-		index += 2
-	}
 	return &d[w.rank()][index]
 }
 
