perf(quota): sums over the nodes of a customer are kept

All shares are read at most every 20 ms. A coordinator without the customer grants nothing, as it may lack the version of the node. The spare tokens of a node without a coordinator begin at a random part of one, so that nodes with less than a request per second use what was promised to them.

--- a/core/quota/coordinator.go
+++ b/core/quota/coordinator.go
@@ -17,7 +17,7 @@
 // Coordinator grants tokens to nodes while its replica leads. It is safe for concurrent use.
 type Coordinator struct {
 	bounds Bounds
-	limit  func(customer string) Limit
+	limit  func(customer string) (Limit, bool)
 
 	mutex   sync.Mutex
 	term    uint64
@@ -34,8 +34,9 @@
 	incarnation  uint64
 	number       uint64 // of its last request
 	responses    uint64
-	at           time.Time // of its last request
-	acknowledged time.Time // last time at which the node had all responses
+	at           time.Time         // of its last request
+	acknowledged time.Time         // last time at which the node had all responses
+	shares       map[string]*share // by customer
 }
 
 // share is a node's part of a customer's quota.
@@ -45,6 +46,7 @@
 	granted          int       // by the last response
 	rate             float64   // spent per second, as the node reports
 	promised, before float64   // promises of the last response and of the last acknowledged one
+	named            bool      // by the request that is being handled
 }
 
 // bucket is the state of one customer.
@@ -52,12 +54,16 @@
 	limit   Limit
 	level   float64
 	updated time.Time
+	scanned time.Time         // last time at which all shares were read
 	shares  map[string]*share // by node
-	scarce  time.Time         // time until which the customer counts as short of tokens
-	over    time.Time         // time until which it counts as over its quota, as a request got no token
-	short   int               // asks with such requests since it last was within its quota
-	total   float64           // largest sum of promises of the term before that a node reported
-	heard   float64           // promises of the term before whose nodes have asked in this term
+	// Sums over the shares: tokens held, rates spent, promised rates.
+	held            int
+	rates, promised float64
+	scarce          time.Time // time until which the customer counts as short of tokens
+	over            time.Time // time until which it counts as over its quota, as a request got no token
+	short           int       // asks with such requests since it last was within its quota
+	total           float64   // largest sum of promises of the term before that a node reported
+	heard           float64   // promises of the term before whose nodes have asked in this term
 }
 
 // CoordinatorOption replaces a default of the Coordinator that NewCoordinator returns.
@@ -66,8 +72,9 @@
 // WithBounds sets how far the requests of a customer may exceed its quota.
 func WithBounds(b Bounds) CoordinatorOption { return func(c *Coordinator) { c.bounds = b } }
 
-// NewCoordinator returns a Coordinator; limit returns the quota of a customer in the version in force.
-func NewCoordinator(limit func(customer string) Limit, opts ...CoordinatorOption) *Coordinator {
+// NewCoordinator returns a Coordinator; limit returns the quota of a customer in the version in force, and false for a customer that this
+// does not have.
+func NewCoordinator(limit func(customer string) (Limit, bool), opts ...CoordinatorOption) *Coordinator {
 	c := &Coordinator{bounds: DefaultBounds(), limit: limit}
 	for _, o := range opts {
 		o(c)
@@ -96,11 +103,7 @@
 		return Response{Leader: s.Leader} // a later request of the node has overtaken this one
 	}
 	c.sweep(now)
-	asked := make(map[string]bool, len(r.Asks))
-	for _, a := range r.Asks {
-		asked[a.Customer] = true
-	}
-	c.settle(now, r.Node, missed, asked)
+	c.settle(now, r.Node, n, missed, r.Asks)
 	n.responses++
 	p := Response{Term: c.term, Leader: s.Leader, Number: n.responses, Interval: c.interval()}
 	for _, a := range r.Asks {
@@ -124,7 +127,7 @@
 	}
 	if n == nil || n.incarnation != r.Incarnation {
 		c.forget(now, r.Node) // the tokens of an earlier process ended with it
-		n = &node{incarnation: r.Incarnation, acknowledged: now}
+		n = &node{incarnation: r.Incarnation, acknowledged: now, shares: map[string]*share{}}
 		c.nodes[r.Node] = n
 	}
 	n.number, n.at = r.Number, now
@@ -133,74 +136,115 @@
 
 // settle updates the shares of a node by what it knows of the last response: tokens of a response that it missed are free again, and a
 // customer that it does not name holds nothing there.
-func (c *Coordinator) settle(now time.Time, name string, missed bool, asked map[string]bool) {
-	for customer, b := range c.buckets {
-		s := b.shares[name]
-		if s == nil {
-			continue
+func (c *Coordinator) settle(now time.Time, name string, n *node, missed bool, asks []Ask) {
+	for _, a := range asks {
+		if s := n.shares[a.Customer]; s != nil {
+			s.named = true
 		}
+	}
+	for customer, s := range n.shares {
+		b := c.buckets[customer]
 		c.refill(now, b)
+		if !missed && !s.named {
+			c.remove(customer, name)
+			continue
+		}
+		b.exclude(s)
 		if missed && now.Before(s.expires) {
 			lost := min(s.granted, s.held)
 			s.held -= lost
 			b.level += float64(lost)
 		}
-		s.granted = 0
 		if !missed {
 			s.before = s.promised
 		}
-		if !missed && !asked[customer] {
-			delete(b.shares, name)
-		}
+		s.granted, s.named = 0, false
+		b.include(s)
 		c.clamp(now, b)
 	}
 }
 
+// remove removes the share of a node.
+func (c *Coordinator) remove(customer, name string) {
+	b, n := c.buckets[customer], c.nodes[name]
+	b.exclude(b.shares[name])
+	delete(b.shares, name)
+	delete(n.shares, customer)
+}
+
+// drop removes a bucket.
+func (c *Coordinator) drop(customer string) {
+	if b := c.buckets[customer]; b != nil {
+		for name := range b.shares {
+			delete(c.nodes[name].shares, customer)
+		}
+		delete(c.buckets, customer)
+	}
+}
+
+// exclude takes a share out of the sums of the bucket before it changes; include adds it again.
+func (b *bucket) exclude(s *share) {
+	b.held, b.rates, b.promised = b.held-s.held, b.rates-s.rate, b.promised-s.reserved()
+}
+
+func (b *bucket) include(s *share) {
+	b.held, b.rates, b.promised = b.held+s.held, b.rates+s.rate, b.promised+s.reserved()
+}
+
 // grant answers one ask of a node.
 func (c *Coordinator) grant(now time.Time, name string, a Ask) Grant {
-	limit := c.limit(a.Customer)
+	limit, known := c.limit(a.Customer)
 	if limit.Rate <= 0 {
-		delete(c.buckets, a.Customer)
-		return Grant{Customer: a.Customer, Tokens: a.Want} // the version in force here sets no limit
+		c.drop(a.Customer)
+		if !known { // it was withdrawn, or this replica does not have the node's version yet
+			return Grant{Customer: a.Customer, Wait: minSpacing}
+		}
+		return Grant{Customer: a.Customer, Tokens: min(a.Want, maxGrant)}
 	}
 	b := c.bucketOf(now, a, limit)
 	c.refill(now, b)
 	s := b.shares[name]
 	if s == nil {
 		s = &share{}
-		b.shares[name] = s
+		b.shares[name], c.nodes[name].shares[a.Customer] = s, s
 		b.heard += a.Promised
 		b.total = max(b.total, a.Total)
 	}
-	returned := 0
+	b.exclude(s)
 	if now.Before(s.expires) { // expired tokens have accrued again
-		returned = min(max(a.Returned, 0), s.held)
+		b.level += float64(min(max(a.Returned, 0), s.held))
 	}
-	s.held, s.rate = max(a.Held, 0), max(a.Rate, 0)
-	b.level += float64(returned)
+	s.held, s.rate, s.expires = max(a.Held, 0), max(a.Rate, 0), now.Add(tokenLife)
+	b.include(s)
 	c.clamp(now, b)
+	g := c.tokens(now, b, a)
+	b.exclude(s)
+	s.held, s.granted = s.held+g.Tokens, g.Tokens
+	g.Promised, g.Total = b.promise(s)
+	s.promised = g.Promised
+	b.include(s)
+	if a.Want == 0 && s.held == 0 && s.rate == 0 {
+		c.remove(a.Customer, name) // the node has nothing to do with the customer any more
+	}
+	return g
+}
 
-	tokens := min(max(a.Need, 0), int(min(b.level, maxGrant)))
-	if tokens < a.Need {
+// tokens takes the tokens for an ask out of the bucket.
+func (c *Coordinator) tokens(now time.Time, b *bucket, a Ask) Grant {
+	n := min(max(a.Need, 0), max(int(min(b.level, maxGrant)), 0))
+	if n < a.Need {
 		b.scarce = now.Add(scarceTime)
 	}
-	if tokens < a.Waiting {
+	if n < a.Waiting {
 		b.shortage(now)
 	}
-	wait := tokens < a.Need && now.Before(b.over)
-	tokens += max(min(a.Want-tokens, c.spare(now, b, tokens)), 0)
-	b.level -= float64(tokens)
-	s.held += tokens
-	s.granted, s.expires = tokens, now.Add(tokenLife)
-	g := Grant{Customer: a.Customer, Tokens: tokens, Scarce: now.Before(b.scarce), Sharing: len(b.shares)}
-	g.Promised, g.Total = b.promise(s)
-	s.promised = g.Promised
-	if wait {
+	over := n < a.Need && now.Before(b.over)
+	n += max(min(a.Want-n, c.spare(now, b, n)), 0)
+	b.level -= float64(n)
+	g := Grant{Customer: a.Customer, Tokens: n, Scarce: now.Before(b.scarce), Sharing: len(b.shares)}
+	if over {
 		g.Wait = c.wait(b)
 	}
-	if a.Want == 0 && s.held == 0 && s.rate == 0 {
-		delete(b.shares, name) // the node has nothing to do with the customer any more
-	}
 	return g
 }
 
@@ -208,33 +252,43 @@
 func (c *Coordinator) bucketOf(now time.Time, a Ask, limit Limit) *bucket {
 	b := c.buckets[a.Customer]
 	if b == nil {
-		b = &bucket{limit: limit, updated: c.began, shares: map[string]*share{}, total: a.Total}
+		b = &bucket{limit: limit, updated: c.began, scanned: c.began, shares: map[string]*share{}, total: a.Total}
 		c.buckets[a.Customer] = b
 	}
 	if b.limit != limit {
 		c.refill(now, b)
 		b.limit = limit
-		c.clamp(now, b)
 	}
 	return b
 }
 
-// refill adds what has accrued to a bucket, less the rates reserved for nodes that may spend without asking.
+// refill adds what has accrued to a bucket.
 func (c *Coordinator) refill(now time.Time, b *bucket) {
-	elapsed := now.Sub(b.updated)
-	if elapsed <= 0 {
-		return
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		b.level += b.limit.Rate * elapsed.Seconds()
+		b.updated = now
 	}
-	reserved := 0.0
+	if now.Sub(b.scanned) >= scanInterval {
+		c.scan(now, b)
+	}
+	c.clamp(now, b)
+}
+
+// scan deducts the rates reserved for nodes that may spend without asking, and forgets expired tokens.
+func (c *Coordinator) scan(now time.Time, b *bucket) {
+	reserved := c.unheard(b) * overlap(b.scanned, now, c.began, c.began.Add(promiseLife))
 	silent := silentAfter(c.interval())
+	b.held, b.rates, b.promised = 0, 0, 0
 	for name, s := range b.shares {
 		at := c.nodes[name].acknowledged
-		reserved += s.reserved() * overlap(b.updated, now, at.Add(silent), at.Add(promiseLife))
+		reserved += s.reserved() * overlap(b.scanned, now, at.Add(silent), at.Add(promiseLife))
+		if !now.Before(s.expires) {
+			s.held = 0
+		}
+		b.include(s)
 	}
-	reserved += c.unheard(b) * overlap(b.updated, now, c.began, c.began.Add(promiseLife))
-	b.level += max(b.limit.Rate*elapsed.Seconds()-reserved, 0)
-	b.updated = now
-	c.clamp(now, b)
+	b.level -= min(reserved, b.limit.Rate*now.Sub(b.scanned).Seconds())
+	b.scanned = now
 }
 
 // unheard returns the rate at which nodes may spend by promises of the term before that have not asked in this term.
@@ -267,22 +321,16 @@
 
 // clamp keeps the level within the depth of the bucket and the sum of level and held tokens within the total.
 func (c *Coordinator) clamp(now time.Time, b *bucket) {
-	b.level = max(min(b.level, c.bounds.depth(b.limit), c.room(now, b)), 0)
+	b.level = min(b.level, c.bounds.depth(b.limit), max(c.room(now, b), 0))
 }
 
 // room returns how many tokens the nodes and the bucket may have in addition to those that nodes hold.
 func (c *Coordinator) room(now time.Time, b *bucket) float64 {
-	held := 0
-	for _, s := range b.shares {
-		if now.Before(s.expires) {
-			held += s.held
-		}
-	}
 	part := heldShare
 	if now.Sub(c.began) < tokenLife {
 		part = newTermShare
 	}
-	return c.bounds.total(b.limit, part) - float64(held)
+	return c.bounds.total(b.limit, part) - float64(b.held)
 }
 
 // spare returns how many tokens may be granted for demand that may not come, besides the tokens needed: half of the bucket stays for
@@ -292,18 +340,12 @@
 	return int(min(b.level-float64(needed)-depth/2, c.room(now, b)-float64(needed)-depth, maxGrant))
 }
 
-// promise returns the rate that a node may spend without a coordinator, and the sum for all nodes, which does not exceed the limit.
+// promise returns the rate that a node may spend without a coordinator, and the sum for all nodes, which does not exceed the limit. The
+// share is excluded from the sums.
 func (b *bucket) promise(s *share) (rate, total float64) {
-	rates, others := 0.0, 0.0
-	for _, o := range b.shares {
-		rates += o.rate
-		if o != s {
-			others += o.reserved()
-		}
-	}
-	rate = min(s.rate, s.rate*b.limit.Rate/max(rates, b.limit.Rate))
-	rate = max(min(rate, b.limit.Rate-others), 0)
-	return rate, min((others+rate)*promiseMargin, b.limit.Rate)
+	rate = min(s.rate, s.rate*b.limit.Rate/max(b.rates+s.rate, b.limit.Rate))
+	rate = max(min(rate, b.limit.Rate-b.promised), 0)
+	return rate, min((b.promised+rate)*promiseMargin, b.limit.Rate)
 }
 
 // promiseMargin covers promises that grow between two requests of a node, whose last response then tells too small a sum.
@@ -346,26 +388,29 @@
 	for name, n := range c.nodes {
 		if now.Sub(n.at) > promiseLife+tokenLife && now.Sub(c.began) > promiseLife {
 			c.forget(now, name)
-			delete(c.nodes, name)
 		}
 	}
 	for customer, b := range c.buckets {
 		c.refill(now, b)
 		// A bucket that is not full must stay, since a new one starts with what accrued since the term began.
-		if len(b.shares) == 0 && (b.level >= c.bounds.depth(b.limit) || c.limit(customer).Rate <= 0) {
+		limit, _ := c.limit(customer)
+		if len(b.shares) == 0 && (b.level >= c.bounds.depth(b.limit) || limit.Rate <= 0) {
 			delete(c.buckets, customer)
 		}
 	}
 }
 
-// forget removes the shares of a node.
+// forget removes a node and its shares.
 func (c *Coordinator) forget(now time.Time, name string) {
-	for _, b := range c.buckets {
-		if b.shares[name] != nil {
-			c.refill(now, b)
-			delete(b.shares, name)
-		}
+	n := c.nodes[name]
+	if n == nil {
+		return
+	}
+	for customer := range n.shares {
+		c.refill(now, c.buckets[customer])
+		c.remove(customer, name)
 	}
+	delete(c.nodes, name)
 }
 
 // load measures the requests per second.
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -58,8 +58,9 @@
 	// MaxConfirmationAge is the age of the last confirmation by a majority above which a coordinator grants nothing. It is not longer than
 	// an election timeout, so that no other replica leads yet.
 	MaxConfirmationAge = 600 * time.Millisecond
-	// MaxWait is how long a request may wait for a token.
-	MaxWait = 100 * time.Millisecond
+	// MaxWait is how long a request may wait for a token. A process with a small part of a core may be stalled for most of a scheduling
+	// period of 100 ms.
+	MaxWait = 150 * time.Millisecond
 	// asksPerSecond is the load of regular requests that the coordinator aims to stay below. It is somewhat higher while a customer is
 	// over its quota, since spent tokens that a node has not reported yet still count as held.
 	asksPerSecond     = 200
@@ -70,6 +71,9 @@
 	minSpacing = 50 * time.Millisecond
 	// maxSpacing bounds the time after which a node asks again for a customer whose tokens are used up.
 	maxSpacing = time.Second
+	// scanInterval is the time between two passes over all nodes of a customer, which find silent nodes and expired tokens. In it, a node
+	// that falls silent spends little.
+	scanInterval = 20 * time.Millisecond
 	// scarceTime is how long a customer counts as short of tokens after a node did not get what it needed.
 	scarceTime = time.Second
 )
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -143,7 +143,7 @@
 		return Verdict{Granted: true}, nil
 	}
 	if l.alone(now) {
-		if a.spendSpare(now, l.aloneSince(), l.minimum(a)) {
+		if l.spendSpare(now, a) {
 			l.totals.Fallback++
 			return Verdict{Granted: true, Fallback: true}, nil
 		}
@@ -246,9 +246,12 @@
 }
 
 // spendSpare runs a request without a token if the promised rate, or later the minimum, allows it.
-func (a *account) spendSpare(now, since time.Time, minimum float64) bool {
+func (l *Local) spendSpare(now time.Time, a *account) bool {
+	since, minimum := l.aloneSince(), l.minimum(a)
 	if a.spareAt.Before(since) {
-		a.spare, a.spareAt = 0, since
+		// With a random part of a token at the start, nodes with less than a request per second together spend what was promised to them;
+		// without it, less.
+		a.spare, a.spareAt = l.random(), since
 	}
 	until := a.promiseEnds
 	if until.After(now) {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -265,3 +265,52 @@
 		})
 	}
 }
+
+// Guards against refusals or unused quota where processes with a small part of a core answer slowly.
+func TestSlowMessages(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		limit   Limit
+		demand  float64
+		used    float64
+		refused float64
+	}{
+		{"below the quota", Limit{100, 50}, 62, 0, 0.02}, // two round trips in a row take longer than a request may wait
+		{"far above", Limit{100, 50}, 500, 0.95, 1},
+		{"far above, large", Limit{600, 300}, 1500, 0.95, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(t, 13, map[string]Limit{"a": c.limit})
+			s.latency = 40 * time.Millisecond
+			s.demand("a", spread(c.demand, simNodes))
+			s.run(30 * second)
+			s.checkBound("a", c.limit, 0)
+			s.checkUsed("a", c.limit, 5*second, 30*second, c.used)
+			const filled = 2 * second // the bucket is empty when the term begins
+			arrived, ideal := s.ideal("a", c.limit, filled, 30*second)
+			refusals := count(s.refusals["a"], s.begin.Add(filled), s.now)
+			if got := float64(refusals-ideal) / float64(arrived); got > c.refused {
+				t.Errorf("refused: got %.4f of the requests more than one bucket, want at most %.4f", got, c.refused)
+			}
+		})
+	}
+}
+
+// Guards against a coordinator that grants without bounds to a node with a newer version, or nothing after a quota was removed.
+func TestCustomerUnknownToCoordinator(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := map[string]Limit{"free": {}}
+	c := NewCoordinator(func(customer string) (Limit, bool) {
+		l, ok := limits[customer]
+		return l, ok
+	})
+	p := c.Decide(now, Standing{Leads: true, Term: 1, Nodes: 1}, Request{Node: "n", Incarnation: 1, Number: 1, Asks: []Ask{
+		{Customer: "new", Waiting: 3, Need: 3, Want: 5}, {Customer: "free", Waiting: 3, Need: 3, Want: 5},
+	}})
+	if g := p.Grants[0]; g.Tokens != 0 || g.Wait <= 0 {
+		t.Errorf("unknown customer: got %+v, want no tokens and a wait", g)
+	}
+	if g := p.Grants[1]; g.Tokens != 5 || g.Wait != 0 {
+		t.Errorf("customer without a quota: got %+v, want all tokens", g)
+	}
+}
--- a/io/host/quota.go
+++ b/io/host/quota.go
@@ -24,7 +24,7 @@
 
 const (
 	// quotaTimeout is the time for one request to the coordinator. A lost leader must be noticed before the tokens of a node are used up.
-	quotaTimeout = 250 * time.Millisecond
+	quotaTimeout = 300 * time.Millisecond
 	// leaderCheck is the time between two checks for a new leader, and for the first quota in a version.
 	leaderCheck = 200 * time.Millisecond
 	// refusalLines and refusalBurst bound the log lines about refused requests of one node.
@@ -134,18 +134,18 @@
 	}
 }
 
-// limit returns the quota of a customer in the version in force.
-func (q *quotas) limit(customer string) quota.Limit {
+// limit returns the quota of a customer in the version in force, and false for a customer that this does not have.
+func (q *quotas) limit(customer string) (quota.Limit, bool) {
 	c, ok := q.table().Customer(customer)
 	if !ok {
-		return quota.Limit{}
+		return quota.Limit{}, false
 	}
-	return quota.Limit{Rate: c.Rate, Burst: c.Burst}
+	return quota.Limit{Rate: c.Rate, Burst: c.Burst}, true
 }
 
 // take takes a request of a customer off its quota. It waits for the coordinator if this node has no token.
 func (q *quotas) take(ctx context.Context, customer string) (giveBack func(), f *outcome.Failure) {
-	limit := q.limit(customer)
+	limit, _ := q.limit(customer)
 	if limit.Rate <= 0 {
 		return nil, nil
 	}
