feat(admission): limit and service times follow the estimate of capacity

Endpoints that have reported a pace get expected service times at the current pace, a limit at what they handle well, and refuse a call at once if it would miss its objective only because the endpoint is slower than usual now. Other endpoints are unchanged.

--- a/core/admission/adaptive.go
+++ b/core/admission/adaptive.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"godwitspindle/core/capacity"
+)
 
 const (
 	smoothing         = 0.1  // weight of a new service time in the moving averages
@@ -22,6 +26,9 @@
 	limit float64
 	mean  float64 // moving average of the service time of all kinds, in nanoseconds; 0 before the first call
 	kinds map[string]*kindStats
+	// estimate replaces the service times and bounds the limit of an endpoint that reports its pace; nil for other endpoints.
+	estimate *capacity.Estimator
+	running  int // running calls when a call is decided on, for estimate
 
 	ratioSum     float64 // sum over the window of each call's service time divided by the baseline of its kind
 	count        int     // calls in ratioSum
@@ -47,20 +54,65 @@
 	}
 	a.slots = slots
 	a.limit = min(a.limit, float64(slots))
+	if a.estimate != nil {
+		a.estimate.Resize(slots)
+	}
+}
+
+func (a *adaptiveLimit) value() int {
+	if a.estimate != nil {
+		return max(min(int(a.limit), a.estimate.Limit()), 1)
+	}
+	return max(int(a.limit), 1)
 }
 
-func (a *adaptiveLimit) value() int { return max(int(a.limit), 1) }
+// advance passes the time and the number of running calls to the estimate.
+func (a *adaptiveLimit) advance(now time.Time, running int) {
+	a.running = running
+	if a.estimate != nil {
+		a.estimate.Advance(now)
+	}
+}
+
+// start returns what is known of the endpoint when a call starts; running includes that call.
+func (a *adaptiveLimit) start(running int) capacity.Start {
+	if a.estimate == nil {
+		return capacity.Start{}
+	}
+	return a.estimate.Start(running)
+}
 
 // serviceTime returns the expected service time of a request kind, or the mean over all kinds if the kind has had no call.
 func (a *adaptiveLimit) serviceTime(kind string) time.Duration {
+	if a.estimate != nil {
+		if d, known := a.expected(kind); known {
+			return d
+		}
+	}
 	if k := a.kinds[kind]; k != nil {
 		return time.Duration(k.mean)
 	}
 	return a.meanServiceTime()
 }
 
-// meanServiceTime returns the moving average of the service time over all kinds, 0 before the first call.
-func (a *adaptiveLimit) meanServiceTime() time.Duration { return time.Duration(a.mean) }
+// expected returns the estimated service time of a kind. While no call runs it is the usual one, so that a false report cannot keep
+// an endpoint from being tried.
+func (a *adaptiveLimit) expected(kind string) (time.Duration, bool) {
+	if a.running == 0 {
+		return a.estimate.Usual(kind)
+	}
+	return a.estimate.Expected(kind, min(a.running+1, a.value()))
+}
+
+// meanServiceTime returns the expected service time over all kinds, 0 before the first call.
+func (a *adaptiveLimit) meanServiceTime() time.Duration {
+	if a.estimate != nil {
+		if d, known := a.estimate.Mean(a.value()); known {
+			return d
+		}
+	}
+	return time.Duration(a.mean)
+}
 
 func (a *adaptiveLimit) minBaseline() time.Duration {
 	lowest := 0.0
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"godwitspindle/core/capacity"
 	"godwitspindle/core/outcome"
 )
 
@@ -91,6 +92,7 @@
 	kind    string
 	suspect bool
 	bytes   float64 // response bytes reserved on the link
+	start   capacity.Start
 }
 
 type callerUsage struct{ running, queued int }
@@ -157,6 +159,7 @@
 		return g.refuse(now, r.Call, outcome.Refused, 0)
 	}
 	g.shares.countRequest(now, r.rank())
+	g.limit.advance(now, len(g.running))
 	service := g.limit.serviceTime(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
 		return g.refuse(now, r.Call, outcome.DeadlineExceeded, 0)
@@ -165,6 +168,9 @@
 	if linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
 		return g.refuse(now, r.Call, outcome.Busy, linkWait)
 	}
+	if d, refused := g.refuseSlow(now, &r, service); refused {
+		return d
+	}
 	if g.mayStart(now) && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
 		return g.admit(now, r, 0)
 	}
@@ -224,6 +230,7 @@
 	}
 	if ok {
 		g.limit.observe(r.kind, serviceTime, len(g.running)+1)
+		g.limit.observeEstimate(now, r, serviceTime, len(g.running)+1)
 	}
 	return g.startQueued(now)
 }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -19,6 +19,7 @@
 // applies.
 func (g *Gate) startQueued(now time.Time) []Decision {
 	var out []Decision
+	g.limit.advance(now, len(g.running))
 	for i := 0; i < len(g.queue); {
 		d := g.queue[i].Deadline
 		if d.IsZero() || !now.Add(g.limit.serviceTime(g.queue[i].Kind)).After(d) {
@@ -255,7 +256,7 @@
 }
 
 func (g *Gate) admit(now time.Time, r Request, waited time.Duration) Decision {
-	n := runningCall{caller: r.Caller, kind: r.Kind, suspect: r.Suspect}
+	n := runningCall{caller: r.Caller, kind: r.Kind, suspect: r.Suspect, start: g.limit.start(len(g.running) + 1)}
 	if g.link != nil && r.Remote {
 		n.bytes = g.link.reserve(r.Kind)
 	}
