feat(routing): choice by expected completion for endpoints that tell it

Once a node of a service tells expected service times, the picker compares the time to a response of the endpoint on its host, two of the failure domain and two of all, with a bounded preference for near endpoints, and draws one in fifty at random.

--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -38,6 +38,7 @@
 	Domain  string   // failure domain of the caller; empty for that of the node
 	Tried   []string // keys of the endpoints to which this call was already sent; they are not chosen
 	Now     time.Time
+	Kind    string // kind of request, for the expected time at the endpoint on the node's host
 }
 
 // Reasons for a choice, which appear in the log.
@@ -47,6 +48,7 @@
 	ReasonScore      = "score"  // it has the lower score of two endpoints; none is usable in the caller's failure domain
 	ReasonLocal      = "local"  // it is in the caller's failure domain and has the lower score of two endpoints, or is preferred
 	ReasonRemote     = "spill"  // it is in another failure domain and has a lower score than a usable endpoint in the caller's
+	ReasonProbe      = "probe"  // it was drawn at random, so that an endpoint that looks slow is still observed
 	ReasonLastResort = "resort" // it is ejected or unreachable, and no usable endpoint is untried
 )
 
@@ -91,6 +93,7 @@
 	subset        int             // maximum number of endpoints of a service that the node uses
 	remotePenalty float64         // score factor of other failure domains in the node's region
 	leaving       func(endpoint string, incarnation uint64) bool
+	ownLoad       func(endpoint, kind string, now time.Time) (Load, bool)
 	preferLocal   bool // prefers the node's host and the caller's failure domain; see WithLocalPreference
 
 	// clock is the latest time passed in, up to 1 ms late, in Unix nanoseconds. Done uses it, since it has no time parameter.
@@ -99,8 +102,9 @@
 	views  atomic.Pointer[map[string]*view] // by service name
 	shards [shardCount]shard                // states of endpoints, sharded by key
 
-	mutex      sync.Mutex // guards changes to views; locked before shards and endpoints
-	ejectMutex sync.Mutex // serializes ejections; locked after the mutex of an endpoint
+	mutex      sync.Mutex              // guards changes to views, and loads; locked before shards and endpoints
+	loads      map[string]*serviceLoad // by service name
+	ejectMutex sync.Mutex              // serializes ejections; locked after the mutex of an endpoint
 }
 
 // Option is a setting for New; none is required.
@@ -141,7 +145,8 @@
 
 // New returns a Picker that knows no endpoints yet; Decide adds those of the services it is called with.
 func New(opts ...Option) *Picker {
-	p := &Picker{subset: defaultSubset, remotePenalty: otherDomainPenalty, leaving: func(string, uint64) bool { return false }}
+	p := &Picker{subset: defaultSubset, remotePenalty: otherDomainPenalty, leaving: func(string, uint64) bool { return false }, loads: map[string]*serviceLoad{}}
+	p.ownLoad = func(string, string, time.Time) (Load, bool) { return Load{}, false }
 	p.random = p.splitMix
 	for i := range p.shards {
 		p.shards[i].states = map[string]*state{}
@@ -181,6 +186,9 @@
 	if first == nil {
 		return p.decideLastResort(v, c, domain, now)
 	}
+	if v.load.told.Load() {
+		return p.decideByCompletion(v, first, c, domain, now), nil
+	}
 	if p.preferLocal && p.prefersSameHost(v.sameHost, first, c, now) {
 		return Choice{
 			Endpoint: v.sameHost.endpoint, Reason: ReasonSameHost, Score: p.score(v.sameHost, first, c.Class, domain, now),
--- a/core/routing/score.go
+++ b/core/routing/score.go
@@ -41,20 +41,8 @@
 
 // baseScore rates a candidate by recent latency, errors and slow start only, lower being better.
 func (p *Picker) baseScore(m, other *candidate, c Class, now int64) float64 {
-	t := m.state
-	fresh := freshness(now - t.observedAt.Load())
-	s := expectedLatency(m, other, fresh)
-	weight := errorWeight
-	if c == NonIdempotent {
-		weight = nonIdempotentErrorWeight
-	}
-	s *= 1 + weight*math.Float64frombits(t.errors.Load())*fresh
-	if since := t.slowStartAt.Load(); since != 0 {
-		if left := 1 - float64(now-since)/float64(slowStartLength); left > 0 {
-			s *= 1 + slowStartPenalty*min(left, 1)
-		}
-	}
-	return s
+	fresh := freshness(now - m.state.observedAt.Load())
+	return expectedLatency(m, other, fresh) * m.riskFactor(c, now)
 }
 
 // usage returns the share of the endpoint's slots in use, including this call. It counts this node's calls or, if more, the calls
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -31,11 +32,16 @@
 	loadReportedAt      atomic.Int64  // time of the last load report, Unix nanoseconds; 0 for none
 	reportedOccupancy   atomic.Uint64 // last reported number of calls of all nodes as a share of the slots, as float64 bits
 	occupancyReportedAt atomic.Int64  // time of the last occupancy report, Unix nanoseconds; 0 for none
+	slowness            atomic.Uint64 // last told expected time in relation to the mean of the service, as float64 bits
+	usualSlowness       atomic.Uint64 // average of slowness, as float64 bits; 0 before the first
+	slownessToldAt      atomic.Int64  // time of the last told expected time, Unix nanoseconds
 	avoidedUntil        atomic.Int64  // end of the avoidance, Unix nanoseconds
 	ejectedUntil        atomic.Int64  // end of the ejection, Unix nanoseconds
 	slowStartAt         atomic.Int64  // start of the slow start, Unix nanoseconds; 0 for none
 	leaving             atomic.Bool   // the process has stated that it leaves, so that it gets no calls any more
 
+	service *serviceLoad // averages of the endpoint's service
+
 	mutex       sync.Mutex // guards the fields below and all writes of latency and errors
 	incarnation uint64
 	failures    int    // consecutive failures
@@ -66,13 +72,13 @@
 
 // ensureState returns the state of an endpoint and creates it if needed; a new state begins a slow start if cold is set. A new
 // incarnation always begins a slow start and inherits only the count of calls in flight from the previous one.
-func (p *Picker) ensureState(key string, incarnation uint64, now int64, cold bool) *state {
+func (p *Picker) ensureState(key string, incarnation uint64, load *serviceLoad, now int64, cold bool) *state {
 	s := p.shard(key)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.states[key]
 	if t == nil {
-		t = &state{incarnation: incarnation}
+		t = &state{incarnation: incarnation, service: load}
 		t.leaving.Store(p.leaving(key, incarnation))
 		if cold {
 			t.slowStartAt.Store(now)
@@ -94,6 +100,7 @@
 	t.errors.Store(0)
 	t.loadReportedAt.Store(0)
 	t.occupancyReportedAt.Store(0)
+	t.usualSlowness.Store(0)
 	return t
 }
 
@@ -259,6 +266,7 @@
 			next[n] = &view{candidates: v.candidates}
 		}
 	}
+	maps.DeleteFunc(p.loads, func(service string, _ *serviceLoad) bool { return next[service] == nil })
 	p.views.Store(&next)
 }
 
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -31,6 +31,7 @@
 	all        []int            // indexes of all candidates
 	byDomain   map[string][]int // indexes of candidates by failure domain
 	sameHost   *candidate       // candidate on the host of this node; nil for none
+	load       *serviceLoad
 }
 
 // view returns the view of a service; it builds a new view if the stored one was built from another *Service than s.
@@ -55,13 +56,13 @@
 // buildView builds a view. New endpoints begin with a slow start if cold is set. It is not set for a service that has no view yet,
 // since nothing shows that its endpoints are cold.
 func (p *Picker) buildView(s *config.Service, now int64, cold bool) *view {
-	v := &view{service: s, byDomain: map[string][]int{}}
+	v := &view{service: s, byDomain: map[string][]int{}, load: p.serviceLoad(s.Name)}
 	sameHost := -1
 	for _, i := range p.selectEndpoints(s) {
 		e := &s.Endpoints[i]
 		k := e.Key()
 		n := len(v.candidates)
-		v.candidates = append(v.candidates, candidate{endpoint: e, key: k, state: p.ensureState(k, e.Incarnation, now, cold)})
+		v.candidates = append(v.candidates, candidate{endpoint: e, key: k, state: p.ensureState(k, e.Incarnation, v.load, now, cold)})
 		v.all = append(v.all, n)
 		if p.node != "" && e.Node == p.node {
 			sameHost = n
