feat(host): load reports of backend servers reach gate and callers

Mesh-Server-Load, on the users' platform Godwitspindle-Server-Load, is parsed strictly and passed to the admission gate. Answers between nodes state the occupancy in relation to the estimated capacity and, in Mesh-Expect, the expected time of the route. Metrics and a bounded log line show the estimate.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"godwitspindle/core/capacity"
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/shutdown"
@@ -36,6 +37,8 @@
 	onShed          func(string, time.Duration)
 	onNotice        func(Announcement, notice.Notice, time.Time)
 	readNotice      func(http.Header) notice.Notice
+	readReport      func(http.Header) (capacity.Report, bool)
+	onReport        func(Announcement, capacity.Report)
 	admit           func(context.Context, string, hop.Meta) (func(Result), *outcome.Failure)
 	checkQuarantine func(context.Context, string, hop.Meta) (func(Result), *outcome.Failure)
 	onCrash         func(Crash)
@@ -74,6 +77,8 @@
 		onShed:          func(string, time.Duration) {},
 		onNotice:        func(Announcement, notice.Notice, time.Time) {},
 		readNotice:      meshNotice,
+		readReport:      meshReport,
+		onReport:        func(Announcement, capacity.Report) {},
 		admit:           pass,
 		checkQuarantine: pass,
 		onCrash:         func(Crash) {},
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"godwitspindle/core/capacity"
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/hop"
@@ -23,8 +24,9 @@
 
 // Names of the headers by which a backend server states something about itself.
 const (
-	headerLimit   = "Mesh-Limit"   // requests per second that it takes, a decimal number
-	headerLeaving = "Mesh-Leaving" // 1 if it is about to end
+	headerLimit   = "Mesh-Limit"       // requests per second that it takes, a decimal number
+	headerLeaving = "Mesh-Leaving"     // 1 if it is about to end
+	headerLoad    = "Mesh-Server-Load" // its load as capacity.ParseReport reads it
 )
 
 // statusCancelled is the customary status for a request that its caller cancelled.
@@ -73,6 +75,7 @@
 	quarantineDone func(Result)
 	status         int
 	refused        bool   // the answer states or suggests that the request was not run
+	full           bool   // the answer states that the request was not run because the backend server is full
 	requestID      string // id of the request in the calls made to handle it; empty if its context is not registered
 	once           sync.Once
 }
@@ -97,6 +100,7 @@
 	if l.notice.States() {
 		l.passNotice()
 	}
+	l.passReport(p.Header)
 	if p.StatusCode == http.StatusSwitchingProtocols {
 		l.end(false, false)
 		return nil, l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the backend server switched protocols without being asked", nil)
@@ -197,6 +201,23 @@
 	}
 }
 
+// meshReport reads the default header by which a backend server reports its load; WithLoadReport replaces it.
+func meshReport(h http.Header) (capacity.Report, bool) { return capacity.ReadReport(h[headerLoad]) }
+
+// passReport passes on the load that the answer reports, unless another process has taken over the endpoint meanwhile.
+func (l *flight) passReport(h http.Header) {
+	r, ok := l.backend.readReport(h)
+	if !ok {
+		return
+	}
+	l.backend.mu.Lock()
+	current := l.isCurrent(l.endpoint)
+	l.backend.mu.Unlock()
+	if current {
+		l.backend.onReport(l.announcement, r)
+	}
+}
+
 // isCurrent reports whether the endpoint still has the process that the call was sent to. The caller holds the Backend's mutex.
 func (l *flight) isCurrent(e *endpoint) bool {
 	return e.announcement.Incarnation == l.announcement.Incarnation
@@ -219,6 +240,7 @@
 	if f := l.backend.checkAnswer(p); f != nil {
 		f.Call = l.meta.Call
 		l.refused = l.refused || f.Kind == outcome.NotRun
+		l.full = f.Kind == outcome.NotRun && f.Code == outcome.Overload
 		if f.Kind == outcome.NotRun && l.exchange.conn.reused && !l.backend.namesRequest(l.exchange.request, p) {
 			f = l.failure(outcome.Reset, outcome.Unknown, http.StatusBadGateway, "the refusal names no request and may answer an earlier one", f)
 		}
@@ -309,7 +331,7 @@
 		}
 		b.mu.Unlock()
 		refused := l.status == http.StatusServiceUnavailable
-		result := Result{Took: b.now().Sub(l.begin), Status: l.status, OK: complete && !refused, Broken: broken}
+		result := Result{Took: b.now().Sub(l.begin), Status: l.status, OK: complete && !refused, Full: l.full, Broken: broken}
 		l.release(result)
 		l.quarantineDone(result)
 	})
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"godwitspindle/core/capacity"
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/shutdown"
@@ -34,6 +35,7 @@
 	Took   time.Duration // time from admission to the end of the call
 	Status int           // HTTP status; 0 without an answer
 	OK     bool          // the answer was complete and not a 503
+	Full   bool          // the backend server refused the request without running it, because it was full
 	Broken bool          // the connection to the backend server broke
 }
 
@@ -77,6 +79,18 @@
 	return func(b *Backend) { b.readNotice = f }
 }
 
+// WithLoadReport replaces the function that reads the load report of the backend server from an answer's headers; ok is false without
+// one.
+func WithLoadReport(f func(h http.Header) (r capacity.Report, ok bool)) Option {
+	return func(b *Backend) { b.readReport = f }
+}
+
+// WithLoadReported sets the function that is called with each load report, also one that is not valid or comes with a refusal. It is not
+// called if another process has taken over the endpoint meanwhile.
+func WithLoadReported(f func(a Announcement, r capacity.Report)) Option {
+	return func(b *Backend) { b.onReport = f }
+}
+
 // WithAdmit sets the admission control, which may block until ctx ends; release is called once for each admitted call.
 func WithAdmit(f func(ctx context.Context, endpoint string, m hop.Meta) (release func(Result), refused *outcome.Failure)) Option {
 	return func(b *Backend) { b.admit = f }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -145,7 +145,7 @@
 	h.attemptStarted(c.endpoint, begin)
 	p, err := h.send(ctx, e, m, &r)
 	lost.detach()
-	o := Observation{At: h.now(), Incarnation: e.Incarnation}
+	o := Observation{At: h.now(), Incarnation: e.Incarnation, Route: c.match.Route.Name}
 	o.Took = o.At.Sub(begin)
 	if err != nil {
 		o.Failure = hop.AsFailure(err, c.id)
@@ -156,7 +156,7 @@
 		return nil, c.lostOutcome(o.Failure, lost)
 	}
 	c.bodyComplete() // an answer that has begun ends by itself, also if its endpoint still reads the body
-	o.Status, o.Leaving, o.Limit = p.StatusCode, hop.Leaving(p), hop.Limit(p)
+	o.Status, o.Leaving, o.Limit, o.Expected = p.StatusCode, hop.Leaving(p), hop.Limit(p), hop.Expected(p)
 	if load, ok := hop.Load(p); ok {
 		o.Load = load
 	}
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -36,6 +36,9 @@
 	At      time.Time
 	Load    float64 // calls running and waiting at the endpoint, divided by its slots; 0 when unknown
 
+	Route    string        // name of the route
+	Expected time.Duration // time that the endpoint is expected to take for a request of the route; 0 unless it reports its pace
+
 	Incarnation uint64  // process of the endpoint that the attempt was sent to
 	Leaving     bool    // the endpoint has stated that it leaves
 	Limit       float64 // requests per second that the endpoint takes from all hosts; 0 without a limit
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -103,7 +103,7 @@
 }
 
 // SetLoad sets the answer's Mesh-Load header, in percent; share is the number of calls running and waiting at the endpoint,
-// divided by its slots.
+// divided by its slots or, if it reports its pace, by those that it handles well at once.
 func SetLoad(p *http.Response, share float64) {
 	p.Header[headerLoad] = []string{strconv.Itoa(int(share * 100))}
 }
@@ -118,6 +118,25 @@
 	return float64(n) / 100, err == nil
 }
 
+// SetExpected sets the answer's Mesh-Expect header: the time that the endpoint is expected to take for a request of the same route
+// now, in milliseconds. Nodes of earlier versions ignore it.
+func SetExpected(p *http.Response, d time.Duration) {
+	p.Header[headerExpected] = []string{strconv.FormatInt(d.Milliseconds(), 10)}
+}
+
+// Expected returns the time that SetExpected encoded in Mesh-Expect, 0 if the header is missing or malformed.
+func Expected(p *http.Response) time.Duration {
+	values := p.Header[headerExpected]
+	if len(values) != 1 {
+		return 0
+	}
+	n, err := strconv.ParseUint(values[0], 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 // SetLeaving sets the answer's Mesh-Leaving header: the endpoint has stated that it leaves.
 func SetLeaving(p *http.Response) { p.Header[headerLeaving] = []string{"1"} }
 
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -25,13 +25,14 @@
 	headerRoute     = "Mesh-Route"
 	headerObjective = "Mesh-Aim"     // milliseconds left to the objective, optionally with a suffix
 	headerLoad      = "Mesh-Load"    // on answers: calls running and waiting at the endpoint, in percent of its slots
+	headerExpected  = "Mesh-Expect"  // on answers: milliseconds that the endpoint is expected to take for a request of the route now
 	headerLimit     = "Mesh-Limit"   // on answers: requests per second that the endpoint takes; on calls: a KnownLimit
 	headerLeaving   = "Mesh-Leaving" // on answers: 1 if the endpoint has stated that it leaves
 	headerCustomer  = "Mesh-Customer"
 )
 
 // answerHeaders are the headers that one node sends to another with an answer.
-var answerHeaders = []string{headerTook, headerLoad, headerLimit, headerLeaving}
+var answerHeaders = []string{headerTook, headerLoad, headerExpected, headerLimit, headerLeaving}
 
 // Format of Mesh-Meta: all fields in the order of their positions below, separated by one space; only the caller may be empty.
 // One header with all fields takes a tenth of the processing of separate headers.
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -86,7 +86,7 @@
 	if len(p.Tried) == 0 {
 		h.budgets.Of(p.Service.Name).Count(p.Now)
 	}
-	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now})
+	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now, Kind: p.Route.Name})
 	if err != nil {
 		return config.Endpoint{}, "", err
 	}
@@ -99,6 +99,7 @@
 	h.noticesObserved(endpoint, o)
 	if f == nil {
 		h.picker.RecordOccupancy(endpoint, o.Load, o.At)
+		h.picker.RecordExpected(endpoint, o.Route, routing.Load{Occupancy: o.Load, Expected: o.Expected}, o.At)
 		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
 		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: failed})
 		return
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"godwitspindle/core/admission"
+	"godwitspindle/core/capacity"
 	"godwitspindle/core/outcome"
 	"godwitspindle/io/backend"
 	"godwitspindle/io/hop"
@@ -85,7 +86,11 @@
 func (q *admissionQueue) leave(call string, r backend.Result) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.deliver(q.gate.Done(time.Now(), call, r.Took, r.OK))
+	now := time.Now()
+	if r.Full || r.Broken {
+		q.gate.Rejected(now, r.Broken)
+	}
+	q.deliver(q.gate.Done(now, call, r.Took, r.OK))
 }
 
 func (q *admissionQueue) shed(after time.Duration) {
@@ -120,6 +125,13 @@
 	q.deliver(q.gate.SetRate(time.Now(), perSecond))
 }
 
+// report passes the load that the backend server reports to the gate.
+func (q *admissionQueue) report(r capacity.Report) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.gate.Report(time.Now(), r))
+}
+
 // occupancy returns the running and waiting calls as a share of those that the endpoint can run at once.
 func (q *admissionQueue) occupancy() float64 {
 	s := q.gate.Stats()
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -214,6 +214,7 @@
 		routing.WithDomain(h.settings.Domain),
 		routing.WithRegion(h.settings.Region),
 		routing.WithNode(h.settings.Name),
+		routing.WithOwnLoad(h.ownLoad),
 		routing.WithLeaving(func(endpoint string, incarnation uint64) bool {
 			return h.notices.Leaving(notice.Process{Endpoint: endpoint, Incarnation: incarnation})
 		}),
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -25,10 +25,11 @@
 type localEndpoint struct {
 	queue       *admissionQueue
 	guard       *guard
-	slots       int                          // announced slots
-	connections int                          // maximum connections, as announced
-	process     notice.Process               // current process of the endpoint; guarded by the mutex of the Host
-	limitMutex  sync.Mutex                   // serializes changes of limit
+	slots       int            // announced slots
+	connections int            // maximum connections, as announced
+	process     notice.Process // current process of the endpoint; guarded by the mutex of the Host
+	limitMutex  sync.Mutex     // serializes changes of limit
+	estimate    estimateLog
 	limit       atomic.Pointer[notice.Limit] // last limit that was stated, with rate 0 once it is withdrawn; nil before the first
 }
 
@@ -53,6 +54,7 @@
 	h.mu.Unlock()
 	if changed {
 		h.processChanged(l, p)
+		l.queue.gate.ResetEstimate()
 	}
 	l.queue.resume()
 	h.resize()
@@ -148,6 +150,7 @@
 		backend.WithLoad(h.picker.RecordLoad),
 		backend.WithShed(func(endpoint string, after time.Duration) { h.endpoint(endpoint).queue.shed(after) }),
 		backend.WithNotice(h.endpointNoticed),
+		backend.WithLoadReported(h.loadReported),
 		backend.WithAdmit(h.admit),
 		backend.WithQuarantineCheck(h.checkQuarantine),
 		backend.WithCrashed(h.endpointCrashed),
@@ -214,7 +217,7 @@
 	p, err := h.backend.Do(ctx, m, r)
 	if err == nil {
 		l := h.endpoint(m.Service + "/" + m.Endpoint)
-		hop.SetLoad(p, l.queue.occupancy())
+		setLoad(p, l.queue, m.Route)
 		if rate := l.rate(); rate > 0 {
 			hop.SetLimit(p, float64(rate))
 		}
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -44,6 +44,7 @@
 		h.metrics.StopTime.Set(h.stop.seconds(time.Now()))
 		h.metrics.Quarantine.Set(float64(h.holder.View().Table.Quarantined(time.Now())))
 		h.measureLimitUse(time.Now())
+		h.measureCapacity(time.Now())
 		next.ServeHTTP(w, r)
 	})
 }
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -24,6 +24,9 @@
 	Limit              *prometheus.GaugeVec     // limits in force that local endpoints state, in requests per second, by endpoint
 	LimitUse           *prometheus.GaugeVec     // calls per second that started at endpoints with a limit, in the last 4 s, by endpoint
 	InvalidLimits      prometheus.Counter       // limits of local endpoints that are not valid
+	Speed              *prometheus.GaugeVec     // estimated current to usual speed of local endpoints that report their pace, by endpoint
+	Capacity           *prometheus.GaugeVec     // requests that those endpoints are estimated to handle well at once, by endpoint
+	InvalidReports     prometheus.Counter       // load reports of local endpoints that are not valid
 	Claims             *prometheus.CounterVec   // answers to claims, by state
 	Quarantine         prometheus.Gauge         // fingerprints in quarantine
 	ControlBytes       *prometheus.CounterVec   // bytes between nodes, by message and direction (sent or received)
@@ -96,6 +99,9 @@
 		LimitUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limit_started_per_second", Help: "Calls started per second in the last 4 s at an endpoint that states a limit.",
 		}, []string{"endpoint"}),
+		Speed:              gauges("capacity_speed", "Estimated current speed of an endpoint that reports its pace, 1 as usual.", "endpoint"),
+		Capacity:           gauges("capacity_requests", "Requests that an endpoint that reports its pace is estimated to handle well at once.", "endpoint"),
+		InvalidReports:     counter("load_reports_invalid_total", "Answers with a load report that is not valid."),
 		InvalidLimits:      counter("limits_invalid_total", "Answers with a limit that is not valid."),
 		Claims:             counters("claims_total", "Answers to claims, by state.", "state"),
 		Quarantine:         gauge("quarantine_fingerprints", "Requests in quarantine."),
@@ -123,7 +129,7 @@
 		ContentChanges:   counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
 	}
 	m.Registry.MustRegister(
-		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
+		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Speed, m.Capacity, m.InvalidReports, m.Claims, m.Quarantine,
 		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.StopRequests, m.StopTime, m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
