feat(capacity): slowdown by concurrency needs strong evidence, trials when always full

The pace while a call ran explains its time better than the pace at its start, which still predicts the next one. Without this, calls that ran long beside many others looked like a slowdown by concurrency. An endpoint that is always full runs fewer calls for about a second, at most once in 20 s, since its times otherwise show nothing.

--- a/core/capacity/estimator.go
+++ b/core/capacity/estimator.go
@@ -9,8 +9,12 @@
 	maxKinds   = 256 // maximum request kinds with separate averages
 	minSamples = 5   // calls before times are estimated
 
-	kindWeight  = 0.02 // minimum weight of a call in the usual time of its kind; the first calls weigh more
+	// kindWeight is the minimum weight of a call in the usual time of its kind; the first calls weigh more. With 0.02, the usual time
+	// absorbed a slowdown by concurrency before the levels could show it.
+	kindWeight  = 0.005
+	tailWeight  = 0.02 // weight of a call in the mean ratio of observed to expected time
 	driftWeight = 0.1  // weight of a call in the deviation of recent calls from what is expected: a slowdown shows in ten calls
+	driftNoise  = 0.2  // drift up to which recent calls are no sign of a change: 1.5 standard deviations
 	meanWeight  = 0.05 // weight of a call in the mean time over all kinds
 	maxResidual = 1.5  // maximum logarithm of observed to expected time that is learned from, since 3% of calls take 7 times as long
 	maxTail     = 8.0  // maximum ratio of observed to expected time that counts for the mean
@@ -20,6 +24,7 @@
 	paceDecay    = 0.995                  // factor per call by which earlier calls lose weight in the trust in the reported pace
 	paceEvidence = 2.0                    // weight of the assumption that the reported pace is right
 	maxTrust     = 1.2
+	maxStep      = time.Second // maximum time between two calls for which the pace in between is taken as known
 
 	fitCalls    = 16                     // calls between two comparisons of the models of concurrency
 	growPeriod  = time.Second            // time after which the limit may grow by one
@@ -28,6 +33,12 @@
 	resetFactor = 0.75                   // a reset at a busy endpoint bounds the calls to this share of those that ran
 	waitWeight  = 0.1                    // weight of a report in the average of reported waiting requests
 	maxWaiting  = 0.5                    // average of reported waiting requests above which the limit falls to the running ones
+	trialCalls  = 15.0                   // weight of calls with up to half of the limit that makes a trial unnecessary
+	trialPeriod = 20 * time.Second       // minimum time between two trials
+	trialTimes  = 4                      // length of a trial in mean service times; it takes one until fewer calls run
+	maxTrial    = 2 * time.Second        // maximum length of a trial
+	fullCalls   = 3                      // calls that end at a full endpoint before a trial, in relation to the limit
+	fullShare   = 0.8                    // share of the limit from which on an endpoint counts as full
 	minRefit    = 250 * time.Millisecond // minimum time between two comparisons
 )
 
@@ -48,12 +59,16 @@
 	pace       float64 // logarithm of the last reported pace
 	usualPace  float64 // average of pace over paceMemory
 	reportedAt time.Time
-	xx, xy     float64 // sums over calls for the regression of their time on the pace at their start, as logarithms
-	waiting    float64 // average of reported waiting requests
+	paceSum    float64    // integral of the deviation from usualPace over time, in seconds
+	atStart    regression // of the time of calls on the pace at their start, which predicts the time of the next one
+	during     regression // of the time of calls on the mean pace while they ran, which explains past times
+	waiting    float64    // average of reported waiting requests
 
 	levels    levels
 	limit     float64
-	bound     float64 // maximum of limit after refusals and resets
+	bound     float64   // maximum of limit after refusals and resets
+	full      int       // calls that ended while the endpoint was full, since it was last known how long calls take with fewer
+	trialEnds time.Time // end of the last trial with fewer calls
 	grewAt    time.Time
 	relaxedAt time.Time
 	fitted    int // calls since the last comparison of models
@@ -68,10 +83,26 @@
 // Start is what was known of the endpoint when a call started. The zero value marks a call that started before the first report.
 type Start struct {
 	known   bool
-	pace    float64
+	at      time.Time
+	pace    float64 // deviation of the pace from the usual one
+	paceSum float64
 	running int
 }
 
+// regression is that of the logarithm of service times on that of the pace.
+type regression struct{ xx, xy float64 }
+
+func (r *regression) add(x, y float64) {
+	r.xx = r.xx*paceDecay + x*x
+	r.xy = r.xy*paceDecay + x*y
+}
+
+// slope returns the exponent with which service times follow the reported pace: 1 if they are proportional to it, 0 if the report
+// says nothing about them. Thus observations outrank a report that contradicts them.
+func (r *regression) slope() float64 {
+	return min(max((r.xy+paceEvidence)/(r.xx+paceEvidence), 0), maxTrust)
+}
+
 // New returns an Estimator for an endpoint with the given slots.
 func New(slots int) *Estimator {
 	e := &Estimator{kinds: map[string]*kindStats{}, tail: 1}
@@ -89,8 +120,32 @@
 	e.levels.resize(slots)
 }
 
-// Limit returns the number of calls that the endpoint handles well at once, at least 1 and at most its slots.
-func (e *Estimator) Limit() int { return max(int(min(e.limit, e.bound)), 1) }
+// Capacity returns the number of calls that the endpoint handles well at once, at least 1 and at most its slots.
+func (e *Estimator) Capacity() int { return max(int(min(e.limit, e.bound)), 1) }
+
+// Limit returns the maximum number of calls that may run now. It is Capacity, or half of it during a trial.
+func (e *Estimator) Limit() int {
+	if e.now.Before(e.trialEnds) {
+		return (e.Capacity() + 1) / 2
+	}
+	return e.Capacity()
+}
+
+// tryLess begins a trial with fewer calls if the endpoint was full for so long that nothing shows how long calls take with fewer, and
+// ends a trial that has shown it.
+func (e *Estimator) tryLess(running int) {
+	if e.levels.weightUpTo(float64(e.Capacity())/2) >= trialCalls {
+		e.full, e.trialEnds = 0, minTime(e.trialEnds, e.now)
+		return
+	}
+	if float64(running) < fullShare*float64(e.Capacity()) {
+		return
+	}
+	e.full++
+	if e.full > fullCalls*e.Capacity() && e.now.Sub(e.trialEnds) >= trialPeriod {
+		e.full, e.trialEnds = 0, e.now.Add(min(seconds(trialTimes*e.mean*e.tail), maxTrial))
+	}
+}
 
 // Report records the load that the backend server reports.
 func (e *Estimator) Report(now time.Time, r Report) {
@@ -115,6 +170,7 @@
 	if !now.After(e.now) {
 		return
 	}
+	e.paceSum += e.paceDeviation() * min(now.Sub(e.now), maxStep).Seconds()
 	e.now = now
 	if now.Sub(e.relaxedAt) >= relaxPeriod {
 		e.bound, e.relaxedAt = min(e.bound+1, float64(e.slots)), now
@@ -126,7 +182,7 @@
 
 // Start returns what is known when a call starts; running is the number of calls that run then, including this one.
 func (e *Estimator) Start(running int) Start {
-	return Start{known: true, pace: e.paceDeviation(), running: running}
+	return Start{known: true, at: e.now, pace: e.paceDeviation(), paceSum: e.paceSum, running: running}
 }
 
 // Observe learns from the service time of a call; running is the number of calls that run at its end, including this one.
@@ -139,19 +195,22 @@
 	k := e.statsOf(kind, t)
 	concurrency := float64(s.running+running) / 2
 	deviation := t - k.usual
-	e.xx = e.xx*paceDecay + s.pace*s.pace
-	e.xy = e.xy*paceDecay + s.pace*clamp(deviation-e.levels.model.factor(concurrency), 2*maxResidual)
-	deviation -= e.trust() * s.pace
+	bounded := clamp(deviation-e.levels.model.factor(concurrency), 2*maxResidual)
+	pace := (e.paceSum - s.paceSum) / max(now.Sub(s.at), time.Millisecond).Seconds()
+	e.atStart.add(s.pace, bounded)
+	e.during.add(pace, bounded)
+	predicted := e.atStart.slope()*s.pace + e.levels.model.factor(concurrency) + e.drift
+	e.tail += (min(math.Exp(deviation-predicted), maxTail) - e.tail) * tailWeight
+	deviation -= e.during.slope() * pace
 	e.levels.add(concurrency, clamp(deviation, maxResidual))
 
-	residual := deviation - e.levels.model.factor(concurrency)
-	e.tail += (min(math.Exp(residual-e.drift), maxTail) - e.tail) * kindWeight
-	residual = clamp(residual, maxResidual)
+	residual := clamp(deviation-e.levels.model.factor(concurrency), maxResidual)
 	e.drift += (residual - e.drift) * driftWeight
 	k.usual += residual * max(1/k.calls, kindWeight)
 	k.calls++
 	e.samples++
 	e.mean += (math.Exp(k.usual) - e.mean) * max(1/float64(e.samples), meanWeight)
+	e.tryLess(running)
 	e.fit(now)
 }
 
@@ -178,7 +237,7 @@
 // Reset records that the connection of a call broke. At a busy endpoint it may be full; at another one the cause is not load.
 func (e *Estimator) Reset(now time.Time, running int) {
 	e.Advance(now)
-	if 2*running > e.Limit() {
+	if 2*running > e.Capacity() {
 		e.restrict(math.Floor(float64(running) * resetFactor))
 	}
 }
@@ -211,7 +270,12 @@
 
 // Slowdown returns the factor by which calls take longer now than usual, with running calls. It is between 1/4 and 4.
 func (e *Estimator) Slowdown(running int) float64 {
-	return math.Exp(clamp(e.trust()*e.paceDeviation()+e.drift+e.levels.model.factor(float64(running)), maxSlowdown))
+	return math.Exp(clamp(e.atStart.slope()*e.paceDeviation()+e.recentDrift()+e.levels.model.factor(float64(running)), maxSlowdown))
+}
+
+// recentDrift returns the part of drift that exceeds its noise.
+func (e *Estimator) recentDrift() float64 {
+	return math.Copysign(max(math.Abs(e.drift)-driftNoise, 0), e.drift)
 }
 
 // usual returns the usual time of a kind in seconds, or the mean over all kinds if the kind is not known.
@@ -222,12 +286,6 @@
 	return e.mean
 }
 
-// trust returns the exponent with which service times follow the reported pace: 1 if they are proportional to it, 0 if the report
-// says nothing about them. Regression finds it, so that observations outrank a report that contradicts them.
-func (e *Estimator) trust() float64 {
-	return min(max((e.xy+paceEvidence)/(e.xx+paceEvidence), 0), maxTrust)
-}
-
 // paceDeviation returns the logarithm of the current to the usual pace. It approaches 0 as the report ages.
 func (e *Estimator) paceDeviation() float64 {
 	d := clamp(e.pace-e.usualPace, maxSlowdown)
@@ -250,6 +308,13 @@
 	return k
 }
 
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func clamp(v, bound float64) float64 { return min(max(v, -bound), bound) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/core/capacity/levels.go
+++ b/core/capacity/levels.go
@@ -14,7 +14,12 @@
 	initialVariance = 0.3              // variance of the logarithm of service times before the first calls
 	// evidence is by how much, in units of the variance, a model with a slowdown must fit better than one without. 12 is about 3.5
 	// standard deviations, since many models are compared.
-	evidence = 12.0
+	evidence = 18.0
+	// minEffect is the smallest logarithm of the slowdown at a full endpoint for which the limit falls. Calls that run long, for another
+	// cause, also run beside more calls, so that smaller slowdowns are often not real.
+	minEffect = 0.5
+	// keepEvidence is the same for a slowdown that was found before, since calls above the limit no longer show it.
+	keepEvidence = 3.0
 )
 
 // slopes are the slowdowns that are compared: with slope s, service times at n calls are 1 + s(n-k)/k times those at up to k
@@ -69,6 +74,15 @@
 	l.mean[i] += d / l.weight[i]
 }
 
+// weightUpTo returns the weight of the levels up to n calls.
+func (l *levels) weightUpTo(n float64) float64 {
+	sum := 0.0
+	for i := 0; i < len(l.weight) && float64(i+1)*l.width <= n; i++ {
+		sum += l.weight[i]
+	}
+	return sum
+}
+
 // fit decays the statistics and chooses the model that explains the service times best.
 func (l *levels) fit(now time.Time) {
 	decay := 1.0
@@ -79,11 +93,17 @@
 	for i := range l.weight {
 		l.weight[i] *= decay
 	}
-	best, flat := model{}, l.misfit(model{})
-	lowest := flat - evidence*l.variance
+	required := evidence
+	if l.model.knee > 0 {
+		required = keepEvidence
+	}
+	best, lowest := model{}, l.misfit(model{})-required*l.variance
 	for i := range l.mean {
 		for _, s := range slopes {
 			m := model{knee: float64(i+1) * l.width, slope: s}
+			if m.factor(float64(len(l.mean))*l.width) < minEffect {
+				continue
+			}
 			if e := l.misfit(m); e < lowest {
 				best, lowest = m, e
 			}
