--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -11,6 +11,10 @@
 // its objective. Below it, the call is no better off at another endpoint.
 const minSlowdown = 1.3
 
+// shortCall is the ratio of a short service time to the expected one. A free slot is refused only if even a short call would be late,
+// since a slot that stays free is lost.
+const shortCall = 0.6
+
 // Estimate is what a gate knows of the capacity of an endpoint that reports its pace.
 type Estimate struct {
 	Limit     int           // calls that the endpoint handles well at once
@@ -64,9 +68,13 @@
 	}
 	e.Advance(now)
 	next := len(g.running) + 1
-	s.Limit, s.Slowdown = g.limit.value(), e.Slowdown(next)
+	s.Limit, s.Slowdown = min(e.Capacity(), g.slots), e.Slowdown(next)
 	s.Expected, _ = e.Expected(kind, min(next, s.Limit))
-	s.Occupancy = float64(len(g.running)+len(g.queue)) / max(g.capacity(), minRateCapacity)
+	runnable := float64(s.Limit)
+	if g.rate.bucket != nil {
+		runnable = max(g.capacity(), minRateCapacity)
+	}
+	s.Occupancy = float64(len(g.running)+len(g.queue)) / runnable
 	return s, true
 }
 
@@ -77,7 +85,7 @@
 // slower than usual now. One call at a time always runs, since only its response shows that the endpoint has recovered.
 func (g *Gate) refuseSlow(now time.Time, r *Request, service time.Duration) (Decision, bool) {
 	e := g.limit.estimate
-	if e == nil || len(g.running) == 0 || r.LastAttempt || r.Resent || r.Objective.IsZero() || !now.Add(service).After(r.Objective) {
+	if e == nil || len(g.running) == 0 || r.LastAttempt || r.Resent || r.Objective.IsZero() || !now.Add(time.Duration(shortCall*float64(service))).After(r.Objective) {
 		return Decision{}, false
 	}
 	usual, known := e.Usual(r.Kind)
