--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"godwitspindle/core/capacity"
 	"godwitspindle/core/outcome"
 )
 
@@ -95,6 +96,7 @@
 	kind    string
 	suspect bool
 	bytes   float64 // response bytes reserved on the link
+	start   capacity.Start
 }
 
 type callerUsage struct{ running, queued int }
@@ -162,6 +164,7 @@
 	}
 	g.shares.countRequest(now, r.rank())
 	g.customers.ask(now, &r)
+	g.limit.advance(now, len(g.running))
 	service := g.limit.serviceTime(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
 		return g.refuse(now, r.Call, r.missedDeadline(), 0)
@@ -170,6 +173,9 @@
 	if linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
 		return g.refuse(now, r.Call, outcome.Busy, linkWait)
 	}
+	if d, refused := g.refuseSlow(now, &r, service); refused {
+		return d
+	}
 	if g.mayStart(now) && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
 		return g.admit(now, r, 0)
 	}
@@ -232,6 +238,7 @@
 	}
 	if ok {
 		g.limit.observe(r.kind, serviceTime, len(g.running)+1)
+		g.limit.observeEstimate(now, r, serviceTime, len(g.running)+1)
 	}
 	return g.startQueued(now)
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -162,7 +162,7 @@
 		h.attemptDone(c.endpoint, o)
 		return nil, c.lostOutcome(o.Failure, lost)
 	}
-	o.Status, o.Leaving, o.Limit = p.StatusCode, hop.Leaving(p), hop.Limit(p)
+	o.Status, o.Leaving, o.Limit, o.Expected = p.StatusCode, hop.Leaving(p), hop.Limit(p), hop.Expected(p)
 	if load, ok := hop.Load(p); ok {
 		o.Load = load
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -158,7 +158,7 @@
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
 	h.quotas = h.hostQuotas()
-	h.nested = newNestedCalls(h.metrics, h.log.WithName("nested"))
+	h.nested = newNestedCalls(h.reportsPace, h.metrics, h.log.WithName("nested"))
 	h.rollouts = h.newRollouts()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
 		h.dial = process.Dial(s.Timing.AckTimeout)
@@ -224,6 +224,7 @@
 		routing.WithDomain(h.settings.Domain),
 		routing.WithRegion(h.settings.Region),
 		routing.WithNode(h.settings.Name),
+		routing.WithOwnLoad(h.ownLoad),
 		routing.WithLeaving(func(endpoint string, incarnation uint64) bool {
 			return h.notices.Leaving(notice.Process{Endpoint: endpoint, Incarnation: incarnation})
 		}),
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -88,6 +88,7 @@
 		h.measureLimitUse(time.Now())
 		h.quotas.measure(time.Now())
 		h.nested.measure(time.Now())
+		h.measureCapacity(time.Now())
 		next.ServeHTTP(w, r)
 	})
 }
--- a/io/host/nested.go
+++ b/io/host/nested.go
@@ -29,9 +29,9 @@
 	lines    rate.Sometimes
 }
 
-func newNestedCalls(m *process.Metrics, log logr.Logger) *nestedCalls {
+func newNestedCalls(enabled func(endpoint string) bool, m *process.Metrics, log logr.Logger) *nestedCalls {
 	return &nestedCalls{
-		enabled:  func(string) bool { return false },
+		enabled:  enabled,
 		throttle: nested.New(),
 		metrics:  m,
 		log:      log,
--- a/io/host/nested_test.go
+++ b/io/host/nested_test.go
@@ -23,8 +23,8 @@
 	for _, enabled := range []bool{false, true} {
 		t.Run(fmt.Sprint(enabled), func(t *testing.T) {
 			lines := 0
-			n := newNestedCalls(process.NewMetrics(), funcr.New(func(string, string) { lines++ }, funcr.Options{}))
-			n.enabled = func(endpoint string) bool { return enabled && endpoint == "front/a" }
+			isEnabled := func(endpoint string) bool { return enabled && endpoint == "front/a" }
+			n := newNestedCalls(isEnabled, process.NewMetrics(), funcr.New(func(string, string) { lines++ }, funcr.Options{}))
 			var refused []*outcome.Failure
 			for i := range 50 {
 				m := hop.Meta{Call: fmt.Sprint(i), Service: "front", Endpoint: "a", Route: "order", Depth: 1, Objective: time.Second}
@@ -92,7 +92,7 @@
 // Guards against nested calls that are refused for good because they count as movable although no other endpoint follows, and against
 // an effect on requests of callers or at endpoints that have stated no pace.
 func TestMovable(t *testing.T) {
-	n := newNestedCalls(process.NewMetrics(), funcr.New(func(string, string) {}, funcr.Options{}))
+	n := newNestedCalls(func(string) bool { return true }, process.NewMetrics(), funcr.New(func(string, string) {}, funcr.Options{}))
 	n.enabled = func(endpoint string) bool { return endpoint == "store/a" }
 	tests := []struct {
 		endpoint string
