--- a/io/backend/response.go
+++ b/io/backend/response.go
@@ -33,6 +33,9 @@
 // framingTrailers are the fields that would change the framing of a response and so must not follow its body (RFC 9110 section 6.5.1).
 var framingTrailers = []string{"Content-Length", "Transfer-Encoding", "Trailer"}
 
+// usualFields is the number of fields for which values are allocated at once.
+const usualFields = 8
+
 // readResponse reads the head of a response to r. net/http accepts more than RFC 9112 allows, for example a blank before a colon or a
 // length beside chunks, and others that read the same bytes may then see another response. The body is read with the same strictness.
 func (x *exchange) readResponse() (*http.Response, error) {
@@ -132,6 +135,7 @@
 // fields whose names begin with a blank.
 func readFields(reader *bufio.Reader) (http.Header, error) {
 	h := http.Header{}
+	var spare []string // values of the next fields, so that each field does not allocate its own slice
 	for {
 		line, err := readLine(reader)
 		if err != nil || line == "" {
@@ -146,7 +150,15 @@
 			return nil, &ResponseError{Fault: "want no control bytes in the value of a field"}
 		}
 		name = textproto.CanonicalMIMEHeaderKey(name)
-		h[name] = append(h[name], value)
+		if others, repeated := h[name]; repeated {
+			h[name] = append(others, value)
+			continue
+		}
+		if len(spare) == 0 {
+			spare = make([]string, usualFields)
+		}
+		spare[0] = value
+		h[name], spare = spare[:1:1], spare[1:]
 	}
 }
 
