feat(cmd): check finds entries without effect and lists differences

It also takes a whole configuration of the users' platform, reports the faults of all its resources, and with --at lists what differs from the one in force. Warnings name valid entries that can never match or have an effect, or that contradict another entry; they do not change the exit code.

--- a/cmd/run.go
+++ b/cmd/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"slices"
 
 	"github.com/alexflint/go-arg"
@@ -37,6 +38,24 @@
 	Faults        func(err error) []*wire.Fault // returns the faults in an error of one of the parsers
 
 	ParseCustomers func(data []byte) (*wire.Customers, error) // its errors must not quote keys
+	Checks         ConfigurationChecks
+}
+
+// ConfigurationChecks holds the functions by which check looks at whole configurations; nil functions are skipped.
+type ConfigurationChecks struct {
+	Validate    func(c *wire.Content) error
+	Warnings    func(c *wire.Content, whole bool) []Warning // whole means that c lacks no part of the configuration
+	Differences func(before, after *wire.Content) []*wire.Difference
+
+	// The next two are for configurations of the users' platform.
+	Parse func(data []byte) (*wire.Content, error)
+	Read  func(ctx context.Context, at netip.AddrPort) (*wire.Content, error) // the one in force; nil if there is none yet
+}
+
+// Warning names a valid entry that can never match or have an effect, or that contradicts another one.
+type Warning struct {
+	Key  string `json:"key"`
+	Text string `json:"text"`
 }
 
 // arguments holds the subcommands; the parser sets the one that the command line names.
@@ -50,7 +69,7 @@
 	Wait     *waitCommand     `arg:"subcommand:wait" help:"wait until a version is in force everywhere"`
 	Replica  *replicaCommand  `arg:"subcommand:replica" help:"list, add, promote or remove control replicas"`
 	Revert   *revertCommand   `arg:"subcommand:revert" help:"propose the content of an earlier version"`
-	Check    *checkCommand    `arg:"subcommand:check" help:"check settings, register, rules and customers files"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"check settings, register, rules and customers files, and configurations of the users' platform"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run a process on the users' platform, with the settings file that GODWITSPINDLE_CONFIG names"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"show the way of one request through logs"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run a small mesh in one process on loopback"`
--- a/core/store/difference.go
+++ b/core/store/difference.go
@@ -13,6 +13,11 @@
 	"godwitspindle/core/wire"
 )
 
+// Differences returns the fields that differ between two configurations, as an accepted change lists them.
+func Differences(before, after *wire.Content) []*wire.Difference {
+	return differences(contentFromWire(before, nil), contentFromWire(after, nil))
+}
+
 // differences returns the fields that differ between two contents, sorted by key and by the order of fields in the message.
 func differences(before, after *content) []*wire.Difference {
 	var keys []string
--- a/main.go
+++ b/main.go
@@ -7,6 +7,8 @@
 
 	"godwitspindle/cmd"
 	"godwitspindle/core/config"
+	"godwitspindle/core/store"
+	"godwitspindle/core/wire"
 	"godwitspindle/io/demo"
 	"godwitspindle/io/host"
 	"godwitspindle/platform"
@@ -23,6 +25,18 @@
 		Faults:        host.Faults,
 
 		ParseCustomers: config.ParseCustomers,
+		Checks: cmd.ConfigurationChecks{
+			Validate: config.Validate, Warnings: warnings, Differences: store.Differences,
+			Parse: platform.ParseConfiguration, Read: platform.ReadConfiguration,
+		},
 	}
 	os.Exit(p.Run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 }
+
+func warnings(c *wire.Content, whole bool) []cmd.Warning {
+	var list []cmd.Warning
+	for _, w := range config.Warnings(c, whole) {
+		list = append(list, cmd.Warning{Key: w.Key, Text: w.Text})
+	}
+	return list
+}
