feat(platform): hosts that are cut off accept no key, if settings ask for it

With strictRevoke, a host refuses requests that need a key with 503 once its last confirmation by a majority is older than revoke, since keys may have been withdrawn meanwhile. The default stays as it is.

--- a/io/caller/authenticate.go
+++ b/io/caller/authenticate.go
@@ -34,9 +34,12 @@
 		c.customer = customerNamed(customers, parent.Customer)
 		return nil
 	}
+	if c.match.Unconfirmed && !c.match.Route.Public {
+		return c.fail(outcome.Unproven, http.StatusServiceUnavailable, "the node has not heard a majority for longer than withdrawn keys may be used", nil)
+	}
 	values := c.r.Header.Values(headerAuthorization)
 	key, wellFormed := bearerKey(values)
-	if wellFormed {
+	if wellFormed && !c.match.Unconfirmed {
 		c.customer, _ = customers.CustomerByKey(key)
 	}
 	if c.customer != nil || c.match.Route.Public {
--- a/io/caller/authenticate_test.go
+++ b/io/caller/authenticate_test.go
@@ -81,6 +81,7 @@
 
 type given struct {
 	public, local, nobody bool
+	unconfirmed           bool
 	headers               []string
 }
 
@@ -116,6 +117,11 @@
 		{"parent not known, with a key", given{headers: []string{"Id", "a.1", "Authorization", "Bearer " + secretKey}}, "200  acme 8"},
 		{"parent not known, with an unknown key", given{headers: []string{"Id", "a.1", "Authorization", "Bearer x"}}, "401 unauthorized"},
 		{"parent not known, public", given{public: true, headers: []string{"Id", "a.1"}}, "200   4"},
+		{"not confirmed", given{unconfirmed: true, headers: []string{"Authorization", "Bearer " + secretKey}}, "503 unproven"},
+		{"not confirmed, without a key", given{unconfirmed: true}, "503 unproven"},
+		{"not confirmed, public", given{unconfirmed: true, public: true, headers: []string{"Authorization", "Bearer " + secretKey}}, "200   4"},
+		{"not confirmed, nested", given{unconfirmed: true, local: true, headers: []string{HeaderContext, parent("acme")}}, "200  acme 8"},
+		{"not confirmed, no customers", given{unconfirmed: true, nobody: true}, "200   4"},
 		{"no customers", given{nobody: true}, "200   4"},
 		{"no customers, with a key", given{nobody: true, headers: []string{"Authorization", "Bearer free"}}, "200   4"},
 		{"no customers, parent not known", given{nobody: true, headers: []string{"Id", "a.1"}}, "200   4"},
@@ -134,6 +140,12 @@
 			}
 			var out lines
 			h, sent := newKeyed(set, c.given.public, c.given.local, WithLog(logr.FromSlogHandler(slog.NewJSONHandler(&out, nil)), func() bool { return true }))
+			found := h.match
+			h.match = func(host, path, method string) (Match, *outcome.Failure) {
+				m, f := found(host, path, method)
+				m.Unconfirmed = c.given.unconfirmed
+				return m, f
+			}
 			r := httptest.NewRequest("GET", "/x", strings.NewReader("body"))
 			for i := 0; i < len(c.given.headers); i += 2 {
 				r.Header.Add(c.given.headers[i], c.given.headers[i+1])
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -20,6 +20,8 @@
 	Version uint64 // version of the configuration that holds route and service
 
 	Customers Customers // customers of the same version; nil for none
+	// Unconfirmed states that keys may have been withdrawn in a version that the node should know by now, so no key is accepted.
+	Unconfirmed bool
 }
 
 // PickRequest is a request to choose an endpoint.
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -55,7 +55,16 @@
 	if !ok {
 		return caller.Match{}, nil
 	}
-	return caller.Match{Route: r, Service: s, Version: t.Version(), Customers: t}, nil
+	return caller.Match{Route: r, Service: s, Version: t.Version(), Customers: t, Unconfirmed: h.unconfirmed()}, nil
+}
+
+// unconfirmed reports whether the last confirmation by a majority is older than withdrawn keys may be used; see WithRevocation.
+func (h *Host) unconfirmed() bool {
+	if h.revocation == 0 {
+		return false
+	}
+	age := h.confirmationAge()
+	return age < 0 || age > h.revocation
 }
 
 // mayRunEarly reports whether a pipelined request may start before earlier requests on its connection are answered. Only
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -90,6 +90,7 @@
 	redirected redirects
 
 	customerLabels customerLabels
+	revocation     time.Duration // set by WithRevocation; 0 without it
 
 	mu     sync.Mutex
 	locals map[string]*localEndpoint
--- a/io/host/option.go
+++ b/io/host/option.go
@@ -39,6 +39,10 @@
 	return func(h *Host) { h.callerOptions = append(h.callerOptions, caller.WithNested(f)) }
 }
 
+// WithRevocation makes the node accept no API key once the last confirmation by a majority is older than the limit, since keys may
+// have been withdrawn meanwhile. By default a node that is cut off goes on with the keys that it holds.
+func WithRevocation(limit time.Duration) Option { return func(h *Host) { h.revocation = limit } }
+
 // WithBackend adds options for the connection to local backend servers.
 func WithBackend(opts ...backend.Option) Option {
 	return func(h *Host) { h.backendOptions = append(h.backendOptions, opts...) }
