--- a/cmd/run.go
+++ b/cmd/run.go
@@ -47,6 +47,7 @@
 	Status   *statusCommand   `arg:"subcommand:status" help:"show versions, replicas and endpoints"`
 	Wait     *waitCommand     `arg:"subcommand:wait" help:"wait until a version is in force everywhere"`
 	Replica  *replicaCommand  `arg:"subcommand:replica" help:"list, add, promote or remove control replicas"`
+	Rollout  *rolloutCommand  `arg:"subcommand:rollout" help:"move the requests of a service to another release"`
 	Revert   *revertCommand   `arg:"subcommand:revert" help:"propose the content of an earlier version"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"check settings, register and rules files"`
 	Platform *platformCommand `arg:"subcommand:platform" help:"run a process on the users' platform, with the settings file that GODWITSPINDLE_CONFIG names"`
@@ -138,6 +139,8 @@
 		return a.Wait.run(iv)
 	case a.Replica != nil:
 		return a.Replica.run(iv)
+	case a.Rollout != nil:
+		return a.Rollout.run(iv)
 	case a.Revert != nil:
 		return a.Revert.run(iv)
 	case a.Check != nil:
@@ -153,9 +156,9 @@
 // problemExitCode returns the exit code for a problem.
 func problemExitCode(p *operator.Problem) int {
 	switch p.Code {
-	case operator.CodeConflict, operator.CodeExpired:
+	case operator.CodeConflict, operator.CodeExpired, operator.CodeRolloutRunning:
 		return ExitConflict
-	case operator.CodeInvalid, operator.CodeIDReused, operator.CodeMissing, operator.CodeMalformed, operator.CodeOversize, operator.CodeNoReplica:
+	case operator.CodeInvalid, operator.CodeIDReused, operator.CodeMissing, operator.CodeMalformed, operator.CodeOversize, operator.CodeNoReplica, operator.CodeNoRollout:
 		return ExitUsage
 	case operator.CodeTimeout:
 		return ExitTimeout
--- a/cmd/run_test.go
+++ b/cmd/run_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	"godwitspindle/core/rollout"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/operator"
 	"godwitspindle/io/process"
@@ -43,6 +44,32 @@
 	}
 }
 
+func startRollout(_ context.Context, o *wire.RolloutOrder) (*wire.Result, error) {
+	switch o.GetService() {
+	case "archive":
+		return &wire.Result{Body: &wire.Result_Rollout{Rollout: rollout.Start(7, time.UnixMilli(1_700_000_000_000), o)}}, nil
+	case "counter":
+		return &wire.Result{Body: &wire.Result_Refusal{Refusal: &wire.Refusal{Code: operator.CodeRolloutRunning}}}, nil
+	}
+	faults := []*wire.Fault{{Field: "service", Expected: "a service of the configuration"}}
+	return &wire.Result{Body: &wire.Result_Refusal{Refusal: &wire.Refusal{Code: operator.CodeInvalid, Faults: faults}}}, nil
+}
+
+// rolloutTests are commands of TestCommands with their exit codes.
+var rolloutTests = []struct {
+	args string
+	want int
+}{
+	{"rollout", ExitUsage},
+	{"rollout start archive --at AT", ExitUsage},
+	{"rollout start archive --release v2 --duration 12s --at AT", ExitDone},
+	{"rollout start counter --release v2 --at AT", ExitConflict},
+	{"rollout start other --release v2 --at AT", ExitUsage},
+	{"rollout status archive --at AT", ExitDone},
+	{"rollout status archive --at AT --json", ExitDone},
+	{"rollout status counter --at AT", ExitUsage},
+}
+
 func startServer(t *testing.T, leader string) string {
 	t.Helper()
 	propose := func(_ context.Context, c *wire.Change) (*wire.Result, error) {
@@ -87,6 +114,15 @@
 				{Name: "b", Role: "waiting", Identity: "b/2", Behind: -1, Heard: -1},
 			}, Health: &operator.Health{Voters: 2, Answering: 1, Promised: 1, Unheard: []operator.Silence{{Identity: "b/1", Heard: silence}}}}, nil
 		}),
+		operator.WithRollouts(startRollout, func(_ context.Context, service string) (*wire.Rollout, error) {
+			if service != "archive" {
+				return nil, nil
+			}
+			return &wire.Rollout{
+				Service: "archive", Release: "v2", Duration: 12_000, Accepted: 1_700_000_000_000, Order: 7, Step: 2, Share: 1000,
+				State: wire.RolloutState_ROLLOUT_STATE_RUNNING, Sent: 40, Bad: 1, Total: 900, Reason: "no fault found so far",
+			}, nil
+		}),
 		operator.WithHistory(func(ctx context.Context, _ int) ([]*wire.Accepted, error) {
 			r, err := propose(ctx, &wire.Change{Base: 40, Author: "jo", Reason: "faster fares"})
 			return []*wire.Accepted{r.GetAccepted()}, err
@@ -170,7 +206,7 @@
 		{"status --at LOST", ExitUnreachable},
 	}
 	var out strings.Builder
-	for _, tt := range tests {
+	for _, tt := range append(tests, rolloutTests...) {
 		var stdout, stderr bytes.Buffer
 		args := strings.NewReplacer("LOST", noLeader, "AT", at).Replace(tt.args)
 		got := newProgram().Run(t.Context(), strings.Fields(args), &stdout, &stderr)
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -105,6 +105,9 @@
 		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", u.Name, u.Endpoints, u.Slots)
 	}
 	_ = w.Flush()
+	for i := range v.Rollouts {
+		iv.printf("\nrollout of %s\n", &v.Rollouts[i])
+	}
 }
 
 // remarks returns what is unusual about a replica, in brackets, or an empty string.
--- a/io/host/convert.go
+++ b/io/host/convert.go
@@ -72,6 +72,15 @@
 	return out
 }
 
+// runningRollouts returns the running rollouts of the table.
+func runningRollouts(t *config.RoutingTable) []operator.Rollout {
+	var list []operator.Rollout
+	for _, s := range t.Running() {
+		list = append(list, operator.NewRollout(s.Rollout))
+	}
+	return list
+}
+
 // serviceCapacities returns the number of endpoints and the sum of their slots for each service of the table.
 func serviceCapacities(t *config.RoutingTable) []operator.ServiceCapacity {
 	var list []operator.ServiceCapacity
--- a/io/host/operators.go
+++ b/io/host/operators.go
@@ -39,6 +39,7 @@
 		operator.WithStatus(h.status),
 		operator.WithWait(h.progress),
 		operator.WithReplicas(h.replicas),
+		operator.WithRollouts(h.StartRollout, h.Rollout),
 		operator.WithParsers(config.ParseRegister, config.ParseRules, Faults),
 	)
 }
@@ -176,6 +177,7 @@
 		Spread:   -1,
 		Age:      operator.Duration(h.confirmationAge()),
 		Services: serviceCapacities(v.Table),
+		Rollouts: runningRollouts(v.Table),
 	}
 	answer, err := h.meshStatus(ctx, 0, true)
 	if err != nil {
--- a/io/host/rolloutlead.go
+++ b/io/host/rolloutlead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +9,7 @@
 	"godwitspindle/core/config"
 	"godwitspindle/core/rollout"
 	"godwitspindle/core/wire"
+	"godwitspindle/io/operator"
 	"godwitspindle/io/rpc"
 )
 
@@ -177,7 +177,7 @@
 	defer cancel()
 	result, err := c.replica.Propose(ctx, &wire.Command{Body: &wire.Command_Advance{Advance: a}})
 	if err != nil {
-		c.log.Info("step of a rollout not committed, it is decided again", "service", a.GetService(), "state", stateLabel(a.GetState()),
+		c.log.Info("step of a rollout not committed, it is decided again", "service", a.GetService(), "state", operator.RolloutState(a.GetState()),
 			"reason", a.GetReason(), "error", err.Error())
 		return
 	}
@@ -185,13 +185,8 @@
 	if r.GetOrder() != a.GetOrder() || r.GetStep() != a.GetStep()+1 {
 		return // another leader's step came first
 	}
-	c.metrics.RolloutSteps.WithLabelValues(r.GetService(), stateLabel(r.GetState())).Inc()
-	c.log.Info("rollout advanced", "service", r.GetService(), "release", r.GetRelease(), "state", stateLabel(r.GetState()),
+	c.metrics.RolloutSteps.WithLabelValues(r.GetService(), operator.RolloutState(r.GetState())).Inc()
+	c.log.Info("rollout advanced", "service", r.GetService(), "release", r.GetRelease(), "state", operator.RolloutState(r.GetState()),
 		"step", r.GetStep(), "share", float64(r.GetShare())/rollout.Whole, "reason", r.GetReason(), "sent", r.GetSent(), "bad", r.GetBad(),
 		"total", r.GetTotal())
 }
-
-// stateLabel returns the name of a state for logs, metrics and operators.
-func stateLabel(s wire.RolloutState) string {
-	return strings.ToLower(strings.TrimPrefix(s.String(), "ROLLOUT_STATE_"))
-}
--- a/io/host/rolloutorder.go
+++ b/io/host/rolloutorder.go
@@ -66,7 +66,7 @@
 		return nil, &operator.UnavailableError{Outcome: operator.Unknown, Leader: h.leader(), Err: h.refusal(err)}
 	}
 	h.log.Info("rollout ordered", "service", o.GetService(), "release", o.GetRelease(), "duration", o.GetDuration(),
-		"refused", r.GetRefusal().GetCode(), "state", stateLabel(r.GetRollout().GetState()), "order", r.GetRollout().GetOrder())
+		"refused", r.GetRefusal().GetCode(), "state", operator.RolloutState(r.GetRollout().GetState()), "order", r.GetRollout().GetOrder())
 	return r, nil
 }
 
--- a/io/operator/messages.go
+++ b/io/operator/messages.go
@@ -137,6 +137,7 @@
 	Hearing  *Hearing          `json:"hearing,omitempty"` // what Node hears; only without a leader
 	Behind   []LaggingNode     `json:"behind"`
 	Services []ServiceCapacity `json:"services"`
+	Rollouts []Rollout         `json:"rollouts,omitempty"` // running ones, as Node knows them
 }
 
 // Progress is one line of the answer of GET /v1/wait.
--- a/io/operator/problem.go
+++ b/io/operator/problem.go
@@ -27,6 +27,8 @@
 	CodeForeign          = "foreign"      // the named replica holds the log of another group
 	CodeBehind           = "behind"       // the learner has not caught up
 	CodeUnsafeMembership = "members"      // the membership change is refused, since it is not safe now
+	CodeRolloutRunning   = "running"      // another rollout of the service is running
+	CodeNoRollout        = "norollout"    // the service had no rollout
 	CodeNoPath           = "nopath"       // the path or method does not exist
 	CodeInternal         = "failed"       // the node or the command failed for another reason
 )
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -47,6 +47,8 @@
 	status       func(context.Context) (*Status, error)
 	wait         func(ctx context.Context, version uint64, report func(Progress)) error
 	replicas     func(ctx context.Context, action, name string) (*Replicas, error)
+	startRollout func(context.Context, *wire.RolloutOrder) (*wire.Result, error)
+	rollout      func(ctx context.Context, service string) (*wire.Rollout, error)
 	register     func([]byte) (*wire.Register, error)
 	rules        func([]byte) (*wire.RuleSet, error)
 	faults       func(error) []*wire.Fault
@@ -138,6 +140,8 @@
 	s.handle("GET /v1/wait", s.serveWait)
 	s.handle("GET /v1/replicas", s.serveReplicaList)
 	s.handle("POST /v1/replicas", s.serveReplicaChange)
+	s.handle("POST /v1/rollouts", s.serveRolloutStart)
+	s.handle("GET /v1/rollouts/{service}", s.serveRollout)
 	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		if p := s.authorize(r); p != nil {
 			p.write(w)
