--- a/io/host/rollout.go
+++ b/io/host/rollout.go
@@ -225,7 +225,8 @@
 }
 
 // observe counts the result of an attempt. A request that a new endpoint refused without running it counts as one that found no usable
-// endpoint; refusals by old endpoints, and requests that their callers gave up, do not count.
+// endpoint; refusals by old endpoints do not count. A request that its caller gave up counts as an answer that took as long, since a
+// release that answers too late or never would otherwise show no fault.
 func (r *rollouts) observe(endpoint string, o caller.Observation) {
 	name, _, _ := strings.Cut(endpoint, "/")
 	r.mu.Lock()
@@ -235,9 +236,6 @@
 		return
 	}
 	s.endLocked(endpoint)
-	if o.Failure != nil && o.Failure.Code == outcome.Canceled {
-		return
-	}
 	fresh := o.Release == s.newest.GetRelease()
 	if o.Failure != nil && o.Failure.Kind == outcome.NotRun {
 		if fresh {
@@ -249,7 +247,7 @@
 	if _, known := s.counts[k]; !known && len(s.counts) >= 2*maxCountedRoutes {
 		k.Route = ""
 	}
-	failed := o.Failure != nil || o.Status >= 500
+	failed := o.Failure != nil && o.Failure.Code != outcome.Canceled || o.Status >= 500
 	c := s.counts[k]
 	c.Record(o.Took, failed)
 	s.counts[k] = c
