test(backend): bytes behind a valid response

Guards against a connection that is used again after a second response, or after a body where none may follow (204, 304, HEAD).

--- a/io/backend/response_test.go
+++ b/io/backend/response_test.go
@@ -118,6 +118,7 @@
 	ending   int
 	status   int // 0 if the response must not count as complete
 	body     string
+	surplus  bool // more bytes than the response follow, so that the connection is not used again
 }{
 	// Valid responses, which stay accepted.
 	{name: "length", response: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", ending: stays, status: 200, body: "body"},
@@ -144,6 +145,15 @@
 	{name: "lines that end with LF alone", response: "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody", ending: stays, status: 200, body: "body"},
 	{name: "interim responses", response: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", ending: stays, status: 200, body: "body"},
 
+	// Valid responses with bytes behind them.
+	{name: "a second response", response: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd", ending: stays, status: 200, body: "body", surplus: true},
+	{name: "a second response behind chunks", response: chunked + "4\r\nbody\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd", ending: stays, status: 200, body: "body", surplus: true},
+	{name: "status 204 with a body", response: "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nbody", ending: stays, status: 204, surplus: true},
+	{name: "status 204 with a length alone", response: "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n", ending: stays, status: 204, surplus: true},
+	{name: "status 304 with a body", response: "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\nbody", ending: stays, status: 304, surplus: true},
+	{name: "HEAD with a body", method: "HEAD", response: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", ending: stays, status: 200, surplus: true},
+	{name: "one byte more than the length", response: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody\n", ending: stays, status: 200, body: "body", surplus: true},
+
 	// Status lines.
 	{name: "status 000", response: "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n"},
 	{name: "status 099", response: "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n"},
@@ -268,7 +278,7 @@
 					}
 				}
 				want := int32(2)
-				if tt.status != 0 && tt.ending == stays {
+				if tt.status != 0 && tt.ending == stays && !tt.surplus {
 					want = 1
 				}
 				if got := s.connections.Load(); got != want {
