--- a/core/nested/mesh_test.go
+++ b/core/nested/mesh_test.go
@@ -65,6 +65,7 @@
 	front, store *config.Service
 	nodes        map[string]*node
 	tallies      map[string]*tally // by kind
+	repicks      int
 }
 
 // node is an endpoint with the parts of its node.
@@ -277,6 +278,7 @@
 		return
 	}
 	r.repicks++
+	m.repicks++
 	m.send(r)
 }
 
--- a/core/nested/throttle.go
+++ b/core/nested/throttle.go
@@ -38,9 +38,8 @@
 const (
 	halfLife    = 2 * time.Second // time after which a run counts half in what is known of its kind
 	maxKinds    = 256             // maximum number of kinds; one more forgets all, and they are soon learned again
-	maxServices = 8               // maximum number of services per kind whose calls are recorded
-	maxRuns     = 8192            // maximum number of tracked runs, above the slots of a node's endpoints
-	maxCalls    = 64              // maximum number of recorded calls of one run
+	maxServices = 8               // maximum number of services per kind and per run whose calls are recorded
+	maxRuns     = 2048            // maximum number of tracked runs, above the slots of a node's endpoints
 	// forgotten is the number of calling runs, after decay, below which a service is dropped from a kind.
 	forgotten = 0.01
 	// settleTime is the time after the end of a run for which its calls are awaited: a call ends for its node only after its last byte
@@ -106,7 +105,14 @@
 	began time.Time
 	ended time.Time // zero while it runs
 	ok    bool      // its parent got a success
-	calls []Call
+	calls []serviceCalls
+}
+
+// serviceCalls holds the calls of one run to one service.
+type serviceCalls struct {
+	service string
+	counts  [results]uint32
+	last    Result
 }
 
 // New returns a Throttle that has learned nothing, so that it admits all parents.
@@ -171,11 +177,24 @@
 func (t *Throttle) Observe(c Call) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if r := t.runs[c.Parent]; r != nil && len(r.calls) < maxCalls {
-		r.calls = append(r.calls, c)
+	if r := t.runs[c.Parent]; r != nil {
+		r.observe(c)
 	}
 }
 
+func (r *run) observe(c Call) {
+	i := slices.IndexFunc(r.calls, func(s serviceCalls) bool { return s.service == c.Service })
+	if i < 0 && len(r.calls) >= maxServices {
+		return
+	}
+	if i < 0 {
+		i = len(r.calls)
+		r.calls = append(r.calls, serviceCalls{service: c.Service})
+	}
+	r.calls[i].counts[c.Result]++
+	r.calls[i].last = c.Result
+}
+
 // End records the end of a run; ok reports whether its parent got a success. It returns whether the run was broken: it was no
 // success and the last call to some service lacked room there. The time of a broken run says nothing about the work of its kind.
 func (t *Throttle) End(now time.Time, call string, ok bool) (broken bool) {
@@ -197,19 +216,7 @@
 
 // broken reports whether the parent got no success and the last call to some service lacked room.
 func (r *run) broken() bool {
-	if r.ok {
-		return false
-	}
-	last := map[string]Result{}
-	for _, c := range r.calls {
-		last[c.Service] = c.Result
-	}
-	for _, result := range last {
-		if result.lacksRoom() {
-			return true
-		}
-	}
-	return false
+	return !r.ok && slices.ContainsFunc(r.calls, func(s serviceCalls) bool { return s.last.lacksRoom() })
 }
 
 // settle records the runs that ended settleTime ago.
@@ -227,36 +234,31 @@
 	delete(t.runs, r.call)
 	k := t.kindOf(now, r.kind)
 	k.runs++
-	for name, lacking := range k.record(r.calls) {
+	for i := range r.calls {
+		c := &r.calls[i]
+		k.add(c)
+		lacking := c.last.lacksRoom()
 		if lacking && r.ok {
 			continue // the run did without the call
 		}
-		t.levelOf(name).observe(now, r.began, lacking)
+		t.levelOf(c.service).observe(now, r.began, lacking)
 	}
 }
 
-// record adds the calls of a run and returns the services that it called, each with whether its last call lacked room.
-func (k *kind) record(calls []Call) map[string]bool {
-	if len(calls) == 0 {
-		return nil
-	}
-	lacking := map[string]bool{}
-	for _, c := range calls {
-		u := k.services[c.Service]
-		if u == nil {
-			if len(k.services) >= maxServices {
-				continue
-			}
-			u = &usage{}
-			k.services[c.Service] = u
-		}
-		if _, counted := lacking[c.Service]; !counted {
-			u.calling++
+// add adds the calls of a run to one service.
+func (k *kind) add(c *serviceCalls) {
+	u := k.services[c.service]
+	if u == nil {
+		if len(k.services) >= maxServices {
+			return
 		}
-		u.calls[c.Result]++
-		lacking[c.Service] = c.Result.lacksRoom()
+		u = &usage{}
+		k.services[c.service] = u
+	}
+	u.calling++
+	for i, n := range c.counts {
+		u.calls[i] += float64(n)
 	}
-	return lacking
 }
 
 func (t *Throttle) kindOf(now time.Time, name string) *kind {
--- a/io/host/nested_test.go
+++ b/io/host/nested_test.go
@@ -1,13 +1,16 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 
+	"godwitspindle/core/admission"
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
@@ -111,3 +114,48 @@
 		}
 	}
 }
+
+// Guards against a host that does not ask the throttle before it admits a parent, or does not tell it about calls and ends of runs, and
+// against a nested call that waits at a full endpoint while others may have room.
+func TestNestedCallsOfHost(t *testing.T) {
+	metrics := process.NewMetrics()
+	h := &Host{metrics: metrics, locals: map[string]*localEndpoint{}, stop: newStopRecord(logr.Discard(), metrics.StopRequests)}
+	h.nested = newNestedCalls(metrics, logr.Discard())
+	h.nested.enabled = func(string) bool { return true }
+	for _, key := range []string{"front/a", "store/a"} {
+		h.locals[key] = &localEndpoint{queue: newAdmissionQueue(1, 0, admission.WithFixedLimit(), admission.WithShares())}
+	}
+	refused := 0
+	for i := range 50 {
+		m := hop.Meta{Call: fmt.Sprint(i), Service: "front", Endpoint: "a", Route: "order", Depth: 1}
+		release, f := h.admit(t.Context(), "front/a", m)
+		if f != nil && f.Code == outcome.Downstream {
+			refused++
+			continue
+		}
+		if f != nil {
+			t.Fatal(f)
+		}
+		h.countCall(caller.Finished{Service: "store", Parent: m.Call, Code: outcome.Busy, Kind: outcome.NotRun})
+		release(backend.Result{Status: http.StatusBadGateway, OK: true, Took: time.Millisecond})
+	}
+	if refused < 25 {
+		t.Errorf("refused parents: got %d of 50, want at least 25", refused)
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer stop()
+	call := func(id string, lastAttempt bool) *outcome.Failure {
+		_, f := h.admit(ctx, "store/a", hop.Meta{Call: id, Service: "store", Endpoint: "a", Route: "check", Depth: 2, Objective: time.Second, LastAttempt: lastAttempt})
+		return f
+	}
+	if f := call("running", false); f != nil {
+		t.Fatal(f)
+	}
+	begin := time.Now()
+	if f := call("movable", false); f == nil || f.Code != outcome.Busy || time.Since(begin) > 150*time.Millisecond {
+		t.Errorf("movable call at a full endpoint: got %v after %s, want busy while time is left", f, time.Since(begin))
+	}
+	if f := call("last", true); f == nil || f.Code != outcome.DeadlineExceeded {
+		t.Errorf("last try at a full endpoint: got %v, want deadline", f)
+	}
+}
