feat(routing): calls leave their failure domain only where it matters to them

A call with an objective leaves if half of the objective does not suffice nearby and the response is earlier by a quarter of it elsewhere, or after two refusals. Refusals by backend servers raise an endpoint's rating mildly.

Capacity: refusals count as a lack of capacity only at a nearly full endpoint and only if they are rarer with fewer calls; what a backend server states never lowers the limit below half of the slots. Expected times for objectives are medians.

--- a/core/capacity/estimator.go
+++ b/core/capacity/estimator.go
@@ -26,20 +26,21 @@
 	maxTrust     = 1.2
 	maxStep      = time.Second // maximum time between two calls for which the pace in between is taken as known
 
-	fitCalls    = 16                     // calls between two comparisons of the models of concurrency
-	growPeriod  = time.Second            // time after which the limit may grow by one
-	relaxPeriod = 2 * time.Second        // time after which the bound that a refusal set grows by one
-	limitMargin = 1.1                    // the limit exceeds the estimate by this factor, since a low limit loses throughput
-	resetFactor = 0.75                   // a reset at a busy endpoint bounds the calls to this share of those that ran
-	waitWeight  = 0.1                    // weight of a report in the average of reported waiting requests
-	maxWaiting  = 0.5                    // average of reported waiting requests above which the limit falls to the running ones
-	trialCalls  = 15.0                   // weight of calls with up to half of the limit that makes a trial unnecessary
-	trialPeriod = 20 * time.Second       // minimum time between two trials
-	trialTimes  = 4                      // length of a trial in mean service times; it takes one until fewer calls run
-	maxTrial    = 2 * time.Second        // maximum length of a trial
-	fullCalls   = 3                      // calls that end at a full endpoint before a trial, in relation to the limit
-	fullShare   = 0.8                    // share of the limit from which on an endpoint counts as full
-	minRefit    = 250 * time.Millisecond // minimum time between two comparisons
+	fitCalls      = 16                     // calls between two comparisons of the models of concurrency
+	growPeriod    = time.Second            // time after which the limit may grow by one
+	relaxPeriod   = 2 * time.Second        // time after which the bound that a refusal set grows by one
+	limitMargin   = 1.1                    // the limit exceeds the estimate by this factor, since a low limit loses throughput
+	resetFactor   = 0.75                   // a reset at a busy endpoint bounds the calls to this share of those that ran
+	refusalWeight = 0.05                   // weight of a call in the share of refused calls
+	waitWeight    = 0.1                    // weight of a report in the average of reported waiting requests
+	maxWaiting    = 0.5                    // average of reported waiting requests above which the limit falls to the running ones
+	trialCalls    = 15.0                   // weight of calls with up to half of the limit that makes a trial unnecessary
+	trialPeriod   = 20 * time.Second       // minimum time between two trials
+	trialTimes    = 4                      // length of a trial in mean service times; it takes one until fewer calls run
+	maxTrial      = 2 * time.Second        // maximum length of a trial
+	fullCalls     = 3                      // calls that end at a full endpoint before a trial, in relation to the limit
+	fullShare     = 0.8                    // share of the limit from which on an endpoint counts as full
+	minRefit      = 250 * time.Millisecond // minimum time between two comparisons
 )
 
 // maxSlowdown bounds the logarithm of current to usual time, so that a false report cannot stop an endpoint.
@@ -64,6 +65,9 @@
 	during     regression // of the time of calls on the mean pace while they ran, which explains past times
 	waiting    float64    // average of reported waiting requests
 
+	refusedFull  float64 // share of refused calls while the endpoint was nearly full
+	refusedBelow float64 // the same at other times
+
 	levels    levels
 	limit     float64
 	bound     float64   // maximum of limit after refusals and resets
@@ -210,6 +214,7 @@
 	k.calls++
 	e.samples++
 	e.mean += (math.Exp(k.usual) - e.mean) * max(1/float64(e.samples), meanWeight)
+	e.countRefusal(running, 0)
 	e.tryLess(running)
 	e.fit(now)
 }
@@ -227,39 +232,55 @@
 	}
 }
 
-// Refused records that the backend server refused a call because it was full; running is the number of calls that ran, including
-// that one.
+// Refused records that the backend server refused a call without running it; running is the number of calls that ran, including
+// that one. With few calls running, the cause is not load, and fewer calls would be refused as often.
 func (e *Estimator) Refused(now time.Time, running int) {
 	e.Advance(now)
-	e.restrict(float64(running - 1))
+	full := e.countRefusal(running, 1)
+	if full && e.refusedBelow < e.refusedFull/2 {
+		e.restrict(float64(running - 1))
+	}
+}
+
+// countRefusal counts a call that was refused (1) or not (0), and reports whether the endpoint was nearly full. Refusals that are as
+// frequent at other times are a fault of the endpoint, so that fewer calls do not help.
+func (e *Estimator) countRefusal(running int, value float64) bool {
+	if float64(running) > fullShare*float64(e.slots) {
+		e.refusedFull += (value - e.refusedFull) * refusalWeight
+		return true
+	}
+	e.refusedBelow += (value - e.refusedBelow) * refusalWeight
+	return false
 }
 
-// Reset records that the connection of a call broke. At a busy endpoint it may be full; at another one the cause is not load.
+// Reset records that the connection of a call broke. A full endpoint may have reset it; at another one the cause is not load.
 func (e *Estimator) Reset(now time.Time, running int) {
 	e.Advance(now)
-	if 2*running > e.Capacity() {
+	if float64(running) > fullShare*float64(e.slots) {
 		e.restrict(math.Floor(float64(running) * resetFactor))
 	}
 }
 
-// restrict bounds the limit to n for a while.
+// restrict bounds the limit to n for a while, but not below half of the slots: what the backend server states can be false, and only
+// service times show that it handles fewer.
 func (e *Estimator) restrict(n float64) {
-	e.bound, e.relaxedAt = min(e.bound, max(n, 1)), e.now
+	e.bound, e.relaxedAt = min(e.bound, max(n, math.Ceil(float64(e.slots)/2))), e.now
 }
 
-// Expected returns the expected time of a call of the given kind that starts now with running calls, including itself. It reports
-// false before enough calls were observed.
+// Expected returns the time that a call of the given kind is expected to take if it starts now with running calls, including itself. It
+// is a median: with the mean, which the few longest calls raise, calls that would be in time were refused. It reports false before
+// enough calls were observed.
 func (e *Estimator) Expected(kind string, running int) (time.Duration, bool) {
 	if e.samples < minSamples {
 		return 0, false
 	}
-	return seconds(e.usual(kind) * e.tail * e.Slowdown(running)), true
+	return seconds(e.usual(kind) * e.Slowdown(running)), true
 }
 
 // Usual returns the usual time of a call of the given kind, without the current slowdown. It reports false before enough calls were
 // observed.
 func (e *Estimator) Usual(kind string) (time.Duration, bool) {
-	return seconds(e.usual(kind) * e.tail), e.samples >= minSamples
+	return seconds(e.usual(kind)), e.samples >= minSamples
 }
 
 // Mean returns the expected time of a call of any kind that starts now with running calls, including itself. It reports false
--- a/core/routing/completion.go
+++ b/core/routing/completion.go
@@ -27,12 +27,18 @@
 	slownessHalfAge = 500 * time.Millisecond // age at which a told expected time counts half: a slow spell lasts about as long
 	loadKnownFor    = 5 * time.Second        // age from which an endpoint counts as usual for its service
 
-	freeOccupancy = 0.5 // up to this occupancy calls hardly ever wait
-	fullPenalty   = 0.3 // part of a service time that a call is expected to wait at an endpoint that is just full
-	sameHostGain  = 1.3 // an endpoint on the node's host is preferred up to a rating that is worse by this factor
-	domainGain    = 1.3 // the same for the caller's failure domain in comparison with others
-	regionGain    = 2.0 // the same for the caller's region
-	fullService   = 1.0 // mean occupancy of a failure domain from which on a call that was refused is no better off there
+	freeOccupancy = 0.5  // up to this occupancy calls hardly ever wait
+	fullPenalty   = 0.3  // part of a service time that a call is expected to wait at an endpoint that is just full
+	sameHostGain  = 1.3  // an endpoint on the node's host is preferred up to a rating that is worse by this factor
+	domainGain    = 1.3  // the same for the caller's failure domain in comparison with others
+	regionGain    = 2.0  // factor of both for another region
+	fullDomain    = 1.4  // mean occupancy of a failure domain from which on no call from another domain goes there; refused calls count as 2
+	easyShare     = 0.5  // a call stays in its failure domain while this share of the objective is expected to suffice there
+	leaveShare    = 0.25 // share of the objective by which a response from another failure domain must be earlier
+	remoteDraws   = 2    // endpoints of all failure domains that are compared
+
+	refusalWeight  = 0.1 // weight of a call in the share of refusals by the backend server
+	refusalHalfAge = 2 * time.Second
 	// probeOdds is how many decisions there are to one that takes a random endpoint, so that slow ones are still observed.
 	probeOdds = 50
 )
@@ -108,6 +114,13 @@
 	return d
 }
 
+// usual returns the mean expected time of a kind over all endpoints in seconds, 0 if it is not known.
+func (s *serviceLoad) usual(kind string) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.expected[kind]
+}
+
 // serviceLoad returns the averages of a service and creates them if needed. The caller holds p.mutex.
 func (p *Picker) serviceLoad(service string) *serviceLoad {
 	s := p.loads[service]
@@ -139,37 +152,67 @@
 	t.slownessToldAt.Store(n)
 }
 
-// decideByCompletion chooses the lowest expected time to a response among the endpoint on the node's host, two random ones of the
-// caller's failure domain and two random ones of all; first is the first of them.
+// decideByCompletion chooses by the expected time to a response: first in the caller's failure domain, among the endpoint on the
+// node's host and two random ones, then between that choice and two random ones of all. first is the first of the random ones.
 func (p *Picker) decideByCompletion(v *view, first *candidate, c Call, domain string, now int64) Choice {
 	if p.random(probeOdds) == 0 {
 		return Choice{Endpoint: first.endpoint, Reason: ReasonProbe}
 	}
-	if p.preferLocal && v.sameHost != nil {
-		p.refreshOwn(v.sameHost, c)
-	}
+	best := p.rate(first, c.Class, now)
 	local := v.byDomain[domain]
-	drawn := [...]*candidate{
-		first,
-		p.randomUsable(v, local, c.Tried, now, first),
-		p.randomUsable(v, v.all, c.Tried, now, first),
-		p.randomUsable(v, v.all, c.Tried, now, first),
-		nil,
-	}
 	if own := v.sameHost; p.preferLocal && own != nil && own.state.usable(now) && !slices.Contains(c.Tried, own.key) {
-		drawn[len(drawn)-1] = own
-	}
-	var best *candidate
-	var lowest float64
-	for _, m := range drawn {
-		if m == nil {
-			continue
+		p.refreshOwn(own, c)
+		if r := p.rate(own, c.Class, now); r.rating <= best.rating*sameHostGain {
+			best = r
 		}
-		if s := p.completion(v, m, c, domain, now); best == nil || s < lowest {
-			best, lowest = m, s
+	}
+	if m := p.randomUsable(v, local, c.Tried, now, first); m != nil {
+		best = p.nearer(v, best, p.rate(m, c.Class, now))
+	}
+	for range remoteDraws {
+		m := p.randomUsable(v, v.all, c.Tried, now, first)
+		if m != nil && (m.endpoint.Domain == domain || p.mayLeave(v, best, p.rate(m, c.Class, now), c, domain, now)) {
+			best = p.nearer(v, best, p.rate(m, c.Class, now))
 		}
 	}
-	return Choice{Endpoint: best.endpoint, Reason: p.reason(v, best, len(local) > 0, domain), Score: lowest}
+	return Choice{Endpoint: best.endpoint, Reason: p.reason(v, best.candidate, len(local) > 0, domain), Score: best.rating}
+}
+
+// nearer returns the one with the lower rating. An endpoint on the node's host is preferred.
+func (p *Picker) nearer(v *view, a, b rated) rated {
+	gain := 1.0
+	if p.preferLocal && a.candidate == v.sameHost {
+		gain = sameHostGain
+	}
+	if b.rating*gain < a.rating {
+		return b
+	}
+	return a
+}
+
+// mayLeave reports whether a call may go to other, in another failure domain, although near is in that of the caller. Bytes between
+// domains are expensive, so that a call with an objective leaves only if near is not expected to meet it easily and other is clearly
+// earlier. A call that was refused may go where there is room.
+func (p *Picker) mayLeave(v *view, near, other rated, c Call, domain string, now int64) bool {
+	if near.endpoint.Domain != domain {
+		return true
+	}
+	margin := 1.0
+	if p.region != "" && other.endpoint.Region != p.region {
+		margin = regionGain
+	}
+	if other.state.domain.mean(now) >= fullDomain {
+		return false
+	}
+	if len(c.Tried) > 1 {
+		return true
+	}
+	if c.Objective == 0 {
+		return other.rating*domainGain*margin < near.rating
+	}
+	usual := v.load.usual(c.Kind)
+	objective := c.Objective.Seconds()
+	return near.time*usual > easyShare*objective && (near.time-other.time)*usual > leaveShare*margin*objective
 }
 
 // reason returns the reason for a choice by expected time.
@@ -193,22 +236,41 @@
 	}
 }
 
-// completion rates a candidate by the expected time to a response, in units of the mean service time, with factors for errors, slow
-// start and distance. Lower is better. The service time counts with its square root: with the time itself, the fastest endpoints were
-// 1.8 times as busy as the mean at half load, for responses that were hardly earlier (TestUnevenEndpoints).
-func (p *Picker) completion(v *view, m *candidate, c Call, domain string, now int64) float64 {
-	s := math.Sqrt(m.slowness(now)) * (1 + queueing(m.occupancy(now))) * m.riskFactor(c.Class, now)
-	switch {
-	case len(c.Tried) > 0 && m.state.domain.mean(now) < fullService:
-		return s // a call that was refused nearby is lost if it is refused again, and there is room elsewhere
-	case p.preferLocal && m == v.sameHost:
-		return s / sameHostGain
-	case m.endpoint.Domain == domain:
-		return s
-	case p.region != "" && m.endpoint.Region != p.region:
-		return s * regionGain
+// rated is a candidate with its rating.
+type rated struct {
+	*candidate
+	time   float64 // expected time to a response, in relation to the mean service time of the kind
+	rating float64 // lower is better
+}
+
+// rate rates a candidate by the expected time to a response, with factors for errors, refusals and slow start. The service time counts
+// with its square root: with the time itself, the fastest endpoints were 1.8 times as busy as the mean at half load, for responses
+// that were hardly earlier (TestUnevenEndpoints).
+func (p *Picker) rate(m *candidate, class Class, now int64) rated {
+	slowness, wait := m.slowness(now), 1+queueing(m.occupancy(now))
+	return rated{candidate: m, time: slowness * wait, rating: math.Sqrt(slowness) * wait * m.riskFactor(class, now) * (1 + m.refusals(now))}
+}
+
+// refusals returns the share of recent calls that the backend server refused. It is a mild factor, since a refusal costs little.
+func (m *candidate) refusals(now int64) float64 {
+	return math.Float64frombits(m.state.refused.Load()) * decay(now-m.state.refusedAt.Load(), refusalHalfAge)
+}
+
+// RecordRefusal records whether the backend server of the endpoint refused a call without running it.
+func (p *Picker) RecordRefusal(endpoint string, refused bool, now time.Time) {
+	t := p.lookup(endpoint)
+	if t == nil || !refused && t.refusedAt.Load() == 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	value := 0.0
+	if refused {
+		value = 1
 	}
-	return s * domainGain
+	share := math.Float64frombits(t.refused.Load())
+	t.refused.Store(math.Float64bits(share + (value-share)*refusalWeight))
+	t.refusedAt.Store(now.UnixNano())
 }
 
 // queueing returns the expected wait at an endpoint of the given occupancy, in units of its service time. It is above 0 before the
--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -38,7 +38,9 @@
 	Domain  string   // failure domain of the caller; empty for that of the node
 	Tried   []string // keys of the endpoints to which this call was already sent; they are not chosen
 	Now     time.Time
-	Kind    string // kind of request, for the expected time at the endpoint on the node's host
+	Kind    string // kind of request, for expected times
+
+	Objective time.Duration // time within which a response is useful; 0 for none
 }
 
 // Reasons for a choice, which appear in the log.
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -35,6 +35,8 @@
 	slowness            atomic.Uint64 // last told expected time in relation to the mean of the service, as float64 bits
 	usualSlowness       atomic.Uint64 // average of slowness, as float64 bits; 0 before the first
 	slownessToldAt      atomic.Int64  // time of the last told expected time, Unix nanoseconds
+	refused             atomic.Uint64 // share of recent calls that the backend server refused, as float64 bits
+	refusedAt           atomic.Int64  // time of the last change of refused, Unix nanoseconds; 0 for none
 	avoidedUntil        atomic.Int64  // end of the avoidance, Unix nanoseconds
 	ejectedUntil        atomic.Int64  // end of the ejection, Unix nanoseconds
 	slowStartAt         atomic.Int64  // start of the slow start, Unix nanoseconds; 0 for none
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -86,7 +86,7 @@
 	if len(p.Tried) == 0 {
 		h.budgets.Of(p.Service.Name).Count(p.Now)
 	}
-	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now, Kind: p.Route.Name})
+	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now, Kind: p.Route.Name, Objective: p.Route.Latency})
 	if err != nil {
 		return config.Endpoint{}, "", err
 	}
@@ -100,6 +100,7 @@
 	if f == nil {
 		h.picker.RecordOccupancy(endpoint, o.Load, o.At)
 		h.picker.RecordExpected(endpoint, o.Route, routing.Load{Occupancy: o.Load, Expected: o.Expected}, o.At)
+		h.picker.RecordRefusal(endpoint, false, o.At)
 		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
 		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: failed})
 		return
@@ -109,6 +110,8 @@
 	canceled := f.Code == outcome.Canceled
 	h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: unreachable || !notRun && !canceled, NotRun: notRun})
 	switch f.Code {
+	case outcome.Overload:
+		h.picker.RecordRefusal(endpoint, notRun, o.At)
 	case outcome.Busy, outcome.Limited:
 		h.picker.RecordOccupancy(endpoint, busyLoad, o.At)
 	case outcome.Draining:
