--- a/core/routing/picker.go
+++ b/core/routing/picker.go
@@ -39,7 +39,9 @@
 	Side    Side     // releases that the call may use
 	Tried   []string // keys of the endpoints to which this call was already sent; they are not chosen
 	Now     time.Time
-	Kind    string // kind of request, for the expected time at the endpoint on the node's host
+	Kind    string // kind of request, for expected times
+
+	Objective time.Duration // time within which a response is useful; 0 for none
 }
 
 // Reasons for a choice, which appear in the log.
--- a/io/host/nested_test.go
+++ b/io/host/nested_test.go
@@ -120,7 +120,7 @@
 func TestNestedCallsOfHost(t *testing.T) {
 	metrics := process.NewMetrics()
 	h := &Host{metrics: metrics, locals: map[string]*localEndpoint{}, stop: newStopRecord(logr.Discard(), metrics.StopRequests)}
-	h.nested = newNestedCalls(metrics, logr.Discard())
+	h.nested = newNestedCalls(func(string) bool { return true }, metrics, logr.Discard())
 	h.nested.enabled = func(string) bool { return true }
 	for _, key := range []string{"front/a", "store/a"} {
 		h.locals[key] = &localEndpoint{queue: newAdmissionQueue(1, 0, admission.WithFixedLimit(), admission.WithShares())}
