--- a/io/host/host.go
+++ b/io/host/host.go
@@ -159,7 +159,7 @@
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
 	h.quotas = h.hostQuotas()
-	h.nested = newNestedCalls(h.reportsPace, h.metrics, h.log.WithName("nested"))
+	h.nested = newNestedCalls(func(string) bool { return false }, h.metrics, h.log.WithName("nested"))
 	h.rollouts = h.newRollouts()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
 		h.dial = process.Dial(s.Timing.AckTimeout)
