--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -169,16 +169,25 @@
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
 		return g.refuse(now, r.Call, r.missedDeadline(), 0)
 	}
-	linkWait := g.linkWait(now, &r, service)
-	if linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
-		return g.refuse(now, r.Call, outcome.Busy, linkWait)
-	}
-	if d, refused := g.refuseSlow(now, &r, service); refused {
+	if d, refused := g.refuseLate(now, &r, service); refused {
 		return d
 	}
 	if g.mayStart(now) && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
 		return g.admit(now, r, 0)
 	}
+	return g.decideQueue(now, r, service)
+}
+
+// refuseLate returns the refusal of a call whose response would be late even if the call started now.
+func (g *Gate) refuseLate(now time.Time, r *Request, service time.Duration) (Decision, bool) {
+	if linkWait := g.linkWait(now, r, service); linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
+		return g.refuse(now, r.Call, outcome.Busy, linkWait), true
+	}
+	return g.refuseSlow(now, r, service)
+}
+
+// decideQueue queues a call that finds no free slot, unless the expected wait is too long or there is no place for it.
+func (g *Gate) decideQueue(now time.Time, r Request, service time.Duration) Decision {
 	w := queuedCall{Request: r, arrived: now, sequence: g.sequence}
 	g.sequence++
 	wait := g.expectedWait(now, &w)
