--- a/core/rollout/play_test.go
+++ b/core/rollout/play_test.go
@@ -298,6 +298,35 @@
 	}
 }
 
+// TestSlowPart covers a release of which half of the answers are three times as slow, which few of its answers show.
+func TestSlowPart(t *testing.T) {
+	each(t, []float64{600, 1800}, func(p *play) { p.slow(0.5, 3, always) }, func(p *play) { p.wantRolledBack(t) })
+}
+
+// TestSlowFromStart covers a slow release in a rollout that ends before its endpoints count as warm.
+func TestSlowFromStart(t *testing.T) {
+	each(t, []float64{600, 1800}, func(p *play) { p.duration = 4 * time.Second; p.slow(1, 6, always) }, func(p *play) { p.wantRolledBack(t) })
+}
+
+// TestReportsToNewLeader covers the first report of a node to a new leader, which sums up the whole rollout: it must not count as recent,
+// or the rate of requests would seem many times as high.
+func TestReportsToNewLeader(t *testing.T) {
+	k := Key{Route: "a"}
+	now := epoch.Add(8 * time.Second)
+	tally := NewTally(now, epoch)
+	tally.Add(now, Report{Node: "n", Incarnation: 1, Counts: map[Key]Counts{k: {Answers: 500}}})
+	if latest, _ := tally.recentCounts(now, recent); len(latest) != 0 || tally.total[k].Answers != 500 {
+		t.Errorf("got recent counts %v and %d in total after a first report, want none and 500", latest, tally.total[k].Answers)
+	}
+	tally.Add(now, Report{Node: "n", Incarnation: 1, Counts: map[Key]Counts{k: {Answers: 520}}})
+	tally.Add(now, Report{Node: "n", Incarnation: 1, Counts: map[Key]Counts{k: {Answers: 520}}})
+	tally.Add(now, Report{Node: "n", Incarnation: 2, Counts: map[Key]Counts{k: {Answers: 5}}})
+	latest, _ := tally.recentCounts(now, recent)
+	if latest[k].Answers != 25 || tally.total[k].Answers != 525 {
+		t.Errorf("got %d recent and %d in total after a repeated report and a restart of the node, want 25 and 525", latest[k].Answers, tally.total[k].Answers)
+	}
+}
+
 // TestBadLater covers a release that turns bad after it was judged for a while, also in the last steps.
 func TestBadLater(t *testing.T) {
 	for _, at := range []time.Duration{4 * time.Second, 8 * time.Second, 9500 * time.Millisecond} {
@@ -307,6 +336,28 @@
 	}
 }
 
+// TestBadMuchLater covers a release that turns slow after a long time without fault: it must be found by its latest answers, long before
+// the ramp.
+func TestBadMuchLater(t *testing.T) {
+	each(t, []float64{300, 900}, func(p *play) {
+		p.duration = 2 * time.Minute
+		p.slow(1, 3, func(_ string, at time.Duration, _ float64) bool { return at >= time.Minute })
+	}, func(p *play) {
+		p.wantRolledBack(t)
+		if p.ended > 85*time.Second {
+			p.describe(t)
+			t.Errorf("got rolled back at %s, want within 25 s of the fault", p.ended)
+		}
+	})
+}
+
+// TestBadAtFullLoad covers a release that fails only once it gets all requests, which is found by weak evidence before completion.
+func TestBadAtFullLoad(t *testing.T) {
+	full := func(_ string, _ time.Duration, share float64) bool { return share >= 0.9 }
+	each(t, []float64{60}, func(p *play) { p.failing(0.4, full) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{200, 600}, func(p *play) { p.failing(0.15, full) }, func(p *play) { p.wantRolledBack(t) })
+}
+
 // TestBadUnderLoad covers a release that fails only once it gets most of the requests.
 func TestBadUnderLoad(t *testing.T) {
 	loaded := func(_ string, _ time.Duration, share float64) bool { return share >= 0.5 }
