feat(quota): late requests get no token while their customer is short of them

Under a demand of several times the quota, most tokens went to requests that came back after a refusal and were answered late, while first attempts were refused. A request with less than half of its objective left now yields.

--- a/core/quota/failure_test.go
+++ b/core/quota/failure_test.go
@@ -219,3 +219,36 @@
 		t.Error("after the life of the tokens: got a token, want none")
 	}
 }
+
+// Load pattern: callers return after a refusal because of the quota. Guards against tokens that go to requests which are late already,
+// while others of the customer could be answered in time.
+func TestLateRequestsYield(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		scarce bool
+		hold   time.Duration // wait that the coordinator states
+		want   bool          // a late request gets a token
+	}{
+		{"enough tokens", false, 0, true},
+		{"short of tokens", true, 0, false},
+		{"coordinator has none", false, time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			limit := Limit{100, 50}
+			l := NewLocal("n", 1)
+			_, first := l.Take(now, "a", limit)
+			l.Ask(now, "r")
+			l.Answer(now, "r", Response{Term: 1, Number: 1, Grants: []Grant{{Customer: "a", Tokens: 3, Scarce: c.scarce, Wait: c.hold}}})
+			if first == nil || !(<-first.Decided).Granted {
+				t.Fatal("first request: got no token, want one")
+			}
+			if v, w := l.TakeLate(now, "a", limit); v.Granted != c.want || w != nil {
+				t.Errorf("late request: got token %v and wait %v, want token %v at once", v.Granted, w != nil, c.want)
+			}
+			if v, _ := l.Take(now, "a", limit); !v.Granted {
+				t.Error("request in time: got no token, want one")
+			}
+		})
+	}
+}
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -133,9 +133,24 @@
 // Take decides on a request of a customer with a quota. If it returns a Waiter, the verdict comes later: at the next Answer, or from
 // Leave.
 func (l *Local) Take(now time.Time, customer string, limit Limit) (Verdict, *Waiter) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.take(now, customer, l.account(now, customer, limit))
+}
+
+// TakeLate is Take for a request that can hardly be answered within its objective any more, mostly since it was refused before. While
+// the customer is short of tokens it gets none, so that they go to requests that can be answered in time.
+func (l *Local) TakeLate(now time.Time, customer string, limit Limit) (Verdict, *Waiter) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	a := l.account(now, customer, limit)
+	if a.scarce || now.Before(a.hold) {
+		return l.refuse(now, a), nil
+	}
+	return l.take(now, customer, a)
+}
+
+func (l *Local) take(now time.Time, customer string, a *account) (Verdict, *Waiter) {
 	a.arrived++
 	a.lastArrival = now
 	if a.spend(now) {
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -82,10 +82,10 @@
 	if f := c.authenticate(parent); f != nil {
 		return f
 	}
-	if f := c.takeQuota(); f != nil {
+	if f := c.inheritLimits(parent, waitValue); f != nil {
 		return f
 	}
-	if f := c.inheritLimits(parent, waitValue); f != nil {
+	if f := c.takeQuota(); f != nil {
 		return f
 	}
 	if f := c.readKey(); f != nil {
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -42,7 +42,7 @@
 	claim          func(context.Context, Claim) (ClaimAnswer, error)
 	finish         func(context.Context, Claim, *Answer) error
 	release        func(context.Context, Claim) error
-	takeQuota      func(context.Context, string) (func(), *outcome.Failure)
+	takeQuota      func(context.Context, string, bool) (func(), *outcome.Failure)
 
 	newCallID   func(r *http.Request) string
 	nested      func(r *http.Request) bool
@@ -73,7 +73,7 @@
 		attemptDone:    func(string, Observation) {},
 		requestDone:    func(Finished) {},
 		decideRetry:    func(Attempt) Verdict { return Verdict{} },
-		takeQuota:      func(context.Context, string) (func(), *outcome.Failure) { return nil, nil },
+		takeQuota:      func(context.Context, string, bool) (func(), *outcome.Failure) { return nil, nil },
 		newCallID:      callIDs(),
 		nested:         func(*http.Request) bool { return false },
 		callerWaits:    retry.NewCallerWaits(),
--- a/io/caller/quota_test.go
+++ b/io/caller/quota_test.go
@@ -32,7 +32,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			taken, given := 0, 0
-			h := New(WithLocalCalls(c.local), WithQuota(func(_ context.Context, customer string) (func(), *outcome.Failure) {
+			h := New(WithLocalCalls(c.local), WithQuota(func(_ context.Context, customer string, _ bool) (func(), *outcome.Failure) {
 				taken++
 				if customer != c.customer {
 					t.Errorf("customer: got %q, want %q", customer, c.customer)
@@ -69,3 +69,26 @@
 	}
 	return &config.Customer{Name: name, Priority: -1}
 }
+
+// Guards against a request that counts as late although it can be answered within its objective, or the reverse.
+func TestLate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := New(WithNow(func() time.Time { return now }))
+	route := &config.Route{Latency: time.Second}
+	for _, c := range []struct {
+		name      string
+		objective time.Time
+		want      bool
+	}{
+		{"first attempt", now.Add(time.Second), false},
+		{"more than half left", now.Add(501 * time.Millisecond), false},
+		{"less than half left", now.Add(499 * time.Millisecond), true},
+		{"objective passed", now.Add(-time.Second), true},
+		{"no objective", time.Time{}, false},
+	} {
+		k := &call{handler: h, match: Match{Route: route}, objective: c.objective}
+		if got := k.isLate(); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/io/host/quota.go
+++ b/io/host/quota.go
@@ -144,13 +144,17 @@
 }
 
 // take takes a request of a customer off its quota. It waits for the coordinator if this node has no token.
-func (q *quotas) take(ctx context.Context, customer string) (giveBack func(), f *outcome.Failure) {
+func (q *quotas) take(ctx context.Context, customer string, late bool) (giveBack func(), f *outcome.Failure) {
 	limit, _ := q.limit(customer)
 	if limit.Rate <= 0 {
 		return nil, nil
 	}
 	now := time.Now()
-	v, w := q.local.Take(now, customer, limit)
+	decide := q.local.Take
+	if late {
+		decide = q.local.TakeLate
+	}
+	v, w := decide(now, customer, limit)
 	if w != nil {
 		q.notify()
 		v = q.await(ctx, w)
--- a/io/host/quota_test.go
+++ b/io/host/quota_test.go
@@ -137,7 +137,7 @@
 					return
 				}
 				wait.Go(func() {
-					_, f := q.take(context.Background(), "a")
+					_, f := q.take(context.Background(), "a", false)
 					mu.Lock()
 					defer mu.Unlock()
 					if f != nil {
@@ -199,7 +199,7 @@
 	time.Sleep(1500 * time.Millisecond)
 	for _, q := range m.nodes[4:] {
 		begin := time.Now()
-		if _, f := q.take(t.Context(), "a"); f != nil || time.Since(begin) > quota.MaxWait {
+		if _, f := q.take(t.Context(), "a", false); f != nil || time.Since(begin) > quota.MaxWait {
 			t.Errorf("%s: got %v after %v, want a token at once", q.name, f, time.Since(begin))
 		}
 	}
@@ -210,7 +210,7 @@
 	m := newQuotaMesh(t, 3, quota.Limit{}, logr.Discard())
 	q := m.nodes[0]
 	for range 100 {
-		if giveBack, f := q.take(t.Context(), "a"); giveBack != nil || f != nil {
+		if giveBack, f := q.take(t.Context(), "a", false); giveBack != nil || f != nil {
 			t.Fatal("without a quota: got a token or a refusal, want neither")
 		}
 	}
@@ -220,7 +220,7 @@
 	m.setLimit(t, quota.Limit{Rate: 0.5, Burst: 3})
 	served, end := 0, time.Now().Add(20*time.Second)
 	for served < 20 && time.Now().Before(end) {
-		giveBack, f := q.take(t.Context(), "a")
+		giveBack, f := q.take(t.Context(), "a", false)
 		if f != nil {
 			time.Sleep(10 * time.Millisecond)
 			continue
