feat(admission): routes keep their order within a customer's priority

A customer's priority replaces that of the route, so all routes of customers with one priority were alike, and urgent ones were refused more often than others. The route's priority now orders calls within it; a step of the customer's priority counts twice as much as one of the route's.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -26,6 +26,7 @@
 	Weight       float64 // what the customer may use in relation to others, such as the rate of its quota; 0 if unknown
 	Kind         string  // kind of request; requests of one kind should have similar service times
 	Priority     int     // 0 (shed first) to 9 (shed last)
+	RouteOffset  int     // priority of the route less Priority, for a customer with a priority of its own; orders calls within a priority
 	Deadline     time.Time
 	Objective    time.Time // a response after this time is of little use; zero for none
 	Resent       bool      // the request was sent again, after a refusal or a lost response
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -6,7 +6,11 @@
 )
 
 const (
-	ranks = 2 * priorities // two ranks per priority: new requests and nested calls
+	// stepsPerPriority is the number of levels between two priorities. Where the customer's priority replaces the route's, the route's
+	// still moves a call by one level a step, so that a step of the customer's priority counts twice as much.
+	stepsPerPriority = 3
+	levels           = stepsPerPriority*(priorities-1) + 1
+	ranks            = 2 * levels // two ranks per level: new requests and nested calls
 
 	shareHalfLife = 2 * time.Second // time after which a call counts half
 	sharePrior    = 1.0             // added to the asked and the granted calls of a rank, so that the first calls change its share little
@@ -32,7 +36,7 @@
 
 // rank returns the index of the request's priority and nesting in shares and waitFactors.
 func (r *Request) rank() int {
-	k := 2 * min(max(r.Priority, 0), priorities-1)
+	k := 2 * min(max(stepsPerPriority*r.Priority+r.RouteOffset, 0), levels-1)
 	if r.Nested {
 		k++
 	}
@@ -59,7 +63,7 @@
 
 // score orders the ranks under contention: the rank with the lowest score starts next.
 func (s *shares) score(rank int) float64 {
-	v := s.grantedShare(rank) - priorityAdvantage*float64(rank/2)
+	v := s.grantedShare(rank) - priorityAdvantage*float64(rank/2)/stepsPerPriority
 	if rank%2 == 1 {
 		v -= nestedAdvantage
 	}
--- a/core/admission/shares_test.go
+++ b/core/admission/shares_test.go
@@ -103,3 +103,26 @@
 		})
 	}
 }
+
+// Guards against routes that are all alike once the priorities of customers replace theirs, and against a route that outweighs them.
+func TestRouteOffset(t *testing.T) {
+	plain := func(priority int) Request { return Request{Priority: priority} }
+	of := func(customer, route int) Request { return Request{Priority: customer, RouteOffset: route - customer} }
+	for _, c := range []struct {
+		name       string
+		high, low  Request
+		wantHigher bool
+	}{
+		{"routes without customers", plain(9), plain(8), true},
+		{"routes of customers of one priority", of(8, 9), of(8, 8), true},
+		{"customers on one route", of(9, 8), of(8, 8), true},
+		{"a customer's step and a route's step", of(9, 8), of(8, 9), true},
+		{"same priorities", of(8, 8), plain(8), false},
+		{"beyond the highest", of(9, 9), plain(9), false},
+		{"beyond the lowest", of(0, 0), plain(0), false},
+	} {
+		if got := c.high.rank() > c.low.rank(); got != c.wantHigher {
+			t.Errorf("%s: got higher rank %v (%d and %d), want %v", c.name, got, c.high.rank(), c.low.rank(), c.wantHigher)
+		}
+	}
+}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -274,7 +274,7 @@
 	identity := hop.Identity{Service: service, Method: c.r.Method, Path: hop.RoutePath(u), Query: u.RawQuery, Key: c.key, Body: c.body.prefix}
 	c.meta = hop.Meta{
 		Call: c.id, Service: service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
-		Priority: c.priority(), Caller: c.callerAddress(), Fingerprint: identity.Fingerprint(), Route: route.Name,
+		Priority: c.priority(), RouteOffset: route.Priority - c.priority(), Caller: c.callerAddress(), Fingerprint: identity.Fingerprint(), Route: route.Name,
 		Customer: c.customerName(),
 	}
 	c.outbound = &http.Request{Method: c.r.Method, URL: u, Host: c.r.Host, Header: hop.Outbound(c.r), Trailer: c.r.Trailer}
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -370,6 +370,10 @@
 				Incarnation: rapid.Uint64().Draw(t, "incarnation"), Node: name.Draw(t, "node"),
 			}
 		}
+		if rapid.Bool().Draw(t, "of a customer") {
+			want.Customer = strings.ReplaceAll(name.Draw(t, "customer"), customerSeparator, "-")
+			want.RouteOffset = rapid.IntRange(-maxPriority, maxPriority).Draw(t, "offset")
+		}
 		h := http.Header{}
 		want.Encode(h)
 		got, err := Decode(h)
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -23,12 +23,12 @@
 	headerTook = "Mesh-Took" // on answers: the backend server's time in microseconds
 	// headerRoute is separate from Mesh-Meta because HTTP/2 encodes a header that repeats on a connection in one byte.
 	headerRoute     = "Mesh-Route"
-	headerObjective = "Mesh-Aim"     // milliseconds left to the objective, optionally with a suffix
-	headerLoad      = "Mesh-Load"    // on answers: calls running and waiting at the endpoint, in percent of its slots
-	headerExpected  = "Mesh-Expect"  // on answers: milliseconds that the endpoint is expected to take for a request of the route now
-	headerLimit     = "Mesh-Limit"   // on answers: requests per second that the endpoint takes; on calls: a KnownLimit
-	headerLeaving   = "Mesh-Leaving" // on answers: 1 if the endpoint has stated that it leaves
-	headerCustomer  = "Mesh-Customer"
+	headerObjective = "Mesh-Aim"      // milliseconds left to the objective, optionally with a suffix
+	headerLoad      = "Mesh-Load"     // on answers: calls running and waiting at the endpoint, in percent of its slots
+	headerExpected  = "Mesh-Expect"   // on answers: milliseconds that the endpoint is expected to take for a request of the route now
+	headerLimit     = "Mesh-Limit"    // on answers: requests per second that the endpoint takes; on calls: a KnownLimit
+	headerLeaving   = "Mesh-Leaving"  // on answers: 1 if the endpoint has stated that it leaves
+	headerCustomer  = "Mesh-Customer" // name, and RouteOffset after a semicolon unless it is 0
 )
 
 // answerHeaders are the headers that one node sends to another with an answer.
@@ -89,6 +89,8 @@
 	LastAttempt bool          // the caller does not retry after a refusal; transmitted only with an objective
 	Limit       KnownLimit    // limit of the endpoint that the sender knows; zero for none
 	Customer    string        // name of the customer; empty without one
+	// RouteOffset is the priority of the route less Priority, if the customer has a priority of its own.
+	RouteOffset int
 }
 
 // MetaError reports a metadata header, or a field of Mesh-Meta, that is missing, malformed or out of range.
@@ -124,7 +126,7 @@
 		h[headerObjective] = []string{m.encodeObjective()}
 	}
 	if m.Customer != "" {
-		h[headerCustomer] = []string{m.Customer}
+		h[headerCustomer] = []string{m.encodeCustomer()}
 	}
 	if m.Limit.Rate > 0 {
 		h[headerLimit] = []string{m.Limit.encode()}
@@ -159,7 +161,7 @@
 		m.Route = d.name(headerRoute, route[0])
 	}
 	if customer := h[headerCustomer]; len(customer) > 0 {
-		m.Customer = d.name(headerCustomer, customer[0])
+		d.customer(customer[0], &m)
 	}
 	if values := h[headerObjective]; len(values) > 0 {
 		d.objective(values[0], &m)
@@ -259,6 +261,24 @@
 	return false, false
 }
 
+// customerSeparator stands between the two parts of Mesh-Customer; names do not contain it.
+const customerSeparator = ";"
+
+func (m *Meta) encodeCustomer() string {
+	if m.RouteOffset == 0 {
+		return m.Customer
+	}
+	return m.Customer + customerSeparator + strconv.Itoa(m.RouteOffset)
+}
+
+func (d *decoder) customer(value string, m *Meta) {
+	name, offset, found := strings.Cut(value, customerSeparator)
+	m.Customer = d.name(headerCustomer, name)
+	if found {
+		m.RouteOffset = d.number(headerCustomer, offset, -maxPriority, maxPriority)
+	}
+}
+
 // Suffixes of Mesh-Aim for Meta.Resent and Meta.LastAttempt.
 const (
 	suffixResent      = ",again"
--- a/io/host/gate.go
+++ b/io/host/gate.go
@@ -197,6 +197,7 @@
 		Customer:     m.Customer,
 		Kind:         m.Route,
 		Priority:     m.Priority,
+		RouteOffset:  m.RouteOffset,
 		Deadline:     deadline,
 		Idempotent:   m.Idempotent,
 		LateTolerant: m.Late,
