--- a/core/admission/customers.go
+++ b/core/admission/customers.go
@@ -26,7 +26,8 @@
 
 // customers counts the recent calls of customers at the endpoint, with exponential decay. While there are calls of customers, it orders
 // the queued calls of a rank by level: how much the customer used and has queued before the call, in relation to the mean of the
-// rank's other customers. Levels instead of an exact order let calls of customers with similar use start in the order of their deadlines.
+// rank's other customers. Nested calls are neither counted nor ordered: the requests that they are made for were, and a nested call that
+// is late loses their work. Levels instead of an exact order let calls of customers with similar use start in the order of their deadlines.
 type customers struct {
 	origin time.Time // time at which a call counts 1; later calls count more, which takes the place of decaying all counts
 	index  map[customerRank]int
@@ -67,7 +68,7 @@
 // ask counts a call that asks for a slot. Calls without a customer count as those of one customer, once the endpoint has had calls of
 // another. A call that was sent again does not count as asked, or a customer that returns at once would seem to be served least.
 func (c *customers) ask(now time.Time, r *Request) {
-	if r.Customer == "" && len(c.uses) == 0 {
+	if r.Nested || r.Customer == "" && len(c.uses) == 0 {
 		return
 	}
 	c.rescale(now)
@@ -80,7 +81,7 @@
 
 // grant counts a call that got a slot.
 func (c *customers) grant(now time.Time, r *Request) {
-	if len(c.uses) > 0 {
+	if !r.Nested && len(c.uses) > 0 {
 		c.of(r).granted += c.unit(now)
 	}
 }
--- a/core/admission/customers_test.go
+++ b/core/admission/customers_test.go
@@ -326,3 +326,20 @@
 		}
 	}
 }
+
+// Load pattern: nested calls of a customer that used much wait beside those of one that used little. Guards against nested calls that do
+// not start in the order of their deadlines, which loses the work of requests that were admitted before.
+func TestNestedCallsOfCustomers(t *testing.T) {
+	g := New(WithSlots(1), WithFixedLimit(), WithShares(), WithSingleCaller())
+	for i := range 20 {
+		call := fmt.Sprint(i)
+		g.Decide(start, Request{Call: call, Customer: "heavy", Nested: i%2 == 0})
+		g.Done(start, call, customerWork, true)
+	}
+	g.Decide(start, Request{Call: "running", Customer: "small"})
+	g.Decide(start, Request{Call: "heavy", Customer: "heavy", Nested: true, Deadline: start.Add(10 * time.Second)})
+	g.Decide(start, Request{Call: "small", Customer: "small", Nested: true, Deadline: start.Add(20 * time.Second)})
+	if d := g.Done(start, "running", customerWork, true); len(d) != 1 || d[0].Call != "heavy" {
+		t.Errorf("next call: got %+v, want the one with the earlier deadline", d)
+	}
+}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -79,6 +79,7 @@
 	if f := c.authenticate(parent); f != nil {
 		return f
 	}
+	// A quota is charged at this point: the customer is known, parent is nil for requests of callers, and nothing is reserved yet.
 	if f := c.inheritLimits(parent, waitValue); f != nil {
 		return f
 	}
