--- a/cmd/check.go
+++ b/cmd/check.go
@@ -24,7 +24,7 @@
 
 	Customers string           `arg:"--customers" placeholder:"FILE" help:"customers"`
 	Config    string           `arg:"--config" placeholder:"FILE" help:"whole configuration of the users' platform"`
-	At        []netip.AddrPort `arg:"--at,separate" placeholder:"ADDRESS" help:"admin listener of a control host, to list what differs from the configuration in force; only with --config; repeat for more, tried in turn"`
+	At        []netip.AddrPort `arg:"--at,separate" placeholder:"ADDRESS" help:"admin listener of a control host, to compare with --config; repeat for more"`
 	JSON      bool             `arg:"--json" help:"print JSON"`
 }
 
