--- a/io/host/quota_test.go
+++ b/io/host/quota_test.go
@@ -29,6 +29,7 @@
 type quotaMesh struct {
 	table     atomic.Pointer[config.RoutingTable]
 	leader    atomic.Int64 // index of the leading node, negative for none
+	believed  atomic.Int64 // index of the node that others take for the leader; negative if they know the true one
 	term      atomic.Uint64
 	cut       []atomic.Bool // whether a node's coordinator answers nobody
 	nodes     []*quotas
@@ -41,6 +42,7 @@
 	t.Helper()
 	m := &quotaMesh{addresses: map[string]netip.AddrPort{}, cut: make([]atomic.Bool, coordinators)}
 	m.term.Store(1)
+	m.believed.Store(-1)
 	m.setLimit(t, limit)
 	clients := peer.NewClients()
 	t.Cleanup(clients.Close)
@@ -62,7 +64,11 @@
 		name: name, table: m.table.Load, metrics: process.NewMetrics(), log: log,
 		clients: func() *peer.Clients { return clients },
 		leader: func() string {
-			if l := m.leader.Load(); l >= 0 {
+			l := m.leader.Load()
+			if b := m.believed.Load(); b >= 0 && i >= coordinators {
+				l = b
+			}
+			if l >= 0 {
 				return fmt.Sprint("n", l)
 			}
 			return ""
@@ -205,6 +211,37 @@
 	}
 }
 
+// Guards against nodes that do not find the leader: they take a replica for it that names another one, or one that does not answer.
+func TestQuotaLeaderFound(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		believed int64
+		silent   bool // the believed leader answers nobody
+		within   time.Duration
+	}{
+		{"a replica names the leader", 2, false, quota.MaxWait},
+		{"the believed leader is silent", 0, true, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newQuotaMesh(t, 5, quota.Limit{Rate: 50, Burst: 50}, logr.Discard())
+			time.Sleep(500 * time.Millisecond)
+			m.term.Add(1)
+			m.leader.Store(1)
+			m.believed.Store(c.believed)
+			m.cut[c.believed].Store(c.silent)
+			time.Sleep(500 * time.Millisecond) // the bucket of the new term fills
+			begin, q := time.Now(), m.nodes[4]
+			for q.local.Totals(time.Now()).Spent == 0 { // requests of the fallback spend no token
+				_, _ = q.take(t.Context(), "a")
+				if time.Since(begin) > c.within {
+					t.Fatalf("got no token within %v", c.within)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // Guards against customers without a quota that are asked for or refused, and against a quota that is given back and not used again.
 func TestQuotaGivenBack(t *testing.T) {
 	m := newQuotaMesh(t, 3, quota.Limit{}, logr.Discard())
@@ -214,6 +251,7 @@
 			t.Fatal("without a quota: got a token or a refusal, want neither")
 		}
 	}
+	time.Sleep(500 * time.Millisecond)
 	if got := q.local.Totals(time.Now()).Asks; got != 0 {
 		t.Errorf("without a quota: got %d requests to the coordinator, want 0", got)
 	}
