--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -19,7 +19,7 @@
 type Estimate struct {
 	Limit     int           // calls that the endpoint handles well at once
 	Occupancy float64       // running and waiting calls divided by Limit
-	Expected  time.Duration // expected service time of a call that starts now
+	Median    time.Duration // time that half of the calls that start now are expected to take at most
 	Slowdown  float64       // expected in relation to usual service time
 }
 
@@ -69,7 +69,7 @@
 	e.Advance(now)
 	next := len(g.running) + 1
 	s.Limit, s.Slowdown = min(e.Capacity(), g.slots), e.Slowdown(next)
-	s.Expected, _ = e.Expected(kind, min(next, s.Limit))
+	s.Median, _ = e.Median(kind, min(next, s.Limit))
 	runnable := float64(s.Limit)
 	if g.rate.bucket != nil {
 		runnable = max(g.capacity(), minRateCapacity)
--- a/core/capacity/estimator.go
+++ b/core/capacity/estimator.go
@@ -35,7 +35,7 @@
 	waitWeight    = 0.1                    // weight of a report in the average of reported waiting requests
 	maxWaiting    = 0.5                    // average of reported waiting requests above which the limit falls to the running ones
 	trialCalls    = 15.0                   // weight of calls with up to half of the limit that makes a trial unnecessary
-	trialPeriod   = 20 * time.Second       // minimum time between two trials
+	trialPeriod   = time.Minute            // minimum time between two trials
 	trialTimes    = 4                      // length of a trial in mean service times; it takes one until fewer calls run
 	maxTrial      = 2 * time.Second        // maximum length of a trial
 	fullCalls     = 3                      // calls that end at a full endpoint before a trial, in relation to the limit
@@ -267,20 +267,23 @@
 	e.bound, e.relaxedAt = min(e.bound, max(n, math.Ceil(float64(e.slots)/2))), e.now
 }
 
-// Expected returns the time that a call of the given kind is expected to take if it starts now with running calls, including itself. It
-// is a median: with the mean, which the few longest calls raise, calls that would be in time were refused. It reports false before
-// enough calls were observed.
+// Expected returns the mean time that calls of the given kind are expected to take if they start now with running calls, including
+// themselves. It reports false before enough calls were observed.
 func (e *Estimator) Expected(kind string, running int) (time.Duration, bool) {
-	if e.samples < minSamples {
-		return 0, false
-	}
-	return seconds(e.usual(kind) * e.Slowdown(running)), true
+	d, known := e.Median(kind, running)
+	return time.Duration(e.tail * float64(d)), known
+}
+
+// Median returns the time that half of the calls of Expected are expected to take. The mean is larger because of a few long calls; it is
+// better for refusals, since calls that are late by chance take slots of others.
+func (e *Estimator) Median(kind string, running int) (time.Duration, bool) {
+	return seconds(e.usual(kind) * e.Slowdown(running)), e.samples >= minSamples
 }
 
-// Usual returns the usual time of a call of the given kind, without the current slowdown. It reports false before enough calls were
+// Usual returns the mean time of calls of the given kind without the current slowdown. It reports false before enough calls were
 // observed.
 func (e *Estimator) Usual(kind string) (time.Duration, bool) {
-	return seconds(e.usual(kind)), e.samples >= minSamples
+	return seconds(e.usual(kind) * e.tail), e.samples >= minSamples
 }
 
 // Mean returns the expected time of a call of any kind that starts now with running calls, including itself. It reports false
@@ -294,9 +297,12 @@
 	return math.Exp(clamp(e.atStart.slope()*e.paceDeviation()+e.recentDrift()+e.levels.model.factor(float64(running)), maxSlowdown))
 }
 
-// recentDrift returns the part of drift that exceeds its noise.
+// recentDrift returns drift, reduced by as much as it may be noise.
 func (e *Estimator) recentDrift() float64 {
-	return math.Copysign(max(math.Abs(e.drift)-driftNoise, 0), e.drift)
+	if math.Abs(e.drift) <= driftNoise {
+		return 0
+	}
+	return e.drift - driftNoise*driftNoise/e.drift
 }
 
 // usual returns the usual time of a kind in seconds, or the mean over all kinds if the kind is not known.
--- a/core/routing/completion.go
+++ b/core/routing/completion.go
@@ -141,7 +141,11 @@
 	}
 	s := t.service
 	s.told.Store(true)
-	slowness := l.Expected.Seconds() / s.reference(kind, l.Expected.Seconds())
+	t.recordSlowness(l.Expected.Seconds()/s.reference(kind, l.Expected.Seconds()), n)
+}
+
+// recordSlowness records the expected time at the endpoint in relation to the mean of the service.
+func (t *state) recordSlowness(slowness float64, now int64) {
 	slowness = min(max(slowness, 1/maxSlowness), maxSlowness)
 	average := math.Float64frombits(t.usualSlowness.Load())
 	if average == 0 {
@@ -149,7 +153,7 @@
 	}
 	t.usualSlowness.Store(math.Float64bits(average + (slowness-average)*slownessWeight))
 	t.slowness.Store(math.Float64bits(slowness))
-	t.slownessToldAt.Store(n)
+	t.slownessToldAt.Store(now)
 }
 
 // decideByCompletion chooses by the expected time to a response: first in the caller's failure domain, among the endpoint on the
@@ -228,11 +232,18 @@
 	return ReasonScore
 }
 
-// refreshOwn records the current load of the endpoint on the node's host.
+// refreshOwn records the current load of the endpoint on the node's host. The means of its service and failure domain are left to
+// reports, since this endpoint would dominate them.
 func (p *Picker) refreshOwn(m *candidate, c Call) {
-	if l, ok := p.ownLoad(m.key, c.Kind, c.Now); ok {
-		p.RecordOccupancy(m.key, l.Occupancy, c.Now)
-		p.RecordExpected(m.key, c.Kind, l, c.Now)
+	l, ok := p.ownLoad(m.key, c.Kind, c.Now)
+	if !ok {
+		return
+	}
+	n := c.Now.UnixNano()
+	m.state.reportedOccupancy.Store(math.Float64bits(l.Occupancy))
+	m.state.occupancyReportedAt.Store(n)
+	if usual := m.state.service.usual(c.Kind); usual > 0 && l.Expected > 0 {
+		m.state.recordSlowness(l.Expected.Seconds()/usual, n)
 	}
 }
 
--- a/io/host/estimate.go
+++ b/io/host/estimate.go
@@ -60,7 +60,7 @@
 		return
 	}
 	h.log.Info("endpoint's capacity changed", "endpoint", key, "limit", s.Limit, "slots", r.Slots, "speed", 1/s.Slowdown,
-		"expected", s.Expected.String(), "pace", r.Pace, "running", r.Running, "waiting", r.Waiting)
+		"median", s.Median.String(), "pace", r.Pace, "running", r.Running, "waiting", r.Waiting)
 }
 
 // ownLoad returns the load of an endpoint on this host that reports its pace.
@@ -72,7 +72,7 @@
 		return routing.Load{}, false
 	}
 	s, ok := l.queue.gate.Estimate(now, kind)
-	return routing.Load{Occupancy: s.Occupancy, Expected: s.Expected}, ok
+	return routing.Load{Occupancy: s.Occupancy, Expected: s.Median}, ok
 }
 
 // setLoad states the load of a local endpoint in an answer, and the expected service time if the endpoint reports its pace.
@@ -83,8 +83,8 @@
 		return
 	}
 	hop.SetLoad(p, s.Occupancy)
-	if s.Expected > 0 {
-		hop.SetExpected(p, s.Expected)
+	if s.Median > 0 {
+		hop.SetExpected(p, s.Median)
 	}
 }
 
