--- a/core/routing/completion.go
+++ b/core/routing/completion.go
@@ -313,7 +313,8 @@
 		return 1
 	}
 	told := math.Float64frombits(m.state.slowness.Load())
-	return usual + (told-usual)*decay(now-m.state.slownessToldAt.Load(), slownessHalfAge)
+	age := max(now-m.state.slownessToldAt.Load(), 0)
+	return usual + (told-usual)*math.Exp2(-float64(age)/float64(slownessHalfAge))
 }
 
 // riskFactor returns the factor for recent errors and the slow start.
--- a/io/host/estimate.go
+++ b/io/host/estimate.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -59,6 +58,7 @@
 	if !ok || !l.estimate.due(now, s) {
 		return
 	}
+	h.setCapacity(key, s)
 	h.log.Info("endpoint's capacity changed", "endpoint", key, "limit", s.Limit, "slots", r.Slots, "speed", 1/s.Slowdown,
 		"median", s.Median.String(), "pace", r.Pace, "running", r.Running, "waiting", r.Waiting)
 }
@@ -93,12 +93,18 @@
 	h.mu.Lock()
 	locals := maps.Clone(h.locals)
 	h.mu.Unlock()
-	for _, k := range slices.Sorted(maps.Keys(locals)) {
-		s, ok := locals[k].queue.gate.Estimate(now, "")
+	h.metrics.Speed.Reset()
+	h.metrics.Capacity.Reset()
+	for k, l := range locals {
+		s, ok := l.queue.gate.Estimate(now, "")
 		if !ok {
 			continue
 		}
-		h.metrics.Speed.WithLabelValues(k).Set(1 / s.Slowdown)
-		h.metrics.Capacity.WithLabelValues(k).Set(float64(s.Limit))
+		h.setCapacity(k, s)
 	}
 }
+
+func (h *Host) setCapacity(endpoint string, s admission.Estimate) {
+	h.metrics.Speed.WithLabelValues(endpoint).Set(1 / s.Slowdown)
+	h.metrics.Capacity.WithLabelValues(endpoint).Set(float64(s.Limit))
+}
