--- a/core/capacity/estimator_test.go
+++ b/core/capacity/estimator_test.go
@@ -157,6 +157,25 @@
 	}
 }
 
+// Guards against a reported pace that counts for long after reports have ended, for example because the endpoint gets no calls.
+func TestReportDecays(t *testing.T) {
+	e := New(12)
+	for i := range 400 {
+		e.Report(start.Add(time.Duration(i)*10*time.Millisecond), Report{Slots: 12, Pace: 100})
+	}
+	last := start.Add(4 * time.Second)
+	e.Report(last, Report{Slots: 12, Pace: 250})
+	for _, c := range []struct {
+		after     time.Duration
+		low, high float64
+	}{{0, 2.2, 2.6}, {400 * time.Millisecond, 2.2, 2.6}, {3 * time.Second, 1, 1.1}} {
+		e.Advance(last.Add(c.after))
+		if got := e.Slowdown(1); got < c.low || got > c.high {
+			t.Errorf("%s after the last report: slowdown: got %.2f, want %.1f to %.1f", c.after, got, c.low, c.high)
+		}
+	}
+}
+
 // Load pattern: waves at half of, near and far above the capacity of endpoints that slow down from half of their slots on, or only when
 // they are full. Guards against a limit that overloads the former, and against one that wastes the latter because calls that run long
 // run beside many others.
--- a/core/routing/uneven_test.go
+++ b/core/routing/uneven_test.go
@@ -312,20 +312,22 @@
 	}
 }
 
-// fleetResult holds shares of the requests, except p99 (seconds) and spread (busiest over mean utilisation of the real capacity).
-type fleetResult struct{ goodput, p99, spread, abroad, refused float64 }
+// fleetResult holds shares of the requests, except p99 (seconds), spread (busiest over mean utilisation of the real capacity) and limit
+// (mean of the limits at the end in relation to the calls that the endpoints really handle well).
+type fleetResult struct{ goodput, p99, spread, abroad, refused, limit float64 }
 
 func (r fleetResult) String() string {
-	return fmt.Sprintf("goodput %.3f, p99 %.2f s, spread %.2f, other domain %.3f, refused %.3f", r.goodput, r.p99, r.spread, r.abroad, r.refused)
+	return fmt.Sprintf("goodput %.3f, p99 %.2f s, spread %.2f, other domain %.3f, refused %.3f, limit %.2f", r.goodput, r.p99, r.spread, r.abroad, r.refused, r.limit)
 }
 
 // result returns the results of the requests after the warm-up; goodput is in relation to the capacity or, if less, the demand.
 func (f *fleet) result(load float64) fleetResult {
 	slices.Sort(f.took)
-	var sum, high float64
+	var sum, high, limits float64
 	for _, e := range f.endpoints {
 		u := e.busy / float64(e.knee)
 		sum, high = sum+u, max(high, u)
+		limits += float64(e.gate.Stats().Limit) / float64(e.knee)
 	}
 	return fleetResult{
 		goodput: float64(f.onTime) / (float64(f.asked) * min(1, 1/load)),
@@ -333,6 +335,7 @@
 		spread:  high / sum * float64(len(f.endpoints)),
 		abroad:  float64(f.abroad) / float64(len(f.took)),
 		refused: float64(f.refused) / float64(f.asked),
+		limit:   limits / float64(len(f.endpoints)),
 	}
 }
 
@@ -349,6 +352,7 @@
 		mean.spread += r.spread / n
 		mean.abroad += r.abroad / n
 		mean.refused += r.refused / n
+		mean.limit += r.limit / n
 	}
 	return mean
 }
@@ -390,6 +394,9 @@
 				if got.goodput < before.goodput+c.gain || got.goodput < c.minGoodput {
 					t.Errorf("goodput: got %.3f, want at least %.3f and %.3f more than %.3f", got.goodput, c.minGoodput, c.gain, before.goodput)
 				}
+				if !p.halfSlots && got.limit < 0.9 || p.halfSlots && got.limit > before.limit {
+					t.Errorf("limits: got %.2f of what the endpoints handle, before %.2f, want 0.9 at least and no more than before", got.limit, before.limit)
+				}
 				if got.p99 > c.maxP99 || got.spread > c.maxSpread || got.abroad > c.maxAbroad {
 					t.Errorf("got %s, want at most p99 %.2f s, spread %.2f, other domain %.3f", got, c.maxP99, c.maxSpread, c.maxAbroad)
 				}
