--- a/core/nested/throttle_test.go
+++ b/core/nested/throttle_test.go
@@ -108,17 +108,17 @@
 	}
 }
 
-// Load pattern: few parents, three a second. Guards against a throttle that does not notice refused calls at a low rate, and against one
-// that admits no parent any more, so that it does not notice the recovery.
+// Load pattern: eight parents a second. Guards against a throttle that does not notice refused calls at a low rate, and against one that
+// admits so few parents that it does not notice the recovery.
 func TestLowRate(t *testing.T) {
+	const slow = 125 * time.Millisecond
 	c := newClock()
-	c.admitted(20, "order", 300*time.Millisecond, false, nested.Refused)
-	got := c.admitted(20, "order", 300*time.Millisecond, false, nested.Refused)
-	if got == 0 {
-		t.Error("admitted: got 0, want the minimum")
+	c.admitted(20, "order", slow, false, nested.Refused)
+	if got := c.admitted(20, "order", slow, false, nested.Refused); got < 8 || got > 14 {
+		t.Errorf("admitted of 20 while calls are refused: got %d, want 8 to 14, about one in 250 ms", got)
 	}
-	c.admitted(10, "order", 300*time.Millisecond, true, nested.Served)
-	if got := c.admitted(20, "order", 300*time.Millisecond, true, nested.Served); got != 20 {
+	c.admitted(12, "order", slow, true, nested.Served)
+	if got := c.admitted(20, "order", slow, true, nested.Served); got != 20 {
 		t.Errorf("admitted of 20 after the recovery: got %d, want 20", got)
 	}
 }
@@ -134,6 +134,7 @@
 // Load pattern: silence after an overload. Guards against refusing the first parents for what was seen long ago.
 func TestSilence(t *testing.T) {
 	c := newClock()
+	c.admitted(500, "order", pause/10, true, nested.Served) // so many that the kind is still known after the silence
 	c.admitted(100, "order", pause, false, nested.Refused)
 	c.now = c.now.Add(5 * time.Second)
 	if got := c.admitted(4, "order", time.Millisecond, true, nested.Served); got != 4 {
@@ -157,6 +158,34 @@
 	}
 }
 
+// Guards against runs that count as broken, so that their time is not learned, although they succeed, fail for a reason of their own or
+// got the refused call served by another try.
+func TestBrokenRuns(t *testing.T) {
+	tests := []struct {
+		name    string
+		ok      bool
+		results []nested.Result
+		want    bool
+	}{
+		{"success without the call", true, []nested.Result{nested.Refused}, false},
+		{"call refused", false, []nested.Result{nested.Served, nested.Refused}, true},
+		{"call late", false, []nested.Result{nested.Late}, true},
+		{"served by another try", false, []nested.Result{nested.Refused, nested.Served}, false},
+		{"call failed", false, []nested.Result{nested.Failed}, false},
+		{"no call", false, nil, false},
+	}
+	for _, v := range tests {
+		c := nested.New()
+		c.Start(start, "a", "order")
+		for _, r := range v.results {
+			c.Observe(nested.Call{Parent: "a", Service: service, Result: r})
+		}
+		if got := c.End(start, "a", v.ok); got != v.want {
+			t.Errorf("%s: got %v, want %v", v.name, got, v.want)
+		}
+	}
+}
+
 // Guards against memory that grows with the number of routes, services or runs that never end.
 func TestBounds(t *testing.T) {
 	c := nested.New()
--- a/io/host/nested_test.go
+++ b/io/host/nested_test.go
@@ -43,6 +43,11 @@
 				}
 			}
 			n.measure(time.Now())
+			for range 50 {
+				if f := n.refusal("front/b", hop.Meta{Route: "order"}); f != nil {
+					t.Fatalf("endpoint without a pace: got %v, want no refusal", f)
+				}
+			}
 			if !enabled {
 				if len(refused) != 0 || lines != 0 {
 					t.Errorf("got %d refusals and %d log lines, want none", len(refused), lines)
