--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"godwitspindle/core/capacity"
 	"godwitspindle/core/outcome"
 )
 
@@ -32,6 +33,7 @@
 	Nested       bool      // made for a running request, whose work is lost if this call is refused
 	Idempotent   bool
 	LateTolerant bool // tolerates a late response, so it is displaced first
+	Movable      bool // is tried at another endpoint at once after a busy refusal, so it leaves the queue while time for that is left
 	Remote       bool // the response leaves the host
 	Suspect      bool // the request may crash the backend server; at most one suspect runs at a time
 }
@@ -94,6 +96,7 @@
 	kind    string
 	suspect bool
 	bytes   float64 // response bytes reserved on the link
+	start   capacity.Start
 }
 
 type callerUsage struct{ running, queued int }
@@ -161,17 +164,30 @@
 	}
 	g.shares.countRequest(now, r.rank())
 	g.customers.ask(now, &r)
+	g.limit.advance(now, len(g.running))
 	service := g.limit.serviceTime(r.Kind)
 	if !r.Deadline.IsZero() && now.Add(service).After(r.Deadline) {
-		return g.refuse(now, r.Call, outcome.DeadlineExceeded, 0)
+		return g.refuse(now, r.Call, r.missedDeadline(), 0)
 	}
-	linkWait := g.linkWait(now, &r, service)
-	if linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
-		return g.refuse(now, r.Call, outcome.Busy, linkWait)
+	if d, refused := g.refuseLate(now, &r, service); refused {
+		return d
 	}
 	if g.mayStart(now) && (!r.Suspect || g.suspects == 0) && !g.yieldsToQueue(r) {
 		return g.admit(now, r, 0)
 	}
+	return g.decideQueue(now, r, service)
+}
+
+// refuseLate returns the refusal of a call whose response would be late even if the call started now.
+func (g *Gate) refuseLate(now time.Time, r *Request, service time.Duration) (Decision, bool) {
+	if linkWait := g.linkWait(now, r, service); linkWait > 0 && r.tooLate(now.Add(service+linkWait)) {
+		return g.refuse(now, r.Call, outcome.Busy, linkWait), true
+	}
+	return g.refuseSlow(now, r, service)
+}
+
+// decideQueue queues a call that finds no free slot, unless the expected wait is too long or there is no place for it.
+func (g *Gate) decideQueue(now time.Time, r Request, service time.Duration) Decision {
 	w := queuedCall{Request: r, arrived: now, sequence: g.sequence}
 	g.sequence++
 	wait := g.expectedWait(now, &w)
@@ -182,6 +198,9 @@
 	if lateness := w.lateness(now, wait, service); lateness > 0 {
 		return g.refuse(now, r.Call, g.busyCode(now, &w), w.retryAfter(now, lateness, service))
 	}
+	if w.moves(now.Add(wait), service) {
+		return g.refuse(now, r.Call, outcome.Busy, wait)
+	}
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
 		return g.refuse(now, r.Call, outcome.DeadlineExceeded, wait)
 	}
@@ -228,6 +247,7 @@
 	}
 	if ok {
 		g.limit.observe(r.kind, serviceTime, len(g.running)+1)
+		g.limit.observeEstimate(now, r, serviceTime, len(g.running)+1)
 	}
 	return g.startQueued(now)
 }
@@ -283,6 +303,9 @@
 		if d := g.queue[i].Deadline; !d.IsZero() && (next.IsZero() || d.Before(next)) {
 			next = d
 		}
+		if d := g.queue[i].moveAt(g.limit.serviceTime(g.queue[i].Kind)); !d.IsZero() && (next.IsZero() || d.Before(next)) {
+			next = d
+		}
 	}
 	if len(g.queue) > 0 && !g.paused.IsZero() && (next.IsZero() || g.paused.Before(next)) {
 		next = g.paused
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -19,15 +19,17 @@
 // applies.
 func (g *Gate) startQueued(now time.Time) []Decision {
 	var out []Decision
+	g.limit.advance(now, len(g.running))
 	for i := 0; i < len(g.queue); {
-		d := g.queue[i].Deadline
-		if d.IsZero() || !now.Add(g.limit.serviceTime(g.queue[i].Kind)).After(d) {
+		w, service := &g.queue[i], g.limit.serviceTime(g.queue[i].Kind)
+		if !w.expires(now, service) && !w.moves(now, service) {
 			i++
 			continue
 		}
 		g.stats.Expired++
-		g.waitFactors.observe(&g.queue[i], now)
-		out = append(out, g.refuse(now, g.dequeue(i).Call, outcome.DeadlineExceeded, 0))
+		g.waitFactors.observe(w, now)
+		out = append(out, g.refuse(now, w.Call, w.missedDeadline(), 0))
+		g.dequeue(i)
 	}
 	for g.mayStart(now) {
 		i := g.next(now)
@@ -267,7 +269,7 @@
 }
 
 func (g *Gate) admit(now time.Time, r Request, waited time.Duration) Decision {
-	n := runningCall{caller: r.Caller, kind: r.Kind, suspect: r.Suspect}
+	n := runningCall{caller: r.Caller, kind: r.Kind, suspect: r.Suspect, start: g.limit.start(len(g.running) + 1)}
 	if g.link != nil && r.Remote {
 		n.bytes = g.link.reserve(r.Kind)
 	}
--- a/core/config/customer.go
+++ b/core/config/customer.go
@@ -106,11 +106,9 @@
 	}
 }
 
-// checkKeys checks the keys of one customer; holders maps each key of earlier customers to its position.
+// checkKeys checks the keys of one customer, which has none once all were withdrawn; holders maps each key of earlier customers to its
+// position.
 func checkKeys(f *faults, where string, c *wire.Customer, holders map[string]string) {
-	if len(c.GetKeys()) == 0 {
-		f.add(where+".keys", "1 or more")
-	}
 	if len(c.GetDigests()) > 0 {
 		f.add(where+".digests", "none; they are computed from the keys")
 	}
--- a/core/config/warnings.go
+++ b/core/config/warnings.go
@@ -53,8 +53,8 @@
 
 func (w *warnings) route(r *wire.Route, hasCustomers, whole bool) {
 	key := KeyOf(r)
-	if strings.Contains(r.GetPath(), "%") {
-		w.add(key+".path", "never matches an escaped character, since requests are matched by their decoded path")
+	if strings.Contains(strings.ReplaceAll(r.GetPath(), "%2F", ""), "%") {
+		w.add(key+".path", "never matches an escaped character but %%2F, since requests are matched by their decoded path")
 	}
 	if r.GetLatency() > r.GetDeadline() {
 		w.add(key+".latency", "above the deadline, so it is never missed by an answer in time")
--- a/core/routing/state.go
+++ b/core/routing/state.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -31,11 +32,19 @@
 	loadReportedAt      atomic.Int64  // time of the last load report, Unix nanoseconds; 0 for none
 	reportedOccupancy   atomic.Uint64 // last reported number of calls of all nodes as a share of the slots, as float64 bits
 	occupancyReportedAt atomic.Int64  // time of the last occupancy report, Unix nanoseconds; 0 for none
+	slowness            atomic.Uint64 // last told expected time in relation to the mean of the service, as float64 bits
+	usualSlowness       atomic.Uint64 // average of slowness, as float64 bits; 0 before the first
+	slownessToldAt      atomic.Int64  // time of the last told expected time, Unix nanoseconds
+	refused             atomic.Uint64 // share of recent calls that the backend server refused, as float64 bits
+	refusedAt           atomic.Int64  // time of the last change of refused, Unix nanoseconds; 0 for none
 	avoidedUntil        atomic.Int64  // end of the avoidance, Unix nanoseconds
 	ejectedUntil        atomic.Int64  // end of the ejection, Unix nanoseconds
 	slowStartAt         atomic.Int64  // start of the slow start, Unix nanoseconds; 0 for none
 	leaving             atomic.Bool   // the process has stated that it leaves, so that it gets no calls any more
 
+	service *serviceLoad // averages of the endpoint's service
+	domain  *domainLoad  // averages of its failure domain
+
 	mutex       sync.Mutex // guards the fields below and all writes of latency and errors
 	incarnation uint64
 	failures    int    // consecutive failures
@@ -66,13 +75,13 @@
 
 // ensureState returns the state of an endpoint and creates it if needed; a new state begins a slow start if cold is set. A new
 // incarnation always begins a slow start and inherits only the count of calls in flight from the previous one.
-func (p *Picker) ensureState(key string, incarnation uint64, now int64, cold bool) *state {
+func (p *Picker) ensureState(key string, incarnation uint64, load *serviceLoad, domain string, now int64, cold bool) *state {
 	s := p.shard(key)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.states[key]
 	if t == nil {
-		t = &state{incarnation: incarnation}
+		t = &state{incarnation: incarnation, service: load, domain: load.domain(domain)}
 		t.leaving.Store(p.leaving(key, incarnation))
 		if cold {
 			t.slowStartAt.Store(now)
@@ -94,6 +103,7 @@
 	t.errors.Store(0)
 	t.loadReportedAt.Store(0)
 	t.occupancyReportedAt.Store(0)
+	t.usualSlowness.Store(0)
 	return t
 }
 
@@ -154,19 +164,20 @@
 // caller holds t.mutex.
 func (p *Picker) ejectLocked(endpoint string, t *state, now int64) {
 	name, _, _ := strings.Cut(endpoint, "/")
-	v := (*p.views.Load())[name]
-	if v == nil {
-		return
-	}
 	p.ejectMutex.Lock() // two concurrent ejections must not exceed the limit of a third
 	defer p.ejectMutex.Unlock()
-	ejected := 0
-	for i := range v.candidates {
-		if v.candidates[i].state.ejectedUntil.Load() > now {
-			ejected++
+	known := false
+	for _, side := range sides {
+		v := (*p.views.Load())[viewKey{name, side}]
+		if v == nil || !v.contains(t) {
+			continue
+		}
+		known = true
+		if v.ejected(now)+1 > len(v.candidates)/ejectDivisor {
+			return
 		}
 	}
-	if ejected+1 > len(v.candidates)/ejectDivisor {
+	if !known {
 		return
 	}
 	d := min(ejectMinimum<<min(t.ejections, 8), ejectMaximum)
@@ -176,6 +187,21 @@
 	t.slowStartAt.Store(now + int64(d)) // the endpoint returns with a slow start
 }
 
+func (v *view) contains(t *state) bool {
+	return slices.ContainsFunc(v.candidates, func(m candidate) bool { return m.state == t })
+}
+
+// ejected returns the number of ejected endpoints.
+func (v *view) ejected(now int64) int {
+	n := 0
+	for i := range v.candidates {
+		if v.candidates[i].state.ejectedUntil.Load() > now {
+			n++
+		}
+	}
+	return n
+}
+
 // RecordLoad records the load that the endpoint itself reports, from 0 (idle) to 1 (full); other values are limited to that range.
 func (p *Picker) RecordLoad(endpoint string, load float64, now time.Time) {
 	n := p.advanceClock(now)
@@ -195,6 +221,7 @@
 	if t == nil || math.IsNaN(share) || share < 0 {
 		return
 	}
+	t.domain.record(share, n)
 	t.reportedOccupancy.Store(math.Float64bits(share))
 	t.occupancyReportedAt.Store(n)
 }
@@ -253,12 +280,13 @@
 		}
 		s.mutex.Unlock()
 	}
-	next := map[string]*view{}
-	for n, v := range *p.views.Load() {
+	next, services := map[viewKey]*view{}, map[string]bool{}
+	for k, v := range *p.views.Load() {
 		if slices.ContainsFunc(v.candidates, func(m candidate) bool { return keep(m.key) }) {
-			next[n] = &view{candidates: v.candidates}
+			next[k], services[k.service] = &view{candidates: v.candidates}, true
 		}
 	}
+	maps.DeleteFunc(p.loads, func(service string, _ *serviceLoad) bool { return !services[service] })
 	p.views.Store(&next)
 }
 
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -26,6 +26,7 @@
 // the part for a complete answer.
 func (c *call) stream(p *http.Response) {
 	c.tracked.Update(func(p *Progress) { p.Answered = true })
+	c.keepBody()
 	if err := hop.Copy(c.w, p); err != nil {
 		c.answerBroken(err)
 		if !c.r.ProtoAtLeast(1, 1) {
@@ -132,7 +133,7 @@
 	m := c.meta
 	m.Endpoint, m.Remaining = e.Name, c.deadline.Sub(begin)
 	if !c.objective.IsZero() {
-		m.Objective, m.Resent, m.LastAttempt = c.objective.Sub(begin), c.resent, c.noResends
+		m.Objective, m.Resent, m.LastAttempt = c.objective.Sub(begin), c.resent, c.noResends || c.isLastTry()
 	}
 	m.Budget, c.budget = retry.Split(c.budget)
 	ctx, lost := c.bodyContext()
@@ -144,8 +145,14 @@
 	})
 	h.attemptStarted(c.endpoint, begin)
 	p, err := h.send(ctx, e, m, &r)
+	if err == nil {
+		c.bodyComplete() // an answer that has begun ends by itself, also if its endpoint still reads the body
+		if f := c.readAhead(p); f != nil {
+			p, err = nil, f
+		}
+	}
 	lost.detach()
-	o := Observation{At: h.now(), Incarnation: e.Incarnation}
+	o := Observation{At: h.now(), Incarnation: e.Incarnation, Release: e.Release, Route: c.match.Route.Name}
 	o.Took = o.At.Sub(begin)
 	if err != nil {
 		o.Failure = hop.AsFailure(err, c.id)
@@ -155,8 +162,7 @@
 		h.attemptDone(c.endpoint, o)
 		return nil, c.lostOutcome(o.Failure, lost)
 	}
-	c.bodyComplete() // an answer that has begun ends by itself, also if its endpoint still reads the body
-	o.Status, o.Leaving, o.Limit = p.StatusCode, hop.Leaving(p), hop.Limit(p)
+	o.Status, o.Leaving, o.Limit, o.Expected = p.StatusCode, hop.Leaving(p), hop.Limit(p), hop.Expected(p)
 	if load, ok := hop.Load(p); ok {
 		o.Load = load
 	}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -35,6 +35,7 @@
 	hideKey   bool             // the configuration has customers, so Authorization is not forwarded
 	deadline  time.Time
 	depth     int
+	parent    string    // call id of the run that makes this call; empty if it is not known
 	objective time.Time // time by which the answer should arrive, by the route's latency objective; zero for none
 	resent    bool      // the caller has sent this request before
 	noResends bool      // callers of this route do not send a refused request again
@@ -56,6 +57,7 @@
 	retries     int
 	mayHaveRun  bool // at least one attempt may have run
 	tracked     Request
+	giveBack    func() // returns the request to the customer's quota; nil without one
 }
 
 func (c *call) fail(code outcome.Code, status int, detail string, err error) *outcome.Failure {
@@ -66,20 +68,23 @@
 func (c *call) prepare() *outcome.Failure {
 	contexts, waitValue := c.r.Header.Values(HeaderContext), c.r.Header.Get(HeaderDeadline)
 	hop.Strip(c.r.Header)
+	hop.FixPath(c.r.URL)
 	if hop.IsUpgrade(c.r) {
 		return c.fail(outcome.Refused, http.StatusNotImplemented, "upgrades and tunnels are not supported", nil)
 	}
 	if f := c.route(); f != nil {
 		return f
 	}
-	parent, f := c.parent(contexts)
+	parent, f := c.parentContext(contexts)
 	if f != nil {
 		return f
 	}
 	if f := c.authenticate(parent); f != nil {
 		return f
 	}
-	// A quota is charged at this point: the customer is known, parent is nil for requests of callers, and nothing is reserved yet.
+	if f := c.takeQuota(); f != nil {
+		return f
+	}
 	if f := c.inheritLimits(parent, waitValue); f != nil {
 		return f
 	}
@@ -106,7 +111,7 @@
 		// A backend server might resolve dot segments to a path that belongs to another route.
 		return c.fail(outcome.NoRoute, http.StatusBadRequest, fmt.Sprintf("dot segments in the path, or a host of more than %d bytes", maxHostBytes), nil)
 	}
-	m, f := c.handler.match(strings.ToLower(host), c.r.URL.Path, c.r.Method)
+	m, f := c.handler.match(strings.ToLower(host), hop.RoutePath(c.r.URL), c.r.Method)
 	if f != nil {
 		return f
 	}
@@ -120,8 +125,8 @@
 	return nil
 }
 
-// parent returns the context of the request that a backend server makes the call for; nil for a request of a caller.
-func (c *call) parent(contexts []string) (*Context, *outcome.Failure) {
+// parentContext returns the context of the request that a backend server makes the call for; nil for a request of a caller.
+func (c *call) parentContext(contexts []string) (*Context, *outcome.Failure) {
 	if !c.handler.local || len(contexts) == 0 {
 		return nil, nil
 	}
@@ -142,7 +147,7 @@
 		c.deadline = earlier(c.deadline, c.began.Add(wait))
 	}
 	if parent != nil {
-		c.depth, c.budget = parent.Depth+1, min(c.budget, parent.Budget)
+		c.depth, c.parent, c.budget = parent.Depth+1, parent.Parent, min(c.budget, parent.Budget)
 		c.deadline = earlier(c.deadline, parent.Deadline)
 	}
 	c.setObjective(wait, stated)
@@ -266,7 +271,7 @@
 func (c *call) buildOutbound() {
 	route, service := c.match.Route, c.match.Service.Name
 	u := c.r.URL
-	identity := hop.Identity{Service: service, Method: c.r.Method, Path: u.Path, Query: u.RawQuery, Key: c.key, Body: c.body.prefix}
+	identity := hop.Identity{Service: service, Method: c.r.Method, Path: hop.RoutePath(u), Query: u.RawQuery, Key: c.key, Body: c.body.prefix}
 	c.meta = hop.Meta{
 		Call: c.id, Service: service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
 		Priority: c.priority(), Caller: c.callerAddress(), Fingerprint: identity.Fingerprint(), Route: route.Name,
@@ -289,7 +294,9 @@
 
 // refuse answers with a failure and logs it.
 func (c *call) refuse(f *outcome.Failure) {
-	f = c.keyedOutcome(hop.AsFailure(f, c.id))
+	f = hop.AsFailure(f, c.id)
+	c.returnQuota(f)
+	f = c.keyedOutcome(f)
 	c.handler.log.Info("request failed", c.withCustomer("call", c.id, "route", c.routeName(), "endpoint", c.endpoint, "code", f.Code,
 		"outcome", f.Kind, "version", c.match.Version, "reason", f.Detail, "retry", c.retryReason, "after", f.RetryAfter.String(), "error", cause(f), "took", c.took())...)
 	c.finished(Finished{Code: f.Code, Kind: f.Kind, Overhead: -1, Took: c.handler.now().Sub(c.began)})
@@ -301,6 +308,7 @@
 		c.w.Header().Set("WWW-Authenticate", bearerScheme)
 	}
 	c.limitDiscard()
+	c.giveBody()
 	f.Write(c.w)
 }
 
@@ -335,6 +343,10 @@
 // finished reports the end of the request.
 func (c *call) finished(f Finished) {
 	f.Route, f.Began, f.Cut, f.Customer = c.match.Route, c.began, c.tracked.end(), c.customerName()
+	f.Parent, f.Shed = c.parent, c.refused
+	if c.match.Service != nil {
+		f.Service = c.match.Service.Name
+	}
 	c.handler.requestDone(f)
 }
 
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -31,6 +31,7 @@
 type Handler struct {
 	local          bool
 	maxBody        int64
+	bufferLimit    int64 // answers up to this size are read to their end first; 0 for none
 	match          func(host, path, method string) (Match, *outcome.Failure)
 	pick           func(PickRequest) (config.Endpoint, string, error)
 	attemptStarted func(string, time.Time)
@@ -41,6 +42,7 @@
 	claim          func(context.Context, Claim) (ClaimAnswer, error)
 	finish         func(context.Context, Claim, *Answer) error
 	release        func(context.Context, Claim) error
+	takeQuota      func(context.Context, string) (func(), *outcome.Failure)
 
 	newCallID   func(r *http.Request) string
 	nested      func(r *http.Request) bool
@@ -71,6 +73,7 @@
 		attemptDone:    func(string, Observation) {},
 		requestDone:    func(Finished) {},
 		decideRetry:    func(Attempt) Verdict { return Verdict{} },
+		takeQuota:      func(context.Context, string) (func(), *outcome.Failure) { return nil, nil },
 		newCallID:      callIDs(),
 		nested:         func(*http.Request) bool { return false },
 		callerWaits:    retry.NewCallerWaits(),
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -40,7 +40,11 @@
 	At      time.Time
 	Load    float64 // calls running and waiting at the endpoint, divided by its slots; 0 when unknown
 
+	Route    string        // name of the route
+	Expected time.Duration // time that the endpoint is expected to take for a request of the route; 0 unless it reports its pace
+
 	Incarnation uint64  // process of the endpoint that the attempt was sent to
+	Release     string  // release of that process
 	Leaving     bool    // the endpoint has stated that it leaves
 	Limit       float64 // requests per second that the endpoint takes from all hosts; 0 without a limit
 }
@@ -54,6 +58,9 @@
 	Began    time.Time     // the request's arrival
 	Cut      bool          // the request was in flight when InFlight.Cut was called
 	Took     time.Duration // from the request's arrival to the end of its answer or its failure; 0 when the answer broke off
+	Service  string        // service that the request was for; empty when no route matched
+	Parent   string        // call id of the run that made the request, see Context; empty for requests of callers
+	Shed     bool          // the answer is a refusal of the backend server (503)
 	Overhead time.Duration // from arrival to the response headers, minus the last backend server's time; negative when unknown
 }
 
@@ -175,6 +182,10 @@
 // WithInFlight sets the set that holds the requests in flight.
 func WithInFlight(f *InFlight) Option { return func(h *Handler) { h.inFlight = f } }
 
+// WithBufferedAnswers makes the handler read answers of up to n bytes to their end before it passes any of them on, so that an
+// answer that breaks off between two nodes is a failure, not an aborted connection of the caller. By default answers are streamed.
+func WithBufferedAnswers(n int64) Option { return func(h *Handler) { h.bufferLimit = n } }
+
 // WithMaxBody limits request bodies to n bytes.
 func WithMaxBody(n int64) Option { return func(h *Handler) { h.maxBody = n } }
 
--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -74,7 +74,7 @@
 	if !h.holder.Serving() || h.stopping() {
 		return false
 	}
-	route, ok := h.holder.View().Table.Match(r.Host, r.URL.Path, r.Method)
+	route, ok := h.holder.View().Table.Match(r.Host, hop.RoutePath(r.URL), r.Method)
 	return ok && route.Idempotent
 }
 
@@ -95,19 +95,31 @@
 	if len(p.Tried) == 0 {
 		h.budgets.Of(p.Service.Name).Count(p.Now)
 	}
-	c, err := h.picker.Decide(routing.Call{Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now})
+	call := routing.Call{
+		Service: p.Service, Class: routing.ClassOf(p.Route), Tried: p.Tried, Now: p.Now, Kind: p.Route.Name, Objective: p.Route.Latency,
+	}
+	c, err := h.rollouts.decide(call, h.picker.Decide)
 	if err != nil {
 		return config.Endpoint{}, "", err
 	}
 	return *c.Endpoint, c.Reason, nil
 }
 
+// attemptStarted tells the picker and the rollouts that an attempt is sent.
+func (h *Host) attemptStarted(endpoint string, now time.Time) {
+	h.picker.Start(endpoint, now)
+	h.rollouts.begin(endpoint)
+}
+
 // observe passes the outcome of an attempt to the picker.
 func (h *Host) observe(endpoint string, o caller.Observation) {
 	f := o.Failure
 	h.noticesObserved(endpoint, o)
+	h.rollouts.observe(endpoint, o)
 	if f == nil {
 		h.picker.RecordOccupancy(endpoint, o.Load, o.At)
+		h.picker.RecordExpected(endpoint, o.Route, routing.Load{Occupancy: o.Load, Expected: o.Expected}, o.At)
+		h.picker.RecordRefusal(endpoint, false, o.At)
 		failed := o.Status >= http.StatusInternalServerError && o.Status != http.StatusServiceUnavailable
 		h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: failed})
 		return
@@ -117,6 +129,8 @@
 	canceled := f.Code == outcome.Canceled
 	h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: unreachable || !notRun && !canceled, NotRun: notRun})
 	switch f.Code {
+	case outcome.Overload:
+		h.picker.RecordRefusal(endpoint, notRun, o.At)
 	case outcome.Busy, outcome.Limited:
 		h.picker.RecordOccupancy(endpoint, busyLoad, o.At)
 	case outcome.Draining:
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -55,13 +55,17 @@
 	budgets *retry.Budgets
 	stop    *stopRecord
 	splits  *splitCounter
-	notices *notice.Table
+	// rollouts assigns requests to releases while services have rollouts.
+	rollouts *rollouts
+	notices  *notice.Table
+	nested   *nestedCalls
 	// invalidLimits bounds the log lines about limits that are not valid.
 	invalidLimits rate.Sometimes
 	hops          *hop.Client
 	backend       *backend.Backend
 	callers       *caller.Handler
 	localCallers  *caller.Handler
+	quotas        *quotas
 
 	peers   *process.Server
 	servers map[string]*process.Server // listeners by name, such as "peer"
@@ -117,7 +121,7 @@
 			}
 			h.backend.Adopt(backend.Announcement{
 				Service: e.GetService(), Endpoint: e.GetName(), Address: h.adopted.address, Slots: int(e.GetSlots()),
-				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(),
+				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(), Release: e.GetRelease(),
 			}, h.adopted.window)
 		}
 		h.notifyAnnouncer()
@@ -154,6 +158,9 @@
 	h.stop = newStopRecord(h.log, h.metrics.StopRequests)
 	h.upstream = newUpstream(s, h.directory)
 	h.budgets = h.newBudgets()
+	h.quotas = h.hostQuotas()
+	h.nested = newNestedCalls(func(string) bool { return false }, h.metrics, h.log.WithName("nested"))
+	h.rollouts = h.newRollouts()
 	if h.dial == nil && s.Timing.AckTimeout > 0 {
 		h.dial = process.Dial(s.Timing.AckTimeout)
 	}
@@ -167,6 +174,7 @@
 		h.startPeers,
 		h.startFollower,
 		h.startListeners,
+		h.startQuotas,
 	}
 	for _, start := range steps {
 		if err := start(); err != nil {
@@ -217,6 +225,7 @@
 		routing.WithDomain(h.settings.Domain),
 		routing.WithRegion(h.settings.Region),
 		routing.WithNode(h.settings.Name),
+		routing.WithOwnLoad(h.ownLoad),
 		routing.WithLeaving(func(endpoint string, incarnation uint64) bool {
 			return h.notices.Leaving(notice.Process{Endpoint: endpoint, Incarnation: incarnation})
 		}),
@@ -265,7 +274,7 @@
 			caller.WithMaxBody(callBytes),
 			caller.WithMatch(h.match),
 			caller.WithPick(h.pick),
-			caller.WithObserve(h.picker.Start, h.observe),
+			caller.WithObserve(h.attemptStarted, h.observe),
 			caller.WithFinished(h.countCall),
 			caller.WithSend(h.send),
 			caller.WithDecide(h.decide),
@@ -274,6 +283,7 @@
 			caller.WithDraining(h.stopping),
 			caller.WithStop(h.shutdown.Decide),
 			caller.WithInFlight(&h.stop.callers),
+			caller.WithQuota(h.quotas.take),
 		}, h.callerOptions...)
 	}
 	h.callers = caller.New(options(false)...)
@@ -285,11 +295,13 @@
 func (h *Host) versionChanged(v peer.View) {
 	h.metrics.Version.Set(float64(v.Snapshot.Version()))
 	h.upstream.update(v)
+	h.quotas.update(v.Table)
 	h.picker.Retain(func(key string) bool {
 		_, ok := v.Table.Endpoint(key)
 		return ok
 	})
 	go h.resize()
+	h.rollouts.versionChanged()
 	h.notifyAnnouncer()
 	if h.follower.Load() != nil {
 		h.reportComplete(v.Snapshot.Version()) // nodes below may already hold the version from another upstream
@@ -352,6 +364,7 @@
 // Close stops the process at once and cuts calls in flight.
 func (h *Host) Close() error {
 	var errs []error
+	h.quotas.close()
 	if a := h.announce.Load(); a != nil {
 		a.close()
 	}
@@ -364,6 +377,7 @@
 	if h.backend != nil {
 		errs = append(errs, h.backend.Close())
 	}
+	h.rollouts.close()
 	if h.control != nil {
 		errs = append(errs, h.control.close())
 	}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -9,10 +9,12 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
+	"godwitspindle/core/rollout"
 	"godwitspindle/core/shutdown"
 	"godwitspindle/core/wire"
 	"godwitspindle/io/backend"
@@ -25,10 +27,11 @@
 type localEndpoint struct {
 	queue       *admissionQueue
 	guard       *guard
-	slots       int                          // announced slots
-	connections int                          // maximum connections, as announced
-	process     notice.Process               // current process of the endpoint; guarded by the mutex of the Host
-	limitMutex  sync.Mutex                   // serializes changes of limit
+	slots       int            // announced slots
+	connections int            // maximum connections, as announced
+	process     notice.Process // current process of the endpoint; guarded by the mutex of the Host
+	limitMutex  sync.Mutex     // serializes changes of limit
+	estimate    estimateLog
 	limit       atomic.Pointer[notice.Limit] // last limit that was stated, with rate 0 once it is withdrawn; nil before the first
 }
 
@@ -53,6 +56,7 @@
 	h.mu.Unlock()
 	if changed {
 		h.processChanged(l, p)
+		l.queue.gate.ResetEstimate()
 	}
 	l.queue.resume()
 	h.resize()
@@ -95,10 +99,13 @@
 
 func (h *Host) admit(ctx context.Context, endpoint string, m hop.Meta) (func(backend.Result), *outcome.Failure) {
 	l := h.endpoint(endpoint)
-	q, r := l.queue, admissionRequest(ctx, m)
-	if c, ok := h.holder.View().Table.Customer(m.Customer); ok {
-		r.Weight = c.Rate
+	if f := h.nested.refusal(endpoint, m); f != nil {
+		h.metrics.Refusals.WithLabelValues(string(f.Code)).Inc()
+		return nil, f
 	}
+	q, r := l.queue, admissionRequest(ctx, m)
+	r.Movable = h.nested.movable(endpoint, m)
+	r.Weight = h.customerWeight(m.Customer)
 	if f := q.enter(ctx, r); f != nil {
 		l.explainLimit(f)
 		if f.Code == outcome.Busy || f.Code == outcome.Limited {
@@ -110,14 +117,27 @@
 	if r, ok := ctx.Value(remoteKey{}).(*caller.Request); ok {
 		r.Update(func(p *caller.Progress) { p.Sent = time.Now() })
 	}
+	h.nested.started(endpoint, m)
 	h.metrics.Running.Inc()
 	h.metrics.Sent.WithLabelValues(sentKind(m)).Inc()
 	return func(r backend.Result) {
 		h.metrics.Running.Dec()
-		q.leave(m.Call, r)
+		q.leave(m.Call, h.nested.ended(m.Call, r))
 	}, nil
 }
 
+// customerWeight returns the rate of a customer's quota, 0 without one.
+func (h *Host) customerWeight(name string) float64 {
+	if name == "" {
+		return 0
+	}
+	c, ok := h.holder.View().Table.Customer(name)
+	if !ok {
+		return 0
+	}
+	return c.Rate
+}
+
 // sentKind is the metrics label of a request that is sent to a backend server.
 func sentKind(m hop.Meta) string {
 	switch {
@@ -151,6 +171,7 @@
 		backend.WithLoad(h.picker.RecordLoad),
 		backend.WithShed(func(endpoint string, after time.Duration) { h.endpoint(endpoint).queue.shed(after) }),
 		backend.WithNotice(h.endpointNoticed),
+		backend.WithLoadReported(h.loadReported),
 		backend.WithAdmit(h.admit),
 		backend.WithQuarantineCheck(h.checkQuarantine),
 		backend.WithCrashed(h.endpointCrashed),
@@ -160,7 +181,7 @@
 			if h.settings.Retries.Percent > 0 {
 				share = retry.MaxShare // the shared budget also limits the retries of nested calls
 			}
-			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share, Customer: m.Customer}.String()
+			return caller.Context{Depth: m.Depth, Deadline: deadline, Budget: share, Parent: h.nested.parent(m), Customer: m.Customer}.String()
 		}),
 		backend.WithLog(h.log.WithName("backend")),
 	}, h.backendOptions...)...)
@@ -200,11 +221,20 @@
 			Slots:       uint32(a.Slots),
 			Connections: uint32(a.Connections),
 			Incarnation: incarnation,
+			Release:     announcedRelease(a.Release),
 		})
 	}
 	return r
 }
 
+// announcedRelease returns the release of an announcement, or an empty text if it cannot be agreed.
+func announcedRelease(name string) string {
+	if len(name) > rollout.MaxRelease || !utf8.ValidString(name) {
+		return ""
+	}
+	return name
+}
+
 // decideCall asks the rule of a planned stop for a call. One of another node is bound: if it were cut, that node, which may itself be
 // stopping, would answer in place of an endpoint that is at work, and it can send the call elsewhere.
 func (h *Host) decideCall(ctx context.Context, now time.Time, w shutdown.Work) shutdown.Decision {
@@ -217,7 +247,7 @@
 	p, err := h.backend.Do(ctx, m, r)
 	if err == nil {
 		l := h.endpoint(m.Service + "/" + m.Endpoint)
-		hop.SetLoad(p, l.queue.occupancy())
+		setLoad(p, l.queue, m.Route)
 		if rate := l.rate(); rate > 0 {
 			hop.SetLimit(p, float64(rate))
 		}
--- a/io/host/metrics.go
+++ b/io/host/metrics.go
@@ -19,6 +19,7 @@
 		h.metrics.CustomerRequests.WithLabelValues(h.customerLabels.of(f.Customer), resultLabel(f.Kind)).Inc()
 	}
 	h.stop.finished(f)
+	h.nested.finished(f)
 	h.metrics.RequestTime.WithLabelValues(string(f.Kind), classLabel(f.Route)).Observe(f.Took.Seconds())
 	if f.Overhead >= 0 {
 		h.metrics.AddedTime.Observe(f.Overhead.Seconds())
@@ -85,6 +86,9 @@
 		h.metrics.StopTime.Set(h.stop.seconds(time.Now()))
 		h.metrics.Quarantine.Set(float64(h.holder.View().Table.Quarantined(time.Now())))
 		h.measureLimitUse(time.Now())
+		h.quotas.measure(time.Now())
+		h.nested.measure(time.Now())
+		h.measureCapacity(time.Now())
 		next.ServeHTTP(w, r)
 	})
 }
--- a/io/host/option.go
+++ b/io/host/option.go
@@ -33,6 +33,11 @@
 	return func(h *Host) { h.callerOptions = append(h.callerOptions, caller.WithIdentify(f)) }
 }
 
+// WithBufferedAnswers makes the node read answers of up to n bytes to their end before it passes any of them on to a caller.
+func WithBufferedAnswers(n int64) Option {
+	return func(h *Host) { h.callerOptions = append(h.callerOptions, caller.WithBufferedAnswers(n)) }
+}
+
 // WithNested sets the function that reports whether a request states by its id that it is made for another request; see
 // caller.WithNested.
 func WithNested(f func(r *http.Request) bool) Option {
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -128,6 +128,7 @@
 		{"two bodies", "POST", "/v1/changes", `{"rules":{},"revert":3}`, "", ""},
 		{"control characters", "POST", "/v1/changes", change(`\u001b[2J`), "", ""},
 		{"two values", "POST", "/v1/changes", change("x") + "{}", "", ""},
+		{"replica change with two values", "POST", "/v1/replicas", `{"action":"remove","name":"a"}{}`, "", ""},
 		{"oversize", "POST", "/v1/changes", `{"reason":"` + strings.Repeat("x", maxBodyBytes) + `"}`, "", ""},
 		{"faults of a file", "POST", "/v1/plan", `{"rules":{"bad":1}}`, "", ""},
 		{"faults of customers", "POST", "/v1/plan", `{"customers":{"customers":[{"name":"acme","keys":["sk-1","sk-1"]}]}}`, "", ""},
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -21,12 +21,20 @@
 	Queued             prometheus.Gauge         // calls waiting for a slot
 	Refusals           *prometheus.CounterVec   // calls refused by admission or quarantine, by code
 	Sent               *prometheus.CounterVec   // calls admitted to a local backend server, by kind: first, resent or nested
+	NestedCalls        *prometheus.CounterVec   // calls that runs at local endpoints made, by service and result
+	NestedShare        *prometheus.GaugeVec     // share of parents that are admitted, by the service that lacks room for their calls
 	Limit              *prometheus.GaugeVec     // limits in force that local endpoints state, in requests per second, by endpoint
 	LimitUse           *prometheus.GaugeVec     // calls per second that started at endpoints with a limit, in the last 4 s, by endpoint
 	InvalidLimits      prometheus.Counter       // limits of local endpoints that are not valid
+	Speed              *prometheus.GaugeVec     // estimated current to usual speed of local endpoints that report their pace, by endpoint
+	Capacity           *prometheus.GaugeVec     // requests that those endpoints are estimated to handle well at once, by endpoint
+	InvalidReports     prometheus.Counter       // load reports of local endpoints that are not valid
 	Claims             *prometheus.CounterVec   // answers to claims, by state
 	Quarantine         prometheus.Gauge         // fingerprints in quarantine
 	ControlBytes       *prometheus.CounterVec   // bytes between nodes, by message and direction (sent or received)
+	RolloutAnswers     *prometheus.CounterVec   // results of services with a running rollout, by service, release (old or new) and result
+	RolloutShare       *prometheus.GaugeVec     // share of the new release of each service's running rollout, on the leader
+	RolloutSteps       *prometheus.CounterVec   // steps that this replica committed as the leader, by service and state
 	Convergence        prometheus.Histogram     // seconds from acceptance until in force on every node
 	Version            prometheus.Gauge         // snapshot version in force on this node
 	ConfirmationAge    prometheus.Gauge         // seconds since the last quorum confirmation; negative if there was none
@@ -46,6 +54,12 @@
 	StopTime           prometheus.Gauge         // seconds since a planned stop began, 0 before
 	RefusedConnections *prometheus.CounterVec   // connections closed above the limit of their listener, by listener
 	OperatorRequests   *prometheus.CounterVec   // requests of operators, by path and status
+	QuotaGranted       prometheus.Counter       // tokens of customers' quotas that were granted to this node
+	QuotaSpent         *prometheus.CounterVec   // requests taken off a quota, by what admitted them: token, or fallback without a coordinator
+	QuotaReturned      prometheus.Counter       // requests given back to a quota, since they ended without having run
+	QuotaRefused       prometheus.Counter       // requests over a quota
+	QuotaFallback      prometheus.Gauge         // 1 while no coordinator of quotas answers
+	QuotaAge           prometheus.Gauge         // seconds since the last answered request to the coordinator was sent; negative if there was none
 	ContentChanges     *prometheus.CounterVec   // complete contents proposed, by form: edit, whole, or mismatch (edit resent whole)
 
 	CustomerRequests *prometheus.CounterVec // requests of customers, by customer and result: served, refused or failed
@@ -92,16 +106,24 @@
 		Queued:         gauge("admission_queued", "Calls waiting for a slot."),
 		Refusals:       counters("admission_refused_total", "Calls refused by admission, by code.", "code"),
 		Sent:           counters("admission_sent_total", "Calls admitted to a backend server, by kind (first, resent by the caller, or nested).", "kind"),
+		NestedCalls:    counters("nested_calls_total", "Calls that runs at local endpoints made, by service and result (served, refused, late or failed).", "service", "result"),
+		NestedShare:    gauges("nested_admitted_share", "Share of the requests that call a service which are admitted; absent while it is 1.", "service"),
 		Limit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limit_requests_per_second", Help: "Limit in force that the endpoint states.",
 		}, []string{"endpoint"}),
 		LimitUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limit_started_per_second", Help: "Calls started per second in the last 4 s at an endpoint that states a limit.",
 		}, []string{"endpoint"}),
+		Speed:              gauges("capacity_speed", "Estimated current speed of an endpoint that reports its pace, 1 as usual.", "endpoint"),
+		Capacity:           gauges("capacity_requests", "Requests that an endpoint that reports its pace is estimated to handle well at once.", "endpoint"),
+		InvalidReports:     counter("load_reports_invalid_total", "Answers with a load report that is not valid."),
 		InvalidLimits:      counter("limits_invalid_total", "Answers with a limit that is not valid."),
 		Claims:             counters("claims_total", "Answers to claims, by state.", "state"),
 		Quarantine:         gauge("quarantine_fingerprints", "Requests in quarantine."),
 		ControlBytes:       counters("control_bytes_total", "Bytes of distribution, by message and direction.", "message", "direction"),
+		RolloutAnswers:     counters("rollout_answers_total", "Results of services with a running rollout, by service, release (old or new) and result.", "service", "release", "result"),
+		RolloutShare:       gauges("rollout_share", "Share of the new release of a running rollout, by service; only on the leader.", "service"),
+		RolloutSteps:       counters("rollout_steps_total", "Steps of rollouts that this replica committed as the leader, by service and state.", "service", "state"),
 		Convergence:        histogram("convergence_seconds", "Time from an accepted change to in force on every node.", 0.01, 2, 14),
 		Version:            gauge("snapshot_version", "Configuration version in force."),
 		ConfirmationAge:    gauge("confirmation_age_seconds", "Time since the last quorum confirmation; negative when never."),
@@ -122,15 +144,22 @@
 		RefusedConnections: counters("connections_refused_total", "Connections closed over a listener's limit.", "listener"),
 
 		OperatorRequests: counters("operator_requests_total", "Requests of operators, by path and status.", "path", "status"),
+		QuotaGranted:     counter("quota_granted_total", "Tokens of customers' quotas granted to this node."),
+		QuotaSpent:       counters("quota_spent_total", "Requests taken off a quota, by what admitted them (token, or fallback without a coordinator).", "by"),
+		QuotaReturned:    counter("quota_returned_total", "Requests given back to a quota, since they ended without having run."),
+		QuotaRefused:     counter("quota_refused_total", "Requests over a customer's quota."),
+		QuotaFallback:    gauge("quota_fallback", "1 while no coordinator of quotas answers this node."),
+		QuotaAge:         gauge("quota_grant_age_seconds", "Time since the last answered request for tokens; negative when never."),
 		ContentChanges:   counters("content_changes_total", "Whole contents proposed, by form in the log: edit, whole, or mismatch for an edit sent again whole.", "form"),
 
 		CustomerRequests: counters("customer_requests_total", "Requests of customers, by customer ((other) beyond 200 names) and result: served, refused (not run) or failed.", "customer", "result"),
 	}
 	m.Registry.MustRegister(
-		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.Limit, m.LimitUse, m.InvalidLimits, m.Claims, m.Quarantine,
-		m.ControlBytes, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
+		m.Calls, m.RequestTime, m.AddedTime, m.Retries, m.CrossedAnswers, m.Running, m.Queued, m.Refusals, m.Sent, m.NestedCalls, m.NestedShare, m.Limit, m.LimitUse, m.InvalidLimits, m.Speed, m.Capacity, m.InvalidReports, m.Claims, m.Quarantine,
+		m.ControlBytes, m.RolloutAnswers, m.RolloutShare, m.RolloutSteps, m.Convergence, m.Version, m.ConfirmationAge, m.FullTransfers, m.DeltaTransfers, m.FullTransfersSent, m.DigestMismatches,
 		m.StopRequests, m.StopTime, m.Commits, m.Term, m.Leader, m.Voters, m.Learners, m.Losses, m.PromisedLosses, m.FsyncTime, m.RefusedConnections, m.OperatorRequests, m.ContentChanges,
 		m.CustomerRequests,
+		m.QuotaGranted, m.QuotaSpent, m.QuotaReturned, m.QuotaRefused, m.QuotaFallback, m.QuotaAge,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
