--- a/core/config/warnings_test.go
+++ b/core/config/warnings_test.go
@@ -36,6 +36,7 @@
 		{"nothing odd", route(func(*wire.Route) {}), false, ""},
 		{"nothing", &wire.Content{}, false, ""},
 		{"escaped path", route(func(r *wire.Route) { r.Path = "/a%20b/" }), false, "route/r.path"},
+		{"escaped slash", route(func(r *wire.Route) { r.Path = "/a%2Fb/" }), false, ""},
 		{"objective above the deadline", route(func(r *wire.Route) { r.Latency = 2000 }), false, "route/r.latency"},
 		{"retries without attempts", route(func(r *wire.Route) { r.Idempotent, r.Attempts, r.Retries = true, 1, 2 }), false, "route/r.retries"},
 		{"weight 0", route(func(r *wire.Route) {
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -105,9 +105,7 @@
 	}
 	q, r := l.queue, admissionRequest(ctx, m)
 	r.Movable = h.nested.movable(endpoint, m)
-	if c, ok := h.holder.View().Table.Customer(m.Customer); ok {
-		r.Weight = c.Rate
-	}
+	r.Weight = h.customerWeight(m.Customer)
 	if f := q.enter(ctx, r); f != nil {
 		l.explainLimit(f)
 		if f.Code == outcome.Busy || f.Code == outcome.Limited {
@@ -128,6 +126,18 @@
 	}, nil
 }
 
+// customerWeight returns the rate of a customer's quota, 0 without one.
+func (h *Host) customerWeight(name string) float64 {
+	if name == "" {
+		return 0
+	}
+	c, ok := h.holder.View().Table.Customer(name)
+	if !ok {
+		return 0
+	}
+	return c.Rate
+}
+
 // sentKind is the metrics label of a request that is sent to a backend server.
 func sentKind(m hop.Meta) string {
 	switch {
