--- a/io/host/calls.go
+++ b/io/host/calls.go
@@ -129,7 +129,7 @@
 	canceled := f.Code == outcome.Canceled
 	h.picker.Done(endpoint, routing.Observation{Took: o.Took, Failed: unreachable || !notRun && !canceled, NotRun: notRun})
 	switch f.Code {
-	case outcome.Overload:
+	case outcome.Overload, outcome.Declined:
 		h.picker.RecordRefusal(endpoint, notRun, o.At)
 	case outcome.Busy, outcome.Limited:
 		h.picker.RecordOccupancy(endpoint, busyLoad, o.At)
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -245,14 +245,16 @@
 // callBackend runs a call at a local endpoint and reports the occupancy and the limit of the endpoint in the answer.
 func (h *Host) callBackend(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	p, err := h.backend.Do(ctx, m, r)
-	if err == nil {
-		l := h.endpoint(m.Service + "/" + m.Endpoint)
-		setLoad(p, l.queue, m.Route)
-		if rate := l.rate(); rate > 0 {
-			hop.SetLimit(p, float64(rate))
-		}
+	key := m.Service + "/" + m.Endpoint
+	if err != nil {
+		return nil, h.nested.declined(m, err, func() admission.Stats { return h.endpoint(key).queue.gate.Stats() })
 	}
-	return p, err
+	l := h.endpoint(key)
+	setLoad(p, l.queue, m.Route)
+	if rate := l.rate(); rate > 0 {
+		hop.SetLimit(p, float64(rate))
+	}
+	return p, nil
 }
 
 // serveRemote runs a call from another node. It logs a failure here, where the cause is known; package caller logs the
