--- a/io/host/local.go
+++ b/io/host/local.go
@@ -11,6 +11,7 @@
 	"time"
 	"unicode/utf8"
 
+	"godwitspindle/core/admission"
 	"godwitspindle/core/notice"
 	"godwitspindle/core/outcome"
 	"godwitspindle/core/retry"
