--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -142,10 +142,20 @@
 // wait returns the time after which a node that lacks tokens should ask again. Nodes that ask for the same customer take turns within
 // what the coordinator can handle.
 func (c *Coordinator) wait(b *bucket) time.Duration {
-	spacing := max(time.Duration(len(b.shares))*time.Second/overAsksPerSecond, minSpacing)
-	spacing = time.Duration(float64(spacing) * max(c.load.perSecond/overAsksPerSecond, 1))
+	nodes := float64(len(b.shares))
+	spacing := max(c.bridged(b), nodes/overAsksPerSecond) * max(c.load.perSecond/overAsksPerSecond, 1)
 	// A short lack of tokens should not keep a node from asking for the time that a lasting one requires.
-	spacing = time.Duration(float64(spacing) * min(float64(b.short)/float64(len(b.shares)), 1))
+	spacing *= min(float64(b.short)/nodes, 1)
 	next := (1 - b.level) / b.limit.Rate
-	return min(max(spacing, time.Duration(next*float64(time.Second))), maxSpacing)
+	return min(time.Duration(max(spacing, next)*float64(time.Second)), maxSpacing)
+}
+
+// bridged returns the seconds between two requests of each node for which nothing that accrues is lost: between them, the bucket must
+// hold the part of one node, and all nodes what they have spent and not reported.
+func (c *Coordinator) bridged(b *bucket) float64 {
+	const share = 0.8 // times vary by a quarter
+	nodes := float64(len(b.shares))
+	total, depth := c.bounds.total(b.limit, heldShare), c.bounds.depth(b.limit)
+	seconds := share * min(total/(1+1/nodes), depth*nodes) / b.limit.Rate
+	return min(max(seconds, minSpacing.Seconds()), usualSpacing.Seconds())
 }
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -67,8 +67,10 @@
 	overAsksPerSecond = 250
 	// maxGrant keeps the tokens of one grant within what a message can state.
 	maxGrant = 1 << 30
-	// minSpacing is the shortest time between two requests of a node for a customer whose tokens are used up.
-	minSpacing = 50 * time.Millisecond
+	// minSpacing and usualSpacing bound the time between two requests of a node for a customer whose tokens are used up, if few nodes
+	// share it. Longer ones would save little, and let callers wait for tokens that are there.
+	minSpacing   = 50 * time.Millisecond
+	usualSpacing = 200 * time.Millisecond
 	// maxSpacing bounds the time after which a node asks again for a customer whose tokens are used up.
 	maxSpacing = time.Second
 	// scanInterval is the time between two passes over all nodes of a customer, which find silent nodes and expired tokens. In it, a node
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -237,7 +237,7 @@
 }
 
 // refuse returns the verdict for a request over the quota. Refused requests are told to return one after the other, at the rate at which
-// this node gets tokens, and at random within that time.
+// this node gets tokens, and at random around that time.
 func (l *Local) refuse(now time.Time, a *account) Verdict {
 	l.totals.Refused++
 	rate := max(a.gain, a.limit.Rate/float64(max(a.sharing, 1)))
@@ -256,7 +256,8 @@
 		at = a.returnAt
 	}
 	a.returnAt = at.Add(gap)
-	after := at.Sub(now) + time.Duration(l.random()*float64(gap))
+	// The first half of the step is left out: nodes that share a small quota would find the token taken by one that asked just before.
+	after := at.Sub(now) + time.Duration((0.5+l.random())*float64(gap))
 	if after > maxRetryAfter { // more requests than there is room for spread over the second half of the time
 		a.returnAt = now.Add(maxRetryAfter)
 		after = maxRetryAfter/2 + time.Duration(l.random()*float64(maxRetryAfter/2))
