--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -13,8 +13,9 @@
 	failureFactor = 2
 	maxFailures   = 0.9 // highest share of failures of the old release with which failures are still compared
 	minFailures   = 3   // failures below which nothing is concluded
-	// coldBuckets is how much slower a part of the answers may be at any time: twice, which new endpoints are at their start.
-	coldBuckets = doubling
+	// coldBuckets is how much slower a part of the answers may be at any time: 2.8 times. New endpoints take twice the time at their start,
+	// and more of their first requests go to slow machines.
+	coldBuckets = 3
 	coldPart    = 0.1 // least part of the answers that must be slower
 	// warmShift is how much slower warm endpoints may be in the mean, as a logarithm: 28%. It covers that the few requests of the new
 	// release go to slow machines more often than those of the old one, of which the nodes know which are fast.
@@ -37,7 +38,7 @@
 // rollouts. doubt is for the few moments at which the share is raised or the rollout completed.
 var (
 	sure  = level{failures: 11, shift: 4.5}
-	doubt = level{failures: 6.5, shift: 3}
+	doubt = level{failures: 6.5, shift: 3.3}
 )
 
 // reference holds the counts of the old release that the new one is compared with.
@@ -79,12 +80,12 @@
 	return d
 }
 
-// slow reports whether a part of the answers of the new release takes more than twice as long as those of the old one.
+// slow reports whether a part of the answers of the new release takes several times as long as those of the old one.
 func slow(c *Counts, ref reference) bool {
 	return slower(c, &ref.all) && (ref.recent.Answers < minReference || slower(c, &ref.recent))
 }
 
-// slower is a one-sided Kolmogorov-Smirnov test of the times of c, halved, against those of o.
+// slower is a one-sided Kolmogorov-Smirnov test of the times of c, shortened by coldBuckets, against those of o.
 func slower(c, o *Counts) bool {
 	n, m := float64(c.Answers), float64(o.Answers)
 	if n == 0 || m < minReference {
