--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -19,7 +19,7 @@
 
 // takeQuota takes the request off the quota of its customer.
 func (c *call) takeQuota() *outcome.Failure {
-	if c.customer == nil || c.handler.local {
+	if c.customer == nil || c.depth > 1 {
 		return nil
 	}
 	giveBack, f := c.handler.takeQuota(c.ctx, c.customer.Name, c.isLate())
--- a/io/caller/quota_test.go
+++ b/io/caller/quota_test.go
@@ -19,16 +19,18 @@
 		name         string
 		customer     string
 		local        bool
+		depth        int
 		over         bool
 		failure      *outcome.Failure // of the request after it was taken off the quota
 		taken, given int
 	}{
-		{"without a customer", "", false, true, nil, 0, 0},
-		{"call of a backend server", "a", true, true, nil, 0, 0},
-		{"over the quota", "a", false, true, nil, 1, 0},
-		{"admitted", "a", false, false, nil, 1, 0},
-		{"admitted and not run", "a", false, false, &outcome.Failure{Code: outcome.Overload, Kind: outcome.NotRun, Status: 503}, 1, 1},
-		{"admitted, may have run", "a", false, false, &outcome.Failure{Code: outcome.Reset, Kind: outcome.Unknown, Status: 502}, 1, 0},
+		{"without a customer", "", false, 1, true, nil, 0, 0},
+		{"call of a backend server for a request", "a", true, 2, true, nil, 0, 0},
+		{"request of a backend server", "a", true, 1, true, nil, 1, 0},
+		{"over the quota", "a", false, 1, true, nil, 1, 0},
+		{"admitted", "a", false, 1, false, nil, 1, 0},
+		{"admitted and not run", "a", false, 1, false, &outcome.Failure{Code: outcome.Overload, Kind: outcome.NotRun, Status: 503}, 1, 1},
+		{"admitted, may have run", "a", false, 1, false, &outcome.Failure{Code: outcome.Reset, Kind: outcome.Unknown, Status: 502}, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			taken, given := 0, 0
@@ -44,7 +46,7 @@
 				return func() { given++ }, nil
 			}))
 			w := httptest.NewRecorder()
-			k := &call{handler: h, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), id: "c", customer: customerCalled(c.customer), began: time.Now()}
+			k := &call{handler: h, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), id: "c", customer: customerCalled(c.customer), depth: c.depth, began: time.Now()}
 			f := k.takeQuota()
 			if f == nil {
 				f = c.failure
