--- a/core/admission/adaptive.go
+++ b/core/admission/adaptive.go
@@ -101,7 +101,7 @@
 	if a.running == 0 {
 		return a.estimate.Usual(kind)
 	}
-	return a.estimate.Median(kind, min(a.running+1, a.value()))
+	return a.estimate.Expected(kind, min(a.running+1, a.value()))
 }
 
 // meanServiceTime returns the expected service time over all kinds, 0 before the first call.
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -24,6 +24,10 @@
 	minimumShare = 0.05
 	// fallbackBurst is the depth of the bucket of a node without a coordinator, in seconds of its rate.
 	fallbackBurst = 200 * time.Millisecond
+	// giveBackTime is the longest time from its admission after which a refused request gives its token back. Requests that wait longer at
+	// a full endpoint may run all at once when it has room; with the tokens of those refused meanwhile spent again, they would exceed the
+	// window's bound.
+	giveBackTime  = 50 * time.Millisecond
 	maxWaiting    = 256 // requests of one customer that wait for tokens at a node
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -114,15 +118,17 @@
 }
 
 // TakeLate is Take for a request that can hardly be answered within its objective any more, mostly since it was refused before. While
-// the customer is short of tokens it gets none, so that they go to requests that can be answered in time.
+// the customer is short of tokens it does not wait for one, so that those that come go to requests that can be answered in time.
 func (l *Local) TakeLate(now time.Time, customer string, limit Limit) (Verdict, *Waiter) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	a := l.account(now, customer, limit)
-	if a.scarce || now.Before(a.hold) {
-		return l.refuse(now, a), nil
+	if short := a.scarce || now.Before(a.hold); !short || a.tokens > 0 && now.Before(a.expires) {
+		return l.take(now, customer, a)
 	}
-	return l.take(now, customer, a)
+	a.arrived++
+	a.lastArrival = now
+	return l.refuse(now, a), nil
 }
 
 func (l *Local) take(now time.Time, customer string, a *account) (Verdict, *Waiter) {
@@ -168,12 +174,12 @@
 	return l.refuse(now, a)
 }
 
-// GiveBack returns the token of a request that was admitted at the given time and then refused without running.
+// GiveBack returns the token of a request that was admitted at the given time and then refused soon without running.
 func (l *Local) GiveBack(now, admitted time.Time, customer string, v Verdict) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	a := l.accounts[customer]
-	if a == nil || now.Sub(admitted) > tokenLife {
+	if a == nil || now.Sub(admitted) > giveBackTime {
 		return
 	}
 	if v.Fallback {
--- a/io/caller/authenticate.go
+++ b/io/caller/authenticate.go
@@ -7,6 +7,7 @@
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
+	"godwitspindle/io/hop"
 )
 
 // Customers finds the customers of one version of the configuration; *config.RoutingTable implements it.
@@ -103,8 +104,10 @@
 	return append(fields, "customer", c.customer.Name)
 }
 
-// hideTrailerKey removes a key from the trailers, which are complete once the body is read.
-func (c *call) hideTrailerKey() {
+// cleanTrailer removes a key and the mesh's own headers from the trailers, which are complete once the body is read. A backend server may
+// take a trailer for a header.
+func (c *call) cleanTrailer() {
+	hop.Strip(c.r.Trailer)
 	if c.hideKey {
 		delete(c.r.Trailer, headerAuthorization)
 	}
--- a/io/caller/authenticate_test.go
+++ b/io/caller/authenticate_test.go
@@ -272,3 +272,21 @@
 		}
 	}
 }
+
+// Guards against a caller that states a customer in a trailer, which a backend server may take for a header.
+func TestForgedTrailer(t *testing.T) {
+	h, sent := newKeyed(knownCustomers{secretKey: {Name: "acme", Priority: -1}}, false, false)
+	s := httptest.NewServer(h)
+	defer s.Close()
+	r, _ := http.NewRequest(http.MethodPost, s.URL, io.NopCloser(strings.NewReader("body")))
+	r.Header.Set("Authorization", "Bearer "+secretKey)
+	r.Trailer = http.Header{"Mesh-Customer": {"plain"}, "Sum": {"1"}}
+	p, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = p.Body.Close()
+	if got := (*sent)[0].trailer; len(got["Mesh-Customer"]) > 0 || got.Get("Sum") != "1" {
+		t.Errorf("got trailer %v, want only Sum", got)
+	}
+}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -231,11 +231,11 @@
 	if err == nil {
 		c.body = b
 		b.complete = func() {
-			c.hideTrailerKey()
+			c.cleanTrailer()
 			c.bodyComplete()
 		}
 		if b.rest == nil {
-			c.hideTrailerKey()
+			c.cleanTrailer()
 			c.bodyComplete()
 		}
 		c.bodyRead()
--- a/io/caller/readahead.go
+++ b/io/caller/readahead.go
@@ -11,12 +11,15 @@
 	"godwitspindle/core/outcome"
 )
 
+// statusCanceled is the customary status for a request that its caller cancelled.
+const statusCanceled = 499
+
 // readAhead reads an answer of at most the handler's buffer limit to its end before any of it is passed on, so that an answer which
 // breaks off between two nodes becomes a failure, which may be retried, instead of an aborted connection of the caller. Longer
 // answers and event streams are passed on as they arrive.
 func (c *call) readAhead(p *http.Response) *outcome.Failure {
 	limit := c.handler.bufferLimit
-	if limit <= 0 || p.Body == http.NoBody || p.ContentLength > limit || strings.HasPrefix(p.Header.Get("Content-Type"), "text/event-stream") {
+	if limit <= 0 || p.Body == http.NoBody || c.r.Method == http.MethodHead || p.ContentLength > limit || strings.HasPrefix(p.Header.Get("Content-Type"), "text/event-stream") {
 		return nil
 	}
 	head, err := io.ReadAll(io.LimitReader(p.Body, limit+1))
@@ -43,8 +46,12 @@
 		Code: outcome.Truncated, Kind: outcome.Unknown, Status: http.StatusBadGateway, Call: c.id, Err: err,
 		Detail: "the endpoint's answer broke off on its way",
 	}
-	if c.ctx.Err() == context.DeadlineExceeded {
+	switch c.ctx.Err() {
+	case nil:
+	case context.DeadlineExceeded:
 		f.Code, f.Status, f.Detail = outcome.DeadlineExceeded, http.StatusGatewayTimeout, "the deadline passed before the whole answer arrived"
+	default: // not a fault of the endpoint
+		f.Code, f.Status, f.Detail = outcome.Canceled, statusCanceled, "the caller cancelled the call"
 	}
 	return f
 }
--- a/io/caller/readahead_test.go
+++ b/io/caller/readahead_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"godwitspindle/core/config"
 	"godwitspindle/core/outcome"
@@ -55,3 +56,47 @@
 		})
 	}
 }
+
+// canceledBody fails once its request ends.
+type canceledBody struct{ ctx context.Context }
+
+// Read waits for the end of the request.
+func (b canceledBody) Read([]byte) (int, error) {
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
+// Close does nothing.
+func (canceledBody) Close() error { return nil }
+
+// Guards against a caller that leaves during the answer and counts as a failure of the endpoint, which is then avoided or whose release is
+// rolled back.
+func TestCallerLeavesDuringAnswer(t *testing.T) {
+	done := make(chan Observation, 1)
+	send := func(ctx context.Context, _ config.Endpoint, _ hop.Meta, _ *http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: 200, Header: http.Header{}, ContentLength: 10, Body: canceledBody{ctx}}, nil
+	}
+	observe := WithObserve(func(string, time.Time) {}, func(_ string, o Observation) { done <- o })
+	m := newMesh(t, 1, config.Route{Name: "r", Service: "counter", Deadline: time.Minute}, WithBufferedAnswers(20), WithSend(send), observe)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	r, _ := http.NewRequestWithContext(ctx, http.MethodGet, m.url+"/x", nil)
+	if p, err := http.DefaultClient.Do(r); err == nil {
+		_ = p.Body.Close()
+		t.Fatal("got an answer, want none before the caller leaves")
+	}
+	if o := <-done; o.Failure == nil || o.Failure.Code != outcome.Canceled {
+		t.Errorf("got %v, want a failure with code canceled", o.Failure)
+	}
+}
+
+// Guards against an answer to HEAD that gets a length of 0, because its body is empty.
+func TestHeadHasNoLength(t *testing.T) {
+	send := func(context.Context, config.Endpoint, hop.Meta, *http.Request) (*http.Response, error) {
+		return &http.Response{StatusCode: 200, Header: http.Header{}, ContentLength: -1, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+	m := newMesh(t, 1, testRoute(true), WithBufferedAnswers(20), WithSend(send))
+	if r := m.do(http.MethodHead, "/x", ""); r.status != 200 || len(r.header["Content-Length"]) > 0 {
+		t.Errorf("got status %d and length %q, want 200 without a length", r.status, r.header["Content-Length"])
+	}
+}
