--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -14,7 +14,8 @@
 	hold    time.Time // until then the coordinator has no tokens for this node
 	spacing time.Duration
 	scarce  bool
-	sharing int // nodes at which the customer is active
+	room    bool // there are tokens for late requests although scarce is set
+	sharing int  // nodes at which the customer is active
 
 	arrived, spent, granted int // since measured
 	measured                time.Time
--- a/core/quota/coordinator.go
+++ b/core/quota/coordinator.go
@@ -206,6 +206,7 @@
 	n += max(min(a.Want-n, c.spare(now, b, n)), 0)
 	b.level -= float64(n)
 	g := Grant{Customer: a.Customer, Tokens: n, Scarce: now.Before(b.scarce), Sharing: len(b.shares)}
+	g.Room = b.level >= c.bounds.depth(b.limit)/2
 	if over {
 		g.Wait = c.wait(b)
 	}
--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -119,7 +119,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	a := l.account(now, customer, limit)
-	if a.scarce || now.Before(a.hold) {
+	if a.scarce && !a.room || now.Before(a.hold) {
 		return l.refuse(now, a), nil
 	}
 	return l.take(now, customer, a)
@@ -380,7 +380,7 @@
 		a.grantedAt = now
 	}
 	a.promised, a.total, a.promiseEnds = g.Promised, g.Total, l.sent.Add(promiseLife)
-	a.scarce, a.sharing = g.Scarce, g.Sharing
+	a.scarce, a.room, a.sharing = g.Scarce, g.Room, g.Sharing
 	l.serve(now, a)
 	if g.Wait == 0 {
 		a.hold = time.Time{}
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -39,6 +39,7 @@
 	Tokens   int
 	Wait     time.Duration // time after which there will be room; 0 unless the customer is over its quota
 	Scarce   bool          // some node recently did not get what it needed, so nodes should not hold tokens that they may not need
+	Room     bool          // the bucket is half full, so late requests may have tokens too, although the customer was short of them
 	Promised float64       // rate at which the node may spend without a coordinator
 	Total    float64       // sum of the promises to all nodes
 	Sharing  int           // nodes at which the customer is active
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -316,3 +316,31 @@
 		t.Errorf("customer without a quota: got %+v, want all tokens", g)
 	}
 }
+
+// Load pattern: callers return after refusals, so that a part or all of the requests are late. Guards against a quota that is not used
+// because late requests are refused while there are tokens.
+func TestLateRequestsUseTheQuota(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limit  Limit
+		demand float64
+		nodes  int
+		late   float64
+	}{
+		{"all late", Limit{100, 50}, 250, 65, 1},
+		{"most late", Limit{100, 50}, 250, 65, 0.7},
+		{"few nodes", Limit{100, 50}, 750, 6, 0.9},
+		{"in time below the quota", Limit{100, 50}, 130, 10, 0.5},
+		{"no burst", Limit{100, 0}, 250, 65, 0.5},
+		{"tiny", Limit{2, 2}, 6, 3, 0.7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(t, 3, map[string]Limit{"a": c.limit})
+			s.late = c.late
+			s.demand("a", spread(c.demand, c.nodes))
+			s.run(30 * second)
+			s.checkBound("a", c.limit, 0)
+			s.checkUsed("a", c.limit, 5*second, 30*second, 0.95)
+		})
+	}
+}
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -56,6 +56,7 @@
 	refusals map[string][]time.Time
 	returns  []time.Duration // Retry-After of each refusal
 	asks     int
+	late     float64 // part of the requests that are late when they arrive
 	arrived  map[string][]time.Time
 }
 
@@ -268,7 +269,11 @@
 // play asks a node for a token and passes the verdict on.
 func (s *sim) play(n *simNode, customer string, decided func(Verdict)) {
 	local := n.local
-	v, w := local.Take(s.now, customer, s.limits[customer])
+	take := local.Take
+	if s.late > 0 && s.random.Float64() < s.late {
+		take = local.TakeLate
+	}
+	v, w := take(s.now, customer, s.limits[customer])
 	if w == nil {
 		decided(v)
 		s.schedule(n)
--- a/io/host/quotaconvert.go
+++ b/io/host/quotaconvert.go
@@ -35,7 +35,7 @@
 	for _, g := range p.Grants {
 		m.Grants = append(m.Grants, &rpc.QuotaGrant{
 			Customer: g.Customer, Tokens: unsigned(g.Tokens), Wait: g.Wait.Microseconds(), Scarce: g.Scarce,
-			Promised: float32(g.Promised), Total: float32(g.Total), Sharing: unsigned(g.Sharing),
+			Promised: float32(g.Promised), Total: float32(g.Total), Sharing: unsigned(g.Sharing), Room: g.Room,
 		})
 	}
 	return m
@@ -48,7 +48,7 @@
 	for _, g := range m.GetGrants() {
 		p.Grants = append(p.Grants, quota.Grant{
 			Customer: g.GetCustomer(), Tokens: int(g.GetTokens()), Wait: time.Duration(g.GetWait()) * time.Microsecond, Scarce: g.GetScarce(),
-			Promised: finite(g.GetPromised()), Total: finite(g.GetTotal()), Sharing: int(g.GetSharing()),
+			Promised: finite(g.GetPromised()), Total: finite(g.GetTotal()), Sharing: int(g.GetSharing()), Room: g.GetRoom(),
 		})
 	}
 	return p
--- a/io/host/quotaconvert_test.go
+++ b/io/host/quotaconvert_test.go
@@ -20,7 +20,7 @@
 		t.Errorf("request: got %+v, want %+v", got, r)
 	}
 	p := quota.Response{Term: 9, Leader: "r", Number: 8, Interval: 500 * time.Millisecond, Grants: []quota.Grant{
-		{Customer: "a", Tokens: 6, Wait: 1250 * time.Microsecond, Scarce: true, Promised: 0.5, Total: 4.5, Sharing: 12}, {Customer: "b"},
+		{Customer: "a", Tokens: 6, Wait: 1250 * time.Microsecond, Scarce: true, Promised: 0.5, Total: 4.5, Sharing: 12, Room: true}, {Customer: "b"},
 	}}
 	if got := quotaResponse(rpcQuotaResponse(p)); !reflect.DeepEqual(got, p) {
 		t.Errorf("response: got %+v, want %+v", got, p)
