--- a/core/quota/local.go
+++ b/core/quota/local.go
@@ -27,10 +27,13 @@
 	// giveBackTime is the longest time from its admission after which a refused request gives its token back. Requests that wait longer at
 	// a full endpoint may run all at once when it has room; with the tokens of those refused meanwhile spent again, they would exceed the
 	// window's bound.
-	giveBackTime  = 50 * time.Millisecond
-	maxWaiting    = 256 // requests of one customer that wait for tokens at a node
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
+	giveBackTime = 50 * time.Millisecond
+	// lateRetryAfter is the shortest wait suggested to a late request, which gets no token while others of the customer wait for them. Up to
+	// as much again is added at random.
+	lateRetryAfter = time.Second
+	maxWaiting     = 256 // requests of one customer that wait for tokens at a node
+	minRetryAfter  = 50 * time.Millisecond
+	maxRetryAfter  = 5 * time.Second
 )
 
 // Local spends the tokens granted to one node. It is safe for concurrent use.
@@ -128,7 +131,9 @@
 	}
 	a.arrived++
 	a.lastArrival = now
-	return l.refuse(now, a), nil
+	v := l.refuse(now, a)
+	v.RetryAfter = max(v.RetryAfter, lateRetryAfter+time.Duration(l.random()*float64(lateRetryAfter)))
+	return v, nil
 }
 
 func (l *Local) take(now time.Time, customer string, a *account) (Verdict, *Waiter) {
