fix(host): a node without a proven version does not acknowledge a leave

A node that had just started and held no version took an endpoint for agreed as gone and acknowledged its leave at once; killed again, it restored the endpoint. It now waits for a version, and the endpoint repeats its leave meanwhile.

--- a/io/host/adapter.go
+++ b/io/host/adapter.go
@@ -28,7 +28,8 @@
 func (h *Host) Leave(a backend.Announcement) bool { return h.backend.Leave(a) }
 
 // LeaveAgreed is Leave, but waits until the version in force no longer lists the endpoint, and reports false if ctx ends
-// first. It reports true at once if a later process has taken over the endpoint. Acknowledge a leave only after LeaveAgreed
+// first. A node that has just started and holds no proven version cannot say whether the endpoint is listed, so it waits for one. It
+// reports true at once if a later process has taken over the endpoint. Acknowledge a leave only after LeaveAgreed
 // has reported true: a node that restarts adopts the endpoints that the agreed set lists.
 func (h *Host) LeaveAgreed(ctx context.Context, a backend.Announcement) bool {
 	if !h.backend.Leave(a) {
@@ -36,7 +37,7 @@
 	}
 	for ; ; time.Sleep(agreePollInterval) {
 		e, listed := h.holder.View().Snapshot.Get("endpoint/" + a.Key())
-		if !listed || !sameProcess(e.Value, a) {
+		if h.holder.Serving() && (!listed || !sameProcess(e.Value, a)) {
 			return true
 		}
 		if ctx.Err() != nil {
--- a/io/host/adopt_test.go
+++ b/io/host/adopt_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"math"
 	"net/netip"
 	"testing"
@@ -56,3 +57,45 @@
 		t.Error("adopted: got none, want good")
 	}
 }
+
+// Guards against a node that has just started and acknowledges a leave that nobody has agreed: killed again, it restores the endpoint.
+func TestLeaveNeedsVersion(t *testing.T) {
+	endpoint := &wire.Endpoint{Service: "a", Name: "e", Node: "n", Slots: 1, Connections: 1}
+	value, _ := proto.Marshal(endpoint)
+	entry := config.Entry{Key: config.KeyOf(endpoint), Value: value}
+	empty := config.NewSnapshot().With(1, nil, nil)
+	for _, c := range []struct {
+		name   string
+		held   *config.Snapshot // nil for none
+		proven bool
+		want   bool
+	}{
+		{"no version", nil, false, false},
+		{"version without proof", empty, false, false},
+		{"listed", config.NewSnapshot().With(1, []config.Entry{entry}, nil), true, false},
+		{"not listed", empty, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			holder, err := peer.NewHolder()
+			if err != nil {
+				t.Fatal(err)
+			}
+			b := backend.New()
+			defer func() { _ = b.Close() }()
+			if c.held != nil {
+				if err := holder.Offer(c.held); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if c.proven {
+				holder.Prove(1)
+			}
+			h := &Host{settings: &process.Settings{Name: "n"}, holder: holder, backend: b, log: logr.Discard()}
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			if got := h.LeaveAgreed(ctx, backend.Announcement{Service: "a", Endpoint: "e"}); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
