--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -26,7 +26,7 @@
 // the part for a complete answer.
 func (c *call) stream(p *http.Response) {
 	c.tracked.Update(func(p *Progress) { p.Answered = true })
-	c.keepBody()
+	c.enableFullDuplex()
 	if err := hop.Copy(c.w, p); err != nil {
 		c.answerBroken(err)
 		if !c.r.ProtoAtLeast(1, 1) {
@@ -133,7 +133,7 @@
 	m := c.meta
 	m.Endpoint, m.Remaining = e.Name, c.deadline.Sub(begin)
 	if !c.objective.IsZero() {
-		m.Objective, m.Resent, m.LastAttempt = c.objective.Sub(begin), c.resent, c.noResends || c.isLastTry()
+		m.Objective, m.Resent, m.LastAttempt = c.objective.Sub(begin), c.resent, c.noResends || c.isLastAttempt()
 	}
 	m.Budget, c.budget = retry.Split(c.budget)
 	ctx, lost := c.bodyContext()
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -18,7 +18,7 @@
 	rest     io.Reader   // nil when prefix is the complete body
 	consumed atomic.Bool // an attempt has read from a body that is larger than prefix
 	whole    atomic.Bool // rest was read to its end
-	given    atomic.Bool // net/http may read rest itself, so that no attempt may read on
+	released atomic.Bool // net/http may read rest itself, so that no attempt may read on
 	complete func()      // called once rest was read to its end
 }
 
@@ -71,8 +71,8 @@
 }
 
 // Read returns the kept prefix and then the rest. It fails after Close, so that a finished attempt cannot consume bytes that
-// the next attempt needs, and once net/http may read the rest itself: the bytes or the end behind a part that it has discarded are not
-// those that are due.
+// the next attempt needs, and after releaseBody: net/http may have discarded a part, and the bytes or the end after it would be taken
+// for the next ones.
 func (p *attemptReader) Read(b []byte) (int, error) {
 	if p.ended() {
 		return 0, http.ErrBodyReadAfterClose
@@ -84,7 +84,7 @@
 		return n, nil
 	}
 	n, err := p.body.rest.Read(b)
-	if err == io.EOF && !p.body.given.Load() {
+	if err == io.EOF && !p.body.released.Load() {
 		p.body.whole.Store(true)
 		p.body.complete()
 	}
@@ -97,7 +97,7 @@
 	return n, err
 }
 
-func (p *attemptReader) ended() bool { return p.closed.Load() || p.body.given.Load() }
+func (p *attemptReader) ended() bool { return p.closed.Load() || p.body.released.Load() }
 
 // Close makes further reads of this attempt fail; the underlying body stays open.
 func (p *attemptReader) Close() error {
@@ -105,19 +105,19 @@
 	return nil
 }
 
-// keepBody leaves the rest of the body to the attempt whose answer is about to be passed on. Without it, net/http discards up to 256 KiB of
-// the body when it writes the header of the answer, while the attempt still reads, and the endpoint would get the bytes behind them.
-func (c *call) keepBody() {
+// enableFullDuplex lets the attempt read the rest of the body while its answer is passed on. Without it, net/http discards up to 256 KiB
+// of the body when it writes the header of the answer, and the endpoint would get the bytes after them.
+func (c *call) enableFullDuplex() {
 	if c.body == nil || c.body.rest == nil || c.body.whole.Load() {
 		return
 	}
 	_ = http.NewResponseController(c.w).EnableFullDuplex() // a writer without it is not that of net/http and discards nothing
 }
 
-// giveBody leaves the rest of the body to net/http.
-func (c *call) giveBody() {
+// releaseBody ends the reads of all attempts, since net/http may read the rest of the body itself from here on.
+func (c *call) releaseBody() {
 	if c.body != nil {
-		c.body.given.Store(true)
+		c.body.released.Store(true)
 	}
 }
 
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -57,7 +57,7 @@
 	retries     int
 	mayHaveRun  bool // at least one attempt may have run
 	tracked     Request
-	giveBack    func() // returns the request to the customer's quota; nil without one
+	giveBack    func() // takes back the charge to the customer's quota; nil without one
 }
 
 func (c *call) fail(code outcome.Code, status int, detail string, err error) *outcome.Failure {
@@ -274,8 +274,8 @@
 	identity := hop.Identity{Service: service, Method: c.r.Method, Path: hop.RoutePath(u), Query: u.RawQuery, Key: c.key, Body: c.body.prefix}
 	c.meta = hop.Meta{
 		Call: c.id, Service: service, Depth: c.depth, Idempotent: route.Idempotent, Late: route.Late,
-		Priority: c.priority(), RouteOffset: route.Priority - c.priority(), Caller: c.callerAddress(), Fingerprint: identity.Fingerprint(), Route: route.Name,
-		Customer: c.customerName(),
+		Priority: c.priority(), RouteOffset: route.Priority - c.priority(), Caller: c.callerAddress(), Customer: c.customerName(),
+		Fingerprint: identity.Fingerprint(), Route: route.Name,
 	}
 	c.outbound = &http.Request{Method: c.r.Method, URL: u, Host: c.r.Host, Header: hop.Outbound(c.r), Trailer: c.r.Trailer}
 	if c.hideKey {
@@ -308,7 +308,7 @@
 		c.w.Header().Set("WWW-Authenticate", bearerScheme)
 	}
 	c.limitDiscard()
-	c.giveBody()
+	c.releaseBody()
 	f.Write(c.w)
 }
 
--- a/io/caller/lasttry.go
+++ b/io/caller/lastattempt.go
@@ -5,9 +5,9 @@
 	"godwitspindle/core/routing"
 )
 
-// isLastTry reports whether no other endpoint would be tried after a busy refusal of the next attempt, which is possible only for the
-// calls of backend servers: their endpoint then keeps them as long as it can.
-func (c *call) isLastTry() bool {
+// isLastAttempt reports whether no other endpoint would be tried after a busy refusal of the next attempt. It is always false for requests
+// of callers. The endpoint queues a last attempt until its deadline can no longer be met.
+func (c *call) isLastAttempt() bool {
 	if c.depth <= 1 {
 		return false
 	}
--- a/io/caller/lasttry_test.go
+++ b/io/caller/lastattempt_test.go
@@ -18,7 +18,7 @@
 
 // Load pattern: all endpoints of a service refuse a call as busy. Guards against a nested call that is not kept by the last endpoint which
 // is asked, against calls of callers that are marked as such, and against an end of a call that does not name its parent.
-func TestLastTry(t *testing.T) {
+func TestLastAttempt(t *testing.T) {
 	tests := []struct {
 		name      string
 		endpoints int
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -60,7 +60,7 @@
 	Took     time.Duration // from the request's arrival to the end of its answer or its failure; 0 when the answer broke off
 	Service  string        // service that the request was for; empty when no route matched
 	Parent   string        // call id of the run that made the request, see Context; empty for requests of callers
-	Shed     bool          // the answer is a refusal of the backend server (503)
+	Shed     bool          // the backend server answered with a refusal (503)
 	Overhead time.Duration // from arrival to the response headers, minus the last backend server's time; negative when unknown
 }
 
@@ -169,8 +169,9 @@
 // WithIdentify sets the function that makes call ids, which must be unique.
 func WithIdentify(f func(r *http.Request) string) Option { return func(h *Handler) { h.newCallID = f } }
 
-// WithNested sets the function that reports whether a request states by its id that it is made for another request. Such a request
-// without a key and without the context of the other one is refused with 503, since its sender cannot get a key.
+// WithNested sets the function that reports whether a request states by its id that it is made for another request. If such a request
+// has no key and its parent does not run on this host, it is refused with 503 in place of 401: backend servers have no keys, and a 401
+// would tell them that the request itself is wrong.
 func WithNested(f func(r *http.Request) bool) Option { return func(h *Handler) { h.nested = f } }
 
 // WithLog sets the log, and the function that selects which successful requests are logged. Failures, and refusals by a backend
--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -7,17 +7,19 @@
 	"godwitspindle/core/outcome"
 )
 
-// lateShare is the part of a route's objective below which a request counts as late: little of it is left for the work itself.
+// lateShare is the part of a route's latency objective that must be left when a request arrives. With less, the request counts as late,
+// since its response is unlikely to meet the objective even if it runs at once.
 const lateShare = 0.5
 
-// WithQuota sets the function that takes a request of a customer off its quota. It is asked once per request of a caller, not for calls
-// of backend servers, and returns a failure if the quota is used up. late says that the request can hardly be answered within its
+// WithQuota sets the function that charges a request to the quota of its customer. It is called once per request of a caller, not for
+// calls of backend servers, and returns a failure if the quota is used up. late says that the request can hardly be answered within its
 // objective any more. giveBack, if not nil, is called when the request ends without having run.
 func WithQuota(take func(ctx context.Context, customer string, late bool) (giveBack func(), f *outcome.Failure)) Option {
 	return func(h *Handler) { h.takeQuota = take }
 }
 
-// takeQuota takes the request off the quota of its customer.
+// takeQuota charges the request to the quota of its customer. A nested call has no charge: the request that it is made for has been
+// charged.
 func (c *call) takeQuota() *outcome.Failure {
 	if c.customer == nil || c.depth > 1 {
 		return nil
--- a/io/caller/readahead.go
+++ b/io/caller/readahead.go
@@ -19,25 +19,25 @@
 	if limit <= 0 || p.Body == http.NoBody || p.ContentLength > limit || strings.HasPrefix(p.Header.Get("Content-Type"), "text/event-stream") {
 		return nil
 	}
-	head, err := io.ReadAll(io.LimitReader(p.Body, limit+1))
+	start, err := io.ReadAll(io.LimitReader(p.Body, limit+1))
 	if err != nil {
 		_ = p.Body.Close()
 		return c.brokenAnswer(err)
 	}
-	if int64(len(head)) > limit {
-		p.Body = joinedBody{Reader: io.MultiReader(bytes.NewReader(head), p.Body), Closer: p.Body}
+	if int64(len(start)) > limit {
+		p.Body = joinedBody{Reader: io.MultiReader(bytes.NewReader(start), p.Body), Closer: p.Body}
 		return nil
 	}
 	_ = p.Body.Close()
 	if p.ContentLength < 0 && len(p.Trailer) == 0 {
-		p.ContentLength = int64(len(head))
-		p.Header.Set("Content-Length", strconv.Itoa(len(head)))
+		p.ContentLength = int64(len(start))
+		p.Header.Set("Content-Length", strconv.Itoa(len(start)))
 	}
-	p.Body = io.NopCloser(bytes.NewReader(head))
+	p.Body = io.NopCloser(bytes.NewReader(start))
 	return nil
 }
 
-// brokenAnswer returns the failure for an answer that broke off while it was read ahead. Its request has run.
+// brokenAnswer returns the failure for an answer that broke off while it was read ahead. Its outcome is unknown, since the request has run.
 func (c *call) brokenAnswer(err error) *outcome.Failure {
 	f := &outcome.Failure{
 		Code: outcome.Truncated, Kind: outcome.Unknown, Status: http.StatusBadGateway, Call: c.id, Err: err,
