--- a/io/process/fields.go
+++ b/io/process/fields.go
@@ -12,13 +12,12 @@
 	"time"
 )
 
-// Limits of the settings key, grace, log.sample and rollout.
+// Limits of the settings key, grace, log.sample, quota and rollout.
 const (
 	minKeyBytes = 16               // shortest key; a shorter one can be guessed
 	maxGrace    = 10 * time.Minute // longest grace, because a rolling restart waits for each stop
 	maxSample   = 1_000_000        // most calls for one success line
-	// A shorter window than minWindow is less than the time for which nodes hold tokens of a quota.
-	minWindow   = time.Second
+	minWindow   = time.Second      // a shorter window is less than the time for which nodes hold tokens of a quota
 	maxWindow   = 10 * time.Minute
 	maxOverage  = 1           // twice the quota
 	maxSlack    = 1_000_000   // requests
@@ -39,9 +38,11 @@
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
 const (
-	nameExpected    = "a name of lower-case letters, digits and hyphens, at most 63 characters"
-	addressExpected = `an IP address and port such as "10.0.0.1:7000"`
-	graceExpected   = `a time with its unit from "0s" to "10m", such as "30s"`
+	nameExpected     = "a name of lower-case letters, digits and hyphens, at most 63 characters"
+	addressExpected  = `an IP address and port such as "10.0.0.1:7000"`
+	graceExpected    = `a time with its unit from "0s" to "10m", such as "30s"`
+	windowExpected   = `a time with its unit from "1s" to "10m", such as "5s"`
+	rollbackExpected = `a time with its unit from "1s" to "1m", such as "5s"`
 )
 
 // Fields returns all settings in the order in which the documentation lists them.
@@ -65,13 +66,13 @@
 		{Path: "profile", Unit: `"fast" or "thrifty"`, Default: "fast", set: setProfile},
 		{Path: "log.level", Unit: `"debug", "info" or "error"`, Default: "info", set: setLevel},
 		{Path: "log.sample", Unit: "calls for one success line", Default: "1000", set: setSample},
-		{Path: "grace", Unit: "time with unit", Default: "30s", set: setGrace},
-		{Path: "quota.window", Unit: "time with unit", Default: "5s", set: setWindow},
+		{Path: "grace", Unit: "time with unit", Default: "30s", set: setDuration(func(s *Settings) *time.Duration { return &s.Grace }, 0, maxGrace, graceExpected)},
+		{Path: "quota.window", Unit: "time with unit", Default: "5s", set: setDuration(func(s *Settings) *time.Duration { return &s.Quota.Window }, minWindow, maxWindow, windowExpected)},
 		{Path: "quota.overage", Unit: "share of the quota", Default: "0.1", set: setNumber(func(s *Settings) *float64 { return &s.Quota.Overage }, maxOverage)},
 		{Path: "quota.slack", Unit: "requests", Default: "20", set: setNumber(func(s *Settings) *float64 { return &s.Quota.Slack }, maxSlack)},
 		{Path: "rollout.share", Unit: "part of all requests", Default: "0.1", set: setRolloutShare},
-		{Path: "rollout.slack", Unit: "requests", Default: "50", set: setRolloutSlack},
-		{Path: "rollout.rollback", Unit: "time with unit", Default: "5s", set: setRollback},
+		{Path: "rollout.slack", Unit: "requests", Default: "50", set: setNumber(func(s *Settings) *float64 { return &s.Rollouts.Slack }, maxSlack)},
+		{Path: "rollout.rollback", Unit: "time with unit", Default: "5s", set: setDuration(func(s *Settings) *time.Duration { return &s.Rollouts.Rollback }, minRollback, maxRollback, rollbackExpected)},
 	}
 }
 
@@ -154,20 +155,23 @@
 	return ""
 }
 
-func setWindow(s *Settings, raw json.RawMessage) string {
-	const expected = `a time with its unit from "1s" to "10m", such as "5s"`
-	var text string
-	if json.Unmarshal(raw, &text) != nil {
-		return expected
-	}
-	window, err := time.ParseDuration(text)
-	if err != nil || window < minWindow || window > maxWindow {
-		return expected
+// setDuration sets a time from least to most; expected describes it to the operator.
+func setDuration(field func(*Settings) *time.Duration, least, most time.Duration, expected string) func(*Settings, json.RawMessage) string {
+	return func(s *Settings, raw json.RawMessage) string {
+		var text string
+		if json.Unmarshal(raw, &text) != nil {
+			return expected
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil || d < least || d > most {
+			return expected
+		}
+		*field(s) = d
+		return ""
 	}
-	s.Quota.Window = window
-	return ""
 }
 
+// setNumber sets a number from 0 to most.
 func setNumber(field func(*Settings) *float64, most float64) func(*Settings, json.RawMessage) string {
 	return func(s *Settings, raw json.RawMessage) string {
 		if json.Unmarshal(raw, field(s)) != nil || *field(s) < 0 || *field(s) > most {
@@ -177,43 +181,9 @@
 	}
 }
 
-func setGrace(s *Settings, raw json.RawMessage) string {
-	var text string
-	if json.Unmarshal(raw, &text) != nil {
-		return graceExpected
-	}
-	grace, err := time.ParseDuration(text)
-	if err != nil || grace < 0 || grace > maxGrace {
-		return graceExpected
-	}
-	s.Grace = grace
-	return ""
-}
-
 func setRolloutShare(s *Settings, raw json.RawMessage) string {
 	if v := &s.Rollouts.Share; json.Unmarshal(raw, v) != nil || *v <= 0 || *v > 1 {
 		return "a number above 0 and up to 1"
 	}
 	return ""
 }
-
-func setRolloutSlack(s *Settings, raw json.RawMessage) string {
-	if v := &s.Rollouts.Slack; json.Unmarshal(raw, v) != nil || *v < 0 || *v > maxSlack {
-		return "a number from 0 to 1000000"
-	}
-	return ""
-}
-
-func setRollback(s *Settings, raw json.RawMessage) string {
-	const expected = `a time with its unit from "1s" to "1m", such as "5s"`
-	var text string
-	if json.Unmarshal(raw, &text) != nil {
-		return expected
-	}
-	d, err := time.ParseDuration(text)
-	if err != nil || d < minRollback || d > maxRollback {
-		return expected
-	}
-	s.Rollouts.Rollback = d
-	return ""
-}
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -55,7 +55,7 @@
 	RefusedConnections *prometheus.CounterVec   // connections closed above the limit of their listener, by listener
 	OperatorRequests   *prometheus.CounterVec   // requests of operators, by path and status
 	QuotaGranted       prometheus.Counter       // tokens of customers' quotas that were granted to this node
-	QuotaSpent         *prometheus.CounterVec   // requests taken off a quota, by what admitted them: token, or fallback without a coordinator
+	QuotaSpent         *prometheus.CounterVec   // requests charged to a quota, by what admitted them: token, or fallback without a coordinator
 	QuotaReturned      prometheus.Counter       // requests given back to a quota, since they ended without having run
 	QuotaRefused       prometheus.Counter       // requests over a quota
 	QuotaFallback      prometheus.Gauge         // 1 while no coordinator of quotas answers
@@ -145,7 +145,7 @@
 
 		OperatorRequests: counters("operator_requests_total", "Requests of operators, by path and status.", "path", "status"),
 		QuotaGranted:     counter("quota_granted_total", "Tokens of customers' quotas granted to this node."),
-		QuotaSpent:       counters("quota_spent_total", "Requests taken off a quota, by what admitted them (token, or fallback without a coordinator).", "by"),
+		QuotaSpent:       counters("quota_spent_total", "Requests charged to a quota, by what admitted them (token, or fallback without a coordinator).", "by"),
 		QuotaReturned:    counter("quota_returned_total", "Requests given back to a quota, since they ended without having run."),
 		QuotaRefused:     counter("quota_refused_total", "Requests over a customer's quota."),
 		QuotaFallback:    gauge("quota_fallback", "1 while no coordinator of quotas answers this node."),
