style(rollout): name thresholds, intervals and limits by what they are

least, longest, hearing, reaction, cut, sure and doubt become the usual terms; the package constant recent no longer shares its name with fields. Policy.rollbackReason and spread are extracted. Texts of reasons and logs are unchanged.

--- a/core/rollout/counts.go
+++ b/core/rollout/counts.go
@@ -84,6 +84,6 @@
 	Missed      uint64 // requests assigned to the new release that found no usable endpoint of it
 	Step        uint32 // newest step that the node knows
 	Pending     uint32 // requests that wait for the answer of an endpoint of the old release
-	Cut         bool   // the node sends nothing more to the new release, because it saw too many failures
+	Stopped     bool   // the node sends nothing more to the new release, because it saw too many failures
 	Counts      map[Key]Counts
 }
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -7,38 +7,40 @@
 )
 
 const (
-	// ordinaryFailures is a share of failures that a good release may show: more than twice the usual 0.4%.
+	// ordinaryFailures is a share of failures that a good release may show: more than twice the 0.4% of the services in
+	// play_test.go.
 	ordinaryFailures = 0.01
-	// failureFactor is how many times as many failures as the old release has a good one may show.
+	// failureFactor is the maximum ratio of the failure rate of a good release to that of the old one.
 	failureFactor = 2
-	maxFailures   = 0.9 // highest share of failures of the old release with which failures are still compared
-	minFailures   = 3   // failures below which nothing is concluded
-	// coldBuckets is how much slower a part of the answers may be at any time: 2.8 times. New endpoints take twice the time at their start,
-	// and more of their first requests go to slow machines.
-	coldBuckets = 3
-	coldPart    = 0.1 // least part of the answers that must be slower
-	// warmShift is how much slower warm endpoints may be in the mean, as a logarithm: 28%. It covers that the few requests of the new
+	maxFailures   = 0.9 // a usual failure rate from this on leaves no room for a comparison
+	minFailures   = 3   // minimum number of failures for a conclusion
+	// coldSlowdownBuckets is how much slower a part of the answers may be at any time: three buckets, 2.8 times. New endpoints take twice
+	// the time at their start, and more of their first requests go to slow machines.
+	coldSlowdownBuckets = 3
+	minSlowPart         = 0.1 // minimum part of the answers that must be slower
+	// maxWarmShift is how much slower warm endpoints may be in the mean, as a logarithm: 28%. It covers that the few requests of the new
 	// release go to slow machines more often than those of the old one, of which the nodes know which are fast.
-	warmShift  = 0.25
-	minShifted = 10 // answers below which no mean is compared
-	// fewAnswers raises the wanted deviations by this number divided by that of the answers: times have a long tail, so that the mean of
-	// few of them is not normally distributed.
-	fewAnswers   = 4
-	slowEvidence = 2.15 // critical value of the one-sided Kolmogorov-Smirnov test for odds of 1 in 10,000
-	minReference = 30   // answers of the old release below which its recent times and failures are not compared
+	maxWarmShift   = 0.25
+	minMeanAnswers = 10 // minimum number of answers for a comparison of means
+	// smallSampleFactor divided by the number of answers is the share by which the required deviations are raised: times have a long tail,
+	// so that the mean of few of them is not normally distributed.
+	smallSampleFactor = 4
+	criticalDistance  = 2.15 // critical value of the one-sided Kolmogorov-Smirnov test for odds of 1 in 10,000
+	minReference      = 30   // minimum number of answers of the old release for a comparison with its times or its recent failures
 )
 
-// level is the evidence from which on something is taken for real.
-type level struct {
+// threshold is the evidence that a conclusion against the new release requires.
+type threshold struct {
 	failures float64 // logarithm of the odds against as many failures of a good release
 	shift    float64 // standard deviations by which the times are above the tolerated ones
 }
 
-// sure is for checks many times a second: a good release that is checked for a minute has a false alarm in fewer than 1 of 100
-// rollouts. doubt is for the few moments at which the share is raised or the rollout completed.
+// rollbackThreshold is required for a rollback, which is checked many times a second: a good release that is checked for a minute has a
+// false alarm in fewer than 1 of 100 rollouts. holdThreshold is required to hold the share, or to roll back in place of a completion; it is
+// lower, since these decisions are few.
 var (
-	sure  = level{failures: 11, shift: 4.5}
-	doubt = level{failures: 6.5, shift: 3.3}
+	rollbackThreshold = threshold{failures: 11, shift: 4.5}
+	holdThreshold     = threshold{failures: 6.5, shift: 3.3}
 )
 
 // reference holds the counts of the old release that the new one is compared with.
@@ -48,25 +50,26 @@
 }
 
 // failing reports whether the new release has more failures than chance and the old release's failures explain.
-func failing(c *Counts, ref reference, least level) bool {
+func failing(c *Counts, ref reference, required threshold) bool {
 	n := float64(c.Sum())
 	if c.Failures < minFailures {
 		return false
 	}
 	usual := max(ordinaryFailures, failureFactor*ref.all.failureRate())
 	if ref.recent.Sum() >= minReference {
-		usual = max(usual, failureFactor*ref.recent.surelyFailing())
+		usual = max(usual, failureFactor*ref.recent.lowerFailureRate())
 	}
 	rate := c.failureRate()
 	if usual >= maxFailures || rate <= usual {
 		return false
 	}
 	// Chernoff's bound: with the usual rate, the probability of as many failures is at most exp(-n*divergence).
-	return n*divergence(rate, usual) > least.failures
+	return n*divergence(rate, usual) > required.failures
 }
 
-// surelyFailing returns the share of failures less one standard deviation, since a few failures among few answers may be chance.
-func (c *Counts) surelyFailing() float64 {
+// lowerFailureRate returns a lower estimate of the failure rate, by one standard deviation, since a few failures among few answers may be
+// chance.
+func (c *Counts) lowerFailureRate() float64 {
 	f := float64(c.Failures)
 	return (f - math.Sqrt(f)) / float64(max(c.Sum(), 1))
 }
@@ -85,19 +88,19 @@
 	return slower(c, &ref.all) && (ref.recent.Answers < minReference || slower(c, &ref.recent))
 }
 
-// slower is a one-sided Kolmogorov-Smirnov test of the times of c, shortened by coldBuckets, against those of o.
+// slower is a one-sided Kolmogorov-Smirnov test of the times of c, shortened by coldSlowdownBuckets, against those of o.
 func slower(c, o *Counts) bool {
 	n, m := float64(c.Answers), float64(o.Answers)
 	if n == 0 || m < minReference {
 		return false
 	}
-	critical := max(coldPart, slowEvidence*math.Sqrt((n+m)/(n*m)))
+	critical := max(minSlowPart, criticalDistance*math.Sqrt((n+m)/(n*m)))
 	var below, reference float64 // answers up to a bucket
-	for i := range coldBuckets {
+	for i := range coldSlowdownBuckets {
 		below += float64(c.Times[i])
 	}
-	for i := range Buckets - coldBuckets {
-		below += float64(c.Times[i+coldBuckets])
+	for i := range Buckets - coldSlowdownBuckets {
+		below += float64(c.Times[i+coldSlowdownBuckets])
 		reference += float64(o.Times[i])
 		if reference/m-below/n > critical {
 			return true
@@ -118,17 +121,17 @@
 	oldMean, oldVariance := o.logarithms()
 	s.answers += n
 	s.sum += n * (mean - oldMean)
-	// Few answers may lie in one bucket by chance, so the old release's variance is the least.
+	// Few answers may lie in one bucket by chance, so the variance is at least that of the old release.
 	s.variance += n*max(variance, oldVariance) + n*n*oldVariance/float64(o.Answers)
 }
 
-// exceeds reports whether the new release is slower than tolerated, by at least the given standard deviations.
+// exceeds reports whether the new release is slower than maxWarmShift by at least the given standard deviations.
 func (s *shift) exceeds(deviations float64) bool {
-	if s.answers < minShifted {
+	if s.answers < minMeanAnswers {
 		return false
 	}
-	deviations *= 1 + fewAnswers/s.answers
-	return s.sum-s.answers*warmShift > deviations*math.Sqrt(s.variance)
+	deviations *= 1 + smallSampleFactor/s.answers
+	return s.sum-s.answers*maxWarmShift > deviations*math.Sqrt(s.variance)
 }
 
 // logarithms returns the mean and the variance of the logarithms of the times. A bucket adds the variance of a uniform distribution.
@@ -155,11 +158,11 @@
 			continue
 		}
 		fresh.add(&c)
-		if o := counts[Key{Route: k.Route}]; failing(&c, reference{all: o}, sure) {
+		if o := counts[Key{Route: k.Route}]; failing(&c, reference{all: o}, rollbackThreshold) {
 			return true
 		}
 	}
-	return failing(&fresh, reference{all: old}, sure)
+	return failing(&fresh, reference{all: old}, rollbackThreshold)
 }
 
 // window holds the counts of a period, and those of the old release in the same period or, for the whole rollout, in the last seconds.
@@ -169,34 +172,34 @@
 	warm   bool // the new endpoints were warm in the whole period
 }
 
-// evidence returns why the new release is bad, or an empty text. It looks at each route and at all together, over the whole rollout and
-// over the last seconds, in which a release shows that turns bad later. Failures count from the given evidence on. The kept counts are
-// those of the agreed state, which include nodes that this leader has not heard.
-func (t *Tally) evidence(now time.Time, kept Counts, least level) string {
-	latest, _ := t.recentCounts(now, recent)
-	newest, _ := t.recentCounts(now, stepTime)
+// evidence returns why the new release is bad, or an empty text. It compares each route and all routes together, over the whole rollout
+// and over the last seconds, which show a release that turns bad later. The kept counts are those of the agreed state, which include
+// nodes that have not reported to this leader.
+func (t *Tally) evidence(now time.Time, kept Counts, required threshold) string {
+	latest, _ := t.recentCounts(now, recentPeriod)
+	newest, _ := t.recentCounts(now, stepPeriod)
 	old, _ := sides(t.total)
 	latestOld, _ := sides(latest)
-	if failing(&kept, reference{all: old, recent: latestOld}, least) {
+	if failing(&kept, reference{all: old, recent: latestOld}, required) {
 		return describe(ReasonFailing, "all routes", &kept)
 	}
 	for _, w := range []window{
 		{t.total, latest, false},
 		{t.warm, t.warm, true},
-		{latest, latest, t.isWarm(now.Add(-recent))},
-		{newest, newest, t.isWarm(now.Add(-stepTime))},
+		{latest, latest, t.isWarm(now.Add(-recentPeriod))},
+		{newest, newest, t.isWarm(now.Add(-stepPeriod))},
 	} {
-		if fault := t.judge(w, old, least); fault != "" {
+		if fault := t.judge(w, old, required); fault != "" {
 			return fault
 		}
 	}
 	return ""
 }
 
-func (t *Tally) judge(w window, old Counts, least level) string {
+func (t *Tally) judge(w window, old Counts, required threshold) string {
 	_, fresh := sides(w.counts)
 	recentOld, _ := sides(w.recent)
-	if failing(&fresh, reference{all: old, recent: recentOld}, least) {
+	if failing(&fresh, reference{all: old, recent: recentOld}, required) {
 		return describe(ReasonFailing, "all routes", &fresh)
 	}
 	for k, c := range w.counts {
@@ -205,14 +208,14 @@
 		}
 		o := Key{Route: k.Route}
 		ref := reference{all: countsOf(t.total, o), recent: countsOf(w.recent, o)}
-		if failing(c, ref, least) {
+		if failing(c, ref, required) {
 			return describe(ReasonFailing, "route "+k.Route, c)
 		}
-		if slow(c, ref) || w.warm && t.shifted(w, k.Route, least) {
+		if slow(c, ref) || w.warm && t.shifted(w, k.Route, required) {
 			return describe(ReasonSlow, "route "+k.Route, c)
 		}
 	}
-	if t.slowTogether(w) || w.warm && t.shifted(w, "", least) {
+	if t.slowTogether(w) || w.warm && t.shifted(w, "", required) {
 		return describe(ReasonSlow, "all routes", &fresh)
 	}
 	return ""
@@ -232,9 +235,9 @@
 
 // shifted reports whether the mean times of warm endpoints are above the tolerated ones, on one route or, for an empty name, on all
 // together. They must be so compared with the old release's answers since the order and with its recent ones.
-func (t *Tally) shifted(w window, route string, least level) bool {
+func (t *Tally) shifted(w window, route string, required threshold) bool {
 	var all, recent shift
-	enough := 0
+	recentAnswers := 0
 	for k, c := range w.counts {
 		if !k.New || route != "" && k.Route != route {
 			continue
@@ -242,9 +245,9 @@
 		old, lately := countsOf(t.total, Key{Route: k.Route}), countsOf(w.recent, Key{Route: k.Route})
 		all.add(c, &old)
 		recent.add(c, &lately)
-		enough += int(min(lately.Answers, minReference))
+		recentAnswers += int(min(lately.Answers, minReference))
 	}
-	return all.exceeds(least.shift) && (enough < minReference || recent.exceeds(least.shift))
+	return all.exceeds(required.shift) && (recentAnswers < minReference || recent.exceeds(required.shift))
 }
 
 // mixScale is the number of answers to which the weighted times are scaled per answer of the new release.
--- a/core/rollout/play_test.go
+++ b/core/rollout/play_test.go
@@ -315,13 +315,13 @@
 	now := epoch.Add(8 * time.Second)
 	tally := NewTally(now, epoch)
 	tally.Add(now, Report{Node: "n", Incarnation: 1, Counts: map[Key]Counts{k: {Answers: 500}}})
-	if latest, _ := tally.recentCounts(now, recent); len(latest) != 0 || tally.total[k].Answers != 500 {
+	if latest, _ := tally.recentCounts(now, recentPeriod); len(latest) != 0 || tally.total[k].Answers != 500 {
 		t.Errorf("got recent counts %v and %d in total after a first report, want none and 500", latest, tally.total[k].Answers)
 	}
 	tally.Add(now, Report{Node: "n", Incarnation: 1, Counts: map[Key]Counts{k: {Answers: 520}}})
 	tally.Add(now, Report{Node: "n", Incarnation: 1, Counts: map[Key]Counts{k: {Answers: 520}}})
 	tally.Add(now, Report{Node: "n", Incarnation: 2, Counts: map[Key]Counts{k: {Answers: 5}}})
-	latest, _ := tally.recentCounts(now, recent)
+	latest, _ := tally.recentCounts(now, recentPeriod)
 	if latest[k].Answers != 25 || tally.total[k].Answers != 525 {
 		t.Errorf("got %d recent and %d in total after a repeated report and a restart of the node, want 25 and 525", latest[k].Answers, tally.total[k].Answers)
 	}
--- a/core/rollout/policy.go
+++ b/core/rollout/policy.go
@@ -18,7 +18,7 @@
 	ReasonCompleted  = "all requests moved and no fault found"
 	ReasonFailing    = "failures"
 	ReasonSlow       = "slow answers"
-	ReasonCuts       = "nodes that stopped sending to it after failures"
+	ReasonStopped    = "nodes that stopped sending to it after failures"
 	ReasonRemoved    = "the service has left the configuration"
 	ReasonDoubt      = "likely bad at the last step"
 	ReasonOver       = "the duration has passed"
@@ -30,17 +30,17 @@
 
 // Shares while the new release is judged, in parts of 10,000.
 const (
-	firstShare = 200  // until the rate of requests is known
-	leastShare = 100  // least share that still gives answers to judge
-	mostShare  = 2500 // also a service with few requests keeps most of them on the old release
+	firstShare    = 200  // until the rate of requests is known
+	minJudgeShare = 100  // a lower share gives too few answers to judge
+	maxJudgeShare = 2500 // a service with few requests also keeps most of them on the old release
 )
 
 const (
-	// judgePart is the part of the exposure that may be used while the new release is judged. The rest is for the ramp.
-	judgePart  = 0.25
-	judgeStart = 1500 * time.Millisecond // time after the order from which the rate of requests is known
-	judgePause = 2 * time.Second         // least time between two changes of the share while the new release is judged
-	judgeDrift = 1.3                     // factor by which the wanted share must differ before the share is changed
+	// judgePart is the part of the exposure that is used while the new release is judged. The rest is for the ramp.
+	judgePart      = 0.25
+	judgeStart     = 1500 * time.Millisecond // time after the order from which the rate of requests is known
+	judgeInterval  = 2 * time.Second         // minimum time between two changes of the share while the new release is judged
+	judgeTolerance = 1.3                     // the share is changed only by more than this factor
 
 	// rampEnd is the part of the duration at which a rollout completes. The rest is for the loss of a leader.
 	rampEnd = 0.9
@@ -48,29 +48,32 @@
 	// once when it completes. movedTime is the age up to which the report of a node counts for that: others are cut off or gone.
 	movedEnd  = 0.96
 	movedTime = 1500 * time.Millisecond
-	leastOff  = 0.95 // part of the duration at which a rollout that cannot go on is rolled back
-
-	// leastStep is the least time of a step: a new version reaches the nodes and their first reports return in about 150 ms.
-	leastStep = 200 * time.Millisecond
-	// reaction is the time from a decision until no node sends to the new release any more.
-	reaction = 100 * time.Millisecond
-	// unplaced covers the time until all nodes know of an order: until then the new endpoints take requests like all others.
-	unplaced = 50 * time.Millisecond
-	// hearing is the time for which a new leader takes reports before it raises a share; nodes report twice a second in the ramp.
-	hearing = 600 * time.Millisecond
-	// settling is the time for which a new leader does not roll back a release that it must not raise.
-	settling = 2 * time.Second
-	// countsPause is the least time between two steps that only keep counts.
-	countsPause  = time.Second
-	countsGrowth = 5 // bad answers above the kept ones that are worth a step
-
-	spareSlots  = 0.7 // part of the slots that all requests may take
-	likeOld     = 0.8 // part of the old release's slots that is always enough
-	missedShare = 0.5 // part of the assigned requests without a usable endpoint above which the share is not raised
-	heardShare  = 0.5 // part of the nodes that must have reported lately before the share is raised
-	cutShare    = 0.3 // part of the reporting nodes that stopped by themselves above which the release is bad
-	minCuts     = 2
-	heardTime   = 5 * time.Second
+	// giveUpPart is the part of the duration at which a rollout whose share must not be raised is rolled back.
+	giveUpPart = 0.95
+
+	// minStepTime is the minimum time of a step: a new version reaches the nodes and their first reports return in about 150 ms.
+	minStepTime = 200 * time.Millisecond
+	// reactionTime is the time from a decision until no node sends to the new release any more.
+	reactionTime = 100 * time.Millisecond
+	// orderDelay is the time until all nodes know of an order. Until then the new endpoints get requests like all others.
+	orderDelay = 50 * time.Millisecond
+	// collectTime is the time for which a new leader collects reports before it raises a share: three reports of each node in the ramp,
+	// unless there are many nodes.
+	collectTime = 600 * time.Millisecond
+	// recoveryTime is the time for which a new leader does not roll back a release because its share must not be raised: nodes may not have
+	// reported yet.
+	recoveryTime = 2 * time.Second
+	// countsInterval is the minimum time between two steps that only keep counts in the agreed state.
+	countsInterval = time.Second
+	countsGrowth   = 5 // bad answers since the last step from which on they are kept by a step
+
+	usableSlots     = 0.7 // part of the new endpoints' slots that all requests may occupy; the rest is for their variation
+	comparableSlots = 0.8 // part of the old release's slots that is enough without an estimate
+	maxMissedShare  = 0.5 // part of the assigned requests that may lack a usable endpoint when the share is raised
+	minHeardShare   = 0.5 // part of the nodes that must have reported lately before the share is raised
+	maxStoppedShare = 0.3 // part of the reporting nodes above which the release is bad if they have stopped sending to it
+	minStopped      = 2
+	heardTime       = 5 * time.Second
 )
 
 // rampStep is a step of the ramp: a share and for how long it lasts, as a part of the duration.
@@ -83,9 +86,9 @@
 // with the time before it: a release that turns bad in the last step is rolled back within the bound too.
 var ramp = []rampStep{{1000, 0.05}, {3000, 0.033}, {6000, 0.033}, {Whole, 0.0375}}
 
-// longest is how many times as long as in the table the ramp is if the exposure allows it, as for services with few requests, for which
-// the slack is large. Their steps then give more answers to judge.
-const longest = 4
+// maxRampFactor is the maximum factor by which the ramp is longer than in the table. The exposure allows it for services with few requests,
+// for which the slack is large; their steps then give more answers to judge.
+const maxRampFactor = 4
 
 // inRamp reports whether a share is one of a step of the ramp.
 func inRamp(share uint32) bool {
@@ -132,22 +135,22 @@
 	Nodes    int // nodes of the mesh, all of which report
 }
 
-// situation is what a decision is made of.
+// situation holds the inputs of one decision.
 type situation struct {
-	now      time.Time
-	rollout  *wire.Rollout
-	tally    *Tally
-	capacity Capacity
-	duration time.Duration
-	elapsed  time.Duration
-	lasted   time.Duration // time since the last step
-	old      Counts        // counts of all routes since the order
-	fresh    Counts
-	rate     float64 // requests per second in the last seconds
-	missed   uint64  // requests that lately found no usable endpoint of the new release
-	latest   uint64  // answers of the new release in the same time
-	fault    string  // why the release is bad; empty if it is not
-	doubt    string  // why it may be bad, so that the share is not raised; empty if nothing suggests it
+	now       time.Time
+	rollout   *wire.Rollout
+	tally     *Tally
+	capacity  Capacity
+	duration  time.Duration
+	elapsed   time.Duration
+	sinceStep time.Duration // time since the last step
+	old       Counts        // counts of all routes since the order
+	fresh     Counts
+	rate      float64 // requests per second in the last seconds
+	missed    uint64  // requests that lately found no usable endpoint of the new release
+	latest    uint64  // answers of the new release in the same time
+	fault     string  // why the release is bad; empty if it is not
+	doubt     string  // why it may be bad, so that the share is not raised; empty if nothing suggests it
 }
 
 // Decide returns the next step of a rollout, or nil if it stays as it is.
@@ -155,23 +158,9 @@
 	if !Running(r) {
 		return nil
 	}
-	s := observe(now, r, t, c)
-	if s.fault != "" {
-		return s.advance(wire.RolloutState_ROLLOUT_STATE_ROLLED_BACK, 0, s.fault)
-	}
+	s := newSituation(now, r, t, c)
 	hold := s.hold()
-	over := s.elapsed >= s.duration+p.rollback
-	settled := now.Sub(t.began) >= settling
-	// With all requests moved, waiting for more evidence would cost too much exposure.
-	failed := s.doubt != "" && r.GetShare() == Whole && s.elapsed >= part(s.duration, rampEnd)
-	if over || failed || hold != "" && settled && s.elapsed >= part(s.duration, leastOff) {
-		reason := ReasonOver
-		if failed {
-			reason = ReasonDoubt
-		}
-		if hold != "" {
-			reason += ": " + hold
-		}
+	if reason := p.rollbackReason(s, hold); reason != "" {
 		return s.advance(wire.RolloutState_ROLLOUT_STATE_ROLLED_BACK, 0, reason)
 	}
 	if hold == "" {
@@ -182,36 +171,58 @@
 	if a := p.adapt(s); a != nil {
 		return a
 	}
-	if s.fresh.Failures >= r.GetBad()+countsGrowth && s.lasted >= countsPause {
+	if s.fresh.Failures >= r.GetBad()+countsGrowth && s.sinceStep >= countsInterval {
 		return s.advance(wire.RolloutState_ROLLOUT_STATE_RUNNING, r.GetShare(), ReasonCounts)
 	}
 	return nil
 }
 
-func observe(now time.Time, r *wire.Rollout, t *Tally, c Capacity) *situation {
+// rollbackReason returns why the rollout must be rolled back now, or an empty text; hold is why the share must not be raised.
+func (p *Policy) rollbackReason(s *situation, hold string) string {
+	if s.fault != "" {
+		return s.fault
+	}
+	over := s.elapsed >= s.duration+p.rollback
+	// With all requests moved, waiting for more evidence would cost too much exposure.
+	failed := s.doubt != "" && s.rollout.GetShare() == Whole && s.elapsed >= part(s.duration, rampEnd)
+	recovered := s.now.Sub(s.tally.began) >= recoveryTime
+	if !over && !failed && (hold == "" || !recovered || s.elapsed < part(s.duration, giveUpPart)) {
+		return ""
+	}
+	reason := ReasonOver
+	if failed {
+		reason = ReasonDoubt
+	}
+	if hold != "" {
+		reason += ": " + hold
+	}
+	return reason
+}
+
+func newSituation(now time.Time, r *wire.Rollout, t *Tally, c Capacity) *situation {
 	s := &situation{
 		now: now, rollout: r, tally: t, capacity: c,
-		duration: time.Duration(r.GetDuration()) * time.Millisecond,
-		elapsed:  max(now.Sub(time.UnixMilli(r.GetAccepted())), 0),
-		lasted:   max(now.Sub(time.UnixMilli(r.GetSince())), 0),
+		duration:  time.Duration(r.GetDuration()) * time.Millisecond,
+		elapsed:   max(now.Sub(time.UnixMilli(r.GetAccepted())), 0),
+		sinceStep: max(now.Sub(time.UnixMilli(r.GetSince())), 0),
 	}
-	latest, missed := t.recentCounts(now, recent)
+	latest, missed := t.recentCounts(now, recentPeriod)
 	s.old, s.fresh = sides(t.total)
 	old, fresh := sides(latest)
 	s.missed, s.latest = missed, fresh.Sum()
-	counted := min(recent, max(now.Sub(t.began), binTime))
+	counted := min(recentPeriod, max(now.Sub(t.began), binLength))
 	s.rate = float64(old.Sum()+fresh.Sum()) / counted.Seconds()
-	if now.Sub(t.began) < recent && s.elapsed > 0 { // the first reports to a new leader do not count as recent
+	if now.Sub(t.began) < recentPeriod && s.elapsed > 0 { // the first reports to a new leader do not count as recent
 		s.rate = max(s.rate, float64(s.total())/s.elapsed.Seconds())
 	}
 	kept := Counts{Failures: r.GetBad(), Answers: grown(r.GetSent(), r.GetBad())}
-	s.fault = t.evidence(now, kept, sure)
+	s.fault = t.evidence(now, kept, rollbackThreshold)
 	s.doubt = s.fault
 	if s.doubt == "" {
-		s.doubt = t.evidence(now, kept, doubt)
+		s.doubt = t.evidence(now, kept, holdThreshold)
 	}
-	if n := t.cuts(); s.fault == "" && n >= minCuts && float64(n) > cutShare*float64(len(t.nodes)) {
-		s.fault = fmt.Sprintf("%s: %d of %d nodes", ReasonCuts, n, len(t.nodes))
+	if n := t.stoppedNodes(); s.fault == "" && n >= minStopped && float64(n) > maxStoppedShare*float64(len(t.nodes)) {
+		s.fault = fmt.Sprintf("%s: %d of %d nodes", ReasonStopped, n, len(t.nodes))
 	}
 	return s
 }
@@ -246,9 +257,9 @@
 		return ReasonNoEndpoint
 	case !s.enoughSlots():
 		return ReasonCapacity
-	case s.missed > 0 && float64(s.missed) > missedShare*float64(s.missed+s.latest):
+	case s.missed > 0 && float64(s.missed) > maxMissedShare*float64(s.missed+s.latest):
 		return ReasonMissed
-	case float64(s.tally.heard(s.now, heardTime)) < heardShare*float64(s.capacity.Nodes):
+	case float64(s.tally.heard(s.now, heardTime)) < minHeardShare*float64(s.capacity.Nodes):
 		return ReasonUnheard
 	}
 	return ""
@@ -258,13 +269,13 @@
 // the requests that run at once, by the times of the old release's answers (Little's law).
 func (s *situation) enoughSlots() bool {
 	slots := float64(s.capacity.NewSlots)
-	if slots >= likeOld*float64(s.capacity.OldSlots) {
+	if slots >= comparableSlots*float64(s.capacity.OldSlots) {
 		return true
 	}
 	if s.old.Answers == 0 {
 		return false
 	}
-	return s.rate*s.old.mean().Seconds() <= spareSlots*slots
+	return s.rate*s.old.mean().Seconds() <= usableSlots*slots
 }
 
 // mean returns an upper estimate of the mean time of the answers.
@@ -278,7 +289,7 @@
 
 // raise returns the next step of the ramp if it is due.
 func (p *Policy) raise(s *situation) *wire.RolloutAdvance {
-	if s.lasted < leastStep || s.now.Sub(s.tally.began) < hearing {
+	if s.sinceStep < minStepTime || s.now.Sub(s.tally.began) < collectTime {
 		return nil
 	}
 	next := 0
@@ -308,12 +319,12 @@
 		whole += r.length * s.duration.Seconds() * float64(r.share) / Whole
 	}
 	rest := max(s.duration-s.elapsed, 0).Seconds()
-	left := p.share*(float64(s.total())+s.rate*rest) + p.slack - float64(s.sent()) - s.rate*(reaction+unplaced).Seconds()
-	factor := float64(longest)
+	left := p.share*(float64(s.total())+s.rate*rest) + p.slack - float64(s.sent()) - s.rate*(reactionTime+orderDelay).Seconds()
+	factor := float64(maxRampFactor)
 	if needed := whole * s.rate; needed > 0 {
-		factor = min(max(left/needed, 0), longest)
+		factor = min(max(left/needed, 0), maxRampFactor)
 	}
-	least := time.Duration(len(ramp)-step) * leastStep
+	least := time.Duration(len(ramp)-step) * minStepTime
 	return end - max(time.Duration(factor*length*float64(time.Second)), least)
 }
 
@@ -321,16 +332,16 @@
 // few requests get a larger share, so that there are answers to judge.
 func (p *Policy) adapt(s *situation) *wire.RolloutAdvance {
 	share := s.rollout.GetShare()
-	if inRamp(share) || s.elapsed < judgeStart || s.lasted < judgePause && share != firstShare {
+	if inRamp(share) || s.elapsed < judgeStart || s.sinceStep < judgeInterval && share != firstShare {
 		return nil
 	}
 	rest := (p.start(s, 0) - s.elapsed).Seconds()
-	if rest < judgePause.Seconds() || s.rate == 0 || s.now.Sub(s.tally.began) < judgeStart {
+	if rest < judgeInterval.Seconds() || s.rate == 0 || s.now.Sub(s.tally.began) < judgeStart {
 		return nil
 	}
 	left := judgePart*(p.share*s.rate*s.duration.Seconds()+p.slack) - float64(s.sent())
-	want := min(max(left/(s.rate*rest)*Whole, leastShare), mostShare)
-	if ratio := want / float64(max(share, 1)); ratio < judgeDrift && ratio > 1/judgeDrift {
+	want := min(max(left/(s.rate*rest)*Whole, minJudgeShare), maxJudgeShare)
+	if ratio := want / float64(max(share, 1)); ratio < judgeTolerance && ratio > 1/judgeTolerance {
 		return nil
 	}
 	if inRamp(uint32(want)) {
--- a/core/rollout/tally.go
+++ b/core/rollout/tally.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	binTime   = 250 * time.Millisecond
-	binCount  = 24              // bins kept, for the recent counts
-	maxRoutes = 256             // routes counted separately; all others are counted together
-	recent    = 4 * time.Second // age of the counts that show a change
-	stepTime  = time.Second     // age of the counts that show the effect of the last step
-	coldTime  = 4 * time.Second // a little more than the slow start of an endpoint
-	freshTime = time.Second     // age of a rollout up to which no node has counted much
+	binLength    = 250 * time.Millisecond
+	binCount     = 24              // bins kept, for the recent counts
+	maxRoutes    = 256             // routes counted separately; all others are counted together
+	recentPeriod = 4 * time.Second // counts up to this age show a release that turns bad later
+	stepPeriod   = time.Second     // counts up to this age show the effect of the last step
+	coldTime     = 4 * time.Second // a little more than the slow start of an endpoint
+	resumeAge    = time.Second     // a leader that takes over a rollout of this age has missed counts
 )
 
 // Tally adds up the reports of all nodes on one rollout; it is not safe for concurrent use. Since reports carry sums, a new leader has
@@ -32,7 +32,7 @@
 	incarnation uint64
 	at          time.Time
 	missed      uint64
-	cut         bool
+	stopped     bool
 	step        uint32
 	pending     uint32
 	counts      map[Key]Counts
@@ -47,7 +47,7 @@
 // NewTally returns an empty Tally of a leader that begins to count now, for a rollout that was accepted at the given time.
 func NewTally(now, accepted time.Time) *Tally {
 	t := &Tally{
-		began: now, resumed: now.Sub(accepted) > freshTime,
+		began: now, resumed: now.Sub(accepted) > resumeAge,
 		nodes: map[string]*nodeReport{}, total: map[Key]*Counts{}, warm: map[Key]*Counts{},
 	}
 	if t.resumed {
@@ -68,7 +68,7 @@
 		t.nodes[r.Node] = n
 	}
 	b := t.bin(now)
-	n.cut, n.at, n.step, n.pending = r.Cut, now, r.Step, r.Pending
+	n.stopped, n.at, n.step, n.pending = r.Stopped, now, r.Step, r.Pending
 	missed := grown(r.Missed, n.missed)
 	n.missed = max(n.missed, r.Missed)
 	t.missed += missed
@@ -121,7 +121,7 @@
 
 // bin returns the bin of the present, and empties it first if it holds older counts.
 func (t *Tally) bin(now time.Time) *bin {
-	number := now.UnixNano() / int64(binTime)
+	number := now.UnixNano() / int64(binLength)
 	b := &t.bins[number%binCount]
 	if b.start != number || b.counts == nil {
 		*b = bin{start: number, counts: map[Key]*Counts{}}
@@ -131,7 +131,7 @@
 
 // recentCounts returns the counts that were reported in the last period, by key.
 func (t *Tally) recentCounts(now time.Time, period time.Duration) (counts map[Key]*Counts, missed uint64) {
-	oldest := now.Add(-period).UnixNano() / int64(binTime)
+	oldest := now.Add(-period).UnixNano() / int64(binLength)
 	counts = map[Key]*Counts{}
 	for i := range t.bins {
 		b := &t.bins[i]
@@ -156,11 +156,11 @@
 	return true
 }
 
-// cuts returns the number of nodes that send nothing more to the new release.
-func (t *Tally) cuts() int {
+// stoppedNodes returns the number of nodes that send nothing more to the new release.
+func (t *Tally) stoppedNodes() int {
 	n := 0
 	for _, r := range t.nodes {
-		if r.cut {
+		if r.stopped {
 			n++
 		}
 	}
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -52,7 +52,7 @@
 	catchUp   time.Duration // time after which a successor must have replaced a lost replica
 	replica   *replica.Replica
 	leases    *lease.Table
-	rollouts  *rolloutDuty
+	rollouts  *rolloutLeader
 
 	mu    sync.Mutex // guards store
 	store *store.Store
@@ -83,7 +83,7 @@
 		maxLosses:    s.Seeds.Losses,
 		catchUp:      cmp.Or(s.Seeds.CatchUp, agreement.DefaultCatchUp),
 		leases:       lease.New(lease.WithLease(leaseTime(s))),
-		rollouts:     newRolloutDuty(rolloutPolicy(s.Rollouts)),
+		rollouts:     newRolloutLeader(rolloutPolicy(s.Rollouts)),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
 	}
--- a/io/host/rollout.go
+++ b/io/host/rollout.go
@@ -20,33 +20,33 @@
 )
 
 const (
-	reportTick    = 50 * time.Millisecond  // time between two checks whether a report is due
-	reportTime    = time.Second            // time between two reports while the new release is judged
-	rampTime      = 200 * time.Millisecond // the same while most requests move
-	urgentTime    = 100 * time.Millisecond // least time between two reports if the new release fails
-	longestTime   = 2 * time.Second        // longest time between two reports, less than half of the time without contact
-	reportTimeout = time.Second
-	rampShare     = rollout.Whole / 10 // share from which on reports come at rampTime
-	// leaderTime and rampLeaderTime are the leader's time per report of a node: with more nodes, each reports less often.
-	leaderTime     = 5 * time.Millisecond
-	rampLeaderTime = 3 * time.Millisecond
-	// contactPart is the part of the rollback time without an answer of the leader after which a node sends nothing more to the new
+	reportCheckInterval = 50 * time.Millisecond  // time between two checks whether a report is due
+	reportInterval      = time.Second            // time between two reports while the new release is judged
+	rampReportInterval  = 200 * time.Millisecond // the same while most requests move
+	minReportInterval   = 100 * time.Millisecond // minimum time between two reports if the new release fails
+	maxReportInterval   = 2 * time.Second        // less than half of the time after which a node without contact stops sending
+	reportTimeout       = time.Second
+	rampReportShare     = rollout.Whole / 10 // share of the first step of the ramp, from which on reports come at rampReportInterval
+	// leaderTimePerReport and rampLeaderTimePerReport limit the reports of all nodes together: the leader gets at most one in this time.
+	leaderTimePerReport     = 5 * time.Millisecond
+	rampLeaderTimePerReport = 3 * time.Millisecond
+	// contactShare is the part of the rollback time after which a node that gets no answer from a leader sends nothing more to the new
 	// release. The rest is for requests that were already assigned.
-	contactPart = 0.8
+	contactShare = 0.8
 	// maxCountedRoutes limits the routes of a service that a node counts separately; all others are counted together.
 	maxCountedRoutes = 64
 	// goldenRatio is 2^64 divided by the golden ratio; its multiples are spread evenly modulo 2^64 (Knuth, TAOCP volume 3, 6.4).
 	goldenRatio = 0x9e3779b97f4a7c15
 )
 
-// rolloutParts are the parts of the process that rollouts use.
+// rolloutParts holds what rollouts need from the process.
 type rolloutParts struct {
 	table    func() *config.RoutingTable
 	report   func(context.Context, *rpc.OutcomesRequest) (*rpc.OutcomesResponse, error)
 	now      func() time.Time
 	node     string
 	identity uint64        // incarnation of the node
-	rollback time.Duration // time after which no request is sent to a bad release any more
+	rollback time.Duration // maximum time for which requests are still sent to a bad release
 	metrics  *process.Metrics
 	log      logr.Logger
 }
@@ -66,16 +66,16 @@
 
 // serviceRollout is one running rollout as this node sees it.
 type serviceRollout struct {
-	newest *wire.Rollout // newest state known, from the version in force or from the leader's answer
-	number uint64        // numbers the requests, so that the new release gets its share of them
-	counts map[rollout.Key]rollout.Counts
-	acked  map[rollout.Key]uint64 // sums of the counts in the last report that was answered
-	missed uint64
+	newest   *wire.Rollout // newest state known, from the version in force or from the leader's answer
+	sequence uint64        // number of the last request, by which requests are spread over the releases
+	counts   map[rollout.Key]rollout.Counts
+	acked    map[rollout.Key]uint64 // sums of the counts in the last report that was answered
+	missed   uint64                 // requests assigned to the new release that found no usable endpoint of it
 	// pending counts the requests that wait for an answer, by endpoint.
 	pending map[string]int
-	cut     bool      // too many failures: nothing more is sent to the new release
-	silent  bool      // the leader has not answered for too long, which is logged
-	urgent  bool      // the new release failed since the last report
+	stopped bool      // this node sends nothing more to the new release, because it saw too many failures
+	silent  bool      // no leader has answered for contactTimeout, and this was logged
+	urgent  bool      // the next report is due after minReportInterval
 	heard   time.Time // time at which the last answered report was sent, or of the order
 	sent    time.Time // time of the last report
 }
@@ -103,8 +103,9 @@
 	return b
 }
 
-// ofLocked returns this node's view of a service's rollout, or nil if none is running; the caller holds the mutex.
-func (r *rollouts) ofLocked(name string, agreed *wire.Rollout, now time.Time) *serviceRollout {
+// viewLocked returns this node's view of a service's rollout and creates it if needed, or nil if none is running; the caller holds the
+// mutex.
+func (r *rollouts) viewLocked(name string, agreed *wire.Rollout, now time.Time) *serviceRollout {
 	s := r.services[name]
 	if s != nil {
 		agreed = newer(agreed, s.newest)
@@ -114,8 +115,8 @@
 	}
 	if s == nil || s.newest.GetOrder() != agreed.GetOrder() {
 		s = &serviceRollout{
-			number: rand.Uint64(), counts: map[rollout.Key]rollout.Counts{}, acked: map[rollout.Key]uint64{}, pending: map[string]int{}, heard: now,
-			sent: now.Add(-rand.N(reportTime)), // nodes report at different times
+			sequence: rand.Uint64(), counts: map[rollout.Key]rollout.Counts{}, acked: map[rollout.Key]uint64{}, pending: map[string]int{}, heard: now,
+			sent: now.Add(-rand.N(reportInterval)), // nodes report at different times
 		}
 		r.services[name] = s
 	}
@@ -130,17 +131,21 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.ofLocked(service.Name, service.Rollout, now)
+	s := r.viewLocked(service.Name, service.Rollout, now)
 	if s == nil {
 		return endedSide(newer(service.Rollout, r.newestLocked(service.Name))), false
 	}
-	s.number++
-	if s.cut || now.Sub(s.heard) > r.contact() || s.number*goldenRatio>>32*rollout.Whole>>32 >= uint64(s.newest.GetShare()) {
+	s.sequence++
+	if s.stopped || now.Sub(s.heard) > r.contactTimeout() || spread(s.sequence) >= uint64(s.newest.GetShare()) {
 		return routing.OldReleases, true
 	}
 	return routing.NewRelease, true
 }
 
+// spread maps consecutive numbers evenly to 0 to rollout.Whole-1 (Fibonacci hashing), so that a share is met within a few requests and
+// without randomness.
+func spread(n uint64) uint64 { return n * goldenRatio >> 32 * rollout.Whole >> 32 }
+
 func (r *rollouts) newestLocked(name string) *wire.Rollout {
 	if s := r.services[name]; s != nil {
 		return s.newest
@@ -155,7 +160,10 @@
 	return routing.OldReleases
 }
 
-func (r *rollouts) contact() time.Duration { return time.Duration(contactPart * float64(r.rollback)) }
+// contactTimeout returns the time without an answer of a leader after which a node sends nothing more to the new release.
+func (r *rollouts) contactTimeout() time.Duration {
+	return time.Duration(contactShare * float64(r.rollback))
+}
 
 // decide chooses an endpoint of the side that the request is assigned to. If the new release has no usable one, the old ones take
 // the request; the new release never gets more than its share.
@@ -167,18 +175,18 @@
 		return choice, err
 	}
 	if !running {
-		return r.decideAfter(c, choice, err, pick)
+		return r.decideCompleted(c, choice, err, pick)
 	}
 	if len(c.Tried) == 0 {
-		r.miss(c.Service.Name)
+		r.countMissed(c.Service.Name)
 	}
 	c.Side = routing.OldReleases
 	return pick(c)
 }
 
-// decideAfter chooses an endpoint of any release if the release of a completed rollout has none at all: a release that replaced it
+// decideCompleted chooses an endpoint of any release if the release of a completed rollout has none at all: a release that replaced it
 // without an order must still be reachable.
-func (r *rollouts) decideAfter(c routing.Call, choice routing.Choice, err error, pick func(routing.Call) (routing.Choice, error)) (routing.Choice, error) {
+func (r *rollouts) decideCompleted(c routing.Call, choice routing.Choice, err error, pick func(routing.Call) (routing.Choice, error)) (routing.Choice, error) {
 	for i := range c.Service.Endpoints {
 		if c.Service.Endpoints[i].Release == c.Service.Rollout.GetRelease() {
 			return choice, err
@@ -188,7 +196,7 @@
 	return pick(c)
 }
 
-func (r *rollouts) miss(service string) {
+func (r *rollouts) countMissed(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.services[service]; s != nil {
@@ -224,8 +232,8 @@
 	return uint32(n)
 }
 
-// observe counts the result of an attempt. A request that a new endpoint refused without running it counts as one that found no usable
-// endpoint; refusals by old endpoints do not count. A request that its caller gave up counts as an answer that took as long, since a
+// observe counts the result of an attempt. A request that an endpoint of the new release refused without running it counts as missed;
+// refusals by other endpoints do not count. A request that its caller gave up counts as an answer that took as long, since a
 // release that answers too late or never would otherwise show no fault.
 func (r *rollouts) observe(endpoint string, o caller.Observation) {
 	name, _, _ := strings.Cut(endpoint, "/")
@@ -236,14 +244,14 @@
 		return
 	}
 	s.endLocked(endpoint)
-	fresh := o.Release == s.newest.GetRelease()
+	isNew := o.Release == s.newest.GetRelease()
 	if o.Failure != nil && o.Failure.Kind == outcome.NotRun {
-		if fresh {
+		if isNew {
 			s.missed++
 		}
 		return
 	}
-	k := rollout.Key{Route: o.Route, New: fresh}
+	k := rollout.Key{Route: o.Route, New: isNew}
 	if _, known := s.counts[k]; !known && len(s.counts) >= 2*maxCountedRoutes {
 		k.Route = ""
 	}
@@ -251,20 +259,20 @@
 	c := s.counts[k]
 	c.Record(o.Took, failed)
 	s.counts[k] = c
-	r.metrics.RolloutAnswers.WithLabelValues(name, sideLabel(fresh), answerLabel(failed)).Inc()
-	if !fresh || !failed {
+	r.metrics.RolloutAnswers.WithLabelValues(name, sideLabel(isNew), answerLabel(failed)).Inc()
+	if !isNew || !failed {
 		return
 	}
 	s.urgent = true
-	if !s.cut && rollout.Failing(s.counts) {
-		s.cut = true
+	if !s.stopped && rollout.Failing(s.counts) {
+		s.stopped = true
 		r.log.Info("new release fails, nothing more is sent to it", "service", name, "release", s.newest.GetRelease(), "route", o.Route,
 			"failures", c.Failures, "answers", c.Sum())
 	}
 }
 
-func sideLabel(fresh bool) string {
-	if fresh {
+func sideLabel(isNew bool) string {
+	if isNew {
 		return "new"
 	}
 	return "old"
@@ -300,7 +308,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(reportTick):
+		case <-time.After(reportCheckInterval):
 		}
 	}
 }
@@ -311,7 +319,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range t.Running() {
-		r.ofLocked(s.Name, s.Rollout, now)
+		r.viewLocked(s.Name, s.Rollout, now)
 	}
 	for name, s := range r.services {
 		service, ok := t.Service(name)
@@ -324,7 +332,7 @@
 	return len(r.services)
 }
 
-// due returns a report if one is due, with the counts that changed since the last one that was answered.
+// due returns a report if one is due, with the counts that changed since the last one that was answered, or nil.
 func (r *rollouts) due(now time.Time) *rpc.OutcomesRequest {
 	t := r.table()
 	r.mu.Lock()
@@ -332,7 +340,7 @@
 	due := false
 	for _, s := range r.services {
 		age := now.Sub(s.sent)
-		due = due || age >= s.interval(len(t.Nodes())) || s.urgent && age >= urgentTime
+		due = due || age >= s.interval(len(t.Nodes())) || s.urgent && age >= minReportInterval
 	}
 	if !due {
 		return nil
@@ -347,15 +355,15 @@
 
 // interval returns the time between two reports.
 func (s *serviceRollout) interval(nodes int) time.Duration {
-	if s.newest.GetShare() >= rampShare {
-		return min(max(rampTime, time.Duration(nodes)*rampLeaderTime), longestTime)
+	if s.newest.GetShare() >= rampReportShare {
+		return min(max(rampReportInterval, time.Duration(nodes)*rampLeaderTimePerReport), maxReportInterval)
 	}
-	return min(max(reportTime, time.Duration(nodes)*leaderTime), longestTime)
+	return min(max(reportInterval, time.Duration(nodes)*leaderTimePerReport), maxReportInterval)
 }
 
 func (s *serviceRollout) report(name string, t *config.RoutingTable) *rpc.ServiceOutcomes {
 	o := &rpc.ServiceOutcomes{
-		Service: name, Order: s.newest.GetOrder(), Step: s.newest.GetStep(), Missed: s.missed, Cut: s.cut, Pending: s.pendingOld(t),
+		Service: name, Order: s.newest.GetOrder(), Step: s.newest.GetStep(), Missed: s.missed, Cut: s.stopped, Pending: s.pendingOld(t),
 	}
 	for k, c := range s.counts {
 		if s.acked[k] == c.Sum() {
@@ -393,7 +401,7 @@
 	defer r.mu.Unlock()
 	for name, s := range r.services {
 		s.sent, s.urgent = now, true
-		if silent := now.Sub(s.heard); silent > r.contact() && !s.silent {
+		if silent := now.Sub(s.heard); silent > r.contactTimeout() && !s.silent {
 			s.silent = true
 			r.log.Info("no leader answers, nothing more is sent to the new release", "service", name, "release", s.newest.GetRelease(),
 				"silent", silent.String())
--- a/io/host/rollout_test.go
+++ b/io/host/rollout_test.go
@@ -208,7 +208,7 @@
 	b.result("v2", "r", 0, &outcome.Failure{Code: outcome.Busy, Kind: outcome.NotRun})
 	b.result("v1", "r", 0, &outcome.Failure{Code: outcome.Busy, Kind: outcome.NotRun})
 	b.result("", "r", 200, nil)
-	d := newRolloutDuty(rollout.New())
+	d := newRolloutLeader(rollout.New())
 	sums := func() (old, fresh rollout.Counts, missed uint64) {
 		for _, q := range b.reports {
 			for _, o := range q.GetServices() {
@@ -281,8 +281,8 @@
 }
 
 // Guards against counts of an earlier rollout that decide on the next one, and tallies that stay for ever.
-func TestRolloutDutyForgets(t *testing.T) {
-	d := newRolloutDuty(rollout.New())
+func TestRolloutLeaderForgets(t *testing.T) {
+	d := newRolloutLeader(rollout.New())
 	now := time.UnixMilli(1_700_000_000_000)
 	first, second := rolloutAt(0, 200, stateRunning), rolloutAt(0, 200, stateRunning)
 	first.Accepted, second.Accepted, second.Order = now.UnixMilli(), now.UnixMilli(), 9
--- a/io/host/rolloutlead.go
+++ b/io/host/rolloutleader.go
@@ -15,10 +15,10 @@
 
 const (
 	rolloutInterval = 100 * time.Millisecond // time between two decisions on the running rollouts
-	advanceTimeout  = time.Second            // limit for the commit of one step
-	// leaderAge is the age of the last confirmation by a majority up to which a leader takes counts. A leader that was cut off must not
-	// keep nodes sending to a release that another leader has rolled back.
-	leaderAge = time.Second
+	advanceTimeout  = time.Second            // limit for the commit of one step; a step that is not committed is decided again
+	// maxConfirmationAge is the age of the last confirmation by a majority up to which a leader answers reports. A leader that was
+	// partitioned must not keep nodes sending to a release that another leader has rolled back.
+	maxConfirmationAge = time.Second
 )
 
 // UnconfirmedError reports a leader that no majority has confirmed lately.
@@ -29,8 +29,8 @@
 	return "no majority has confirmed this leader for " + e.Age.String()
 }
 
-// rolloutDuty adds up the counts of all nodes and decides the steps of the running rollouts, on the leader.
-type rolloutDuty struct {
+// rolloutLeader adds up the counts of all nodes and decides the steps of the running rollouts, on the leader.
+type rolloutLeader struct {
 	policy *rollout.Policy
 
 	mu      sync.Mutex
@@ -43,34 +43,34 @@
 	tally *rollout.Tally
 }
 
-func newRolloutDuty(p *rollout.Policy) *rolloutDuty {
-	return &rolloutDuty{policy: p, tallies: map[string]*orderTally{}}
+func newRolloutLeader(p *rollout.Policy) *rolloutLeader {
+	return &rolloutLeader{policy: p, tallies: map[string]*orderTally{}}
 }
 
 // reset drops all counts; a new leader gets them again from the nodes.
-func (d *rolloutDuty) reset() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	clear(d.tallies)
+func (l *rolloutLeader) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.tallies)
 }
 
 // tallyLocked returns the tally of a rollout; the caller holds the mutex.
-func (d *rolloutDuty) tallyLocked(now time.Time, r *wire.Rollout) *rollout.Tally {
-	t := d.tallies[r.GetService()]
+func (l *rolloutLeader) tallyLocked(now time.Time, r *wire.Rollout) *rollout.Tally {
+	t := l.tallies[r.GetService()]
 	if t == nil || t.order != r.GetOrder() {
 		t = &orderTally{order: r.GetOrder(), tally: rollout.NewTally(now, time.UnixMilli(r.GetAccepted()))}
-		d.tallies[r.GetService()] = t
+		l.tallies[r.GetService()] = t
 	}
 	return t.tally
 }
 
 // add adds a node's counts of one service. Counts of another rollout than the newest, and of one that has ended, are ignored.
-func (d *rolloutDuty) add(now time.Time, r *wire.Rollout, q *rpc.OutcomesRequest, o *rpc.ServiceOutcomes) {
+func (l *rolloutLeader) add(now time.Time, r *wire.Rollout, q *rpc.OutcomesRequest, o *rpc.ServiceOutcomes) {
 	if !rollout.Running(r) || r.GetOrder() != o.GetOrder() {
 		return
 	}
 	report := rollout.Report{
-		Node: q.GetNode(), Incarnation: q.GetIncarnation(), Missed: o.GetMissed(), Cut: o.GetCut(), Step: o.GetStep(), Pending: o.GetPending(),
+		Node: q.GetNode(), Incarnation: q.GetIncarnation(), Missed: o.GetMissed(), Stopped: o.GetCut(), Step: o.GetStep(), Pending: o.GetPending(),
 		Counts: make(map[rollout.Key]rollout.Counts, len(o.GetRoutes())),
 	}
 	for _, n := range o.GetRoutes() {
@@ -78,33 +78,33 @@
 		copy(c.Times[:], n.GetTimes())
 		report.Counts[rollout.Key{Route: n.GetRoute(), New: n.GetNew()}] = c
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.tallyLocked(now, r).Add(now, report)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tallyLocked(now, r).Add(now, report)
 }
 
 // decide returns the steps that are due.
-func (d *rolloutDuty) decide(now time.Time, running []*wire.Rollout, t *config.RoutingTable) []*wire.RolloutAdvance {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (l *rolloutLeader) decide(now time.Time, running []*wire.Rollout, t *config.RoutingTable) []*wire.RolloutAdvance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var steps []*wire.RolloutAdvance
 	for _, r := range running {
-		if a := d.policy.Decide(now, r, d.tallyLocked(now, r), rolloutCapacity(t, r)); a != nil {
+		if a := l.policy.Decide(now, r, l.tallyLocked(now, r), rolloutCapacity(t, r)); a != nil {
 			steps = append(steps, a)
 		}
 	}
-	if len(d.tallies) > len(running) {
-		d.dropLocked(running)
+	if len(l.tallies) > len(running) {
+		l.dropLocked(running)
 	}
 	return steps
 }
 
-func (d *rolloutDuty) dropLocked(running []*wire.Rollout) {
+func (l *rolloutLeader) dropLocked(running []*wire.Rollout) {
 	kept := make(map[string]*orderTally, len(running))
 	for _, r := range running {
-		kept[r.GetService()] = d.tallies[r.GetService()]
+		kept[r.GetService()] = l.tallies[r.GetService()]
 	}
-	d.tallies = kept
+	l.tallies = kept
 }
 
 // rolloutCapacity describes the endpoints of a service with a rollout.
@@ -131,7 +131,7 @@
 	if st.Role != agreement.Leader {
 		return nil, &agreement.NotLeaderError{Leader: st.Leader}
 	}
-	if age := c.replica.Confirmed(); age < 0 || age > leaderAge {
+	if age := c.replica.Confirmed(); age < 0 || age > maxConfirmationAge {
 		return nil, &UnconfirmedError{Age: age}
 	}
 	now := time.Now()
