--- a/core/nested/throttle.go
+++ b/core/nested/throttle.go
@@ -37,18 +37,18 @@
 
 const (
 	halfLife    = 2 * time.Second // time after which a run counts half in what is known of its kind
-	maxKinds    = 256             // maximum number of kinds; one more forgets all, and they are soon learned again
+	maxKinds    = 256             // maximum number of kinds; with one more all are dropped and learned again
 	maxServices = 8               // maximum number of services per kind and per run whose calls are recorded
 	maxRuns     = 2048            // maximum number of tracked runs, above the slots of a node's endpoints
-	// forgotten is the number of calling runs, after decay, below which a service is dropped from a kind.
-	forgotten = 0.01
+	// minCalling is the number of calling runs, after decay, below which a service is dropped from a kind.
+	minCalling = 0.01
 	// settleTime is the time after the end of a run for which its calls are awaited: a call ends for its node only after its last byte
 	// was written, and the run may have ended by then.
 	settleTime = 50 * time.Millisecond
 
 	minRuns = 4.0 // minimum number of recorded runs, after decay, for a refusal
-	// trickleInterval is the time after which a parent of each kind is admitted in any case, so that a recovery is found.
-	trickleInterval = 250 * time.Millisecond
+	// probeInterval is the time after which a parent of each kind is admitted whatever the share, so that a recovery is found.
+	probeInterval = 250 * time.Millisecond
 
 	minRetryAfter = 200 * time.Millisecond
 )
@@ -79,7 +79,7 @@
 type Throttle struct {
 	mutex    sync.Mutex
 	kinds    map[string]*kind
-	services map[string]*level
+	services map[string]*serviceShare
 	runs     map[string]*run // by call id
 	ended    []*run          // runs that have ended and are recorded after settleTime, in order
 }
@@ -117,7 +117,7 @@
 
 // New returns a Throttle that has learned nothing, so that it admits all parents.
 func New() *Throttle {
-	return &Throttle{kinds: map[string]*kind{}, services: map[string]*level{}, runs: map[string]*run{}}
+	return &Throttle{kinds: map[string]*kind{}, services: map[string]*serviceShare{}, runs: map[string]*run{}}
 }
 
 // Decide decides whether a parent of the given kind may run.
@@ -130,23 +130,23 @@
 		return Decision{Admit: true, Share: 1}
 	}
 	k.decay(now)
-	d := t.share(now, k)
+	d := t.lowestShare(now, k)
 	if d.Share >= 1 {
 		k.credit, k.admitted = 0, now
 		return Decision{Admit: true, Share: 1}
 	}
 	k.credit += d.Share
-	if k.credit >= 1 || now.Sub(k.admitted) >= trickleInterval {
+	if k.credit >= 1 || now.Sub(k.admitted) >= probeInterval {
 		k.credit, k.admitted = max(k.credit-1, 0), now
 		return Decision{Admit: true, Share: d.Share}
 	}
 	return d
 }
 
-// share returns a refusal with the lowest share over the services that runs of the kind call. Of each refused parents the part that
-// makes no call would have been served. So a share is not below the ratio of these to those that make calls, and no kind is refused
-// of which less than half of the runs make calls.
-func (t *Throttle) share(now time.Time, k *kind) Decision {
+// lowestShare returns a refusal with the lowest share over the services that runs of the kind call. Of the refused parents, those that
+// would make no call would have been served. So the share is at least the ratio of runs without calls to runs with calls, and no kind is
+// refused of which less than half of the runs make calls.
+func (t *Throttle) lowestShare(now time.Time, k *kind) Decision {
 	d := Decision{Share: 1}
 	if k.runs < minRuns {
 		return d
@@ -157,7 +157,7 @@
 		if l == nil || calling == 0 {
 			continue
 		}
-		if s := max(l.share(now), (1-calling)/calling); s < d.Share {
+		if s := max(l.current(now), (1-calling)/calling); s < d.Share {
 			d = Decision{Service: name, Share: s, RetryAfter: max(l.untilFull(now), minRetryAfter)}
 		}
 	}
@@ -241,7 +241,7 @@
 		if lacking && r.ok {
 			continue // the run did without the call
 		}
-		t.levelOf(c.service).observe(now, r.began, lacking)
+		t.shareOf(c.service).observe(now, r.began, lacking)
 	}
 }
 
@@ -274,13 +274,13 @@
 	return k
 }
 
-func (t *Throttle) levelOf(service string) *level {
+func (t *Throttle) shareOf(service string) *serviceShare {
 	l := t.services[service]
 	if l == nil {
 		if len(t.services) >= maxKinds {
 			clear(t.services)
 		}
-		l = &level{}
+		l = &serviceShare{}
 		t.services[service] = l
 	}
 	return l
@@ -299,7 +299,7 @@
 		for i := range u.calls {
 			u.calls[i] *= f
 		}
-		if u.calling < forgotten {
+		if u.calling < minCalling {
 			delete(k.services, name)
 		}
 	}
@@ -327,7 +327,7 @@
 	defer t.mutex.Unlock()
 	shares := map[string]float64{}
 	for name, l := range t.services {
-		if s := l.share(now); s < 1 {
+		if s := l.current(now); s < 1 {
 			shares[name] = s
 		}
 	}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -248,7 +248,7 @@
 	p, err := h.backend.Do(ctx, m, r)
 	key := m.Service + "/" + m.Endpoint
 	if err != nil {
-		return nil, h.nested.declined(m, err, func() admission.Stats { return h.endpoint(key).queue.gate.Stats() })
+		return nil, h.nested.classifyRefusal(m, err, func() admission.Stats { return h.endpoint(key).queue.gate.Stats() })
 	}
 	l := h.endpoint(key)
 	setLoad(p, l.queue, m.Route)
--- a/io/host/nested.go
+++ b/io/host/nested.go
@@ -24,7 +24,7 @@
 
 // nestedCalls connects the throttle of parents to the calls of this node. It has no effect at endpoints that are not enabled.
 type nestedCalls struct {
-	enabled  func(endpoint string) bool // whether the endpoint has stated a pace
+	enabled  func(endpoint string) bool // reports whether the endpoint has stated a pace
 	throttle *nested.Throttle
 	metrics  *process.Metrics
 	log      logr.Logger
@@ -74,8 +74,8 @@
 	return expected + rand.N(expected/2+1)
 }
 
-// movable reports whether a nested call is tried at another endpoint after a busy refusal. Its objective is required, since the hop
-// states only with one whether another attempt can follow.
+// movable reports whether a nested call is tried at another endpoint after a busy refusal. Only calls with an objective are, since
+// hop.Meta carries LastAttempt only with an objective.
 func (n *nestedCalls) movable(endpoint string, m hop.Meta) bool {
 	return m.Depth > 1 && m.Objective != 0 && !m.LastAttempt && n.enabled(endpoint)
 }
@@ -94,7 +94,8 @@
 	}
 }
 
-// ended records the end of a run and returns its result for admission control, to which the time of a broken run says nothing.
+// ended records the end of a run and returns its result for admission control. A broken run is not OK there, since its time says nothing
+// about the usual service time.
 func (n *nestedCalls) ended(call string, r backend.Result) backend.Result {
 	success := r.Status >= http.StatusOK && r.Status < http.StatusBadRequest
 	if n.throttle.End(time.Now(), call, success) {
@@ -103,10 +104,10 @@
 	return r
 }
 
-// declined returns the failure of a call at a local endpoint, with the code declined in place of overload if the endpoint had room: its
-// backend server refused for a reason of its own, which fewer calls would not change. The gate itself refuses with overload only when
-// its queue is full. The call has left its slot by then, so it is added to the running ones.
-func (n *nestedCalls) declined(m hop.Meta, err error, stats func() admission.Stats) error {
+// classifyRefusal returns the failure of a call at a local endpoint, with the code declined in place of overload if the endpoint had room:
+// its backend server refused for a reason of its own, which fewer calls would not change. The gate itself refuses with overload only
+// when its queue is full. The call has left its slot by then, so it is added to the running ones.
+func (n *nestedCalls) classifyRefusal(m hop.Meta, err error, stats func() admission.Stats) error {
 	var f *outcome.Failure
 	if !n.enabled(m.Service+"/"+m.Endpoint) || !errors.As(err, &f) || f.Code != outcome.Overload || f.Kind != outcome.NotRun {
 		return err
@@ -129,7 +130,7 @@
 	n.metrics.NestedCalls.WithLabelValues(f.Service, r.String()).Inc()
 }
 
-// nestedResult returns the result of a nested call. A service of which no endpoint can be used has no room either.
+// nestedResult returns the result of a nested call. A service without a usable endpoint also counts as one without room.
 func nestedResult(f caller.Finished) nested.Result {
 	switch f.Code {
 	case "":
--- a/io/host/nested_test.go
+++ b/io/host/nested_test.go
@@ -119,7 +119,7 @@
 		{"another failure", "a", &outcome.Failure{Code: outcome.Busy, Kind: outcome.NotRun}, admission.Stats{Limit: 12}, outcome.Busy},
 	}
 	for _, c := range tests {
-		err := n.declined(hop.Meta{Service: "store", Endpoint: c.endpoint}, c.err, func() admission.Stats { return c.stats })
+		err := n.classifyRefusal(hop.Meta{Service: "store", Endpoint: c.endpoint}, c.err, func() admission.Stats { return c.stats })
 		f := hop.AsFailure(err, "")
 		if f.Code != c.want || f.RetryAfter != hop.AsFailure(c.err, "").RetryAfter {
 			t.Errorf("%s: got %+v, want code %s and the same time to return", c.name, f, c.want)
