--- a/core/admission/customers.go
+++ b/core/admission/customers.go
@@ -14,14 +14,14 @@
 	minAsked         = 0.01            // a customer with fewer recent calls is forgotten
 	maxDoublings     = 20              // half-lives after which the counts are scaled down, to stay within the precision of a float64
 
-	// starvedShare is the fraction of the rank's granted share below which a customer comes first. Its margin above a quarter, below
-	// which no customer may be served, is for what the counts of a few seconds miss.
+	// starvedShare is the fraction of the rank's granted share below which a customer comes first. No customer may be served less than a
+	// quarter as often as all; the margin is for the error of counts over a few seconds.
 	starvedShare = 0.3
-	maxLevel     = 3
+	maxLevel     = 3    // highest level; it has no upper bound of use
 	levelMargin  = 1.25 // level 0 ends at this multiple of the mean use of the others; each further level ends at twice the one before
 )
 
-// starvedLevel comes before the calls of all other customers of the rank.
+// starvedLevel is the level of a customer below starvedShare; its calls start before those of all other customers of the rank.
 const starvedLevel = -1
 
 // customers counts the recent calls of customers at the endpoint, with exponential decay. While there are calls of customers, it orders
@@ -148,7 +148,7 @@
 
 // level returns the level of each queued call and of a new call r, which may be nil; lower levels start first. The levels are nil
 // without customers.
-func (c *customers) level(now time.Time, queue []queuedCall, r *Request) (queued []int, of int) {
+func (c *customers) level(now time.Time, queue []queuedCall, r *Request) (queued []int, own int) {
 	if len(c.uses) == 0 {
 		return nil, 0
 	}
@@ -162,7 +162,7 @@
 	}
 	all := c.sum(now)
 	if r != nil {
-		of = c.levelOf(now, r, &all)
+		own = c.levelOf(now, r, &all)
 	}
 	for i := range c.uses {
 		c.uses[i].queued = 0 // now counts the calls ahead of each queued call
@@ -175,7 +175,7 @@
 			c.uses[k].queued++
 		}
 	}
-	return c.levels, of
+	return c.levels, own
 }
 
 // sum returns the use of all customers by rank.
--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -7,8 +7,8 @@
 	"godwitspindle/core/outcome"
 )
 
-// minSlowdown is the ratio of the expected to the usual service time from which on a free slot is refused to a call that would miss
-// its objective. Below it, the call is no better off at another endpoint.
+// minSlowdown is the ratio of the expected to the usual service time from which on a call that would miss its objective is refused a free
+// slot. Below it, another endpoint is hardly faster.
 const minSlowdown = 1.3
 
 // shortCall is the ratio of a short service time to the expected one. A free slot is refused only if even a short call would be late,
@@ -23,7 +23,7 @@
 	Slowdown  float64       // expected in relation to usual service time
 }
 
-// Report records the load that the backend server reports and returns decisions for queued calls. From the first report with a pace
+// Report records the load that the backend server reports, and returns decisions for queued calls that may start now. From the first report with a pace
 // on, the limit and the expected service times follow an estimate of the capacity.
 func (g *Gate) Report(now time.Time, r capacity.Report) []Decision {
 	g.mutex.Lock()
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// stepsPerPriority is the number of levels between two priorities. Where the customer's priority replaces the route's, the route's
-	// still moves a call by one level a step, so that a step of the customer's priority counts twice as much.
+	// stepsPerPriority is the number of priority levels per priority. Where the priority of a customer replaces that of the route, the
+	// level is twice the customer's priority plus the route's (see Request.RouteOffset), so that the customer's counts more.
 	stepsPerPriority = 3
-	levels           = stepsPerPriority*(priorities-1) + 1
-	ranks            = 2 * levels // two ranks per level: new requests and nested calls
+	priorityLevels   = stepsPerPriority*(priorities-1) + 1
+	ranks            = 2 * priorityLevels // two ranks per level: new requests and nested calls
 
 	shareHalfLife = 2 * time.Second // time after which a call counts half
 	sharePrior    = 1.0             // added to the asked and the granted calls of a rank, so that the first calls change its share little
@@ -36,7 +36,7 @@
 
 // rank returns the index of the request's priority and nesting in shares and waitFactors.
 func (r *Request) rank() int {
-	k := 2 * min(max(stepsPerPriority*r.Priority+r.RouteOffset, 0), levels-1)
+	k := 2 * min(max(stepsPerPriority*r.Priority+r.RouteOffset, 0), priorityLevels-1)
 	if r.Nested {
 		k++
 	}
