--- a/cmd/run.go
+++ b/cmd/run.go
@@ -41,13 +41,13 @@
 	Checks         ConfigurationChecks
 }
 
-// ConfigurationChecks holds the functions by which check looks at whole configurations; nil functions are skipped.
+// ConfigurationChecks holds the functions with which the command check examines the content of files; nil functions are skipped.
 type ConfigurationChecks struct {
 	Validate    func(c *wire.Content) error
 	Warnings    func(c *wire.Content, whole bool) []Warning // whole means that c lacks no part of the configuration
 	Differences func(before, after *wire.Content) []*wire.Difference
 
-	// The next two are for configurations of the users' platform.
+	// Parse and Read are for configurations of the users' platform.
 	Parse func(data []byte) (*wire.Content, error)
 	Read  func(ctx context.Context, at netip.AddrPort) (*wire.Content, error) // the one in force; nil if there is none yet
 }
--- a/core/config/rollout.go
+++ b/core/config/rollout.go
@@ -13,8 +13,8 @@
 	return m
 }
 
-// addRollouts adds the rollouts to their services. One of a service that has left the configuration is kept in the snapshot, but
-// concerns no request.
+// addRollouts adds the rollouts to their services. The snapshot also keeps rollouts of services that have left the configuration; these
+// have no effect.
 func (b *builder) addRollouts() {
 	for _, r := range b.rollouts {
 		if s := b.services[r.GetService()]; s != nil {
@@ -23,8 +23,8 @@
 	}
 }
 
-// Running returns the services whose requests are shared between two releases.
-func (t *RoutingTable) Running() []*Service {
+// ServicesInRollout returns the services with a running rollout, sorted by name.
+func (t *RoutingTable) ServicesInRollout() []*Service {
 	var list []*Service
 	for _, s := range t.sortedServices {
 		if s.Rollout.GetState() == wire.RolloutState_ROLLOUT_STATE_RUNNING {
--- a/core/config/warnings.go
+++ b/core/config/warnings.go
@@ -13,8 +13,8 @@
 	Text string
 }
 
-// Warnings returns what of a valid configuration can never match or have an effect, or contradicts another entry. The content may lack
-// parts: a whole configuration also gets warnings for what none of its routes lead to.
+// Warnings returns the entries of a valid configuration that can never match or have an effect, or that contradict another entry. Unless
+// whole is set, the content may lack parts of the configuration, and entries that only a missing part could use get no warning.
 func Warnings(c *wire.Content, whole bool) []Warning {
 	w := &warnings{}
 	services := make(map[string]*wire.Service)
@@ -131,10 +131,10 @@
 func (w *warnings) drains(list []*wire.Drain) {
 	covers := func(a, b string) bool { return a == "" || a == b }
 	for i, d := range list {
-		for k, o := range list {
+		for j, o := range list {
 			all := covers(o.GetService(), d.GetService()) && covers(o.GetDomain(), d.GetDomain()) && covers(o.GetEndpoint(), d.GetEndpoint())
 			same := o.GetService() == d.GetService() && o.GetDomain() == d.GetDomain() && o.GetEndpoint() == d.GetEndpoint()
-			if i != k && all && (!same || k < i) {
+			if i != j && all && (!same || j < i) {
 				w.add(KeyOf(d), "without effect beside drain %s, which covers its endpoints", o.GetName())
 				break
 			}
--- a/core/store/content.go
+++ b/core/store/content.go
@@ -112,6 +112,11 @@
 	return newContent(n, c)
 }
 
+// servicePrefix begins the keys of services in entries.
+const servicePrefix = "service/"
+
+func (c *content) hasService(name string) bool { return c.entries[servicePrefix+name] != nil }
+
 // withRegister returns the content with another register.
 func (c *content) withRegister(r *wire.Register) *content {
 	n := *c
@@ -195,8 +200,8 @@
 	}
 	toggled := make(map[string]bool)
 	for _, k := range keys {
-		if strings.HasPrefix(k, "service/") && (before.entries[k] == nil || after.entries[k] == nil) {
-			toggled[strings.TrimPrefix(k, "service/")] = true
+		if strings.HasPrefix(k, servicePrefix) && (before.entries[k] == nil || after.entries[k] == nil) {
+			toggled[strings.TrimPrefix(k, servicePrefix)] = true
 		}
 	}
 	if len(toggled) > 0 {
--- a/core/store/rollouts.go
+++ b/core/store/rollouts.go
@@ -27,10 +27,10 @@
 }
 
 // applyOrder starts a rollout. The same order again has the result of the first; another one while a rollout runs is refused with
-// Running.
+// RolloutRunning.
 func (s *Store) applyOrder(index uint64, o *wire.RolloutOrder, dirty *[]string) *wire.Result {
 	faults := rollout.Check(o)
-	if s.content.entries["service/"+o.GetService()] == nil {
+	if !s.content.hasService(o.GetService()) {
 		faults = append(faults, &wire.Fault{Field: "service", Expected: "a service of the configuration"})
 	}
 	if len(faults) > 0 {
@@ -41,7 +41,7 @@
 	case rollout.Repeated:
 		return rolloutResult(current)
 	case rollout.Conflict:
-		return refusal(Running, &wire.Fault{Field: "service", Expected: fmt.Sprintf(
+		return refusal(RolloutRunning, &wire.Fault{Field: "service", Expected: fmt.Sprintf(
 			"a service without a running rollout; one to release %q is running", current.GetRelease())})
 	}
 	r := rollout.Start(index, s.Time(), o)
@@ -71,7 +71,7 @@
 func (s *Store) abandonRollouts() []string {
 	var dirty []string
 	for _, name := range slices.Sorted(maps.Keys(s.rollouts)) {
-		if s.content.entries["service/"+name] != nil {
+		if s.content.hasService(name) {
 			continue
 		}
 		if next, ok := rollout.Abandon(s.Time(), s.rollouts[name]); ok {
@@ -90,7 +90,7 @@
 	var oldest *wire.Rollout
 	var oldestLeft bool
 	for _, r := range s.rollouts {
-		left := s.content.entries["service/"+r.GetService()] == nil
+		left := !s.content.hasService(r.GetService())
 		if rollout.Running(r) || oldestLeft && !left {
 			continue
 		}
@@ -99,7 +99,7 @@
 		}
 	}
 	if oldest == nil {
-		return nil // more services than the limit have a running rollout
+		return nil // all kept rollouts are running; the state then exceeds the limit
 	}
 	delete(s.rollouts, oldest.GetService())
 	return []string{config.KeyOf(oldest)}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -27,12 +27,12 @@
 
 // Codes with which a change is refused.
 const (
-	Invalid  = "invalid"  // a field of the change or the resulting configuration is invalid
-	Reused   = "reused"   // an accepted change with other content has the id
-	Expired  = "expired"  // changes after the base are no longer in the history
-	Missing  = "missing"  // the content to revert to is not in the history
-	Running  = "running"  // another rollout of the service is running
-	Mismatch = "mismatch" // the edit does not produce the content of its digest; the client must send the whole content
+	Invalid        = "invalid"  // a field of the change or the resulting configuration is invalid
+	Reused         = "reused"   // an accepted change with other content has the id
+	Expired        = "expired"  // changes after the base are no longer in the history
+	Missing        = "missing"  // the content to revert to is not in the history
+	RolloutRunning = "running"  // another rollout of the service is running
+	Mismatch       = "mismatch" // the edit does not produce the content of its digest; the client must send the whole content
 )
 
 // Store is the replicated state; it is not safe for concurrent use, but the snapshots that it returns are.
@@ -164,7 +164,7 @@
 		return nil
 	case "endpoint":
 		e := s.members.endpoints[name]
-		if e == nil || s.content.entries["service/"+e.GetService()] == nil || s.members.nodes[e.GetNode()] == nil {
+		if e == nil || !s.content.hasService(e.GetService()) || s.members.nodes[e.GetNode()] == nil {
 			return nil
 		}
 		return e
--- a/io/host/convert.go
+++ b/io/host/convert.go
@@ -75,7 +75,7 @@
 // runningRollouts returns the running rollouts of the table.
 func runningRollouts(t *config.RoutingTable) []operator.Rollout {
 	var list []operator.Rollout
-	for _, s := range t.Running() {
+	for _, s := range t.ServicesInRollout() {
 		list = append(list, operator.NewRollout(s.Rollout))
 	}
 	return list
--- a/io/host/rollout.go
+++ b/io/host/rollout.go
@@ -318,7 +318,7 @@
 	t := r.table()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, s := range t.Running() {
+	for _, s := range t.ServicesInRollout() {
 		r.viewLocked(s.Name, s.Rollout, now)
 	}
 	for name, s := range r.services {
