--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -78,15 +78,10 @@
 	if kind != "application/json" {
 		return nil, malformedProblem("Content-Type: expected application/json")
 	}
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	d.DisallowUnknownFields()
 	var c Change
-	if err := d.Decode(&c); err != nil {
+	if err := decodeObject(w, r, maxBodyBytes, &c); err != nil {
 		return nil, decodeProblem(err)
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, malformedProblem("expected one JSON object")
-	}
 	if len(c.ID) > maxIDBytes || len(c.Author) > maxTextBytes || len(c.Reason) > maxTextBytes {
 		return nil, malformedProblem("expected an id of at most 128 bytes, and author and reason of at most 1000 each")
 	}
@@ -97,6 +92,25 @@
 	return s.parseChange(c)
 }
 
+// trailingDataError reports bytes after the JSON object of a request.
+type trailingDataError struct{}
+
+// Error states what is expected.
+func (*trailingDataError) Error() string { return "expected one JSON object" }
+
+// decodeObject decodes a request body of at most limit bytes, which must consist of one JSON object without unknown fields.
+func decodeObject(w http.ResponseWriter, r *http.Request, limit int64, to any) error {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	d.DisallowUnknownFields()
+	if err := d.Decode(to); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return &trailingDataError{}
+	}
+	return nil
+}
+
 func decodeProblem(err error) *Problem {
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
 		return &Problem{
--- a/io/operator/replicas.go
+++ b/io/operator/replicas.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"mime"
 	"net/http"
 )
@@ -21,15 +18,10 @@
 	if kind != "application/json" {
 		return malformedProblem("Content-Type: expected application/json")
 	}
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTextBytes))
-	d.DisallowUnknownFields()
 	var a ReplicaAction
-	if err := d.Decode(&a); err != nil {
+	if err := decodeObject(w, r, maxTextBytes, &a); err != nil {
 		return malformedProblem(err.Error())
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return malformedProblem("expected one JSON object")
-	}
 	if a.Action != ActionAdd && a.Action != ActionPromote && a.Action != ActionRemove {
 		return malformedProblem("action: expected add, promote or remove")
 	}
--- a/io/operator/rollouts.go
+++ b/io/operator/rollouts.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -58,15 +55,10 @@
 }
 
 func (s *Server) serveRolloutStart(w http.ResponseWriter, r *http.Request) *Problem {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTextBytes))
-	d.DisallowUnknownFields()
 	var o RolloutOrder
-	if err := d.Decode(&o); err != nil {
+	if err := decodeObject(w, r, maxTextBytes, &o); err != nil {
 		return malformedProblem(err.Error())
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return malformedProblem("expected one JSON object")
-	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
 	defer cancel()
 	result, err := s.startRollout(ctx, &wire.RolloutOrder{
