--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -68,7 +68,7 @@
 func (c *call) prepare() *outcome.Failure {
 	contexts, waitValue := c.r.Header.Values(HeaderContext), c.r.Header.Get(HeaderDeadline)
 	hop.Strip(c.r.Header)
-	hop.FixPath(c.r.URL)
+	hop.EscapePath(c.r.URL)
 	if hop.IsUpgrade(c.r) {
 		return c.fail(outcome.Refused, http.StatusNotImplemented, "upgrades and tunnels are not supported", nil)
 	}
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -21,9 +21,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings",
 }
 
-// RemoveNamed removes the headers that Connection names, and Connection itself, so that no header which is set from here on can be one
-// that the sender named. It keeps the hop-by-hop headers that Outbound and IsUpgrade read.
-func RemoveNamed(h http.Header) {
+// RemoveConnectionOptions removes Connection and the headers that it names (RFC 9110 section 7.6.1). Headers that are set afterwards can
+// then not be removed because the sender named them. It keeps the hop-by-hop headers that Outbound and IsUpgrade read.
+func RemoveConnectionOptions(h http.Header) {
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			name = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))
@@ -37,7 +37,7 @@
 
 // Clean removes hop-by-hop headers, including those that Connection names, and all Mesh-* headers.
 func Clean(h http.Header) {
-	RemoveNamed(h)
+	RemoveConnectionOptions(h)
 	for _, k := range hopByHopHeaders {
 		delete(h, k)
 	}
--- a/io/hop/path.go
+++ b/io/hop/path.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// encodedSlash stands for a slash that is part of a segment.
+// encodedSlash is a slash that is part of a segment.
 const encodedSlash = "%2F"
 
 // RoutePath returns the path by which the route of a request is chosen. Encoded characters count as the characters themselves, which
@@ -40,9 +40,9 @@
 	}
 }
 
-// FixPath encodes the bytes of a received path that a path must not contain, and keeps all others. Without it, net/url would forward such
-// a path decoded and encoded anew, in which an encoded slash becomes one that ends a segment.
-func FixPath(u *url.URL) {
+// EscapePath percent-encodes the bytes of a received path that a path must not contain, and keeps all others. Without it, net/url would
+// decode such a path and encode it again when it is forwarded, and an encoded slash would become one that ends a segment.
+func EscapePath(u *url.URL) {
 	if u.RawPath == "" {
 		return
 	}
