--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -242,10 +242,10 @@
 		if !k.New || route != "" && k.Route != route {
 			continue
 		}
-		old, lately := countsOf(t.total, Key{Route: k.Route}), countsOf(w.recent, Key{Route: k.Route})
+		old, recentOld := countsOf(t.total, Key{Route: k.Route}), countsOf(w.recent, Key{Route: k.Route})
 		all.add(c, &old)
-		recent.add(c, &lately)
-		recentAnswers += int(min(lately.Answers, minReference))
+		recent.add(c, &recentOld)
+		recentAnswers += int(min(recentOld.Answers, minReference))
 	}
 	return all.exceeds(required.shift) && (recentAnswers < minReference || recent.exceeds(required.shift))
 }
--- a/core/rollout/policy.go
+++ b/core/rollout/policy.go
@@ -70,7 +70,7 @@
 	usableSlots     = 0.7 // part of the new endpoints' slots that all requests may occupy; the rest is for their variation
 	comparableSlots = 0.8 // part of the old release's slots that is enough without an estimate
 	maxMissedShare  = 0.5 // part of the assigned requests that may lack a usable endpoint when the share is raised
-	minHeardShare   = 0.5 // part of the nodes that must have reported lately before the share is raised
+	minHeardShare   = 0.5 // part of the nodes that must have reported within heardTime before the share is raised
 	maxStoppedShare = 0.3 // part of the reporting nodes above which the release is bad if they have stopped sending to it
 	minStopped      = 2
 	heardTime       = 5 * time.Second
@@ -147,7 +147,7 @@
 	old       Counts        // counts of all routes since the order
 	fresh     Counts
 	rate      float64 // requests per second in the last seconds
-	missed    uint64  // requests that lately found no usable endpoint of the new release
+	missed    uint64  // requests in recentPeriod that found no usable endpoint of the new release
 	latest    uint64  // answers of the new release in the same time
 	fault     string  // why the release is bad; empty if it is not
 	doubt     string  // why it may be bad, so that the share is not raised; empty if nothing suggests it
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -37,7 +37,7 @@
 // Do admits a call and forwards it to its endpoint; it is a hop.Do. The call is in flight until the answer is read to its end
 // or its body is closed.
 func (b *Backend) Do(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
-	key := m.Service + "/" + m.Endpoint
+	key := m.EndpointKey()
 	if f := b.refusal(ctx, key, m); f != nil {
 		return nil, f
 	}
--- a/io/hop/meta.go
+++ b/io/hop/meta.go
@@ -93,6 +93,9 @@
 	RouteOffset int
 }
 
+// EndpointKey returns the key SERVICE/NAME of the endpoint that the call is sent to.
+func (m *Meta) EndpointKey() string { return m.Service + "/" + m.Endpoint }
+
 // MetaError reports a metadata header, or a field of Mesh-Meta, that is missing, malformed or out of range.
 type MetaError struct {
 	Header string
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -51,11 +51,10 @@
 	follower atomic.Pointer[peer.Follower]
 	announce atomic.Pointer[announcer]
 
-	picker  *routing.Picker
-	budgets *retry.Budgets
-	stop    *stopRecord
-	splits  *splitCounter
-	// rollouts assigns requests to releases while services have rollouts.
+	picker   *routing.Picker
+	budgets  *retry.Budgets
+	stop     *stopRecord
+	splits   *splitCounter
 	rollouts *rollouts
 	notices  *notice.Table
 	nested   *nestedCalls
@@ -94,7 +93,7 @@
 	redirected redirects
 
 	customerLabels customerLabels
-	revocation     time.Duration // set by WithRevocation; 0 without it
+	revocation     time.Duration // age of a confirmation from which on no key is accepted, see WithRevocation; 0 for never
 
 	mu     sync.Mutex
 	locals map[string]*localEndpoint
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -28,11 +28,11 @@
 type localEndpoint struct {
 	queue       *admissionQueue
 	guard       *guard
-	slots       int            // announced slots
-	connections int            // maximum connections, as announced
-	process     notice.Process // current process of the endpoint; guarded by the mutex of the Host
-	limitMutex  sync.Mutex     // serializes changes of limit
-	estimate    estimateLog
+	slots       int                          // announced slots
+	connections int                          // maximum connections, as announced
+	process     notice.Process               // current process of the endpoint; guarded by the mutex of the Host
+	limitMutex  sync.Mutex                   // serializes changes of limit
+	estimate    estimateLog                  // last log line about the estimate of the capacity
 	limit       atomic.Pointer[notice.Limit] // last limit that was stated, with rate 0 once it is withdrawn; nil before the first
 }
 
@@ -246,7 +246,7 @@
 // callBackend runs a call at a local endpoint and reports the occupancy and the limit of the endpoint in the answer.
 func (h *Host) callBackend(ctx context.Context, m hop.Meta, r *http.Request) (*http.Response, error) {
 	p, err := h.backend.Do(ctx, m, r)
-	key := m.Service + "/" + m.Endpoint
+	key := m.EndpointKey()
 	if err != nil {
 		return nil, h.nested.classifyRefusal(m, err, func() admission.Stats { return h.endpoint(key).queue.gate.Stats() })
 	}
@@ -271,7 +271,7 @@
 	if err != nil {
 		f, state := hop.AsFailure(err, m.Call), tracked.Progress()
 		fields := []any{
-			"call", m.Call, "endpoint", m.Service + "/" + m.Endpoint, "code", f.Code, "outcome", f.Kind,
+			"call", m.Call, "endpoint", m.EndpointKey(), "code", f.Code, "outcome", f.Kind,
 			"reason", f.Detail, "error", errorText(f.Err), "waited", waited(state, time.Now()), "took", time.Since(state.Began).String(),
 		}
 		if m.Customer != "" {
--- a/io/host/nested.go
+++ b/io/host/nested.go
@@ -82,7 +82,7 @@
 
 // parent returns the id that the calls of a run name, or an empty string if its endpoint is not enabled.
 func (n *nestedCalls) parent(m hop.Meta) string {
-	if !n.enabled(m.Service + "/" + m.Endpoint) {
+	if !n.enabled(m.EndpointKey()) {
 		return ""
 	}
 	return m.Call
@@ -109,7 +109,7 @@
 // when its queue is full. The call has left its slot by then, so it is added to the running ones.
 func (n *nestedCalls) classifyRefusal(m hop.Meta, err error, stats func() admission.Stats) error {
 	var f *outcome.Failure
-	if !n.enabled(m.Service+"/"+m.Endpoint) || !errors.As(err, &f) || f.Code != outcome.Overload || f.Kind != outcome.NotRun {
+	if !n.enabled(m.EndpointKey()) || !errors.As(err, &f) || f.Code != outcome.Overload || f.Kind != outcome.NotRun {
 		return err
 	}
 	if s := stats(); s.Queued > 0 || s.Running+1 >= s.Limit {
--- a/io/host/notice.go
+++ b/io/host/notice.go
@@ -99,7 +99,7 @@
 		return
 	}
 	now := time.Now()
-	p := notice.Process{Endpoint: m.Service + "/" + m.Endpoint, Incarnation: m.Limit.Incarnation}
+	p := notice.Process{Endpoint: m.EndpointKey(), Incarnation: m.Limit.Incarnation}
 	l := notice.Limit{Rate: notice.Rate(m.Limit.Rate), At: now.Add(-m.Limit.Age), From: m.Limit.Node}
 	if !h.notices.Adopt(p, l, now) {
 		return
--- a/io/host/rollout.go
+++ b/io/host/rollout.go
@@ -204,9 +204,15 @@
 	}
 }
 
+// serviceOf returns the service in the key SERVICE/NAME of an endpoint.
+func serviceOf(endpoint string) string {
+	name, _, _ := strings.Cut(endpoint, "/")
+	return name
+}
+
 // begin counts an attempt that is sent to an endpoint.
 func (r *rollouts) begin(endpoint string) {
-	name, _, _ := strings.Cut(endpoint, "/")
+	name := serviceOf(endpoint)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.services[name]; s != nil {
@@ -236,7 +242,7 @@
 // refusals by other endpoints do not count. A request that its caller gave up counts as an answer that took as long, since a
 // release that answers too late or never would otherwise show no fault.
 func (r *rollouts) observe(endpoint string, o caller.Observation) {
-	name, _, _ := strings.Cut(endpoint, "/")
+	name := serviceOf(endpoint)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.services[name]
--- a/io/host/rolloutleader.go
+++ b/io/host/rolloutleader.go
@@ -21,7 +21,7 @@
 	maxConfirmationAge = time.Second
 )
 
-// UnconfirmedError reports a leader that no majority has confirmed lately.
+// UnconfirmedError reports a leader without a confirmation by a majority in the last maxConfirmationAge.
 type UnconfirmedError struct{ Age time.Duration }
 
 // Error states the time since the last confirmation.
--- a/io/host/stop.go
+++ b/io/host/stop.go
@@ -216,7 +216,7 @@
 func (s *stopRecord) trackRemote(m hop.Meta, host string, now time.Time) *caller.Request {
 	r := &caller.Request{}
 	s.remote.Add(r, caller.Progress{
-		Call: m.Call, Route: m.Route, Endpoint: m.Service + "/" + m.Endpoint, Host: host, Began: now, Body: now, Deadline: now.Add(m.Remaining),
+		Call: m.Call, Route: m.Route, Endpoint: m.EndpointKey(), Host: host, Began: now, Body: now, Deadline: now.Add(m.Remaining),
 	})
 	return r
 }
