--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -8,7 +8,7 @@
 
 const (
 	// ordinaryFailures is a share of failures that a good release may show: more than twice the 0.4% of the services in
-	// play_test.go.
+	// simulation_test.go.
 	ordinaryFailures = 0.01
 	// failureFactor is the maximum ratio of the failure rate of a good release to that of the old one.
 	failureFactor = 2
--- a/core/rollout/play_test.go
+++ b/core/rollout/simulation_test.go
@@ -11,9 +11,9 @@
 	"godwitspindle/core/wire"
 )
 
-// play is a service of a mesh during one rollout, in steps of 10 ms: nodes send requests by the agreed share, report their counts
+// simulation is a service of a mesh during one rollout, in steps of 10 ms: nodes send requests by the agreed share, report their counts
 // and learn of steps with a delay.
-type play struct {
+type simulation struct {
 	policy   *Policy
 	random   *rand.Rand
 	nodes    int
@@ -53,8 +53,8 @@
 
 var epoch = time.UnixMilli(1_700_000_000_000)
 
-func newPlay(seed uint64, rate float64) *play {
-	p := &play{
+func newSimulation(seed uint64, rate float64) *simulation {
+	p := &simulation{
 		policy: New(), random: rand.New(rand.NewPCG(seed, 1)), nodes: 20, routes: []string{"a", "a", "a", "a", "a", "b", "b", "b", "c"},
 		rate: func(time.Duration) float64 { return rate }, duration: 12 * time.Second,
 		capacity: Capacity{New: 24, NewSlots: 24 * 18, OldSlots: 24 * 18, Nodes: 20}, lag: 150 * time.Millisecond, interval: time.Second,
@@ -69,7 +69,7 @@
 }
 
 // usual is the time of an answer in milliseconds: endpoints of three speeds, noise, and a slow start of the new release.
-func (p *play) usual(fresh bool, at time.Duration) float64 {
+func (p *simulation) usual(fresh bool, at time.Duration) float64 {
 	speed := []float64{0.7, 0.7, 1.6}[p.random.IntN(3)]
 	t := 20 * speed * math.Exp(0.3*p.random.NormFloat64())
 	if p.random.Float64() < 0.15 {
@@ -82,7 +82,7 @@
 }
 
 // shareAt returns the share that nodes use at a time, which is the agreed one some time before.
-func (p *play) shareAt(at time.Duration) float64 {
+func (p *simulation) shareAt(at time.Duration) float64 {
 	known := epoch.Add(at - p.lag).UnixMilli()
 	share := 0.0
 	for _, h := range p.history {
@@ -94,7 +94,7 @@
 }
 
 // stepAt returns the step that nodes know at a time.
-func (p *play) stepAt(at time.Duration) uint32 {
+func (p *simulation) stepAt(at time.Duration) uint32 {
 	known := epoch.Add(at - p.lag).UnixMilli()
 	var step uint32
 	for _, h := range p.history {
@@ -105,7 +105,7 @@
 	return step
 }
 
-func (p *play) run() {
+func (p *simulation) run() {
 	p.state = Start(7, epoch, &wire.RolloutOrder{Service: "s", Release: "v2", Duration: p.duration.Milliseconds()})
 	p.history = []*wire.Rollout{p.state}
 	p.counts, p.missed = make([]map[Key]Counts, p.nodes), make([]uint64, p.nodes)
@@ -167,7 +167,7 @@
 	}
 }
 
-func (p *play) send(at time.Duration, share float64) {
+func (p *simulation) send(at time.Duration, share float64) {
 	node := p.random.IntN(p.nodes)
 	fresh := p.random.Float64() < share
 	if fresh && !p.usable(at) {
@@ -198,7 +198,7 @@
 	}
 }
 
-func (p *play) decide(at time.Duration) {
+func (p *simulation) decide(at time.Duration) {
 	now := epoch.Add(at)
 	a := p.policy.Decide(now, p.state, p.tally, p.capacity)
 	if a == nil {
@@ -215,7 +215,7 @@
 	}
 }
 
-func (p *play) describe(t *testing.T) {
+func (p *simulation) describe(t *testing.T) {
 	t.Helper()
 	for _, h := range p.history {
 		t.Logf("%6d ms: share %5d %s: %s (sent %d, bad %d, total %d)", h.GetSince()-epoch.UnixMilli(), h.GetShare(),
@@ -224,7 +224,7 @@
 	t.Logf("%d of %d requests to the new release, %d bad", p.exposed, p.total, p.bad)
 }
 
-func (p *play) wantCompleted(t *testing.T) {
+func (p *simulation) wantCompleted(t *testing.T) {
 	t.Helper()
 	if p.state.GetState() != wire.RolloutState_ROLLOUT_STATE_COMPLETED || p.ended > p.duration {
 		p.describe(t)
@@ -232,7 +232,7 @@
 	}
 }
 
-func (p *play) wantRolledBack(t *testing.T) {
+func (p *simulation) wantRolledBack(t *testing.T) {
 	t.Helper()
 	bound := int(0.1*float64(p.total)) + 50
 	if p.state.GetState() != wire.RolloutState_ROLLOUT_STATE_ROLLED_BACK || p.ended > p.duration || p.exposed > bound || p.late > 0 {
@@ -244,12 +244,12 @@
 
 var rates = []float64{3, 10, 60, 200, 600, 1800}
 
-// each plays a case at several rates and seeds.
-func each(t *testing.T, rates []float64, change func(*play), check func(*play)) {
+// each simulates a case at several rates and seeds.
+func each(t *testing.T, rates []float64, change func(*simulation), check func(*simulation)) {
 	t.Helper()
 	for _, rate := range rates {
 		for seed := range uint64(6) {
-			p := newPlay(seed, rate)
+			p := newSimulation(seed, rate)
 			change(p)
 			p.run()
 			check(p)
@@ -262,16 +262,16 @@
 
 // TestGoodCompletes covers a good release that is rolled back for ordinary failures, noise, endpoints of different speed or a slow start.
 func TestGoodCompletes(t *testing.T) {
-	each(t, rates, func(*play) {}, func(p *play) { p.wantCompleted(t) })
+	each(t, rates, func(*simulation) {}, func(p *simulation) { p.wantCompleted(t) })
 }
 
 // TestBadRolledBack covers releases of which a part of the answers are failures or slow, from the start.
 func TestBadRolledBack(t *testing.T) {
 	for _, part := range []float64{0.2, 0.5, 1} {
-		each(t, []float64{60, 200, 600, 1800}, func(p *play) { p.failing(part, always) }, func(p *play) { p.wantRolledBack(t) })
+		each(t, []float64{60, 200, 600, 1800}, func(p *simulation) { p.failing(part, always) }, func(p *simulation) { p.wantRolledBack(t) })
 	}
 	for _, part := range []float64{0.5, 1} {
-		each(t, []float64{200, 600, 1800}, func(p *play) { p.slow(part, 4, always) }, func(p *play) { p.wantRolledBack(t) })
+		each(t, []float64{200, 600, 1800}, func(p *simulation) { p.slow(part, 4, always) }, func(p *simulation) { p.wantRolledBack(t) })
 	}
 }
 
@@ -279,7 +279,7 @@
 
 type condition func(route string, at time.Duration, share float64) bool
 
-func (p *play) failing(part float64, c condition) {
+func (p *simulation) failing(part float64, c condition) {
 	p.fails = func(fresh bool, route string, at time.Duration, share float64) float64 {
 		if fresh && c(route, at, share) {
 			return part
@@ -288,7 +288,7 @@
 	}
 }
 
-func (p *play) slow(part, factor float64, c condition) {
+func (p *simulation) slow(part, factor float64, c condition) {
 	p.takes = func(fresh bool, route string, at time.Duration, share float64) float64 {
 		took := p.usual(fresh, at)
 		if fresh && c(route, at, share) && p.random.Float64() < part {
@@ -300,12 +300,12 @@
 
 // TestSlowPart covers a release of which half of the answers are three times as slow, which few of its answers show.
 func TestSlowPart(t *testing.T) {
-	each(t, []float64{600, 1800}, func(p *play) { p.slow(0.5, 3, always) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{600, 1800}, func(p *simulation) { p.slow(0.5, 3, always) }, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 // TestSlowFromStart covers a slow release in a rollout that ends before its endpoints count as warm.
 func TestSlowFromStart(t *testing.T) {
-	each(t, []float64{600, 1800}, func(p *play) { p.duration = 4 * time.Second; p.slow(1, 6, always) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{600, 1800}, func(p *simulation) { p.duration = 4 * time.Second; p.slow(1, 6, always) }, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 // TestReportsToNewLeader covers the first report of a node to a new leader, which sums up the whole rollout: it must not count as recent,
@@ -331,18 +331,18 @@
 func TestBadLater(t *testing.T) {
 	for _, at := range []time.Duration{4 * time.Second, 8 * time.Second, 9500 * time.Millisecond} {
 		later := func(_ string, now time.Duration, _ float64) bool { return now >= at }
-		each(t, []float64{60, 200, 600, 1800}, func(p *play) { p.failing(0.3, later) }, func(p *play) { p.wantRolledBack(t) })
-		each(t, []float64{600, 1800}, func(p *play) { p.slow(0.7, 5, later) }, func(p *play) { p.wantRolledBack(t) })
+		each(t, []float64{60, 200, 600, 1800}, func(p *simulation) { p.failing(0.3, later) }, func(p *simulation) { p.wantRolledBack(t) })
+		each(t, []float64{600, 1800}, func(p *simulation) { p.slow(0.7, 5, later) }, func(p *simulation) { p.wantRolledBack(t) })
 	}
 }
 
 // TestBadMuchLater covers a release that turns slow after a long time without fault: it must be found by its latest answers, long before
 // the ramp.
 func TestBadMuchLater(t *testing.T) {
-	each(t, []float64{300, 900}, func(p *play) {
+	each(t, []float64{300, 900}, func(p *simulation) {
 		p.duration = 2 * time.Minute
 		p.slow(1, 3, func(_ string, at time.Duration, _ float64) bool { return at >= time.Minute })
-	}, func(p *play) {
+	}, func(p *simulation) {
 		p.wantRolledBack(t)
 		if p.ended > 85*time.Second {
 			p.describe(t)
@@ -354,40 +354,40 @@
 // TestBadAtFullLoad covers a release that fails only once it gets all requests, which is found by weak evidence before completion.
 func TestBadAtFullLoad(t *testing.T) {
 	full := func(_ string, _ time.Duration, share float64) bool { return share >= 0.9 }
-	each(t, []float64{60}, func(p *play) { p.failing(0.4, full) }, func(p *play) { p.wantRolledBack(t) })
-	each(t, []float64{200, 600}, func(p *play) { p.failing(0.15, full) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{60}, func(p *simulation) { p.failing(0.4, full) }, func(p *simulation) { p.wantRolledBack(t) })
+	each(t, []float64{200, 600}, func(p *simulation) { p.failing(0.15, full) }, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 // TestBadUnderLoad covers a release that fails only once it gets most of the requests.
 func TestBadUnderLoad(t *testing.T) {
 	loaded := func(_ string, _ time.Duration, share float64) bool { return share >= 0.5 }
-	each(t, []float64{60, 200, 600, 1800}, func(p *play) { p.failing(0.3, loaded) }, func(p *play) { p.wantRolledBack(t) })
-	each(t, []float64{200, 600, 1800}, func(p *play) { p.slow(0.8, 4, loaded) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{60, 200, 600, 1800}, func(p *simulation) { p.failing(0.3, loaded) }, func(p *simulation) { p.wantRolledBack(t) })
+	each(t, []float64{200, 600, 1800}, func(p *simulation) { p.slow(0.8, 4, loaded) }, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 // TestBadOnOneRoute covers a release that is bad on a route with a ninth of the requests.
 func TestBadOnOneRoute(t *testing.T) {
 	one := func(route string, _ time.Duration, _ float64) bool { return route == "c" }
-	each(t, []float64{200, 600, 1800}, func(p *play) { p.failing(0.5, one) }, func(p *play) { p.wantRolledBack(t) })
-	each(t, []float64{600, 1800}, func(p *play) { p.slow(1, 4, one) }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{200, 600, 1800}, func(p *simulation) { p.failing(0.5, one) }, func(p *simulation) { p.wantRolledBack(t) })
+	each(t, []float64{600, 1800}, func(p *simulation) { p.slow(1, 4, one) }, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 // TestWaves covers demand that doubles in the ramp, so that the steps get more requests than the mean: the exposure must hold.
 func TestWaves(t *testing.T) {
 	for _, phase := range []float64{0, 1.5, 3, 4.5} {
-		wave := func(p *play) {
+		wave := func(p *simulation) {
 			mean := p.rate(0)
 			p.rate = func(at time.Duration) float64 { return mean * (1 + 0.55*math.Sin(2*math.Pi*at.Seconds()/13+phase)) }
 		}
-		each(t, []float64{200, 600}, wave, func(p *play) { p.wantCompleted(t) })
+		each(t, []float64{200, 600}, wave, func(p *simulation) { p.wantCompleted(t) })
 		last := func(_ string, now time.Duration, _ float64) bool { return now >= 10*time.Second }
-		each(t, []float64{200, 600}, func(p *play) { wave(p); p.failing(0.5, last) }, func(p *play) { p.wantRolledBack(t) })
+		each(t, []float64{200, 600}, func(p *simulation) { wave(p); p.failing(0.5, last) }, func(p *simulation) { p.wantRolledBack(t) })
 	}
 }
 
 // TestBothSlow covers a slow-down of both releases, which is not the new one's fault.
 func TestBothSlow(t *testing.T) {
-	each(t, rates, func(p *play) {
+	each(t, rates, func(p *simulation) {
 		p.takes = func(fresh bool, _ string, at time.Duration, _ float64) float64 {
 			took := p.usual(fresh, at)
 			if at > 5*time.Second && at < 8*time.Second {
@@ -395,7 +395,7 @@
 			}
 			return took
 		}
-	}, func(p *play) { p.wantCompleted(t) })
+	}, func(p *simulation) { p.wantCompleted(t) })
 }
 
 // TestLeaderLost covers the loss of the leader at each time of the rollout: the next one goes on from the step reached, a good
@@ -403,16 +403,16 @@
 func TestLeaderLost(t *testing.T) {
 	for lost := time.Duration(0); lost < 9500*time.Millisecond; lost += 500 * time.Millisecond {
 		gone := func(at time.Duration) bool { return at >= lost && at < lost+1200*time.Millisecond }
-		each(t, []float64{10, 600}, func(p *play) { p.leaderless = gone }, func(p *play) {
+		each(t, []float64{10, 600}, func(p *simulation) { p.leaderless = gone }, func(p *simulation) {
 			p.wantCompleted(t)
 			p.wantSteps(t)
 		})
-		each(t, []float64{600}, func(p *play) { p.leaderless = gone; p.failing(0.5, always) }, func(p *play) { p.wantRolledBack(t) })
+		each(t, []float64{600}, func(p *simulation) { p.leaderless = gone; p.failing(0.5, always) }, func(p *simulation) { p.wantRolledBack(t) })
 	}
 }
 
 // wantSteps checks that no step lowers the share of a release without fault in the ramp, or skips one.
-func (p *play) wantSteps(t *testing.T) {
+func (p *simulation) wantSteps(t *testing.T) {
 	t.Helper()
 	for i := 1; i < len(p.history); i++ {
 		before, after := p.history[i-1], p.history[i]
@@ -425,9 +425,9 @@
 
 // TestLeaderLostInLastStep covers a leader that is lost too late to end in time: the next one completes within the rollback time.
 func TestLeaderLostInLastStep(t *testing.T) {
-	each(t, []float64{600}, func(p *play) {
+	each(t, []float64{600}, func(p *simulation) {
 		p.leaderless = func(at time.Duration) bool { return at >= 10500*time.Millisecond && at < 13*time.Second }
-	}, func(p *play) {
+	}, func(p *simulation) {
 		if p.state.GetState() != wire.RolloutState_ROLLOUT_STATE_COMPLETED || p.ended > p.duration+p.policy.Rollback() {
 			p.describe(t)
 			t.Errorf("got %s at %s, want completed", p.state.GetState(), p.ended)
@@ -437,14 +437,14 @@
 
 // TestFewRequests covers services with too few requests to judge: a release without a fault completes.
 func TestFewRequests(t *testing.T) {
-	each(t, []float64{0, 0.2, 1}, func(*play) {}, func(p *play) { p.wantCompleted(t) })
+	each(t, []float64{0, 0.2, 1}, func(*simulation) {}, func(p *simulation) { p.wantCompleted(t) })
 }
 
 // TestShortAndLong covers durations other than that of the platform's tests.
 func TestShortAndLong(t *testing.T) {
 	for _, d := range []time.Duration{3 * time.Second, 6 * time.Second, 40 * time.Second, 2 * time.Minute} {
-		each(t, []float64{10, 300}, func(p *play) { p.duration = d }, func(p *play) { p.wantCompleted(t) })
-		each(t, []float64{300}, func(p *play) { p.duration = d; p.failing(0.5, always) }, func(p *play) { p.wantRolledBack(t) })
+		each(t, []float64{10, 300}, func(p *simulation) { p.duration = d }, func(p *simulation) { p.wantCompleted(t) })
+		each(t, []float64{300}, func(p *simulation) { p.duration = d; p.failing(0.5, always) }, func(p *simulation) { p.wantRolledBack(t) })
 	}
 }
 
@@ -454,9 +454,9 @@
 	for _, c := range []struct{ until, least time.Duration }{
 		{11 * time.Second, 11 * time.Second}, {time.Minute, 11500 * time.Millisecond},
 	} {
-		each(t, []float64{60, 600}, func(p *play) {
+		each(t, []float64{60, 600}, func(p *simulation) {
 			p.pending = func(node int, at time.Duration) bool { return node == 3 && at < c.until }
-		}, func(p *play) {
+		}, func(p *simulation) {
 			p.wantCompleted(t)
 			if p.ended < c.least {
 				p.describe(t)
@@ -468,40 +468,40 @@
 
 // TestNoEndpoints covers new endpoints that never come, or crash and stay away: the rollout ends rolled back.
 func TestNoEndpoints(t *testing.T) {
-	each(t, rates, func(p *play) { p.capacity.New, p.capacity.NewSlots = 0, 0; p.usable = never }, func(p *play) { p.wantRolledBack(t) })
-	each(t, []float64{60, 600}, func(p *play) {
+	each(t, rates, func(p *simulation) { p.capacity.New, p.capacity.NewSlots = 0, 0; p.usable = never }, func(p *simulation) { p.wantRolledBack(t) })
+	each(t, []float64{60, 600}, func(p *simulation) {
 		p.usable = func(at time.Duration) bool { return at < 6*time.Second }
-	}, func(p *play) { p.wantRolledBack(t) })
+	}, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 func never(time.Duration) bool { return false }
 
 // TestCrashAndReturn covers new endpoints that are away for a moment: the rollout goes on.
 func TestCrashAndReturn(t *testing.T) {
-	each(t, []float64{60, 600}, func(p *play) {
+	each(t, []float64{60, 600}, func(p *simulation) {
 		p.usable = func(at time.Duration) bool { return at < 2*time.Second || at > 4*time.Second }
-	}, func(p *play) { p.wantCompleted(t) })
+	}, func(p *simulation) { p.wantCompleted(t) })
 }
 
 // TestTooFewSlots covers new endpoints that cannot take all requests: the rollout does not complete.
 func TestTooFewSlots(t *testing.T) {
-	each(t, []float64{600, 1800}, func(p *play) { p.capacity.NewSlots = 18 }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{600, 1800}, func(p *simulation) { p.capacity.NewSlots = 18 }, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 // TestFewSlotsEnough covers new endpoints with fewer slots that still suffice for the requests.
 func TestFewSlotsEnough(t *testing.T) {
-	each(t, []float64{10, 60}, func(p *play) { p.capacity.NewSlots = 18 }, func(p *play) { p.wantCompleted(t) })
+	each(t, []float64{10, 60}, func(p *simulation) { p.capacity.NewSlots = 18 }, func(p *simulation) { p.wantCompleted(t) })
 }
 
 // TestCountsLost covers reports that do not arrive: with a third of them lost a bad release is still found, and without any a rollout
 // does not complete.
 func TestCountsLost(t *testing.T) {
-	some := func(p *play) {
+	some := func(p *simulation) {
 		p.reported = func(node int, at time.Duration) bool { return (node+int(at/(500*time.Millisecond)))%3 > 0 }
 	}
-	each(t, []float64{60, 600}, some, func(p *play) { p.wantCompleted(t) })
-	each(t, []float64{200, 600}, func(p *play) { some(p); p.failing(0.5, always) }, func(p *play) { p.wantRolledBack(t) })
-	each(t, []float64{60}, func(p *play) { p.reported = func(int, time.Duration) bool { return false } }, func(p *play) { p.wantRolledBack(t) })
+	each(t, []float64{60, 600}, some, func(p *simulation) { p.wantCompleted(t) })
+	each(t, []float64{200, 600}, func(p *simulation) { some(p); p.failing(0.5, always) }, func(p *simulation) { p.wantRolledBack(t) })
+	each(t, []float64{60}, func(p *simulation) { p.reported = func(int, time.Duration) bool { return false } }, func(p *simulation) { p.wantRolledBack(t) })
 }
 
 // TestOrders covers two orders at once and repeated orders.
--- a/io/caller/context.go
+++ b/io/caller/context.go
@@ -20,7 +20,7 @@
 // Versions of the format, the first field of the header value. A context with a parent or a customer has two more fields: the parent's
 // call id in base64 and the customer's name, of which either may be empty.
 const (
-	contextVersion  = "1"
+	plainVersion    = "1"
 	extendedVersion = "2"
 )
 
@@ -47,7 +47,7 @@
 func (c Context) String() string {
 	rest := "." + strconv.Itoa(c.Depth) + "." + strconv.FormatInt(c.Deadline.UnixMilli(), 10) + "." + strconv.Itoa(c.Budget)
 	if c.Parent == "" && c.Customer == "" {
-		return contextVersion + rest
+		return plainVersion + rest
 	}
 	return extendedVersion + rest + "." + base64.RawURLEncoding.EncodeToString([]byte(c.Parent)) + "." + c.Customer
 }
@@ -55,7 +55,7 @@
 // ParseContext parses a Mesh-Context value; the error is a *ContextError.
 func ParseContext(value string) (Context, error) {
 	parts := strings.SplitN(value, ".", 6) // a customer's name may contain dots
-	plain := len(parts) == 4 && parts[0] == contextVersion
+	plain := len(parts) == 4 && parts[0] == plainVersion
 	extended := len(parts) == 6 && parts[0] == extendedVersion && (parts[5] == "" && parts[4] != "" || config.ValidName(parts[5]))
 	if !plain && !extended {
 		return Context{}, &ContextError{Value: value}
--- a/io/host/rollout_test.go
+++ b/io/host/rollout_test.go
@@ -21,8 +21,8 @@
 	"godwitspindle/io/rpc"
 )
 
-// rolloutBench is the rollout part of one node, with a leader and a clock of its own.
-type rolloutBench struct {
+// rolloutHarness is the rollout part of one node, with a leader and a clock of its own.
+type rolloutHarness struct {
 	*rollouts
 	clock   time.Time
 	agreed  *config.RoutingTable
@@ -69,9 +69,9 @@
 	stateRolledBack = wire.RolloutState_ROLLOUT_STATE_ROLLED_BACK
 )
 
-func newRolloutBench(t *testing.T, table *config.RoutingTable) *rolloutBench {
+func newRolloutHarness(t *testing.T, table *config.RoutingTable) *rolloutHarness {
 	t.Helper()
-	b := &rolloutBench{clock: time.Unix(1000, 0), agreed: table, picker: routing.New()}
+	b := &rolloutHarness{clock: time.Unix(1000, 0), agreed: table, picker: routing.New()}
 	b.answer = func(*rpc.OutcomesRequest) (*rpc.OutcomesResponse, error) { return &rpc.OutcomesResponse{}, nil }
 	b.rollouts = newRollouts(rolloutParts{
 		table: func() *config.RoutingTable { return b.agreed },
@@ -87,7 +87,7 @@
 }
 
 // choose sends n requests and returns how many went to which release; "" stands for no endpoint.
-func (b *rolloutBench) choose(n int) map[string]int {
+func (b *rolloutHarness) choose(n int) map[string]int {
 	got := map[string]int{}
 	s, _ := b.agreed.Service("s")
 	for range n {
@@ -101,7 +101,7 @@
 	return got
 }
 
-func (b *rolloutBench) tick(d time.Duration) {
+func (b *rolloutHarness) tick(d time.Duration) {
 	b.clock = b.clock.Add(d)
 	b.update(b.clock)
 	if q := b.due(b.clock); q != nil {
@@ -129,7 +129,7 @@
 		"rolled back, no old endpoint": {rolloutAt(5, 0, stateRolledBack), 0, 2, map[string]int{"": 1000}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newRolloutBench(t, rollingTable(t, 1, c.rollout, c.olds, c.news))
+			b := newRolloutHarness(t, rollingTable(t, 1, c.rollout, c.olds, c.news))
 			got := b.choose(1000)
 			for release, want := range c.want {
 				if want < 0 && got[release] > 0 {
@@ -148,7 +148,7 @@
 
 // Guards against a node that goes on sending to the new release while it cannot reach a leader, and does not resume with one.
 func TestRolloutLeaderSilent(t *testing.T) {
-	b := newRolloutBench(t, rollingTable(t, 1, rolloutAt(1, 1000, stateRunning), 2, 2))
+	b := newRolloutHarness(t, rollingTable(t, 1, rolloutAt(1, 1000, stateRunning), 2, 2))
 	working := b.answer
 	b.answer = func(*rpc.OutcomesRequest) (*rpc.OutcomesResponse, error) { return nil, errors.New("no leader") }
 	for range 38 {
@@ -170,13 +170,13 @@
 	}
 }
 
-func (b *rolloutBench) result(release, route string, status int, f *outcome.Failure) {
+func (b *rolloutHarness) result(release, route string, status int, f *outcome.Failure) {
 	b.observe("s/e", caller.Observation{Release: release, Route: route, Status: status, Failure: f, Took: 20 * time.Millisecond, At: b.clock})
 }
 
 // Guards against a node that sees the new release fail and goes on sending to it, or does not report that at once.
 func TestRolloutCut(t *testing.T) {
-	b := newRolloutBench(t, rollingTable(t, 1, rolloutAt(1, 5000, stateRunning), 2, 2))
+	b := newRolloutHarness(t, rollingTable(t, 1, rolloutAt(1, 5000, stateRunning), 2, 2))
 	for range 50 {
 		b.result("v1", "r", 200, nil)
 	}
@@ -197,7 +197,7 @@
 // Guards against counts that are lost with a report, counted twice or under the wrong release, and results that say nothing about the
 // release, such as a refusal of a full endpoint.
 func TestRolloutReports(t *testing.T) {
-	b := newRolloutBench(t, rollingTable(t, 1, rolloutAt(1, 1000, stateRunning), 2, 2))
+	b := newRolloutHarness(t, rollingTable(t, 1, rolloutAt(1, 1000, stateRunning), 2, 2))
 	working := b.answer
 	b.result("v1", "r", 200, nil)
 	b.result("v2", "r", 200, nil)
@@ -244,7 +244,7 @@
 // Guards against a node that waits for the next version although the leader's answer has the verdict, and against one that goes back to
 // an earlier state.
 func TestRolloutVerdictInAnswer(t *testing.T) {
-	b := newRolloutBench(t, rollingTable(t, 1, rolloutAt(1, 10_000, stateRunning), 2, 2))
+	b := newRolloutHarness(t, rollingTable(t, 1, rolloutAt(1, 10_000, stateRunning), 2, 2))
 	b.answer = func(*rpc.OutcomesRequest) (*rpc.OutcomesResponse, error) {
 		return &rpc.OutcomesResponse{Rollouts: []*wire.Rollout{rolloutAt(2, 0, stateRolledBack)}}, nil
 	}
@@ -266,7 +266,7 @@
 
 // Guards against a completion while requests wait for answers of the old endpoints, which then stop at once.
 func TestRolloutPending(t *testing.T) {
-	b := newRolloutBench(t, rollingTable(t, 1, rolloutAt(4, 10_000, stateRunning), 2, 2))
+	b := newRolloutHarness(t, rollingTable(t, 1, rolloutAt(4, 10_000, stateRunning), 2, 2))
 	b.begin("s/old0")
 	b.begin("s/new0")
 	b.tick(time.Second)
