--- a/core/capacity/levels.go
+++ b/core/capacity/levels.go
@@ -12,7 +12,7 @@
 	minLevelWeight  = 1.0              // a level with less weight is ignored
 	varianceWeight  = 0.02             // weight of a call in the variance of service times
 	initialVariance = 0.3              // variance of the logarithm of service times before the first calls
-	// evidence is by how much, in units of the variance, a model with a slowdown must fit better than one without. 12 is about 3.5
+	// evidence is by how much, in units of the variance, a model with a slowdown must fit better than one without. 18 is about 4.2
 	// standard deviations, since many models are compared.
 	evidence = 18.0
 	// minEffect is the smallest logarithm of the slowdown at a full endpoint for which the limit falls. Calls that run long, for another
--- a/core/quota/bureau_test.go
+++ b/core/quota/uneven_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Guards against refusals of customers within their quota, and too many requests to the coordinator, at the size of the translation bureau:
+// Guards against refusals of customers within their quota, and too many requests to the coordinator, at the size of one deployment:
 // 74 customers of very unequal size, whose callers are on a few hosts each, 1,850 requests a second, and one customer that sends 7.5 times
 // its usual rate from the 10th second on.
 func TestManyCustomers(t *testing.T) {
--- a/io/host/quotaconvert_test.go
+++ b/io/host/quotaconvert_test.go
@@ -33,8 +33,8 @@
 	eight := quota.Request{Node: "host-031", Incarnation: 1 << 62, Number: 70_000, Seen: 70_000}
 	answer := quota.Response{Term: 12, Leader: "10.0.0.1", Number: 70_000, Interval: 500 * time.Millisecond}
 	for range 8 {
-		eight.Asks = append(eight.Asks, quota.Ask{Customer: "bureau-042", Waiting: 1, Need: 2, Want: 4, Held: 3, Rate: 4.2})
-		answer.Grants = append(answer.Grants, quota.Grant{Customer: "bureau-042", Tokens: 4, Promised: 4.2, Total: 40, Sharing: 12})
+		eight.Asks = append(eight.Asks, quota.Ask{Customer: "customer-042", Waiting: 1, Need: 2, Want: 4, Held: 3, Rate: 4.2})
+		answer.Grants = append(answer.Grants, quota.Grant{Customer: "customer-042", Tokens: 4, Promised: 4.2, Total: 40, Sharing: 12})
 	}
 	t.Logf("eight customers: request of %d bytes, response of %d", proto.Size(quotaRequest(eight)), proto.Size(rpcQuotaResponse(answer)))
 }
