fix(process): an answer that waited for its turn is written, also after its deadline

When the turn came later, the write failed at once and closed the connection, with all requests behind it.

An answer has at least a second from its turn on. TestReadyAnswerAfterItsDeadline fails without the change.

--- a/io/process/early.go
+++ b/io/process/early.go
@@ -11,6 +11,9 @@
 // maxBufferedAnswer limits the bytes of an answer that are buffered until its turn. Further writes block.
 const maxBufferedAnswer = 64 << 10
 
+// minWriteTime is the least time that a client has to read an answer which waited for its turn.
+const minWriteTime = time.Second
+
 // maxOptionsBody limits the bytes of the body of OPTIONS * that are read.
 const maxOptionsBody = 4 << 10
 
@@ -73,7 +76,7 @@
 	e.writer = w
 	rc := http.NewResponseController(w)
 	if !e.deadline.IsZero() {
-		_ = rc.SetWriteDeadline(e.deadline)
+		_ = rc.SetWriteDeadline(e.writeDeadline(time.Now()))
 	}
 	if e.status != 0 {
 		e.sendHead()
@@ -88,6 +91,15 @@
 	close(e.turn)
 }
 
+// writeDeadline returns the time by which the answer must be written. The request may have waited for its turn until after its deadline; a
+// write that fails then would close the connection and lose an answer that is ready.
+func (e *earlyRequest) writeDeadline(now time.Time) time.Time {
+	if least := now.Add(minWriteTime); e.deadline.Before(least) {
+		return least
+	}
+	return e.deadline
+}
+
 // sendHead sends status and header. The caller holds the mutex, and it is the request's turn.
 func (e *earlyRequest) sendHead() {
 	maps.Copy(e.writer.Header(), e.head)
--- a/io/process/early_test.go
+++ b/io/process/early_test.go
@@ -1,10 +1,12 @@
 package process
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -74,3 +76,36 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// Guards against a connection that is closed without the answer of a request which waited for its turn until after its deadline, although
+// the answer was ready long before.
+func TestReadyAnswerAfterItsDeadline(t *testing.T) {
+	s, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(200 * time.Millisecond)
+		} else {
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}), WithPipelining(func(*http.Request) bool { return true }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	conn, err := net.Dial("tcp", s.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, getRequests("/slow", "/ready", "/after"))
+	in := bufio.NewReader(conn)
+	for _, want := range []string{"/slow", "/ready", "/after"} {
+		p, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: got %v, want its answer", want, err)
+		}
+		if body, err := io.ReadAll(p.Body); err != nil || string(body) != want {
+			t.Errorf("got %q and %v, want %q", body, err, want)
+		}
+	}
+}
