--- a/io/backend/response.go
+++ b/io/backend/response.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"net/textproto"
 	"slices"
 	"strconv"
@@ -74,7 +73,7 @@
 	case hasChunks:
 		p.TransferEncoding = []string{"chunked"}
 		p.Trailer = announcedTrailer(p.Header)
-		p.Body = &chunkedBody{chunks: httputil.NewChunkedReader(reader), conn: x.conn, response: p}
+		p.Body = &chunkedBody{chunks: &chunkReader{reader: reader}, conn: x.conn, response: p}
 	case length > 0:
 		p.Body = &sizedBody{reader: reader, left: length}
 	default:
