fix(store,host): the departure of a process is agreed and outlives restarts

Cause: that a process has ended was kept in the memory of its node only; the agreed state removed the endpoint and kept former incarnations of replaced processes only. A late heartbeat at the restarted node registered the endpoint again. Besides, a leave was acknowledged while the registration of its endpoint was still on the way to the leader, since the version in force did not list it. The node proposes it until it is committed and acknowledges then. The leader names departed processes in its answer to an announcement.

--- a/core/lease/expire.go
+++ b/core/lease/expire.go
@@ -189,6 +189,14 @@
 	delete(t.endpoints, k)
 }
 
+// depart removes an endpoint whose process has left for good, unless it belongs to another process.
+func (t *Table) depart(d *wire.Departure) {
+	k := d.GetService() + "/" + d.GetName()
+	if e := t.endpoints[k]; e != nil && e.GetIncarnation() == d.GetIncarnation() {
+		t.removeEndpoint(k)
+	}
+}
+
 // removeNode removes a node with its endpoints. Nodes whose last relay was the removed node get a full lease to poll
 // through another relay.
 func (t *Table) removeNode(now time.Time, name string) {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -275,3 +275,31 @@
 		}
 	})
 }
+
+// Guards against an endpoint that counts as one of its service although the agreed state ignores it, because its process has left for good.
+func TestEndedEndpoint(t *testing.T) {
+	ended := map[uint64]bool{}
+	k := New(WithEnded(func(e *wire.Endpoint) bool { return ended[e.GetIncarnation()] }))
+	k.Reset(start, nil, nil)
+	n := &wire.Node{Name: "n", Incarnation: 1}
+	e := func(incarnation uint64) *wire.Endpoint {
+		return &wire.Endpoint{Service: "s", Name: "e", Node: "n", Incarnation: incarnation}
+	}
+	k.Announce(start, n, []*wire.Endpoint{e(1)}, false)
+	join := k.Next(start)
+	ended[1] = true
+	k.Applied(start, &wire.Membership{Departed: []*wire.Departure{{Service: "s", Name: "e", Incarnation: 1}}})
+	k.Applied(start, join) // was in flight
+	if got := len(k.endpoints); got != 0 {
+		t.Errorf("endpoints after a join that a departure overtook: got %d, want 0", got)
+	}
+	if k.Announce(start, n, []*wire.Endpoint{e(1)}, false) {
+		t.Error("late announcement: got it staged, want it ignored")
+	}
+	k.Announce(start, n, []*wire.Endpoint{e(2)}, false)
+	k.Applied(start, k.Next(start.Add(time.Second)))
+	k.Applied(start, &wire.Membership{Departed: []*wire.Departure{{Service: "s", Name: "e", Incarnation: 1}}})
+	if got := k.endpoints["s/e"].GetIncarnation(); got != 2 {
+		t.Errorf("after a departure that is sent again: got incarnation %d, want 2", got)
+	}
+}
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -19,6 +19,7 @@
 type Table struct {
 	lease  time.Duration // lease period
 	window time.Duration // minimum time between two commands
+	ended  func(e *wire.Endpoint) bool
 
 	mutex          sync.Mutex
 	leadingSince   time.Time // start of this leadership; zero while this replica does not lead
@@ -69,9 +70,13 @@
 // WithWindow sets the minimum time between two commands; the default is 100 ms.
 func WithWindow(d time.Duration) Option { return func(t *Table) { t.window = d } }
 
+// WithEnded sets the function that reports whether the agreed state ignores an endpoint because its process has ended; the Table
+// ignores such an endpoint too. It is called with the mutex of the Table held.
+func WithEnded(f func(e *wire.Endpoint) bool) Option { return func(t *Table) { t.ended = f } }
+
 // New returns an empty Table that does not lead.
 func New(opts ...Option) *Table {
-	t := &Table{lease: defaultLease, window: defaultWindow}
+	t := &Table{lease: defaultLease, window: defaultWindow, ended: func(*wire.Endpoint) bool { return false }}
 	for _, o := range opts {
 		o(t)
 	}
@@ -129,11 +134,16 @@
 	for _, k := range m.GetLeaves() {
 		t.removeNode(now, k)
 	}
+	for _, d := range m.GetDeparted() {
+		t.depart(d)
+	}
 	for _, n := range m.GetJoins() {
 		t.addNode(now, n)
 	}
 	for _, e := range m.GetEndpoints() {
-		t.addEndpoint(e)
+		if !t.ended(e) {
+			t.addEndpoint(e)
+		}
 	}
 }
 
@@ -245,6 +255,9 @@
 		c.join = n
 	}
 	for _, e := range endpoints {
+		if t.ended(e) {
+			continue
+		}
 		k := endpointKey(e)
 		delete(unlisted, k)
 		if f != nil || !proto.Equal(t.endpoints[k], e) || t.expiring[k] {
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -12,18 +12,15 @@
 	"godwitspindle/core/wire"
 )
 
-// maxFormerIncarnations is the maximum number of former incarnations kept for each node and endpoint.
-const maxFormerIncarnations = 8
-
 // members holds the announced nodes and endpoints, including endpoints of services that are not in the register.
 //
-// Incarnations are random numbers without an order, so members keeps the replaced ones: a join with a former incarnation is a
-// late message of a process that has ended, and is ignored.
+// Incarnations are random numbers without an order, so members keeps those of processes that were replaced or have left for good: a
+// join with a former incarnation is a late message of a process that has ended, and is ignored.
 type members struct {
 	nodes     map[string]*wire.Node     // by name
 	endpoints map[string]*wire.Endpoint // by SERVICE/NAME
-	former    map[string][]uint64       // replaced incarnations by key of the entry
-	retired   []string                  // keys that have former incarnations, oldest first
+	former    map[string][]uint64       // incarnations that have ended, by key of the entry
+	retired   []string                  // keys that have former incarnations, the one with the oldest last addition first
 }
 
 func newMembers() *members {
@@ -44,6 +41,9 @@
 	for _, r := range c.GetRemoved() {
 		dirty = append(dirty, m.removeEndpoint(r)...)
 	}
+	for _, d := range c.GetDeparted() {
+		dirty = append(dirty, m.depart(d)...)
+	}
 	for _, n := range c.GetJoins() {
 		dirty = append(dirty, m.addNode(n)...)
 	}
@@ -105,7 +105,7 @@
 		return nil
 	}
 	key := config.KeyOf(n)
-	if slices.Contains(m.former[key], n.GetIncarnation()) {
+	if m.hasEnded(key, n.GetIncarnation()) {
 		return nil
 	}
 	if current != nil && current.GetIncarnation() != n.GetIncarnation() {
@@ -141,7 +141,7 @@
 		return nil
 	}
 	key := config.KeyOf(e)
-	if slices.Contains(m.former[key], e.GetIncarnation()) {
+	if m.hasEnded(key, e.GetIncarnation()) {
 		return nil
 	}
 	if current != nil && current.GetIncarnation() != e.GetIncarnation() {
@@ -150,17 +150,3 @@
 	m.endpoints[name], _ = proto.Clone(e).(*wire.Endpoint)
 	return []string{key}
 }
-
-// retire records a replaced incarnation. Above MaxRetiredKeys keys it drops the oldest key, and above maxFormerIncarnations
-// incarnations of this key the oldest of them.
-func (m *members) retire(key string, incarnation uint64) {
-	if m.former[key] == nil {
-		m.retired = append(m.retired, key)
-		if len(m.retired) > MaxRetiredKeys {
-			delete(m.former, m.retired[0])
-			m.retired = m.retired[1:]
-		}
-	}
-	former := append(m.former[key], incarnation)
-	m.former[key] = former[max(len(former)-maxFormerIncarnations, 0):]
-}
--- a/core/store/store_test.go
+++ b/core/store/store_test.go
@@ -251,6 +251,7 @@
 			{Endpoints: []*wire.Endpoint{{Service: service, Name: "e", Node: node, Incarnation: incarnation}}},
 			{Leaves: []string{node}},
 			{Removed: []string{service + "/e"}},
+			{Departed: []*wire.Departure{{Service: service, Name: "e", Incarnation: incarnation}}},
 		}).Draw(t, "membership")
 		c.Body = &wire.Command_Membership{Membership: m}
 	case 4:
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -126,7 +126,7 @@
 		e.clearBrokenCalls(now)
 	}
 	e.announcement, e.renewed, e.leaving = a, now, false
-	delete(b.departed, key)
+	b.departed.remove(key)
 	former := b.superseded(a)
 	b.mu.Unlock()
 	for _, k := range former {
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -27,12 +27,14 @@
 	reasonAnnounced  = "announced"
 	reasonStated     = "stated in an answer"
 	reasonReplaced   = "another process has its address"
+	reasonAgreed     = "its process is known to have left"
 )
 
 // Backend keeps the endpoints on this host and forwards calls to them.
 type Backend struct {
 	onAnnounced     func(Announcement)
 	onLeft          func(string, string)
+	onDeparted      func(string, uint64)
 	onLoad          func(string, float64, time.Time)
 	onShed          func(string, time.Duration)
 	onNotice        func(Announcement, notice.Notice, time.Time)
@@ -56,8 +58,8 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
-	contexts  map[string]string    // Mesh-Context of running requests, by request id
-	departed  map[string]departure // processes that left, by endpoint key
+	contexts  map[string]string // Mesh-Context of running requests, by request id
+	departed  departures
 	// connecting holds the calls that wait for a connection to their backend server.
 	connecting map[hop.Withdrawn]context.CancelCauseFunc
 	draining   bool
@@ -73,6 +75,7 @@
 	b := &Backend{
 		onAnnounced:     func(Announcement) {},
 		onLeft:          func(string, string) {},
+		onDeparted:      func(string, uint64) {},
 		onLoad:          func(string, float64, time.Time) {},
 		onShed:          func(string, time.Duration) {},
 		onNotice:        func(Announcement, notice.Notice, time.Time) {},
@@ -93,7 +96,7 @@
 		checkAnswer:   func(*http.Response) *outcome.Failure { return nil },
 		namesRequest:  func(*http.Request, *http.Response) bool { return true },
 		endpoints:     map[string]*endpoint{},
-		departed:      map[string]departure{},
+		departed:      departures{processes: map[string]departure{}},
 		contexts:      map[string]string{},
 		connecting:    map[hop.Withdrawn]context.CancelCauseFunc{},
 	}
@@ -191,33 +194,3 @@
 	}
 	return keys
 }
-
-// leave marks an endpoint as leaving, so that it gets no new calls; calls in flight continue. It returns false if the endpoint
-// is unknown or already leaving.
-func (b *Backend) leave(key, reason string) bool {
-	return b.leaveIf(key, reason, func(*endpoint) bool { return true })
-}
-
-// leaveIf is leave for an endpoint whose current process fits.
-func (b *Backend) leaveIf(key, reason string, fits func(e *endpoint) bool) bool {
-	b.mu.Lock()
-	e := b.endpoints[key]
-	if e == nil || !fits(e) {
-		b.mu.Unlock()
-		return false
-	}
-	if reason != reasonNotRenewed {
-		b.recordDeparture(key, e.announcement, reason) // also if its lease has expired, so that a late announcement does not restore it
-	}
-	if e.leaving {
-		b.mu.Unlock()
-		return false
-	}
-	e.leaving = true
-	p := e.pool
-	b.mu.Unlock()
-	p.sweep(b.now(), true)
-	b.log.Info("endpoint left", "endpoint", key, "reason", reason)
-	b.onLeft(key, reason)
-	return true
-}
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -55,8 +55,13 @@
 // for a renewal alone.
 func WithAnnounced(f func(Announcement)) Option { return func(b *Backend) { b.onAnnounced = f } }
 
-// WithLeft sets the function that is called when an endpoint left; the reason is announced, stated in an answer, not renewed, or
-// that another process has its address.
+// WithDeparted sets the function that is called when a process leaves for good, possibly more than once.
+func WithDeparted(f func(endpoint string, incarnation uint64)) Option {
+	return func(b *Backend) { b.onDeparted = f }
+}
+
+// WithLeft sets the function that is called when an endpoint left; the reason is announced, stated in an answer, not renewed, that
+// another process has its address, or that its process is known to have left.
 func WithLeft(f func(endpoint, reason string)) Option { return func(b *Backend) { b.onLeft = f } }
 
 // WithLoad sets the function that is called with the load from each accepted announcement.
--- a/io/backend/stale.go
+++ b/io/backend/stale.go
@@ -2,35 +2,13 @@
 
 import "time"
 
-// departure is a process that left.
-type departure struct {
-	incarnation uint64
-	stated      bool // it stated the leave in an answer, so that no announcement of the process takes it back
-}
-
-// recordDeparture records that a process left, so that its late announcements are ignored. At maxEndpoints records it drops an
-// arbitrary one, since old records are no longer needed. The caller holds the mutex.
-func (b *Backend) recordDeparture(key string, a Announcement, reason string) {
-	d := departure{incarnation: a.Incarnation, stated: reason == reasonStated}
-	if o, ok := b.departed[key]; ok && o.incarnation == d.incarnation {
-		d.stated = d.stated || o.stated
-	}
-	if len(b.departed) >= maxEndpoints {
-		for k := range b.departed {
-			delete(b.departed, k)
-			break
-		}
-	}
-	b.departed[key] = d
-}
-
 // isStale reports whether an announcement arrives after a later one of the same process, after that process left, or after a
-// process that started later at the same address. An announcement without a sequence counts as stale only if its process stated in
-// an answer that it leaves. The caller holds the mutex.
+// process that started later at the same address. An announcement without a sequence counts as stale only if its process has left for
+// good. The caller holds the mutex.
 func (b *Backend) isStale(key string, a Announcement) bool {
-	o, left := b.departed[key]
+	o, left := b.departed.of(key)
 	if a.Sequence == 0 {
-		return left && o.stated && a.Incarnation != 0 && a.Incarnation == o.incarnation
+		return left && o.final && a.Incarnation != 0 && a.Incarnation == o.incarnation
 	}
 	if left && a.Incarnation <= o.incarnation {
 		return true
@@ -46,23 +24,6 @@
 	return false
 }
 
-// Leave marks an endpoint as leaving and records that its process left, even if the endpoint was not announced. It returns
-// false, without effect, if a has an incarnation and a process that started later has announced the endpoint.
-func (b *Backend) Leave(a Announcement) bool {
-	key := a.Key()
-	b.mu.Lock()
-	if e := b.endpoints[key]; e != nil && a.Incarnation != 0 && a.Incarnation < e.announcement.Incarnation {
-		b.mu.Unlock()
-		return false
-	}
-	if b.endpoints[key] == nil {
-		b.recordDeparture(key, a, reasonAnnounced) // its announcement may still arrive
-	}
-	b.mu.Unlock()
-	b.leave(key, reasonAnnounced)
-	return true
-}
-
 // Adopt restores an endpoint that this node had before a restart, until its backend server announces it or the window ends.
 // The replicated set still holds the endpoint, so calls arrive before its next announcement. Adopt has no effect while the node
 // is draining, at the limit of endpoints, or if the endpoint is present, has left or has lost its address to a later process.
@@ -70,7 +31,7 @@
 	key, now := a.Key(), b.now()
 	b.mu.Lock()
 	_, known := b.endpoints[key]
-	_, left := b.departed[key]
+	_, left := b.departed.of(key)
 	if known || left || b.draining || b.addressTaken(a) || len(b.endpoints) >= maxEndpoints {
 		b.mu.Unlock()
 		return
--- a/io/host/adapter.go
+++ b/io/host/adapter.go
@@ -27,17 +27,15 @@
 // Leave stops new work for a local endpoint. It reports false if a later process has already taken over the endpoint.
 func (h *Host) Leave(a backend.Announcement) bool { return h.backend.Leave(a) }
 
-// LeaveAgreed is Leave, but waits until the version in force no longer lists the endpoint, and reports false if ctx ends
-// first. A node that has just started and holds no proven version cannot say whether the endpoint is listed, so it waits for one. It
-// reports true at once if a later process has taken over the endpoint. Acknowledge a leave only after LeaveAgreed
-// has reported true: a node that restarts adopts the endpoints that the agreed set lists.
+// LeaveAgreed is Leave, but waits until the leave is agreed and the version in force no longer lists the endpoint, and reports false
+// if ctx ends first. It reports true at once if a later process has taken over the endpoint. Acknowledge a leave only after
+// LeaveAgreed has reported true: a node that restarts adopts the endpoints that the agreed set lists.
 func (h *Host) LeaveAgreed(ctx context.Context, a backend.Announcement) bool {
 	if !h.backend.Leave(a) {
 		return true // a later process has taken over the endpoint
 	}
 	for ; ; time.Sleep(agreePollInterval) {
-		e, listed := h.holder.View().Snapshot.Get("endpoint/" + a.Key())
-		if h.holder.Serving() && (!listed || !sameProcess(e.Value, a)) {
+		if h.leaveAgreed(a) {
 			return true
 		}
 		if ctx.Err() != nil {
@@ -46,6 +44,29 @@
 	}
 }
 
+// leaveAgreed reports whether the agreed state keeps the process of a leave out. That the version in force does not list the endpoint
+// is not enough: its registration may still be on the way to the leader. A node that holds no proven version cannot say what is listed.
+func (h *Host) leaveAgreed(a backend.Announcement) bool {
+	if !h.holder.Serving() || h.departures.isPending(a.Key()) {
+		return false
+	}
+	listed, ok := h.holder.View().Snapshot.Get("endpoint/" + a.Key())
+	if !ok || !sameProcess(listed.Value, a) {
+		return true
+	}
+	h.departListed(listed.Value, a)
+	return false
+}
+
+// departListed records the departure of the listed process if a leave does not say which process leaves.
+func (h *Host) departListed(value []byte, a backend.Announcement) {
+	var e wire.Endpoint
+	if a.Incarnation != 0 || proto.Unmarshal(value, &e) != nil || e.GetIncarnation() == h.incarnation {
+		return // the incarnation of this node stands for a process that states none, which may come back
+	}
+	h.endpointDeparted(a.Key(), e.GetIncarnation())
+}
+
 // agreePollInterval is the time between checks of the version in force.
 const agreePollInterval = 10 * time.Millisecond
 
--- a/io/host/adopt_test.go
+++ b/io/host/adopt_test.go
@@ -91,6 +91,8 @@
 				holder.Prove(1)
 			}
 			h := &Host{settings: &process.Settings{Name: "n"}, holder: holder, backend: b, log: logr.Discard()}
+			h.departures = newDepartures(func(context.Context, *wire.Command) (*wire.Result, error) { return &wire.Result{}, nil }, logr.Discard())
+			defer h.departures.close()
 			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 			defer cancel()
 			if got := h.LeaveAgreed(ctx, backend.Announcement{Service: "a", Endpoint: "e"}); got != c.want {
--- a/io/host/announcer.go
+++ b/io/host/announcer.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"godwitspindle/core/config"
+	"godwitspindle/core/wire"
 	"godwitspindle/io/rpc"
 )
 
@@ -17,12 +18,13 @@
 	announceSettle  = 2 * time.Second // time between two checks, enough for the last announcement to appear in a version
 )
 
-// announcerParts are the parts of the process that the announcer uses. send returns the lease of the announcement.
+// announcerParts are the parts of the process that the announcer uses.
 type announcerParts struct {
-	current func() *rpc.AnnounceRequest // the current announcement; nil if there is none yet
-	agreed  func() *config.Snapshot     // the version in force
-	send    func(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error)
-	log     logr.Logger
+	current  func() *rpc.AnnounceRequest // the current announcement; nil if there is none yet
+	agreed   func() *config.Snapshot     // the version in force
+	send     func(ctx context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error)
+	departed func(list []*wire.Departure) // called with the announced endpoints whose process has left for good
+	log      logr.Logger
 }
 
 // announcer announces the node and its endpoints whenever a check finds that the agreed set differs from them.
@@ -73,9 +75,11 @@
 func (a *announcer) announce(ctx context.Context, r *rpc.AnnounceRequest) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	if _, err := a.send(ctx, r); err != nil && ctx.Err() == nil {
+	resp, err := a.send(ctx, r)
+	if err != nil && ctx.Err() == nil {
 		a.log.Info("announcement failed, it is sent again at the next check", "error", err.Error())
 	}
+	a.departed(resp.GetDeparted())
 }
 
 // differs reports whether the agreed set lacks an announced entry or lists an endpoint of the node that is not announced. An
--- a/io/host/control.go
+++ b/io/host/control.go
@@ -82,11 +82,11 @@
 		name:         s.Name,
 		maxLosses:    s.Seeds.Losses,
 		catchUp:      cmp.Or(s.Seeds.CatchUp, agreement.DefaultCatchUp),
-		leases:       lease.New(lease.WithLease(leaseTime(s))),
 		rollouts:     newRolloutLeader(rolloutPolicy(s.Rollouts)),
 		store:        store.New(),
 		applied:      make(chan struct{}, 1),
 	}
+	c.leases = lease.New(lease.WithLease(leaseTime(s)), lease.WithEnded(c.hasEnded))
 	options := []replica.Option{
 		replica.WithFolder(s.Data),
 		replica.WithName(s.Name),
@@ -347,7 +347,26 @@
 	}
 	c.log.V(1).Info("announcement", "node", r.GetNode().GetName(), "endpoints", len(r.GetEndpoints()),
 		"leaving", r.GetLeaving(), "staged", staged)
-	return &rpc.AnnounceResponse{Lease: c.leases.Lease().Milliseconds()}, nil
+	return &rpc.AnnounceResponse{Lease: c.leases.Lease().Milliseconds(), Departed: c.departed(r.GetEndpoints())}, nil
+}
+
+// departed returns the endpoints whose process has ended. The agreed state of the local replica is enough, also if it is behind: an
+// endpoint that it knows to have left has left.
+func (c *control) departed(endpoints []*wire.Endpoint) []*wire.Departure {
+	var list []*wire.Departure
+	for _, e := range endpoints {
+		if c.hasEnded(e) {
+			list = append(list, &wire.Departure{Service: e.GetService(), Name: e.GetName(), Incarnation: e.GetIncarnation()})
+		}
+	}
+	return list
+}
+
+// hasEnded reports whether the agreed state ignores an endpoint because its process has ended.
+func (c *control) hasEnded(e *wire.Endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.HasEnded(e)
 }
 
 // status returns the replicas and, for the requested version (0 means the newest), its convergence time and the nodes on which
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -45,7 +45,9 @@
 	sender    *peer.Sender
 	control   *control // nil without a control replica
 	marker    *marker
-	floors    *peer.SharedRead
+	// departures keeps the processes of local endpoints that have left for good.
+	departures *departures
+	floors     *peer.SharedRead
 
 	// The next two fields are nil until startFollower sets them; replicas and other nodes may call this process before that.
 	follower atomic.Pointer[peer.Follower]
@@ -207,6 +209,7 @@
 	h.hops = hop.New(hopOptions...)
 	h.proposer = peer.NewProposer(h.clients, h.upstream.replicas, h.log.WithName("proposer"), peer.WithAnnounceBackoff(h.settings.Timing.Backoff))
 	h.marker = newMarker(h.proposer.Propose)
+	h.departures = newDepartures(h.proposer.Propose, h.log.WithName("departures"))
 	return nil
 }
 
@@ -384,6 +387,7 @@
 		h.sender.Close()
 	}
 	h.marker.close()
+	h.departures.close()
 	h.proposer.Close()
 	errs = append(errs, h.hops.Close())
 	h.clients.Close()
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -169,6 +169,7 @@
 	return backend.New(append([]backend.Option{
 		backend.WithAnnounced(h.endpointAnnounced),
 		backend.WithLeft(h.endpointLeft),
+		backend.WithDeparted(h.endpointDeparted),
 		backend.WithLoad(h.picker.RecordLoad),
 		backend.WithShed(func(endpoint string, after time.Duration) { h.endpoint(endpoint).queue.shed(after) }),
 		backend.WithNotice(h.endpointNoticed),
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -76,10 +76,11 @@
 	h.follower.Store(f)
 	h.rollouts.start()
 	h.announce.Store(newAnnouncer(announcerParts{
-		current: h.announceable,
-		agreed:  func() *config.Snapshot { return h.holder.View().Snapshot },
-		send:    h.proposer.Announce,
-		log:     h.log,
+		current:  h.announceable,
+		agreed:   func() *config.Snapshot { return h.holder.View().Snapshot },
+		send:     h.proposer.Announce,
+		departed: h.departuresTold,
+		log:      h.log,
 	}))
 	return nil
 }
@@ -260,10 +261,11 @@
 	})
 }
 
-// propose commits a command if the local replica is the leader. Configuration changes and orders of rollouts are refused until there are
-// enough voters to bear the configured losses.
+// propose commits a command if the local replica is the leader. Configuration changes, orders of rollouts and departures, which are
+// acknowledged to those who sent them, are refused until there are enough voters to bear the configured losses.
 func (h *Host) propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
-	if (c.GetChange() != nil || c.GetOrder() != nil) && !h.control.durable() {
+	acknowledged := c.GetChange() != nil || c.GetOrder() != nil || len(c.GetMembership().GetDeparted()) > 0
+	if acknowledged && !h.control.durable() {
 		return nil, &FormingError{Losses: h.control.maxLosses}
 	}
 	return h.control.replica.Propose(ctx, c)
--- a/io/peer/proposer.go
+++ b/io/peer/proposer.go
@@ -191,28 +191,28 @@
 	}
 }
 
-// Announce sends the node and its endpoints to one replica after another until one accepts, and returns the lease; if
+// Announce sends the node and its endpoints to one replica after another until one accepts, and returns its response; if
 // ctx ends first, it returns the last error.
-func (p *Proposer) Announce(ctx context.Context, r *rpc.AnnounceRequest) (time.Duration, error) {
+func (p *Proposer) Announce(ctx context.Context, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
 	var last error = &NoUpstreamError{}
 	for b := newBackoff(p.maxBackoff); ctx.Err() == nil; {
-		lease, err := FirstAnswer(p.replicas(), func(a netip.AddrPort) (time.Duration, error) { return p.announceTo(ctx, a, r) })
+		resp, err := FirstAnswer(p.replicas(), func(a netip.AddrPort) (*rpc.AnnounceResponse, error) { return p.announceTo(ctx, a, r) })
 		if err == nil {
-			return lease, nil
+			return resp, nil
 		}
 		last = err
 		sleep(ctx, min(b.Next(0), time.Second))
 	}
-	return 0, last
+	return nil, last
 }
 
-func (p *Proposer) announceTo(ctx context.Context, a netip.AddrPort, r *rpc.AnnounceRequest) (time.Duration, error) {
+func (p *Proposer) announceTo(ctx context.Context, a netip.AddrPort, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	resp, err := p.clients.At(a).Announce(ctx, connect.NewRequest(r))
 	if err != nil {
 		p.log.V(1).Info("replica did not accept the announcement", "replica", a.String(), "error", err.Error())
-		return 0, fmt.Errorf("announce to %s: %w", a, err)
+		return nil, fmt.Errorf("announce to %s: %w", a, err)
 	}
-	return time.Duration(resp.Msg.GetLease()) * time.Millisecond, nil
+	return resp.Msg, nil
 }
--- a/io/replica/decode.go
+++ b/io/replica/decode.go
@@ -11,12 +11,13 @@
 
 // Field numbers of wire.Command and wire.Membership.
 const (
-	commandTime       = 1
-	commandMembership = 3
-	membershipJoins   = 1
-	membershipAdded   = 2
-	membershipLeaves  = 3
-	membershipRemoved = 4
+	commandTime        = 1
+	commandMembership  = 3
+	membershipJoins    = 1
+	membershipAdded    = 2
+	membershipLeaves   = 3
+	membershipRemoved  = 4
+	membershipDeparted = 5
 )
 
 // decodeCommand decodes a command of the log and returns the number of its entries that were left out.
@@ -81,6 +82,12 @@
 			return false
 		}
 		m.Endpoints = append(m.Endpoints, e)
+	case membershipDeparted:
+		d := &wire.Departure{}
+		if proto.Unmarshal(data, d) != nil {
+			return false
+		}
+		m.Departed = append(m.Departed, d)
 	case membershipLeaves, membershipRemoved:
 		if !utf8.Valid(data) {
 			return false
--- a/io/replica/odd_test.go
+++ b/io/replica/odd_test.go
@@ -34,6 +34,7 @@
 		"node: not UTF-8":             bytesField(nil, membershipJoins, []byte{0x12, 0x01, 0xff}),
 		"leave: not UTF-8":            bytesField(nil, membershipLeaves, []byte{0xff}),
 		"removed endpoint: not UTF-8": bytesField(nil, membershipRemoved, []byte{0xff}),
+		"departure: not UTF-8":        bytesField(nil, membershipDeparted, []byte{0x0a, 0x01, 0xff}),
 	}
 }
 
