fix(platform): id, deadline and signature are kept although Connection names them

What callers saw: a consumer that named its deadline in Connection had its request run with the route's timeout (1,999 ms in place of at most 1,000), one that named its id lost it, and an endpoint that named its signature had its success passed on without it. Change: RemoveConnectionOptions keeps headers that are meant for the final recipient; RFC 9110, 7.6.1, forbids a sender to name such.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -51,6 +51,7 @@
 	namesRequest    func(*http.Request, *http.Response) bool
 	requestID       func(http.Header) string // nil when backend servers do not name requests
 	stopRule        func(context.Context, time.Time, shutdown.Work) shutdown.Decision
+	endToEnd        []string
 	bufferLimit     int64
 	renewInterval   time.Duration
 	now             func() time.Time
--- a/io/backend/forward.go
+++ b/io/backend/forward.go
@@ -113,7 +113,7 @@
 			return nil, err
 		}
 	}
-	hop.Clean(p.Header)
+	hop.Clean(p.Header, l.backend.endToEnd...)
 	hop.SetBackendTime(p, l.backend.now().Sub(l.begin))
 	if l.notice.Leaving {
 		hop.SetLeaving(p)
--- a/io/backend/options.go
+++ b/io/backend/options.go
@@ -146,6 +146,9 @@
 // breaks off within them is reported as a failure.
 func WithBufferedAnswers(n int64) Option { return func(b *Backend) { b.bufferLimit = n } }
 
+// WithEndToEnd names headers of answers, in canonical form, that are passed on even if a backend server names them in Connection.
+func WithEndToEnd(names ...string) Option { return func(b *Backend) { b.endToEnd = names } }
+
 // WithRenew sets the interval at which endpoints renew (default 2 s); an endpoint leaves after three intervals without renewal.
 func WithRenew(d time.Duration) Option { return func(b *Backend) { b.renewInterval = d } }
 
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -22,12 +22,13 @@
 }
 
 // RemoveConnectionOptions removes Connection and the headers that it names (RFC 9110 section 7.6.1). Headers that are set afterwards can
-// then not be removed because the sender named them. It keeps the hop-by-hop headers that Outbound and IsUpgrade read.
-func RemoveConnectionOptions(h http.Header) {
+// then not be removed because the sender named them. It keeps the hop-by-hop headers that Outbound and IsUpgrade read, and those in keep,
+// which a sender must not name since they are meant for the final recipient; both have their canonical names.
+func RemoveConnectionOptions(h http.Header, keep ...string) {
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
 			name = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))
-			if !slices.Contains(hopByHopHeaders, name) {
+			if !slices.Contains(hopByHopHeaders, name) && !slices.Contains(keep, name) {
 				delete(h, name)
 			}
 		}
@@ -35,9 +36,9 @@
 	delete(h, "Connection")
 }
 
-// Clean removes hop-by-hop headers, including those that Connection names, and all Mesh-* headers.
-func Clean(h http.Header) {
-	RemoveConnectionOptions(h)
+// Clean removes hop-by-hop headers, including those that Connection names but for keep, and all Mesh-* headers.
+func Clean(h http.Header, keep ...string) {
+	RemoveConnectionOptions(h, keep...)
 	for _, k := range hopByHopHeaders {
 		delete(h, k)
 	}
