fix(process): a trailer without end is not kept, and the rest of a body is read for a bounded time

Cause: the scanner that finds the end of a chunked body kept the start of a trailer line without a limit (only lines with chunk sizes had one). Besides, the rest of a body whose request was answered was dropped in a loop that ended only when nothing more had arrived, so a fast sender was read for ever. Change: trailers end at net/http's own limit of 4 KiB; at most 256 KiB are dropped between two looks at the time, for maxLingerTime (5 s) while a body arrives.

--- a/io/process/conn.go
+++ b/io/process/conn.go
@@ -15,10 +15,11 @@
 
 const (
 	lingerTime      = 500 * time.Millisecond // longest wait for a client to close its side
-	maxLingerTime   = 5 * time.Second        // the same while a part of an answer is not acknowledged
+	maxLingerTime   = 5 * time.Second        // the same while a part of an answer is not acknowledged, or the rest of a body arrives
 	firstLingerWait = time.Millisecond       // time until the second look whether the client has closed its side; it doubles
 	maxLingerWait   = 16 * time.Millisecond  // longest time between two such looks
 	discardBuffer   = 4 << 10                // bytes of a body that are dropped at once
+	maxDiscards     = 64                     // buffers that are dropped between two such looks
 )
 
 // longAgo is a read deadline that ends a blocked read at once.
@@ -223,8 +224,8 @@
 }
 
 // linger closes a connection that has ended towards the client once the client has closed its side, after lingerTime at the latest,
-// or after maxLingerTime if a close would reset it before the client's system has the whole answer. It reads only the rest of a body
-// whose request was answered, as a client may send that before it looks at the answer.
+// or after maxLingerTime if a close would reset it before the client's system has the whole answer, or while the rest of a body whose
+// request was answered arrives, as a client may send that before it looks at the answer. It reads nothing else.
 func (c *countedConn) linger(t *net.TCPConn) {
 	defer c.release()
 	defer func() { _ = t.Close() }()
@@ -236,11 +237,16 @@
 	began := time.Now()
 	for wait := firstLingerWait; !ended; wait = min(2*wait, maxLingerWait) {
 		if err := raw.Control(func(fd uintptr) {
+			var dropped bool
+			dropped, ended = c.discardBody(int(fd), buffer)
 			limit := lingerTime
-			if hasUnsent(int(fd)) {
+			if dropped {
+				wait = firstLingerWait
+			}
+			if dropped || hasUnsent(int(fd)) {
 				limit = maxLingerTime
 			}
-			ended = c.discardBody(int(fd), buffer) || time.Since(began) > limit
+			ended = ended || time.Since(began) > limit
 		}); err != nil {
 			return
 		}
@@ -256,21 +262,24 @@
 	return err == nil && n > 0
 }
 
-// discardBody drops the received bytes of a body whose request was answered and reports whether the client has closed its side.
-func (c *countedConn) discardBody(fd int, buffer []byte) (ended bool) {
-	for {
+// discardBody drops received bytes of a body whose request was answered, at most maxDiscards buffers, since more may arrive for as long
+// as it looks. It reports whether there were any and whether the client has closed its side.
+func (c *countedConn) discardBody(fd int, buffer []byte) (dropped, ended bool) {
+	for range maxDiscards {
 		n, _, err := unix.Recvfrom(fd, buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		if err != nil {
-			return !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+			return dropped, !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
 		}
 		rest := c.pipeline.bodyRest(buffer[:n])
 		if rest == 0 {
-			return n == 0 || hasHungUp(fd)
+			return dropped, n == 0 || hasHungUp(fd)
 		}
 		if _, _, err := unix.Recvfrom(fd, buffer[:rest], unix.MSG_DONTWAIT); err != nil {
-			return true
+			return dropped, true
 		}
+		dropped = true
 	}
+	return dropped, false
 }
 
 // hasHungUp reports whether the client has closed its side, whatever the receive buffer holds before that.
--- /dev/null
+++ b/io/process/endless_test.go
@@ -0,0 +1,105 @@
+package process
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Bounds for a client that sends without end.
+const (
+	endlessHeap = 32 << 20                      // bytes of memory
+	endlessTime = maxLingerTime + 3*time.Second // until the connection ends; the last part is for a busy machine
+)
+
+// watchHeap measures the bytes of live objects until the returned function is called, which returns the most.
+func watchHeap() (most func() uint64) {
+	ended, result := make(chan struct{}), make(chan uint64)
+	go func() {
+		var m runtime.MemStats
+		var most uint64
+		for {
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapAlloc)
+			select {
+			case <-ended:
+				result <- most
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
+	return func() uint64 { close(ended); return <-result }
+}
+
+// Guards against requests without end that use memory without a limit, or that are read for as long as they come: a line of a trailer
+// was kept whole, and the rest of a body whose request was answered was dropped without a bound in time.
+func TestRequestsWithoutEnd(t *testing.T) {
+	const chunked = "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	s, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read" {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		_, _ = io.WriteString(w, "answer")
+	}), WithLimits(DefaultLimits()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	before, most := watchHeap()(), watchHeap()
+	var wait sync.WaitGroup
+	for _, c := range []struct{ name, begin, more string }{
+		{"a request line", "POST /read", "x"},
+		{"a name", "POST /read HTTP/1.1\r\nHost: x\r\nX", "x"},
+		{"a value", "POST /read HTTP/1.1\r\nHost: x\r\nX: ", "y"},
+		{"fields", "POST /read HTTP/1.1\r\nHost: x\r\n", "X: y\r\n"},
+		{"chunks", "POST /read HTTP/1.1\r\n" + chunked, "3\r\nabc\r\n"},
+		{"chunks, answered before", "POST /answer HTTP/1.1\r\n" + chunked, "3\r\nabc\r\n"},
+		{"a chunk size", "POST /read HTTP/1.1\r\n" + chunked, "0"},
+		{"a chunk extension", "POST /read HTTP/1.1\r\n" + chunked + "1;", "x"},
+		{"a chunk extension, answered before", "POST /answer HTTP/1.1\r\n" + chunked + "1;", "x"},
+		{"chunks with long extensions", "POST /answer HTTP/1.1\r\n" + chunked, "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		{"a trailer", "POST /read HTTP/1.1\r\n" + chunked + "0\r\nX: ", "y"},
+		{"a trailer, answered before", "POST /answer HTTP/1.1\r\n" + chunked + "0\r\nX: ", "y"},
+		{"trailers", "POST /read HTTP/1.1\r\n" + chunked + "0\r\n", "X: y\r\n"},
+		{"trailers, answered before", "POST /answer HTTP/1.1\r\n" + chunked + "0\r\n", "X: y\r\n"},
+		{"a length", "POST /answer HTTP/1.1\r\nHost: x\r\nContent-Length: 16777216\r\n\r\n", "x"},
+		{"a length without end", "POST /read HTTP/1.1\r\nHost: x\r\nContent-Length: 9223372036854775807\r\n\r\n", "x"},
+	} {
+		wait.Go(func() {
+			if got := endless(t, s, c.begin, c.more); got >= endlessTime {
+				t.Errorf("%s: got it still read after %s, want the connection closed", c.name, got.Round(time.Millisecond))
+			}
+		})
+	}
+	wait.Wait()
+	if got := most(); got > before+endlessHeap {
+		t.Errorf("memory: got %d MB more, want at most %d MB", (got-before)>>20, endlessHeap>>20)
+	}
+}
+
+// endless sends the begin of a request and more of it until the connection ends, and returns how long that took.
+func endless(t *testing.T, s *Server, begin, more string) time.Duration {
+	n, err := net.Dial("tcp", s.Address().String())
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer func() { _ = n.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, n) }()
+	began := time.Now()
+	_ = n.SetWriteDeadline(began.Add(endlessTime))
+	data := bytes.Repeat([]byte(more), 64<<10/len(more))
+	for _, err = io.WriteString(n, begin); err == nil; {
+		_, err = n.Write(data)
+	}
+	return time.Since(began)
+}
--- a/io/process/framing.go
+++ b/io/process/framing.go
@@ -88,18 +88,22 @@
 	bodyData                    // left bytes of a body with a length
 	chunkSize                   // line with the size of a chunk
 	chunkData                   // left bytes of a chunk with the line end behind it
-	trailerLine                 // line behind the last chunk
+	trailerLine                 // lines behind the last chunk
 	bodyOpaque                  // not readable; net/http refuses it and closes the connection
 )
 
-// maxSizeLine limits the line with the size of a chunk, as net/http does.
-const maxSizeLine = 4 << 10
+// Limits of lines, as net/http has them.
+const (
+	maxSizeLine     = 4 << 10 // bytes of the line with the size of a chunk
+	maxTrailerBytes = 4 << 10 // bytes of all lines behind the last chunk, the size of net/http's buffer
+)
 
 // bodyScanner finds the end of a request's body, so that no byte of the next request is passed to net/http with it.
 type bodyScanner struct {
-	part bodyPart
-	left int64
-	line []byte // start of a line
+	part    bodyPart
+	left    int64
+	line    []byte // start of a line
+	trailer int    // bytes of complete lines behind the last chunk
 }
 
 // newBodyScanner returns a scanner for the body behind a complete head. The parser is that of net/http, so both agree on the length.
@@ -163,8 +167,8 @@
 	i := bytes.IndexByte(data, '\n')
 	if i < 0 {
 		s.line = append(s.line, data...)
-		if s.part == chunkSize && len(s.line) > maxSizeLine {
-			s.part = bodyOpaque
+		if len(s.line) > maxSizeLine {
+			s.part, s.line = bodyOpaque, nil
 		}
 		return len(data)
 	}
@@ -177,6 +181,11 @@
 		s.beginChunk(string(line))
 	case len(line) == 0:
 		s.part = bodyEnd
+	default:
+		s.trailer += len(line)
+		if s.trailer > maxTrailerBytes {
+			s.part = bodyOpaque
+		}
 	}
 	return i + 1
 }
--- a/io/process/framing_test.go
+++ b/io/process/framing_test.go
@@ -31,6 +31,9 @@
 		{"HTTP/1.0", "POST / HTTP/1.0\r\nContent-Length: 4\r\n\r\nbody", true},
 		{"chunk size behind a bare LF", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\nbody\r\n0\r\n\r\n", false},
 		{"chunk size that is no number", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n-4\r\nbody\r\n0\r\n\r\n", false},
+		{"trailer that net/http refuses", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + strings.Repeat("y", maxTrailerBytes) + "\r\n\r\n", false},
+		{"trailers that net/http refuses", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("X: y\r\n", maxTrailerBytes/4+1) + "\r\n", false},
+		{"long trailer", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + strings.Repeat("y", maxTrailerBytes-9) + "\r\n\r\n", true},
 		{"two lengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody", false},
 	}
 	for _, c := range tests {
