fix(peer): messages between nodes have limits that a small host bears

What callers saw: nothing yet. A control host that answers without end, or another process at its address, makes every node that polls it keep up to 256 MiB a call, and a node without a replica keeps as much of a request; the hosts have 184 MB, so the process ends with everybody's requests (LOST).

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -18,10 +18,21 @@
 	pingInterval     = 3 * time.Second // idle time before a ping, which detects a silent partition
 	pingTimeout      = 2 * time.Second
 	idleTimeout      = 90 * time.Second
-	maxMessageBytes  = 256 << 20 // one message carries a whole log snapshot with up to 128 MiB of claims
 	compressMinBytes = 1 << 10
 )
 
+// Limits of messages. A peer that sends more is faulty, or another process has its address; a node must not run out of memory for it,
+// also while it waits for several responses.
+const (
+	maxStateBytes    = 256 << 20 // request with a whole log snapshot, which holds up to 128 MiB of claims
+	maxProposalBytes = 16 << 20  // request with a whole content, or with 512 claims that have answers
+	maxRequestBytes  = 4 << 20   // any other request
+	maxResponseBytes = 16 << 20  // response; the largest one carries a packed snapshot
+	maxSnapshotBytes = 32 << 20  // snapshot, unpacked
+	maxHeaderBytes   = 64 << 10  // fields of a response
+	maxErrorBytes    = 64 << 10  // response with an error
+)
+
 // Clients creates and caches one RPC client per peer address; all of them share a transport.
 type Clients struct {
 	key       string
@@ -80,6 +91,8 @@
 		Protocols:       protocols,
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	for _, o := range opts {
 		o(c)
@@ -99,7 +112,7 @@
 		&http.Client{Transport: &countingTransport{next: c.transport, observe: c.observe}},
 		c.scheme+"://"+address.String(),
 		connect.WithInterceptors(withKey(c.key)),
-		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithReadMaxBytes(maxResponseBytes),
 		connect.WithSendGzip(),
 		connect.WithCompressMinBytes(compressMinBytes),
 	)
--- a/io/peer/count.go
+++ b/io/peer/count.go
@@ -9,7 +9,7 @@
 // headerBytes estimates the size of frames and compressed headers in each direction of a call on an established HTTP/2 connection.
 const headerBytes = 60
 
-// countingTransport reports the bytes of each call, with its estimated headers, to observe.
+// countingTransport reports the bytes of each call, with its estimated headers, to observe, and limits responses.
 type countingTransport struct {
 	next    http.RoundTripper
 	observe Observe
@@ -26,10 +26,20 @@
 		return nil, err
 	}
 	t.observe(method, sent, headerBytes)
-	resp.Body = &countingBody{ReadCloser: resp.Body, add: func(n int) { t.observe(method, 0, n) }}
+	resp.Body = &countingBody{ReadCloser: limitResponse(resp), add: func(n int) { t.observe(method, 0, n) }}
 	return resp, nil
 }
 
+// limitResponse returns the body of a response, which fails at the limit. Connect stops keeping what it reads at a limit of its own, but
+// reads on.
+func limitResponse(resp *http.Response) io.ReadCloser {
+	limit := int64(maxResponseBytes)
+	if resp.StatusCode != http.StatusOK {
+		limit = maxErrorBytes
+	}
+	return http.MaxBytesReader(nil, resp.Body, limit)
+}
+
 // countingBody passes the number of bytes read from a response body to add when it is closed.
 type countingBody struct {
 	io.ReadCloser
--- a/io/peer/follower.go
+++ b/io/peer/follower.go
@@ -95,7 +95,7 @@
 
 // NewFollower returns a Follower that polls until Close.
 func NewFollower(holder *Holder, clients *Clients, opts ...FollowerOption) (*Follower, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxMessageBytes))
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxSnapshotBytes))
 	if err != nil {
 		return nil, fmt.Errorf("create the zstd decoder: %w", err)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -46,8 +46,25 @@
 //
 // Connect never compresses the responses: large deltas are already packed with zstd, and a gzip writer for each response in
 // progress uses 0.3 MB per follower of a relay.
+//
+// The size of requests is limited by procedure; only a replica takes long ones.
 func NewHandler(s *Server) (string, http.Handler) {
-	return rpcconnect.NewMeshHandler(s, connect.WithCompressMinBytes(math.MaxInt), connect.WithReadMaxBytes(maxMessageBytes))
+	limited := func(bytes int) (string, http.Handler) {
+		path, handler := rpcconnect.NewMeshHandler(s, connect.WithCompressMinBytes(math.MaxInt), connect.WithReadMaxBytes(bytes))
+		return path, http.MaxBytesHandler(handler, int64(bytes)) // connect would read on behind its limit
+	}
+	path, handler := limited(maxRequestBytes)
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	if s.OnDeliver != nil {
+		_, handler = limited(maxStateBytes)
+		mux.Handle(rpcconnect.MeshDeliverProcedure, handler)
+	}
+	if s.OnPropose != nil {
+		_, handler = limited(maxProposalBytes)
+		mux.Handle(rpcconnect.MeshProposeProcedure, handler)
+	}
+	return path, mux
 }
 
 func unavailable(method string, err error) error {
