--- a/io/peer/endless_test.go
+++ b/io/peer/endless_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -19,36 +18,12 @@
 
 	"godwitspindle/io/rpc"
 	"godwitspindle/io/rpc/rpcconnect"
+	"godwitspindle/io/standin"
 )
 
 // hostMemory is the memory of the smallest host on which a node must go on, less what a node uses otherwise.
 const hostMemory = (184 - 40) << 20
 
-// watchHeap measures the bytes of live objects until the returned function is called, which returns how many more there were at most.
-func watchHeap() (growth func() int64) {
-	ended, result := make(chan struct{}), make(chan int64)
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	before := int64(m.HeapAlloc)
-	go func() {
-		var m runtime.MemStats
-		most := int64(0)
-		for {
-			runtime.GC()
-			runtime.ReadMemStats(&m)
-			most = max(most, int64(m.HeapAlloc)-before)
-			select {
-			case <-ended:
-				result <- most
-				return
-			case <-time.After(50 * time.Millisecond):
-			}
-		}
-	}()
-	return func() int64 { close(ended); return <-result }
-}
-
 // serveH2C serves cleartext HTTP/2 on a free port.
 func serveH2C(t *testing.T, h http.Handler) netip.AddrPort {
 	t.Helper()
@@ -145,7 +120,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			clients := NewClients()
 			defer clients.Close()
-			growth := watchHeap()
+			growth := standin.WatchHeap()
 			var wait sync.WaitGroup
 			for range calls {
 				wait.Go(func() {
@@ -183,7 +158,7 @@
 		t.Fatal(err)
 	}
 	follower.Close()
-	growth := watchHeap()
+	growth := standin.WatchHeap()
 	if _, err := Unpack(follower.decoder, &rpc.SyncResponse{Packed: packed.Bytes()}); err == nil {
 		t.Error("got a delta, want an error")
 	}
@@ -199,7 +174,7 @@
 	address := serveH2C(t, handler)
 	clients := NewClients()
 	defer clients.Close()
-	growth := watchHeap()
+	growth := standin.WatchHeap()
 	var wait sync.WaitGroup
 	for _, procedure := range []string{
 		rpcconnect.MeshSyncProcedure, rpcconnect.MeshDeliverProcedure, rpcconnect.MeshProposeProcedure, rpcconnect.MeshAnnounceProcedure,
--- a/io/process/endless_test.go
+++ b/io/process/endless_test.go
@@ -6,11 +6,12 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"godwitspindle/io/standin"
 )
 
 // Bounds for a client that sends without end.
@@ -19,27 +20,6 @@
 	endlessTime = maxLingerTime + 3*time.Second // until the connection ends; the last part is for a busy machine
 )
 
-// watchHeap measures the bytes of live objects until the returned function is called, which returns the most.
-func watchHeap() (most func() uint64) {
-	ended, result := make(chan struct{}), make(chan uint64)
-	go func() {
-		var m runtime.MemStats
-		var most uint64
-		for {
-			runtime.GC()
-			runtime.ReadMemStats(&m)
-			most = max(most, m.HeapAlloc)
-			select {
-			case <-ended:
-				result <- most
-				return
-			case <-time.After(300 * time.Millisecond):
-			}
-		}
-	}()
-	return func() uint64 { close(ended); return <-result }
-}
-
 // Guards against requests without end that use memory without a limit, or that are read for as long as they come: a line of a trailer
 // was kept whole, and the rest of a body whose request was answered was dropped without a bound in time.
 func TestRequestsWithoutEnd(t *testing.T) {
@@ -54,7 +34,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = s.Close() }()
-	before, most := watchHeap()(), watchHeap()
+	growth := standin.WatchHeap()
 	var wait sync.WaitGroup
 	for _, c := range []struct{ name, begin, more string }{
 		{"a request line", "POST /read", "x"},
@@ -81,8 +61,8 @@
 		})
 	}
 	wait.Wait()
-	if got := most(); got > before+endlessHeap {
-		t.Errorf("memory: got %d MB more, want at most %d MB", (got-before)>>20, endlessHeap>>20)
+	if got := growth(); got > endlessHeap {
+		t.Errorf("memory: got %d MB more, want at most %d MB", got>>20, endlessHeap>>20)
 	}
 }
 
