fix(replica): a replacement is answered once the group no longer needs the replaced voter

What operators saw: promote is acknowledged, the leader is lost, and the group elects nobody until it is back (TestReplaceReplica, known red). It was given when the joint set was committed; the set without the outgoing voters may then be on the leader's disk alone. Change: the leader answers when the final set is committed, with an unknown outcome if it loses its term before; a repeated promote waits for that too.

--- a/io/host/replicas.go
+++ b/io/host/replicas.go
@@ -114,11 +114,22 @@
 		if r := describeMember(c.replica.Status(), ids[0], "voter"); r.GetHeard() < 0 || r.GetHeard() > silentAfter.Milliseconds() {
 			return &refusalError{operator.CodeUnsafeMembership, name + " is a voter that does not answer; if it lost its data folder, add it first"}
 		}
-		return nil
+		return c.awaitReplacement(ctx)
 	}
 	return c.retryChange(ctx, func() error { return c.replica.Promote(ctx, ids[0]) })
 }
 
+// awaitReplacement waits until no replacement is in progress.
+func (c *control) awaitReplacement(ctx context.Context) error {
+	for c.replica.Status().Members.Joint() {
+		if ctx.Err() != nil {
+			return &refusalError{operator.CodeUnsafeMembership, "the replacement has not ended: the voters do not answer, of which it needs a majority before and after"}
+		}
+		time.Sleep(changeRetryPause)
+	}
+	return nil
+}
+
 func (c *control) remove(ctx context.Context, name string) error {
 	for _, id := range c.memberIDs(name) {
 		if err := c.retryChange(ctx, func() error { return c.replica.Remove(ctx, id) }); err != nil {
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -214,6 +214,10 @@
 	r.lastApplied = e.Index
 	r.appliedEntries++
 	r.appliedBytes += len(e.Data)
+	joint := isJoint(e)
+	if e.Kind == agreement.MembersChange && !joint {
+		r.answerReplacement(e.Term)
+	}
 	w, ok := r.waiting[e.Index]
 	if !ok {
 		return nil
@@ -223,10 +227,37 @@
 		w.answer <- reply{err: &UnknownOutcomeError{Err: &agreement.NotLeaderError{Leader: r.protocol.Status().Leader}}}
 		return nil
 	}
+	if joint {
+		r.replacement = &w // answered once the set without the outgoing voters is committed too
+		return nil
+	}
 	w.answer <- reply{result: result}
 	return nil
 }
 
+// isJoint reports whether an entry holds the member set of a replacement in progress.
+func isJoint(e agreement.Entry) bool {
+	if e.Kind != agreement.MembersChange {
+		return false
+	}
+	m, err := agreement.DecodeMembers(e.Data)
+	return err == nil && m.Joint()
+}
+
+// answerReplacement replies to the caller of a replacement whose final member set is committed by an entry of the given term. With the
+// joint set alone, the group would not bear the loss that it bears afterwards: it still needs a majority of the outgoing voters.
+func (r *Replica) answerReplacement(term uint64) {
+	w := r.replacement
+	r.replacement = nil
+	switch {
+	case w == nil:
+	case w.term != term:
+		w.answer <- reply{err: &UnknownOutcomeError{Err: &agreement.NotLeaderError{Leader: r.protocol.Status().Leader}}}
+	default:
+		w.answer <- reply{}
+	}
+}
+
 // completeReads replies to the reads of the round in flight once that round is confirmed or failed, and starts the next round if
 // none is in flight. Every entry that a confirmed read must see is already applied, since its index was committed before.
 func (r *Replica) completeReads(e agreement.Effects) {
@@ -245,16 +276,20 @@
 
 // failStaleProposals replies with an unknown outcome to the proposals of a term that this replica no longer leads.
 func (r *Replica) failStaleProposals() {
-	if len(r.waiting) == 0 {
+	if len(r.waiting) == 0 && r.replacement == nil {
 		return
 	}
 	s := r.protocol.Status()
+	isStale := func(w waiter) bool { return s.Role != agreement.Leader || w.term != s.Term }
 	for i, w := range r.waiting {
-		if s.Role != agreement.Leader || w.term != s.Term {
+		if isStale(w) {
 			w.answer <- reply{err: &UnknownOutcomeError{Err: &agreement.NotLeaderError{Leader: s.Leader}}}
 			delete(r.waiting, i)
 		}
 	}
+	if w := r.replacement; w != nil && isStale(*w) {
+		r.answerReplacement(0) // no entry has the term 0, so the outcome is unknown
+	}
 }
 
 // compact replaces the applied log by a snapshot if the entries, bytes or apply time since the last one have reached their limits. A
@@ -300,6 +335,9 @@
 	for _, w := range r.waiting {
 		w.answer <- reply{err: &UnknownOutcomeError{Err: err}}
 	}
+	if r.replacement != nil {
+		r.replacement.answer <- reply{err: &UnknownOutcomeError{Err: err}}
+	}
 	for _, c := range append(r.currentReads, r.nextReads...) {
 		c <- reply{err: err}
 	}
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -50,6 +50,7 @@
 	applyTime                    time.Duration      // time spent applying entries since the last snapshot
 	compactAt                    time.Time          // no snapshot is taken before this time
 	waiting                      map[uint64]waiter  // by log index
+	replacement                  *waiter            // of a replacement whose joint set is committed; nil for none
 	currentReads                 []chan reply       // reads in the confirmation round in flight
 	nextReads                    []chan reply       // reads for the next confirmation round
 	readContext                  uint64             // context of the last confirmation round
@@ -210,8 +211,8 @@
 	return r.change(ctx, func(m agreement.Members) agreement.Members { return m.Join(id) })
 }
 
-// Promote makes a learner a voter; if a voter has the same name, whose disk is lost, the learner replaces it. It fails with
-// *agreement.LagError while the learner lags behind.
+// Promote makes a learner a voter; if a voter has the same name, whose disk is lost, the learner replaces it. It returns once the
+// group no longer needs the replaced voter, and fails with *agreement.LagError while the learner lags behind.
 func (r *Replica) Promote(ctx context.Context, id string) error {
 	return r.change(ctx, func(m agreement.Members) agreement.Members {
 		for _, v := range m.Voters {
@@ -223,7 +224,7 @@
 	})
 }
 
-// Replace makes a learner a voter in place of another one, in one joint change. It fails as Promote does.
+// Replace makes a learner a voter in place of another one, in one joint change. It returns and fails as Promote does.
 func (r *Replica) Replace(ctx context.Context, out, in string) error {
 	return r.change(ctx, func(m agreement.Members) agreement.Members { return m.Replace(out, in) })
 }
--- a/io/replica/replica_test.go
+++ b/io/replica/replica_test.go
@@ -19,12 +19,13 @@
 type group struct {
 	t       testing.TB
 	mu      sync.Mutex
-	members map[string]*Replica       // by name
-	states  map[string]*atomic.Uint64 // number of applied commands, by name
-	cut     map[string]bool           // whether a replica is isolated, by name
-	names   []string                  // names of the initial voters
-	opts    []Option                  // for replicas that start later
-	syncs   atomic.Int64              // syncs of all replicas
+	members map[string]*Replica          // by name
+	states  map[string]*atomic.Uint64    // number of applied commands, by name
+	cut     map[string]bool              // whether a replica is isolated, by name
+	drop    func(agreement.Message) bool // reports whether a message is lost; nil for none
+	names   []string                     // names of the initial voters
+	opts    []Option                     // for replicas that start later
+	syncs   atomic.Int64                 // syncs of all replicas
 }
 
 func newGroup(t testing.TB, names []string, opts ...Option) *group {
@@ -48,7 +49,7 @@
 		WithSend(func(m agreement.Message) {
 			g.mu.Lock()
 			to := g.members[agreement.Name(m.To)]
-			drop := g.cut[name] || g.cut[agreement.Name(m.To)]
+			drop := g.cut[name] || g.cut[agreement.Name(m.To)] || g.drop != nil && g.drop(m)
 			g.mu.Unlock()
 			if to != nil && !drop {
 				to.Step(m)
