fix(backend): a leave without an incarnation does not hide the departure of a known process

Found while reading the diff: a DELETE without born for an endpoint that is no longer held replaced the record of the process that had left, so that its node took a late announcement of it again (the agreed state refused it). Evidence: the new case of TestDeparturesReported fails without the check. Change: such a leave keeps the record; names and comments of the diff.

--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -17,9 +17,9 @@
 
 // Table holds the leases of the nodes and endpoints that the log has committed; it is safe for concurrent use.
 type Table struct {
-	lease  time.Duration // lease period
-	window time.Duration // minimum time between two commands
-	ended  func(e *wire.Endpoint) bool
+	lease  time.Duration               // lease period
+	window time.Duration               // minimum time between two commands
+	ended  func(e *wire.Endpoint) bool // reports whether the agreed state ignores the endpoint
 
 	mutex          sync.Mutex
 	leadingSince   time.Time // start of this leadership; zero while this replica does not lead
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -22,7 +22,7 @@
 	MaxNodes        = 21_000         // nodes; ten times the design size
 	MaxEndpoints    = 42_000         // endpoints, including those of unknown services
 	MaxRollouts     = 4096           // rollouts kept, those of services that have left the configuration included
-	MaxRetiredKeys  = 8192           // nodes and endpoints whose former incarnations are kept; some releases of the design size
+	MaxRetiredKeys  = 8192           // nodes and endpoints whose former incarnations are kept; several releases of all endpoints of the design size
 )
 
 // Codes with which a change is refused.
--- a/io/backend/departure.go
+++ b/io/backend/departure.go
@@ -34,8 +34,14 @@
 	d.order = slices.DeleteFunc(d.order, func(k string) bool { return k == key })
 }
 
+// add records a process that left. One without an incarnation does not replace one that has one, since late announcements are compared
+// with it.
 func (d *departures) add(key string, p departure) {
-	if o, ok := d.of(key); ok && o.incarnation == p.incarnation {
+	o, ok := d.of(key)
+	if ok && p.incarnation == 0 {
+		return
+	}
+	if ok && o.incarnation == p.incarnation {
 		p.final = p.final || o.final
 	}
 	d.remove(key)
--- a/io/backend/leave_test.go
+++ b/io/backend/leave_test.go
@@ -108,6 +108,7 @@
 		{"leave of a later process", func() { leave("c", 6) }, "[s/c@5 s/c@6]"},
 		{"leave of an unknown endpoint", func() { leave("d", 5) }, "[s/d@5]"},
 		{"leave of an unknown process", func() { leave("e", 0) }, "[]"},
+		{"leave without incarnation of a process that has left", func() { leave("d", 0); announce("d", 9, 5, 1) }, "[]"},
 		{"replaced at its address", func() { announce("f", 4, 5, 1); announce("g", 4, 6, 1) }, "[s/f@5]"},
 		{"without a sequence", func() { announce("h", 5, 5, 0); leave("h", 0) }, "[]"},
 		{"without a sequence, leave with incarnation", func() { announce("i", 6, 5, 0); leave("i", 5) }, "[s/i@5]"},
@@ -120,4 +121,9 @@
 			t.Errorf("%s: got %s, want %s", c.name, text, c.want)
 		}
 	}
+	for _, a := range b.Endpoints() {
+		if a.Endpoint == "d" {
+			t.Error("endpoint d: got its late announcement taken, want it ignored")
+		}
+	}
 }
--- a/io/host/departure.go
+++ b/io/host/departure.go
@@ -135,9 +135,9 @@
 	h.departures.add(notice.Process{Endpoint: endpoint, Incarnation: incarnation})
 }
 
-// departuresTold handles the announced endpoints of which the leader knows that their process has left for good: late announcements of
-// them arrived after a restart of this node.
-func (h *Host) departuresTold(list []*wire.Departure) {
+// leaderKnowsDepartures handles the announced endpoints whose process has left for good, as the leader knows: late announcements of them
+// arrived after a restart of this node.
+func (h *Host) leaderKnowsDepartures(list []*wire.Departure) {
 	for _, d := range list {
 		p := decodeDeparture(d)
 		h.log.Info("endpoint not used, its process has left before", "endpoint", p.Endpoint, "incarnation", p.Incarnation)
--- a/io/host/departure_test.go
+++ b/io/host/departure_test.go
@@ -86,11 +86,11 @@
 		t.Error("got a proposal, want none for what is agreed")
 		return &wire.Result{}, nil
 	})
-	h.departuresTold([]*wire.Departure{{Service: "a", Name: "e", Incarnation: 99}})
+	h.leaderKnowsDepartures([]*wire.Departure{{Service: "a", Name: "e", Incarnation: 99}})
 	if got := len(h.backend.Endpoints()); got != 1 {
 		t.Errorf("endpoints after the departure of another process: got %d, want 1", got)
 	}
-	h.departuresTold([]*wire.Departure{{Service: "a", Name: "e", Incarnation: 100}})
+	h.leaderKnowsDepartures([]*wire.Departure{{Service: "a", Name: "e", Incarnation: 100}})
 	a.Sequence = 2
 	if f := h.backend.Announce(a); f != nil {
 		t.Fatal(f)
--- a/io/host/sync.go
+++ b/io/host/sync.go
@@ -79,7 +79,7 @@
 		current:  h.announceable,
 		agreed:   func() *config.Snapshot { return h.holder.View().Snapshot },
 		send:     h.proposer.Announce,
-		departed: h.departuresTold,
+		departed: h.leaderKnowsDepartures,
 		log:      h.log,
 	}))
 	return nil
