test(platform): a seeded soak of leaves under kills

Endpoints leave and come back as later processes, some of their heartbeats arrive up to 4 s late, and nodes, single control hosts and the whole core are killed in series. No request may reach an endpoint later than the drain time after its leave was acknowledged, until its next process is heard.

--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,12 @@
 race:
 	go test -race -short $(SKIP) ./...
 
-# Plays fresh seeds of the fault soaks for some minutes; a seed that fails belongs into soakFailed of io/demo/soak_test.go or
-# replicaSoakFailed of platform/replicasoak_test.go.
+# Plays fresh seeds of the fault soaks for some minutes; a seed that fails belongs into soakFailed of io/demo/soak_test.go,
+# replicaSoakFailed of platform/replicasoak_test.go or leaveSoakFailed of platform/leavesoak_test.go.
 soak:
 	go test ./io/demo -run 'TestSoak$$' -v -soak.first 0 -soak.seeds 10 -soak.length 20s -timeout 30m
 	go test ./platform -run 'TestReplicaSoak$$' -v -replicasoak.first 0 -replicasoak.seeds 10 -timeout 30m
+	go test ./platform -run 'TestLeaveSoak$$' -v -leavesoak.first 0 -leavesoak.seeds 10 -timeout 30m
 
 # Plays fresh seeds of the soak of planned stops; a seed that fails belongs into stopSoakList of platform/stopsoak_test.go.
 stopsoak:
