test(demo): a revert names the version of a change, not the version in force

Cause: the test reverted to the version in force at a node, which is a later one if a member joins or leaves meanwhile; a revert takes versions of changes only. Change: it uses the version that the change was accepted as. All checks stay.

--- a/io/demo/customers_test.go
+++ b/io/demo/customers_test.go
@@ -17,7 +17,7 @@
 const testCustomers = `{"customers":[{"name":"acme","keys":["sk-old","sk-new"],"priority":9},{"name":"plain","keys":["sk-plain"]}]}`
 
 // applyLatest applies a change to the current version and waits until all nodes have it.
-func (m *testMesh) applyLatest(t *testing.T, change operator.Change) {
+func (m *testMesh) applyLatest(t *testing.T, change operator.Change) (version uint64) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
 	defer cancel()
@@ -35,6 +35,7 @@
 	if err := m.Await(ctx, func(h *host.Host) bool { return h.View().Snapshot.Version() >= a.Version }); err != nil {
 		t.Fatal(err)
 	}
+	return a.Version
 }
 
 // ask returns status and code of a request to a listener.
@@ -72,8 +73,7 @@
 		}
 	}
 	check("before customers", entry, nil, 200, "")
-	m.applyLatest(t, operator.Change{ID: "customers", Customers: json.RawMessage(testCustomers)})
-	first := m.Hosts[0].View().Snapshot.Version()
+	first := m.applyLatest(t, operator.Change{ID: "customers", Customers: json.RawMessage(testCustomers)})
 	check("no key", entry, nil, 401, outcome.Unauthorized)
 	check("key", entry, key("sk-old"), 200, "")
 	check("key at the host of the endpoint", m.callers[firstCounter], key("sk-plain"), 200, "")
