fix(replica): heartbeats and elections do not wait for the disk

Callers saw: with slow disks a mesh elects no leader ("no leader is known; replica-kochi hears 3 of 3 voters", "version 0, serving false" for 20 s after a start) and answers 503.

Cause: the loop of a replica saved by itself. Meanwhile it neither sent nor answered heartbeats; a candidate spent the time of its election on saving its own vote and began the next campaign before the votes came; votes that came during the next pre-vote were dropped.

Change: a goroutine saves and compacts; agreement.Urgent holds the heartbeats and answers that may go out meanwhile; the time of saving a vote does not count towards the next campaign; votes count during the next pre-vote; campaigns on slow disks are spread over four saves. A replica whose disk has not finished after three election timeouts takes no input, as before, so that another one leads.

Tried first: draw a new campaign time once a vote is saved.

--- a/core/agreement/election.go
+++ b/core/agreement/election.go
@@ -32,7 +32,7 @@
 	}
 	switch m.Kind {
 	case VoteAnswer:
-		r.countVote(m, false)
+		r.countVote(m, r.votes)
 	case Append, Heartbeat, InstallSnapshot:
 		r.stepFromLeader(m)
 	case AppendAnswer, HeartbeatAnswer:
@@ -54,7 +54,7 @@
 	if r.role != Waiting {
 		r.role = Follower
 	}
-	r.leader, r.votes = leader, nil
+	r.leader, r.preVotes, r.votes = leader, nil, nil
 }
 
 func (r *Replica) failReads() {
@@ -67,12 +67,12 @@
 
 // campaign starts a pre-vote or a vote; a pre-vote changes no durable state.
 func (r *Replica) campaign(preVote bool) {
-	r.role, r.leader, r.preVote, r.campaigned = Candidate, "", preVote, true
-	r.votes = map[string]bool{r.id: true}
+	r.role, r.leader, r.campaigned = Candidate, "", true
+	r.preVotes = map[string]bool{r.id: true}
 	term, kind := r.state.Term+1, PreVote
 	if !preVote {
 		r.setState(HardState{Term: term, Vote: r.id})
-		kind = Vote
+		kind, r.preVotes, r.votes = Vote, nil, map[string]bool{r.id: true}
 	}
 	if r.advanceCampaign() {
 		return
@@ -86,15 +86,15 @@
 
 // advanceCampaign goes from pre-vote to vote, or from vote to leader, if a majority has granted, and reports whether one has.
 func (r *Replica) advanceCampaign() bool {
-	if !r.members().Quorate(func(id string) bool { return r.votes[id] }) {
-		return false
-	}
-	if r.preVote {
+	switch {
+	case r.members().Quorate(func(id string) bool { return r.votes[id] }):
+		r.becomeLeader()
+	case r.members().Quorate(func(id string) bool { return r.preVotes[id] }):
 		r.resetCampaignTimer()
 		r.campaign(false)
-		return true
+	default:
+		return false
 	}
-	r.becomeLeader()
 	return true
 }
 
@@ -135,14 +135,15 @@
 	case m.Reject && m.Term > r.state.Term:
 		r.becomeFollower(m.Term, "")
 	case m.Term == r.state.Term+1:
-		r.countVote(m, true)
+		r.countVote(m, r.preVotes)
 	}
 }
 
-func (r *Replica) countVote(m Message, preVote bool) {
-	if r.role != Candidate || r.preVote != preVote || m.Reject {
+// countVote counts a grant in one of the maps preVotes and votes, which is nil if this replica has not asked for such grants.
+func (r *Replica) countVote(m Message, grants map[string]bool) {
+	if r.role != Candidate || grants == nil || m.Reject {
 		return
 	}
-	r.votes[m.From] = true
+	grants[m.From] = true
 	r.advanceCampaign()
 }
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -18,6 +18,7 @@
 	// been known since the start. It leaves each of them half an interval for the pre-vote and the vote.
 	campaignsPerHeartbeat = 2
 	campaignJitterDivisor = 8    // limits the random part of a first campaign's delay to an eighth of a heartbeat interval
+	campaignSaves         = 4    // on slow disks campaigns are spread over the time of this many saves; a vote takes two of them
 	trailingEntries       = 1024 // log entries kept before a snapshot's index, so that a slightly lagging follower needs no snapshot
 )
 
@@ -87,11 +88,14 @@
 	leaderSince             time.Time
 	role                    Role
 	leader                  string
-	leaderHeard, campaignAt time.Time // time of the last message from the leader; time of the next campaign
-	nextBroadcast           time.Time // time of the next heartbeat round or founding messages
-	quorumConfirmed         time.Time // start of the last heartbeat round known to be answered by a quorum
-	votes                   map[string]bool
-	preVote                 bool                 // the current campaign is a pre-vote
+	leaderHeard, campaignAt time.Time            // time of the last message from the leader; time of the next campaign
+	nextBroadcast           time.Time            // time of the next heartbeat round or founding messages
+	quorumConfirmed         time.Time            // start of the last heartbeat round known to be answered by a quorum
+	preVotes                map[string]bool      // grants of the pre-vote in progress
+	votes                   map[string]bool      // grants in the current term; they count also while a later pre-vote is in progress
+	saving                  saving               // what the last Effects holds to be saved
+	savedTerm               uint64               // the term on disk
+	saveTime                time.Duration        // time that the last save of a vote took
 	leaderSeen              bool                 // a leader has been known since the start, or before this replica resumed
 	campaigned              bool                 // this replica has campaigned since the start
 	promises                map[string]string    // founding promises received: initial name to identity
@@ -135,6 +139,7 @@
 }
 
 func (r *Replica) load() error {
+	r.savedTerm = r.state.Term
 	s := r.snapshot
 	s.Data = nil
 	r.snapshot = s
@@ -216,6 +221,7 @@
 		r.tickLeader()
 	case r.role == Waiting:
 		r.tickFounder()
+	case r.saving.active: // a vote would wait for the end of the save
 	case !now.Before(r.campaignAt):
 		r.resetCampaignTimer()
 		if !r.mayCampaign() {
@@ -257,6 +263,9 @@
 		position := max(slices.Index(r.members().Voters, r.id), 0)
 		wait = r.heartbeat + time.Duration(position)*r.heartbeat/campaignsPerHeartbeat + r.random(r.heartbeat/campaignJitterDivisor)
 	}
+	if r.saveTime > r.heartbeat {
+		wait += r.random(campaignSaves * min(r.saveTime, r.election))
+	}
 	r.campaignAt = r.now.Add(wait)
 }
 
@@ -277,8 +286,10 @@
 	return s
 }
 
-// Effects returns and clears the pending effects; the caller must carry them out in the order that the type gives.
+// Effects returns and clears the pending effects; the caller must carry them out in the order that the type gives, and must call Effects
+// again only after that. Meanwhile the replica takes input, and Urgent returns what can be sent.
 func (r *Replica) Effects() Effects {
+	r.endSave()
 	if r.role == Leader {
 		r.sendAppends()
 	}
@@ -297,6 +308,7 @@
 		e.Committed = r.log.slice(r.applied+1, r.commit, int(^uint(0)>>1))
 		r.applied = r.commit
 	}
+	r.beginSave(e)
 	return e
 }
 
--- a/core/agreement/schedule_group_test.go
+++ b/core/agreement/schedule_group_test.go
@@ -219,8 +219,14 @@
 	g.drain(p)
 }
 
-// drain takes effects until there are none or some must be saved first.
+// drain sends what is urgent and takes effects until there are none or some must be saved first.
 func (g *group) drain(p *process) {
+	if p.ended {
+		return
+	}
+	for _, m := range p.replica.Urgent() {
+		g.send(m)
+	}
 	for p.writing == nil && !p.ended {
 		e := p.replica.Effects()
 		if e.Empty() {
@@ -228,7 +234,7 @@
 			return
 		}
 		g.checkAppended(p, e)
-		if e.State == nil && e.Snapshot == nil && len(e.Entries) == 0 {
+		if !e.Saves() {
 			g.carryOut(p, e)
 			continue
 		}
--- a/core/agreement/schedule_test.go
+++ b/core/agreement/schedule_test.go
@@ -36,6 +36,7 @@
 	{20350, "a learner waits two election timeouts for the repetition of each lost snapshot message"},
 	{20428, "two elections, with an election timeout of 1 s, take longer than a catchUp of 4 s"},
 	{20899, "a restarted leader counts the silence of a lost voter from its own start"},
+	{20562, "as 20350, and then the leader restarts"},
 }
 
 // settings are what a seed fixes for its whole play.
@@ -46,7 +47,7 @@
 	storm                  time.Duration // time between two proposals
 	compactAfter           uint64        // entries after which a snapshot replaces the log; 0 for never
 	longLog                bool          // the log is longer than what a snapshot leaves in it before the first step
-	blockingDisk           bool          // a replica takes no input while it saves, as package replica
+	blockingDisk           bool          // a replica takes no input while it saves, as one whose disk has stalled
 	wipe                   bool          // two disks are lost on a copy once the group is quiet
 	write                  time.Duration // longest write of a disk that is not slowed
 	transit                time.Duration // longest transit of a message that is not delayed
--- a/core/agreement/types.go
+++ b/core/agreement/types.go
@@ -88,6 +88,9 @@
 	return e.State == nil && e.Snapshot == nil && len(e.Entries)+len(e.Messages)+len(e.Committed)+len(e.Reads)+len(e.FailedReads) == 0
 }
 
+// Saves reports whether the effects hold anything to be saved.
+func (e *Effects) Saves() bool { return e.State != nil || e.Snapshot != nil || len(e.Entries) > 0 }
+
 // Role is the protocol role of a replica.
 type Role uint8
 
--- a/io/replica/fulldisks_site_test.go
+++ b/io/replica/fulldisks_site_test.go
@@ -137,6 +137,7 @@
 		s.startAt = s.day.now.Add(restartPause)
 		return
 	}
+	r.startWork = func(work func() error) { r.diskDone <- work() }
 	s.replica, s.id, s.startAt = r, r.ID(), time.Time{}
 	s.tickAt = s.day.now.Add(time.Duration(s.day.random.Intn(25)) * time.Millisecond)
 }
@@ -206,6 +207,9 @@
 			return
 		}
 		err := r.runRound(nil)
+		for err == nil && r.onDisk != nil {
+			err = r.endDiskWork(<-r.diskDone)
+		}
 		if err == nil {
 			s.day.checkLeader(r.Status())
 			return
--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -9,14 +9,30 @@
 
 const ticksPerHeartbeat = 4 // the loop checks the protocol's timers every quarter of a heartbeat interval
 
-// run handles events until Close or the first failure. The events of one round share one sync.
+// run handles events until Close or the first failure, also while the disk works. The events that wait for one save share the next sync.
 func (r *Replica) run() error {
 	t := time.NewTicker(r.heartbeat / ticksPerHeartbeat)
 	defer t.Stop()
+	defer r.awaitDisk()
 	for {
+		if r.isDiskStalled() {
+			select {
+			case <-r.stop:
+				return nil
+			case err := <-r.diskDone:
+				if err := r.endDiskWork(err); err != nil {
+					return err
+				}
+			}
+			continue
+		}
 		select {
 		case <-r.stop:
 			return nil
+		case err := <-r.diskDone:
+			if err := r.endDiskWork(err); err != nil {
+				return err
+			}
 		case <-t.C:
 			r.protocol.Tick(r.now())
 			if err := r.runRound(nil); err != nil {
@@ -128,28 +144,50 @@
 	r.currentReads, r.readInFlight = nil, false
 }
 
-// processEffects saves, sends and applies the effects of the protocol until none are left.
+// processEffects carries out the effects of the protocol until none are left or some must be saved first; only what is urgent does not
+// wait for the disk.
 func (r *Replica) processEffects() error {
 	for {
+		r.sendAll(r.protocol.Urgent())
+		if r.onDisk != nil {
+			return nil
+		}
 		e := r.protocol.Effects()
-		if e.Empty() {
+		switch {
+		case e.Empty():
 			r.failStaleProposals()
 			return r.compact()
+		case e.Saves():
+			l := r.log
+			r.beginDiskWork(func() error { return l.Save(e) }, func(err error) error { return r.afterSave(e, err) })
+			return nil
 		}
-		if err := r.log.Save(e); err != nil {
-			return err
-		}
-		r.sendAll(e.Messages)
-		if n := len(e.Entries); n > 0 {
-			r.protocol.Persisted(e.Entries[n-1].Index, e.Entries[n-1].Term)
-		}
-		if err := r.applyEffects(e); err != nil {
+		if err := r.carryOut(e); err != nil {
 			return err
 		}
-		r.completeReads(e)
 	}
 }
 
+func (r *Replica) afterSave(e agreement.Effects, err error) error {
+	if err != nil {
+		return err
+	}
+	return r.carryOut(e)
+}
+
+// carryOut does what follows from saved effects.
+func (r *Replica) carryOut(e agreement.Effects) error {
+	r.sendAll(e.Messages)
+	if n := len(e.Entries); n > 0 {
+		r.protocol.Persisted(e.Entries[n-1].Index, e.Entries[n-1].Term)
+	}
+	if err := r.applyEffects(e); err != nil {
+		return err
+	}
+	r.completeReads(e)
+	return nil
+}
+
 func (r *Replica) sendAll(messages []agreement.Message) {
 	for _, m := range messages {
 		if m.Kind == agreement.InstallSnapshot {
@@ -309,7 +347,12 @@
 		return &StateError{Index: r.lastApplied, Step: "marshal", Err: err}
 	}
 	s.Data = data
-	err = r.log.Compact(s)
+	l := r.log
+	r.beginDiskWork(func() error { return l.Compact(s) }, func(err error) error { return r.afterCompact(s, err) })
+	return nil
+}
+
+func (r *Replica) afterCompact(s agreement.Snapshot, err error) error {
 	if isFull(err) {
 		r.compactAt = r.now().Add(compactRetry)
 		r.onSnapshotFailed(err)
@@ -318,14 +361,19 @@
 	if err != nil {
 		return err
 	}
-	r.protocol.Compact(r.lastApplied)
+	r.protocol.Compact(s.Index)
 	r.snapshot = s
 	r.appliedEntries, r.appliedBytes, r.applyTime = 0, 0, 0
 	return nil
 }
 
+// publishStatus publishes the protocol's status. While the disk works, the state machine may lack what is committed, so the last
+// confirmation stays as it was.
 func (r *Replica) publishStatus() {
 	s := r.protocol.Status()
+	if previous := r.status.Load(); r.onDisk != nil && previous != nil {
+		s.ConfirmedAt = previous.ConfirmedAt
+	}
 	r.status.Store(&s)
 }
 
--- a/io/replica/replica.go
+++ b/io/replica/replica.go
@@ -36,8 +36,10 @@
 	log       *disk.Log
 	id        string
 	inbox     chan event
-	stop      chan struct{} // closed by Close
-	done      chan struct{} // closed when the replica has stopped
+	stop      chan struct{}           // closed by Close
+	done      chan struct{}           // closed when the replica has stopped
+	startWork func(work func() error) // starts work for the disk, of which at most one runs
+	diskDone  chan error              // gets the result of that work
 	closeOnce sync.Once
 	status    atomic.Pointer[agreement.Status]
 	err       error // failure that stopped the replica; set before done is closed
@@ -55,6 +57,7 @@
 	nextReads                    []chan reply       // reads for the next confirmation round
 	readContext                  uint64             // context of the last confirmation round
 	readInFlight                 bool               // whether a confirmation round is in flight
+	onDisk                       *diskWork          // nil for none
 }
 
 // waiter is a caller that waits for an entry. If an entry of another term is committed at that index, the outcome is unknown.
@@ -70,9 +73,17 @@
 	if err != nil {
 		return nil, err
 	}
+	queue := make(chan func() error, 1)
+	r.startWork = func(work func() error) { queue <- work }
+	go func() {
+		for work := range queue {
+			r.diskDone <- work()
+		}
+	}()
 	go func() {
 		defer close(r.done)
 		r.err = r.runThroughPauses()
+		close(queue)
 		r.failPending()
 		_ = r.log.Close()
 	}()
@@ -83,7 +94,7 @@
 func open(opts ...Option) (*Replica, error) {
 	r := &Replica{
 		settings: defaults(), inbox: make(chan event, inboxLimit), stop: make(chan struct{}), done: make(chan struct{}),
-		waiting: map[uint64]waiter{},
+		diskDone: make(chan error, 1), waiting: map[uint64]waiter{},
 	}
 	for _, o := range opts {
 		o(&r.settings)
--- /dev/null
+++ b/io/replica/slow_test.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"context"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"godwitspindle/core/agreement"
+	"godwitspindle/core/wire"
+	"godwitspindle/io/disk"
+)
+
+// leading waits until one replica leads with a committed entry, and returns it.
+func (g *group) leading() *Replica {
+	g.t.Helper()
+	var found *Replica
+	g.await("a leader", func() bool {
+		for _, r := range g.members {
+			if s := r.Status(); s.Role == agreement.Leader && s.Applied > 1 {
+				found = r
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// Guards against a group that elects nobody, or one leader after another, because campaigns and heartbeats wait for slow syncs.
+func TestSlowSyncs(t *testing.T) {
+	const election, proposals = 200 * time.Millisecond, 10
+	for name, sync := range map[string]time.Duration{"half an election timeout": election / 2, "an election timeout": election} {
+		for _, names := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				g := newGroup(t, names, WithDisk(disk.WithSync(func(f *os.File) error {
+					time.Sleep(sync)
+					return f.Sync()
+				})))
+				leader := g.leading()
+				term := leader.Status().Term
+				for range proposals {
+					ctx, stop := context.WithTimeout(t.Context(), 10*sync)
+					_, err := leader.Propose(ctx, &wire.Command{})
+					stop()
+					if err != nil {
+						t.Fatalf("Propose: got error %v, want none", err)
+					}
+				}
+				for n, r := range g.members {
+					if got := r.Status().Term; got != term {
+						t.Errorf("%s: got term %d after the proposals, want %d as before them", n, got, term)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a leader that keeps the lead by its heartbeats although its disk hangs, so that no change is accepted.
+func TestHungDiskOfLeader(t *testing.T) {
+	var hung atomic.Pointer[string] // folder whose syncs do not return
+	repaired := make(chan struct{})
+	g := newGroup(t, threeNames, WithDisk(disk.WithSync(func(f *os.File) error {
+		if folder := hung.Load(); folder != nil && strings.HasPrefix(f.Name(), *folder) {
+			<-repaired
+		}
+		return f.Sync()
+	})))
+	t.Cleanup(func() { close(repaired) })
+	old := g.leading()
+	hung.Store(&old.folder)
+	go func() { _, _ = old.Propose(t.Context(), &wire.Command{}) }()
+	g.await("another leader", func() bool {
+		for _, r := range g.members {
+			if s := r.Status(); r != old && s.Role == agreement.Leader && s.Applied == s.Last {
+				g.propose(r, 1)
+				return true
+			}
+		}
+		return false
+	})
+}
