perf(agreement): a leader sends entries before it has saved them

Callers saw: with slow disks a change takes the time of two saves, one after the other; with 100 ms more for each fsync TestFullDisk found no change accepted within its 200 ms ("timed out after 10 s: a proposal is accepted by the others").

Cause: the entries went to the followers only after the leader's own save.

Change: Urgent holds a leader's entries too. The leader counts itself only once it has saved them (Persisted), so what is committed is on a majority of disks as before. After a full disk entries may have been sent; their outcome was reported as unknown before, too.

--- a/core/agreement/saving.go
+++ b/core/agreement/saving.go
@@ -32,16 +32,19 @@
 	}
 }
 
-// Urgent returns and removes the pending messages that may go out while an Effects is being saved: heartbeats and their answers, in the
-// term on disk. They state nothing that a loss of power could undo. Without them a group would take a leader or voter for lost while its
-// disk is slow.
+// Urgent returns and removes the pending messages that may go out while an Effects is being saved, in the term on disk: heartbeats and their
+// answers, which state nothing that a loss of power could undo, and a leader's entries, since the leader counts itself only once it has
+// saved them. Call it before Effects, too, so that entries need not wait for the leader's own disk.
 func (r *Replica) Urgent() []Message {
 	if r.state.Term != r.savedTerm {
 		return nil
 	}
+	if r.role == Leader {
+		r.sendAppends()
+	}
 	var urgent []Message
 	r.effects.Messages = slices.DeleteFunc(r.effects.Messages, func(m Message) bool {
-		if m.Kind != Heartbeat && m.Kind != HeartbeatAnswer || m.Term > r.savedTerm {
+		if !m.Kind.isUrgent() || m.Term > r.savedTerm {
 			return false
 		}
 		urgent = append(urgent, m)
@@ -49,3 +52,5 @@
 	})
 	return urgent
 }
+
+func (k MessageKind) isUrgent() bool { return k == Heartbeat || k == HeartbeatAnswer || k == Append }
--- /dev/null
+++ b/core/agreement/saving_test.go
@@ -0,0 +1,83 @@
+package agreement
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against entries that wait for the leader's own disk before the followers get them, and against a leader that its followers take
+// for lost while it saves.
+func TestSentWhileSaving(t *testing.T) {
+	r := newLoaded(t)
+	elect(t, r)
+	_ = r.Effects() // the vote is saved
+	propose := func() {
+		if _, _, err := r.Propose(at(time.Second), Command, [][]byte{nil}); err != nil {
+			t.Fatalf("Propose: got %v, want none", err)
+		}
+	}
+	propose()
+	acknowledge(r, "b/1", 2) // ends the probe, so that entries follow one another
+	if e := r.Effects(); !e.Saves() {
+		t.Fatal("effects after a proposal: got nothing to save, want the entry")
+	}
+	r.Tick(at(1500 * time.Millisecond))
+	propose()
+	var got []MessageKind
+	for _, m := range r.Urgent() {
+		if m.To == "b/1" {
+			got = append(got, m.Kind)
+		}
+	}
+	for _, want := range []MessageKind{Heartbeat, Append} {
+		if !slices.Contains(got, want) {
+			t.Errorf("messages to a follower during a save: got kinds %v, want %d among them", got, want)
+		}
+	}
+	acknowledge(r, "b/1", 4)
+	if got := r.Status().Commit; got != 1 {
+		t.Errorf("commit before the leader has saved: got %d, want 1", got)
+	}
+}
+
+// Guards against a message that states a term or vote which a loss of power would undo.
+func TestNothingSentInUnsavedTerm(t *testing.T) {
+	r := newLoaded(t)
+	r.Step(at(0), Message{Kind: Heartbeat, From: "b/1", To: "a/1", Term: 7, Context: 1})
+	if got := r.Urgent(); len(got) > 0 {
+		t.Errorf("messages before the term is saved: got %+v, want none", got)
+	}
+	e := r.Effects()
+	if e.State == nil || len(e.Messages) != 1 {
+		t.Fatalf("effects: got %+v, want the term to be saved and an answer after it", e)
+	}
+	r.Step(at(0), Message{Kind: Heartbeat, From: "b/1", To: "a/1", Term: 7, Context: 2})
+	if got := r.Urgent(); len(got) > 0 {
+		t.Errorf("messages while the term is being saved: got %+v, want none", got)
+	}
+	if e := r.Effects(); len(e.Messages) != 1 {
+		t.Errorf("messages once the term is saved: got %+v, want the answer", e.Messages)
+	}
+}
+
+// Guards against a vote that is thrown away because it comes while its candidate already asks for the next pre-vote: with disks that
+// are slower than the campaigns no vote would ever count.
+func TestLateVoteCounts(t *testing.T) {
+	r := newLoaded(t)
+	now := time.Second * 10
+	r.Tick(at(0))
+	r.Tick(at(now)) // asks for pre-votes
+	term := r.Status().Term + 1
+	r.Step(at(now), Message{Kind: PreVoteAnswer, From: "b/1", To: "a/1", Term: term})
+	_ = r.Effects()
+	_ = r.Effects() // the vote is saved
+	r.Tick(at(2 * now))
+	if got := r.Effects().Messages; len(got) == 0 || got[0].Kind != PreVote {
+		t.Fatalf("messages of a candidate without votes: got %+v, want those of the next pre-vote", got)
+	}
+	r.Step(at(2*now), Message{Kind: VoteAnswer, From: "b/1", To: "a/1", Term: term})
+	if got := r.Status(); got.Role != Leader || got.Term != term {
+		t.Errorf("after the late vote: got %s in term %d, want leader in term %d", got.Role, got.Term, term)
+	}
+}
--- a/io/replica/pause.go
+++ b/io/replica/pause.go
@@ -22,7 +22,7 @@
 func isFull(err error) bool { return errors.As(err, new(*disk.FullError)) }
 
 // runThroughPauses runs the replica until Close or a failure other than a full disk. After a full disk, it resumes from the
-// state on disk as after a restart: what could not be saved was neither acknowledged nor sent.
+// state on disk as after a restart: what could not be saved was not acknowledged, and of it only a leader's entries were sent.
 func (r *Replica) runThroughPauses() error {
 	for {
 		err := r.run()
