fix(agreement): no campaign for the next term while a vote is on its way

Callers saw: with slow disks a leader is deposed right after its election ("not the leader, and no leader is known", outcome unknown).

Cause: a voter answers at the end of one save the vote of one candidate and the pre-vote of another, who asked meanwhile for the next term. The second campaign deposes the leader that the vote has just elected.

Change: pre-votes that are asked for while a vote is being saved are answered after it, and a replica with a slow disk (a save longer than a heartbeat interval) grants none for the time of two saves after a vote.

--- a/core/agreement/election.go
+++ b/core/agreement/election.go
@@ -106,6 +106,10 @@
 	if r.role == Leader || r.leader != "" && r.now.Sub(r.leaderHeard) < r.election {
 		return
 	}
+	if m.Kind == PreVote && r.isVoteOnDisk() {
+		r.deferred = append(r.deferred, m) // the answer would wait for the end of the save anyway
+		return
+	}
 	kind := PreVoteAnswer
 	if m.Kind == Vote {
 		kind = VoteAnswer
@@ -114,7 +118,7 @@
 		}
 	}
 	upToDate := m.LogTerm > r.log.lastTerm() || m.LogTerm == r.log.lastTerm() && m.Index >= r.log.last()
-	grant := upToDate && m.Term > r.state.Term
+	grant := upToDate && m.Term > r.state.Term && !r.awaitsElection()
 	if m.Kind == Vote {
 		grant = upToDate && m.Term == r.state.Term && (r.state.Vote == "" || r.state.Vote == m.From)
 	}
--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -19,6 +19,7 @@
 	campaignsPerHeartbeat = 2
 	campaignJitterDivisor = 8    // limits the random part of a first campaign's delay to an eighth of a heartbeat interval
 	campaignSaves         = 4    // on slow disks campaigns are spread over the time of this many saves; a vote takes two of them
+	electionSaves         = 2    // saves that an election takes on slow disks after a vote, for which no other campaign may begin
 	trailingEntries       = 1024 // log entries kept before a snapshot's index, so that a slightly lagging follower needs no snapshot
 )
 
@@ -96,6 +97,8 @@
 	saving                  saving               // what the last Effects holds to be saved
 	savedTerm               uint64               // the term on disk
 	saveTime                time.Duration        // time that the last save of a vote took
+	voteSaved               time.Time            // end of that save
+	deferred                []Message            // pre-votes asked for while a vote is being saved
 	leaderSeen              bool                 // a leader has been known since the start, or before this replica resumed
 	campaigned              bool                 // this replica has campaigned since the start
 	promises                map[string]string    // founding promises received: initial name to identity
@@ -263,7 +266,7 @@
 		position := max(slices.Index(r.members().Voters, r.id), 0)
 		wait = r.heartbeat + time.Duration(position)*r.heartbeat/campaignsPerHeartbeat + r.random(r.heartbeat/campaignJitterDivisor)
 	}
-	if r.saveTime > r.heartbeat {
+	if r.hasSlowDisk() {
 		wait += r.random(campaignSaves * min(r.saveTime, r.election))
 	}
 	r.campaignAt = r.now.Add(wait)
--- a/core/agreement/saving.go
+++ b/core/agreement/saving.go
@@ -26,12 +26,30 @@
 		return
 	}
 	r.savedTerm = s.state.Term
-	if s.state.Vote != "" {
-		r.saveTime = r.now.Sub(s.began)
-		r.campaignAt = r.campaignAt.Add(r.saveTime)
+	if s.state.Vote == "" {
+		return
+	}
+	r.saveTime, r.voteSaved = r.now.Sub(s.began), r.now
+	r.campaignAt = r.campaignAt.Add(r.saveTime)
+	asked := r.deferred
+	r.deferred = nil
+	for _, m := range asked {
+		r.stepVote(m)
 	}
 }
 
+// isVoteOnDisk reports whether a vote is being saved.
+func (r *Replica) isVoteOnDisk() bool { return r.saving.state != nil && r.saving.state.Vote != "" }
+
+// hasSlowDisk reports whether a save of a vote takes longer than a leader is silent.
+func (r *Replica) hasSlowDisk() bool { return r.saveTime > r.heartbeat }
+
+// awaitsElection reports whether the candidate that got this replica's vote may still win by it. A campaign for the next term would depose
+// that leader as soon as it is elected.
+func (r *Replica) awaitsElection() bool {
+	return r.hasSlowDisk() && r.now.Sub(r.voteSaved) < electionSaves*r.saveTime
+}
+
 // Urgent returns and removes the pending messages that may go out while an Effects is being saved, in the term on disk: heartbeats and their
 // answers, which state nothing that a loss of power could undo, and a leader's entries, since the leader counts itself only once it has
 // saved them. Call it before Effects, too, so that entries need not wait for the leader's own disk.
--- a/core/agreement/saving_test.go
+++ b/core/agreement/saving_test.go
@@ -81,3 +81,41 @@
 		t.Errorf("after the late vote: got %s in term %d, want leader in term %d", got.Role, got.Term, term)
 	}
 }
+
+// Guards against a voter that, while its vote for one candidate is still being saved, lets another one begin a campaign for the next term,
+// which deposes the leader that its vote elects.
+func TestNoNextCampaignWhileVoteIsOnTheWay(t *testing.T) {
+	const save = 500 * time.Millisecond // longer than a heartbeat interval
+	for _, tt := range []struct {
+		name  string
+		asked time.Duration // after the vote is given
+		want  bool
+	}{
+		{"while the vote is being saved", save / 2, false},
+		{"right after it", save + save/2, false},
+		{"once the election must be over", 4 * save, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newLoaded(t)
+			r.Step(at(0), Message{Kind: Vote, From: "b/1", To: "a/1", Term: 3, Index: 1, LogTerm: 1})
+			if e := r.Effects(); !e.Saves() {
+				t.Fatal("effects of a vote: got nothing to save")
+			}
+			preVote := func() {
+				r.Step(at(tt.asked), Message{Kind: PreVote, From: "c/1", To: "a/1", Term: 4, Index: 1, LogTerm: 1})
+			}
+			if tt.asked < save {
+				preVote()
+			}
+			r.Step(at(save), Message{Kind: Promise, From: "b/1", To: "a/1"}) // has no effect but sets the clock
+			messages := r.Effects().Messages
+			if tt.asked >= save {
+				preVote()
+				messages = r.Effects().Messages
+			}
+			if len(messages) != 1 || messages[0].Kind != PreVoteAnswer || messages[0].Reject == tt.want {
+				t.Errorf("answer to the pre-vote: got %+v, want one that grants: %t", messages, tt.want)
+			}
+		})
+	}
+}
--- a/io/replica/slow_test.go
+++ b/io/replica/slow_test.go
@@ -46,6 +46,10 @@
 					_, err := leader.Propose(ctx, &wire.Command{})
 					stop()
 					if err != nil {
+						for n, r := range g.members {
+							s := r.Status()
+							t.Logf("%s: %s in term %d (%d before the proposals), leader %s, commit %d", n, s.Role, s.Term, term, s.Leader, s.Commit)
+						}
 						t.Fatalf("Propose: got error %v, want none", err)
 					}
 				}
