--- a/io/replica/loop.go
+++ b/io/replica/loop.go
@@ -152,12 +152,15 @@
 		if r.onDisk != nil {
 			return nil
 		}
+		if err := r.compact(); err != nil || r.onDisk != nil {
+			return err
+		}
 		e, at := r.protocol.Effects(), r.protocol.ConfirmedAt()
 		switch {
 		case e.Empty():
 			r.confirmedAt = at
 			r.failStaleProposals()
-			return r.compact()
+			return nil
 		case e.Saves():
 			l := r.log
 			r.beginDiskWork(func() error { return l.Save(e) }, func(err error) error { return r.afterSave(e, at, err) })
@@ -170,10 +173,11 @@
 }
 
 func (r *Replica) afterSave(e agreement.Effects, confirmedAt time.Time, err error) error {
-	if err != nil {
-		return err
+	if err == nil {
+		err = r.carryOut(e, confirmedAt)
+		r.failStaleProposals() // here too, since one save may follow another
 	}
-	return r.carryOut(e, confirmedAt)
+	return err
 }
 
 // carryOut does what follows from saved effects, which hold all that was committed at the confirmation.
--- a/io/replica/slow_test.go
+++ b/io/replica/slow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -88,10 +90,11 @@
 	})
 }
 
-// Guards against a confirmation that stands still while one save follows another: the node would take itself for out of touch under load.
-func TestConfirmedBetweenSaves(t *testing.T) {
-	const sync, length, limit = 50 * time.Millisecond, 3 * time.Second, time.Second
-	g := newGroup(t, threeNames, WithDisk(disk.WithSync(func(f *os.File) error {
+// Guards against what a replica must do between two saves, but would never do while one follows another: a confirmation that grows old, so
+// that the node takes itself for out of touch, and a log that grows without a snapshot.
+func TestSteadyChanges(t *testing.T) {
+	const sync, length, limit, entries = 50 * time.Millisecond, 3 * time.Second, time.Second, 100
+	g := newGroup(t, threeNames, WithCompaction(entries, 1<<20), WithDisk(disk.WithSync(func(f *os.File) error {
 		time.Sleep(sync)
 		return f.Sync()
 	})))
@@ -110,4 +113,10 @@
 	if highest > limit {
 		t.Errorf("age of the last confirmation: got up to %s, want at most %s", highest, limit)
 	}
+	for n, r := range g.members {
+		founding := filepath.Join(r.folder, "snap-0000000000000001")
+		if list, _ := filepath.Glob(filepath.Join(r.folder, "snap-*")); slices.Equal(list, []string{founding}) {
+			t.Errorf("snapshots of %s after %s of changes: got only the founding one, want one for each %d entries", n, length, entries)
+		}
+	}
 }
