fix(agreement): a disk that hung does not keep its replica from granting pre-votes

Callers would have seen: after a save of a minute the replica grants no pre-vote for two minutes, so that a group of three that loses another one elects nobody for so long.

Change: nobody waits for a save of more than an election timeout.

Evidence: the case "after a disk hung" of TestNoNextCampaignWhileVoteIsOnTheWay fails before.

--- a/core/agreement/replica.go
+++ b/core/agreement/replica.go
@@ -266,8 +266,8 @@
 		position := max(slices.Index(r.members().Voters, r.id), 0)
 		wait = r.heartbeat + time.Duration(position)*r.heartbeat/campaignsPerHeartbeat + r.random(r.heartbeat/campaignJitterDivisor)
 	}
-	if r.hasSlowDisk() {
-		wait += r.random(campaignSaves * min(r.saveTime, r.election))
+	if slow := r.slowSave(); slow > 0 {
+		wait += r.random(campaignSaves * slow)
 	}
 	r.campaignAt = r.now.Add(wait)
 }
--- a/core/agreement/saving.go
+++ b/core/agreement/saving.go
@@ -41,14 +41,18 @@
 // isVoteOnDisk reports whether a vote is being saved.
 func (r *Replica) isVoteOnDisk() bool { return r.saving.state != nil && r.saving.state.Vote != "" }
 
-// hasSlowDisk reports whether a save of a vote takes longer than a leader is silent.
-func (r *Replica) hasSlowDisk() bool { return r.saveTime > r.heartbeat }
+// slowSave returns the time that a vote takes on a slow disk, and 0 for a disk on which it takes no longer than a leader is silent. Nobody
+// waits for a save of more than an election timeout.
+func (r *Replica) slowSave() time.Duration {
+	if r.saveTime <= r.heartbeat {
+		return 0
+	}
+	return min(r.saveTime, r.election)
+}
 
 // awaitsElection reports whether the candidate that got this replica's vote may still win by it. A campaign for the next term would depose
 // that leader as soon as it is elected.
-func (r *Replica) awaitsElection() bool {
-	return r.hasSlowDisk() && r.now.Sub(r.voteSaved) < electionSaves*r.saveTime
-}
+func (r *Replica) awaitsElection() bool { return r.now.Sub(r.voteSaved) < electionSaves*r.slowSave() }
 
 // Urgent returns and removes the pending messages that may go out while an Effects is being saved, in the term on disk: heartbeats and their
 // answers, which state nothing that a loss of power could undo, and a leader's entries, since the leader counts itself only once it has
--- a/core/agreement/saving_test.go
+++ b/core/agreement/saving_test.go
@@ -85,15 +85,17 @@
 // Guards against a voter that, while its vote for one candidate is still being saved, lets another one begin a campaign for the next term,
 // which deposes the leader that its vote elects.
 func TestNoNextCampaignWhileVoteIsOnTheWay(t *testing.T) {
-	const save = 500 * time.Millisecond // longer than a heartbeat interval
+	const save, hung = 500 * time.Millisecond, time.Minute // longer than a heartbeat interval
 	for _, tt := range []struct {
-		name  string
-		asked time.Duration // after the vote is given
-		want  bool
+		name        string
+		save, asked time.Duration // after the vote is given
+		want        bool
 	}{
-		{"while the vote is being saved", save / 2, false},
-		{"right after it", save + save/2, false},
-		{"once the election must be over", 4 * save, true},
+		{"while the vote is being saved", save, save / 2, false},
+		{"right after it", save, save + save/2, false},
+		{"once the election must be over", save, 4 * save, true},
+		{"after a disk hung", hung, hung + electionSaves*defaultElectionTimeout, true},
+		{"while a fast disk saves the vote", time.Millisecond, time.Millisecond / 2, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newLoaded(t)
@@ -104,12 +106,12 @@
 			preVote := func() {
 				r.Step(at(tt.asked), Message{Kind: PreVote, From: "c/1", To: "a/1", Term: 4, Index: 1, LogTerm: 1})
 			}
-			if tt.asked < save {
+			if tt.asked < tt.save {
 				preVote()
 			}
-			r.Step(at(save), Message{Kind: Promise, From: "b/1", To: "a/1"}) // has no effect but sets the clock
+			r.Step(at(tt.save), Message{Kind: Promise, From: "b/1", To: "a/1"}) // has no effect but sets the clock
 			messages := r.Effects().Messages
-			if tt.asked >= save {
+			if tt.asked >= tt.save {
 				preVote()
 				messages = r.Effects().Messages
 			}
