--- a/core/agreement/saving_test.go
+++ b/core/agreement/saving_test.go
@@ -121,3 +121,35 @@
 		})
 	}
 }
+
+// Guards against campaigns that follow each other faster than votes are saved: the time of the save must not count, and after a slow one
+// the campaigns of several candidates must be spread over more than the usual wait.
+func TestCampaignAfterSlowSave(t *testing.T) {
+	const save = 800 * time.Millisecond
+	longest := func(d time.Duration) time.Duration { return d }
+	for _, tt := range []struct {
+		name   string
+		random func(time.Duration) time.Duration
+		want   time.Duration // time of the next campaign, after the vote
+	}{
+		{"shortest wait", func(time.Duration) time.Duration { return 0 }, defaultElectionTimeout + save},
+		{"longest wait", longest, 2*defaultElectionTimeout + save},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newLoaded(t)
+			r.random, r.leaderSeen = tt.random, true
+			r.Step(at(0), Message{Kind: Vote, From: "b/1", To: "a/1", Term: 3, Index: 1, LogTerm: 1})
+			_ = r.Effects()
+			r.Step(at(save), Message{Kind: Promise, From: "b/1", To: "a/1"}) // has no effect but sets the clock
+			_ = r.Effects()
+			if got, want := r.campaignAt, at(tt.want); !got.Equal(want) {
+				t.Errorf("next campaign: got %s after the vote, want %s", got.Sub(at(0)), tt.want)
+			}
+			r.resetCampaignTimer()
+			want := at(save + tt.random(2*defaultElectionTimeout)/2 + defaultElectionTimeout + tt.random(campaignSaves*save))
+			if got := r.campaignAt; !got.Equal(want) {
+				t.Errorf("campaign after that: got %s after the vote, want %s", got.Sub(at(0)), want.Sub(at(0)))
+			}
+		})
+	}
+}
