fix(store): a leave that names no process ends the process that was listed last

Cause: the node beside the endpoint is stopped as planned, which unlists the endpoint, and started again. The leave, a DELETE without a body, names no start time. The new process has heard no heartbeat and adopts nothing, as the version in force does not list the endpoint; so it recorded nothing and acknowledged at once. A heartbeat sent before the leave then brought the endpoint back. The agreed state had dropped the endpoint without a trace of its process.

Open: a process none of whose heartbeats was ever agreed.

--- a/core/lease/expire.go
+++ b/core/lease/expire.go
@@ -192,7 +192,7 @@
 // depart removes an endpoint whose process has left for good, unless it belongs to another process.
 func (t *Table) depart(d *wire.Departure) {
 	k := d.GetService() + "/" + d.GetName()
-	if e := t.endpoints[k]; e != nil && e.GetIncarnation() == d.GetIncarnation() {
+	if e := t.endpoints[k]; e != nil && (e.GetIncarnation() == d.GetIncarnation() || t.ended(e)) {
 		t.removeEndpoint(k)
 	}
 }
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -302,4 +302,9 @@
 	if got := k.endpoints["s/e"].GetIncarnation(); got != 2 {
 		t.Errorf("after a departure that is sent again: got incarnation %d, want 2", got)
 	}
+	ended[2] = true
+	k.Applied(start, &wire.Membership{Departed: []*wire.Departure{{Service: "s", Name: "e", Last: true}}})
+	if got := len(k.endpoints); got != 0 {
+		t.Errorf("endpoints after a departure that does not name its process: got %d, want 0", got)
+	}
 }
--- a/core/store/former_test.go
+++ b/core/store/former_test.go
@@ -96,3 +96,47 @@
 		}
 	}
 }
+
+// Guards against a process that is a member again after a leave that does not name it: the node beside it has restarted and does not know
+// the process, so the one that was listed last is meant. A process that states no incarnation may come back.
+func TestDepartureOfLastProcess(t *testing.T) {
+	const nodeIncarnation = 1
+	node := &wire.Node{Name: "n", Address: "127.0.0.1:1", Incarnation: nodeIncarnation}
+	join := func(incarnation uint64) *wire.Membership {
+		e := &wire.Endpoint{Service: "a", Name: "e", Node: "n", Incarnation: incarnation}
+		return &wire.Membership{Joins: []*wire.Node{node}, Endpoints: []*wire.Endpoint{e}}
+	}
+	last := &wire.Membership{Departed: []*wire.Departure{{Service: "a", Name: "e", Last: true}}}
+	s := New()
+	for i, c := range []struct {
+		name   string
+		change *wire.Membership
+		listed uint64 // incarnation of the listed endpoint; 0 for none
+	}{
+		{"leave of an unknown endpoint", last, 0},
+		{"announced", join(7), 7},
+		{"the node leaves", &wire.Membership{Leaves: []string{"n"}}, 0},
+		{"leave", last, 0},
+		{"late announcement", join(7), 0},
+		{"later process", join(8), 8},
+		{"its lease ends", &wire.Membership{Removed: []string{"a/e"}}, 0},
+		{"it is heard again", join(8), 8},
+		{"its lease ends again", &wire.Membership{Removed: []string{"a/e"}}, 0},
+		{"leave after the lease", last, 0},
+		{"late announcement after the lease", join(8), 0},
+		{"third process", join(9), 9},
+		{"leave while listed", last, 0},
+		{"late announcement of the third process", join(9), 0},
+		{"process without incarnation", join(nodeIncarnation), nodeIncarnation},
+		{"its leave", last, nodeIncarnation},
+		{"the lease of the process without incarnation ends", &wire.Membership{Removed: []string{"a/e"}}, 0},
+		{"leave of the process without incarnation", last, 0},
+		{"process without incarnation again", join(nodeIncarnation), nodeIncarnation},
+	} {
+		s = restoredCopy(t, s)
+		s.Apply(uint64(i+1), membership(c.change))
+		if got := s.members.endpoints["a/e"].GetIncarnation(); got != c.listed {
+			t.Errorf("%s: got incarnation %d listed, want %d", c.name, got, c.listed)
+		}
+	}
+}
--- a/core/store/members.go
+++ b/core/store/members.go
@@ -19,15 +19,15 @@
 type members struct {
 	nodes     map[string]*wire.Node     // by name
 	endpoints map[string]*wire.Endpoint // by SERVICE/NAME
-	former    map[string][]uint64       // incarnations that have ended, by key of the entry
-	retired   []string                  // keys that have former incarnations, the one with the oldest last addition first
+	former    map[string]*former        // by key of the entry
+	retired   []string                  // keys of former, the one with the oldest last change first
 }
 
 func newMembers() *members {
 	return &members{
 		nodes:     make(map[string]*wire.Node),
 		endpoints: make(map[string]*wire.Endpoint),
-		former:    make(map[string][]uint64),
+		former:    make(map[string]*former),
 	}
 }
 
@@ -74,14 +74,11 @@
 	if n == nil || exact && n.GetIncarnation() != incarnation {
 		return nil
 	}
-	delete(m.nodes, name)
 	dirty := []string{config.KeyOf(n)}
-	for k, e := range m.endpoints {
-		if e.GetNode() == name {
-			delete(m.endpoints, k)
-			dirty = append(dirty, config.KeyOf(e))
-		}
+	for _, k := range m.endpointsOf(name) {
+		dirty = append(dirty, m.unlist(k))
 	}
+	delete(m.nodes, name)
 	return dirty
 }
 
@@ -91,8 +88,31 @@
 	if e == nil || exact && e.GetIncarnation() != incarnation {
 		return nil
 	}
-	delete(m.endpoints, key)
-	return []string{config.KeyOf(e)}
+	return []string{m.unlist(key)}
+}
+
+// endpointsOf returns the names of a node's endpoints in order, since the order in which they are unlisted is part of the state.
+func (m *members) endpointsOf(node string) []string {
+	var names []string
+	for k, e := range m.endpoints {
+		if e.GetNode() == node {
+			names = append(names, k)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// unlist removes a listed endpoint whose process has not left for good, and returns the key of its entry. It keeps the process for a
+// later departure that does not name it. The incarnation of its node stands for a process that states none and may come back.
+func (m *members) unlist(name string) string {
+	e := m.endpoints[name]
+	key := config.KeyOf(e)
+	delete(m.endpoints, name)
+	if n := m.nodes[e.GetNode()]; e.GetIncarnation() != 0 && e.GetIncarnation() != n.GetIncarnation() {
+		m.formerOf(key).last = e.GetIncarnation()
+	}
+	return key
 }
 
 // addNode adds or updates a node. It ignores an invalid node, a former incarnation and a new node above MaxNodes.
--- a/core/store/state.go
+++ b/core/store/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -227,20 +228,34 @@
 	for _, k := range slices.Sorted(maps.Keys(m.endpoints)) {
 		c.Endpoints = append(c.Endpoints, m.endpoints[k])
 	}
+	c.Unlisted = m.unlisted()
 	if err := w.Message(c); err != nil {
 		return nil, err
 	}
 	w.Uint(uint64(len(m.retired)))
 	for _, k := range m.retired {
 		w.Text(k)
-		w.Uint(uint64(len(m.former[k])))
-		for _, n := range m.former[k] {
+		w.Uint(uint64(len(m.former[k].ended)))
+		for _, n := range m.former[k].ended {
 			w.Uint(n)
 		}
 	}
 	return w.Data(), nil
 }
 
+// unlisted returns the processes that were listed last, of endpoints that were unlisted without a departure.
+func (m *members) unlisted() []*wire.Departure {
+	var list []*wire.Departure
+	for _, k := range m.retired {
+		if f := m.former[k]; f.last != 0 {
+			_, endpoint, _ := strings.Cut(k, "/")
+			service, name, _ := strings.Cut(endpoint, "/")
+			list = append(list, &wire.Departure{Service: service, Name: name, Incarnation: f.last})
+		}
+	}
+	return list
+}
+
 func unmarshalMembers(data []byte) (*members, error) {
 	m := newMembers()
 	r := pack.NewReader(data)
@@ -253,10 +268,16 @@
 		m.endpoints[e.GetService()+"/"+e.GetName()] = e
 	}
 	for range r.Count() {
-		k := r.Text()
+		k, f := r.Text(), &former{}
 		m.retired = append(m.retired, k)
+		m.former[k] = f
 		for range r.Count() {
-			m.former[k] = append(m.former[k], r.Uint())
+			f.ended = append(f.ended, r.Uint())
+		}
+	}
+	for _, d := range c.GetUnlisted() {
+		if f := m.former[config.KeyOf(&wire.Endpoint{Service: d.GetService(), Name: d.GetName()})]; f != nil {
+			f.last = d.GetIncarnation()
 		}
 	}
 	return m, r.Close()
--- a/io/host/adapter.go
+++ b/io/host/adapter.go
@@ -34,6 +34,9 @@
 	if !h.backend.Leave(a) {
 		return true // a later process has taken over the endpoint
 	}
+	if a.Incarnation == 0 {
+		h.departures.addLast(a.Key())
+	}
 	for ; ; time.Sleep(agreePollInterval) {
 		if h.leaveAgreed(a) {
 			return true
@@ -47,24 +50,11 @@
 // leaveAgreed reports whether the agreed state keeps the process of a leave out. That the version in force does not list the endpoint
 // is not enough: its registration may still be on the way to the leader. A node that holds no proven version cannot say what is listed.
 func (h *Host) leaveAgreed(a backend.Announcement) bool {
-	if !h.holder.Serving() || h.departures.isPending(a.Key()) {
+	if pending, agreed := h.departures.of(a.Key()); !h.holder.Serving() || pending || !agreed {
 		return false
 	}
 	listed, ok := h.holder.View().Snapshot.Get("endpoint/" + a.Key())
-	if !ok || !sameProcess(listed.Value, a) {
-		return true
-	}
-	h.departListed(listed.Value, a)
-	return false
-}
-
-// departListed records the departure of the listed process if a leave does not say which process leaves.
-func (h *Host) departListed(value []byte, a backend.Announcement) {
-	var e wire.Endpoint
-	if a.Incarnation != 0 || proto.Unmarshal(value, &e) != nil || e.GetIncarnation() == h.incarnation {
-		return // the incarnation of this node stands for a process that states none, which may come back
-	}
-	h.endpointDeparted(a.Key(), e.GetIncarnation())
+	return !ok || !sameProcess(listed.Value, a)
 }
 
 // agreePollInterval is the time between checks of the version in force.
--- a/io/host/departure.go
+++ b/io/host/departure.go
@@ -21,7 +21,8 @@
 )
 
 // departures makes it part of the agreed state that processes of local endpoints have left for good. Otherwise a late announcement could
-// bring such a process back once this node or the leader has restarted.
+// bring such a process back once this node or the leader has restarted. A process without incarnation stands for the one that the agreed
+// state listed last: a leave need not name its process, and a node that has just started may not know it.
 type departures struct {
 	propose func(ctx context.Context, c *wire.Command) (*wire.Result, error)
 	log     logr.Logger
@@ -63,20 +64,41 @@
 	}
 }
 
-// confirm records that departures are agreed.
+// addLast records that the last process of an endpoint has left, unless a departure of the endpoint names its process.
+func (d *departures) addLast(endpoint string) {
+	if pending, agreed := d.of(endpoint); !pending && !agreed {
+		d.add(notice.Process{Endpoint: endpoint})
+	}
+}
+
+// announced forgets a departure that does not name its process, since a process of the endpoint is known now. A repeated leave names it.
+func (d *departures) announced(endpoint string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	unnamed := func(p notice.Process) bool { return p == notice.Process{Endpoint: endpoint} }
+	d.pending = slices.DeleteFunc(d.pending, unnamed)
+	d.agreed = slices.DeleteFunc(d.agreed, unnamed)
+}
+
+// confirm records that departures are agreed, except for those without incarnation that were forgotten meanwhile.
 func (d *departures) confirm(list ...notice.Process) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for _, p := range list {
+		if p.Incarnation != 0 || slices.Contains(d.pending, p) {
+			d.agreed = append(d.agreed, p)
+		}
+	}
 	d.pending = slices.DeleteFunc(d.pending, func(p notice.Process) bool { return slices.Contains(list, p) })
-	d.agreed = append(d.agreed, list...)
 	d.agreed = d.agreed[max(len(d.agreed)-maxDepartures, 0):]
 }
 
-// isPending reports whether a process of the endpoint has left and its departure is not known to be agreed.
-func (d *departures) isPending(endpoint string) bool {
+// of reports whether an endpoint has departures that are not known to be agreed, and whether it has agreed ones.
+func (d *departures) of(endpoint string) (pending, agreed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.ContainsFunc(d.pending, func(p notice.Process) bool { return p.Endpoint == endpoint })
+	has := func(p notice.Process) bool { return p.Endpoint == endpoint }
+	return slices.ContainsFunc(d.pending, has), slices.ContainsFunc(d.agreed, has)
 }
 
 func (d *departures) run(ctx context.Context) {
@@ -123,7 +145,7 @@
 
 func encodeDeparture(p notice.Process) *wire.Departure {
 	service, name, _ := strings.Cut(p.Endpoint, "/")
-	return &wire.Departure{Service: service, Name: name, Incarnation: p.Incarnation}
+	return &wire.Departure{Service: service, Name: name, Incarnation: p.Incarnation, Last: p.Incarnation == 0}
 }
 
 func decodeDeparture(d *wire.Departure) notice.Process {
--- a/io/host/departure_test.go
+++ b/io/host/departure_test.go
@@ -107,3 +107,70 @@
 	}
 	time.Sleep(50 * time.Millisecond) // a wrong proposal would be made in the background
 }
+
+// Guards against a leave that does not name its process and is acknowledged by a node that has just started: a late heartbeat of the process
+// would bring the endpoint back. Once a process of the endpoint is known, the leave has to be agreed for that process.
+func TestUnnamedDeparture(t *testing.T) {
+	departed := make(chan *wire.Departure, 10)
+	h, a := newLeaveHost(t, func(_ context.Context, c *wire.Command) (*wire.Result, error) {
+		for _, d := range c.GetMembership().GetDeparted() {
+			departed <- d
+		}
+		return &wire.Result{}, nil
+	})
+	leave := func(endpoint string) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if !h.LeaveAgreed(ctx, backend.Announcement{Service: "a", Endpoint: endpoint}) {
+			t.Errorf("leave of %s: got it refused, want it acknowledged", endpoint)
+		}
+	}
+	proposed := func() *wire.Departure {
+		select {
+		case d := <-departed:
+			return d
+		default:
+			return nil
+		}
+	}
+	leave("unknown")
+	leave("unknown")
+	if got := proposed(); got.GetName() != "unknown" || !got.GetLast() || got.GetIncarnation() != 0 {
+		t.Errorf("proposed for an unknown process: got %v, want the last process", got)
+	}
+	later := backend.Announcement{Service: "a", Endpoint: "unknown", Slots: 1, Connections: 1, Incarnation: 200}
+	h.locals = map[string]*localEndpoint{later.Key(): {
+		queue: newAdmissionQueue(1, 0), guard: newGuard(later.Key(), h.holder.View().Table.Suspect), process: h.process(later),
+	}}
+	h.endpointAnnounced(later)
+	if pending, agreed := h.departures.of("a/unknown"); pending || agreed {
+		t.Errorf("after an announcement: got pending %v, agreed %v, want false, false", pending, agreed)
+	}
+	leave("e")
+	if got := proposed(); got.GetName() != "e" || got.GetLast() || got.GetIncarnation() != a.Incarnation {
+		t.Errorf("proposed for a known process: got %v, want incarnation %d", got, a.Incarnation)
+	}
+	if got := len(departed); got != 0 {
+		t.Errorf("proposals of repeated and named leaves: got %d more, want 0", got)
+	}
+}
+
+// Guards against a departure that does not name its process and is taken for agreed, although a process of the endpoint has announced
+// itself while the proposal was under way.
+func TestUnnamedDepartureIsForgotten(t *testing.T) {
+	proposed, decided := make(chan struct{}), make(chan struct{})
+	d := newDepartures(func(context.Context, *wire.Command) (*wire.Result, error) {
+		close(proposed)
+		<-decided
+		return &wire.Result{}, nil
+	}, logr.Discard())
+	d.addLast("a/e")
+	<-proposed
+	d.announced("a/e")
+	close(decided)
+	d.close()
+	if pending, agreed := d.of("a/e"); pending || agreed {
+		t.Errorf("got pending %v, agreed %v, want false, false", pending, agreed)
+	}
+}
--- a/io/host/local.go
+++ b/io/host/local.go
@@ -60,6 +60,7 @@
 		l.queue.gate.ResetEstimate()
 	}
 	l.queue.resume()
+	h.departures.announced(a.Key())
 	h.resize()
 	h.notifyAnnouncer()
 }
