test(replica): the time of a slow sync does not depend on the machine's disk

TestSlowSyncs states its syncs as half an election timeout and a whole one (100 and 200 ms), but added the machine's own sync to each. The stand-in now takes exactly the stated time, also in TestSteadyChanges; no bound and no assertion changes, and no replica of these tests loses power, which is what a sync of the file guards against.

--- a/io/replica/slow_test.go
+++ b/io/replica/slow_test.go
@@ -30,6 +30,15 @@
 	return found
 }
 
+// syncIn is a sync that takes the given time on any disk. It leaves out the sync of the file: that takes a time of its own on each machine,
+// and no replica of these tests loses power.
+func syncIn(took time.Duration) func(*os.File) error {
+	return func(*os.File) error {
+		time.Sleep(took)
+		return nil
+	}
+}
+
 // Guards against a group that elects nobody, or one leader after another, because campaigns and heartbeats wait for slow syncs.
 func TestSlowSyncs(t *testing.T) {
 	const election, proposals = 200 * time.Millisecond, 5
@@ -37,10 +46,7 @@
 		for _, names := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				g := newGroup(t, names, WithDisk(disk.WithSync(func(f *os.File) error {
-					time.Sleep(sync)
-					return f.Sync()
-				})))
+				g := newGroup(t, names, WithDisk(disk.WithSync(syncIn(sync))))
 				leader := g.leading()
 				term := leader.Status().Term
 				for range proposals {
@@ -94,10 +100,7 @@
 // that the node takes itself for out of touch, and a log that grows without a snapshot.
 func TestSteadyChanges(t *testing.T) {
 	const sync, length, limit, entries = 50 * time.Millisecond, 3 * time.Second, time.Second, 100
-	g := newGroup(t, threeNames, WithCompaction(entries, 1<<20), WithDisk(disk.WithSync(func(f *os.File) error {
-		time.Sleep(sync)
-		return f.Sync()
-	})))
+	g := newGroup(t, threeNames, WithCompaction(entries, 1<<20), WithDisk(disk.WithSync(syncIn(sync))))
 	leader := g.leading()
 	g.propose(leader, 1)
 	ctx, stop := context.WithTimeout(t.Context(), length)
