fix(demo): a node of a test mesh starts while another test starts a process

No other process uses that range (sampled with ss), and no two meshes of a process get the same port.

Cause: a process that another test of io/demo starts holds a copy of each open listener and of each locked data folder from its fork until it executes its program. A port that was probed, or a node that was closed, in that time is still in use.

A port or folder that another process really uses is still an error. The product itself starts no process.

--- a/io/demo/mesh.go
+++ b/io/demo/mesh.go
@@ -12,10 +12,12 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"godwitspindle/io/disk"
 	"godwitspindle/io/host"
 	"godwitspindle/io/operator"
 	"godwitspindle/io/process"
@@ -135,9 +137,19 @@
 	return nil
 }
 
+// Times of a start that waits for a process to execute its program.
+const (
+	maxForkTime = time.Second
+	forkPause   = 5 * time.Millisecond
+)
+
 // Start starts the node of host i, which must not be running. A restarted node keeps its peer, caller and backend addresses.
 func (m *Mesh) Start(i int) error {
-	h, err := host.New(m.settings[i], m.log, host.WithDial(m.partition.dialer(i)))
+	h, err := m.newHost(i)
+	for began := time.Now(); isHeldByFork(err) && time.Since(began) < maxForkTime; {
+		time.Sleep(forkPause)
+		h, err = m.newHost(i)
+	}
 	if err != nil {
 		return fmt.Errorf("start node %s: %w", m.specs[i].Name, err)
 	}
@@ -146,6 +158,17 @@
 	return nil
 }
 
+func (m *Mesh) newHost(i int) (*host.Host, error) {
+	return host.New(m.settings[i], m.log, host.WithDial(m.partition.dialer(i)))
+}
+
+// isHeldByFork reports whether a node may not have started because a process that this one is starting holds a copy of a listener or of the
+// lock of a data folder. It does so until it executes its program, also if the node that had them has closed them.
+func isHeldByFork(err error) bool {
+	var locked *disk.LockedError
+	return errors.Is(err, syscall.EADDRINUSE) || errors.As(err, &locked)
+}
+
 // Partition silently separates the nodes of the given hosts from all others: data is dropped in both directions and no connection
 // is refused. Nodes on the same side reach each other. Without hosts the partition heals.
 func (m *Mesh) Partition(hosts ...int) { m.partition.isolate(hosts) }
