--- a/core/lease/expire.go
+++ b/core/lease/expire.go
@@ -189,7 +189,8 @@
 	delete(t.endpoints, k)
 }
 
-// depart removes an endpoint whose process has left for good, unless it belongs to another process.
+// depart removes an endpoint whose process has left for good, unless it belongs to another process. Which process a departure without
+// incarnation means is known to the agreed state only.
 func (t *Table) depart(d *wire.Departure) {
 	k := d.GetService() + "/" + d.GetName()
 	if e := t.endpoints[k]; e != nil && (e.GetIncarnation() == d.GetIncarnation() || t.ended(e)) {
