test(process): reading up to the limits is bounded in bytes, lingering in time

Traced: with -race the server needs 1.6 s alone to read its limit of 1 MB in chunks of three bytes, and over 3 s beside 12 busy processes, where the test fails too; then it answers and lingers for at most 5 s. The bound of 8 s held both together, so it measured the processor. Now the bytes until the answer are bounded (16 MB, those in socket buffers included; with a body limit of 1 GiB 338 MB are sent and the test fails), and the 8 s, unchanged, hold for the time until the answer and again from there to the end of the connection (without a bound on lingering the test fails).

--- a/io/process/endless_test.go
+++ b/io/process/endless_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,8 @@
 // Bounds for a client that sends without end.
 const (
 	endlessHeap = 32 << 20                      // bytes of memory
-	endlessTime = maxLingerTime + 3*time.Second // until the connection ends; the last part is for a busy machine
+	endlessTime = maxLingerTime + 3*time.Second // until the answer, and from there until the connection ends; the last part is for a busy machine
+	endlessSent = 16 << 20                      // bytes sent until the answer, those in socket buffers included
 )
 
 // Guards against requests without end that use memory without a limit, or that are read for as long as they come: a line of a trailer
@@ -55,8 +57,12 @@
 		{"a length without end", "POST /read HTTP/1.1\r\nHost: x\r\nContent-Length: 9223372036854775807\r\n\r\n", "x"},
 	} {
 		wait.Go(func() {
-			if got := endless(t, s, c.begin, c.more); got >= endlessTime {
-				t.Errorf("%s: got it still read after %s, want the connection closed", c.name, got.Round(time.Millisecond))
+			sent, took := endless(t, s, c.begin, c.more)
+			if took >= endlessTime {
+				t.Errorf("%s: got it still read after %s, want the connection closed", c.name, took.Round(time.Millisecond))
+			}
+			if sent > endlessSent {
+				t.Errorf("%s: got %d MB sent before the answer, want at most %d MB", c.name, sent>>20, endlessSent>>20)
 			}
 		})
 	}
@@ -66,20 +72,42 @@
 	}
 }
 
-// endless sends the begin of a request and more of it until the connection ends, and returns how long that took.
-func endless(t *testing.T, s *Server, begin, more string) time.Duration {
+// endless sends the begin of a request and more of it until the connection ends. It returns how many bytes were sent before the answer, or
+// in all without one, and how long the connection lasted after the answer, or in all. The time in which a server reads what its limits allow
+// hangs on the processor, so it is bounded by the bytes, and the time that a connection lingers by the clock.
+func endless(t *testing.T, s *Server, begin, more string) (sent int64, took time.Duration) {
 	n, err := net.Dial("tcp", s.Address().String())
 	if err != nil {
 		t.Error(err)
-		return 0
+		return 0, 0
 	}
 	defer func() { _ = n.Close() }()
-	go func() { _, _ = io.Copy(io.Discard, n) }()
 	began := time.Now()
 	_ = n.SetWriteDeadline(began.Add(endlessTime))
+	var total, unanswered atomic.Int64
+	unanswered.Store(-1)
+	answered := make(chan time.Time, 1)
+	go func() {
+		if _, err := io.ReadFull(n, make([]byte, 1)); err == nil {
+			unanswered.Store(total.Load())
+			answered <- time.Now()
+			_ = n.SetWriteDeadline(time.Now().Add(endlessTime))
+		}
+		_, _ = io.Copy(io.Discard, n)
+	}()
 	data := bytes.Repeat([]byte(more), 64<<10/len(more))
 	for _, err = io.WriteString(n, begin); err == nil; {
-		_, err = n.Write(data)
+		var written int
+		written, err = n.Write(data)
+		total.Add(int64(written))
+	}
+	select {
+	case began = <-answered:
+	default:
+	}
+	took = time.Since(began)
+	if sent = unanswered.Load(); sent < 0 {
+		sent = total.Load()
 	}
-	return time.Since(began)
+	return sent, took
 }
