--- a/io/process/endless_test.go
+++ b/io/process/endless_test.go
@@ -25,6 +25,35 @@
 // Guards against requests without end that use memory without a limit, or that are read for as long as they come: a line of a trailer
 // was kept whole, and the rest of a body whose request was answered was dropped without a bound in time.
 func TestRequestsWithoutEnd(t *testing.T) {
+	playEndless(t, func(name string, e endlessRequest) {
+		if e.took >= endlessTime {
+			t.Errorf("%s: got it still read after %s, want the connection closed", name, e.took.Round(time.Millisecond))
+		}
+	})
+}
+
+// Guards against the same on a busy machine: the time in which a server reads what its limits allow hangs on the processor, so it is bounded
+// by the bytes, and the time that a connection lingers after the answer by the clock.
+func TestRequestsWithoutEndInBytes(t *testing.T) {
+	playEndless(t, func(name string, e endlessRequest) {
+		if e.lingered >= endlessTime {
+			t.Errorf("%s: got it still read %s after the answer, want the connection closed", name, e.lingered.Round(time.Millisecond))
+		}
+		if e.sent > endlessSent {
+			t.Errorf("%s: got %d MB sent before the answer, want at most %d MB", name, e.sent>>20, endlessSent>>20)
+		}
+	})
+}
+
+// endlessRequest is what a client saw that sent without end.
+type endlessRequest struct {
+	sent     int64         // bytes before the answer, or in all without one
+	lingered time.Duration // from the answer, or from the start without one, to the end of the connection
+	took     time.Duration // from the start to the end of the connection
+}
+
+func playEndless(t *testing.T, check func(name string, e endlessRequest)) {
+	t.Helper()
 	const chunked = "Host: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 	s, err := NewServer(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/read" {
@@ -57,13 +86,7 @@
 		{"a length without end", "POST /read HTTP/1.1\r\nHost: x\r\nContent-Length: 9223372036854775807\r\n\r\n", "x"},
 	} {
 		wait.Go(func() {
-			sent, took := endless(t, s, c.begin, c.more)
-			if took >= endlessTime {
-				t.Errorf("%s: got it still read after %s, want the connection closed", c.name, took.Round(time.Millisecond))
-			}
-			if sent > endlessSent {
-				t.Errorf("%s: got %d MB sent before the answer, want at most %d MB", c.name, sent>>20, endlessSent>>20)
-			}
+			check(c.name, endless(t, s, c.begin, c.more))
 		})
 	}
 	wait.Wait()
@@ -72,14 +95,12 @@
 	}
 }
 
-// endless sends the begin of a request and more of it until the connection ends. It returns how many bytes were sent before the answer, or
-// in all without one, and how long the connection lasted after the answer, or in all. The time in which a server reads what its limits allow
-// hangs on the processor, so it is bounded by the bytes, and the time that a connection lingers by the clock.
-func endless(t *testing.T, s *Server, begin, more string) (sent int64, took time.Duration) {
+// endless sends the begin of a request and more of it until the connection ends.
+func endless(t *testing.T, s *Server, begin, more string) endlessRequest {
 	n, err := net.Dial("tcp", s.Address().String())
 	if err != nil {
 		t.Error(err)
-		return 0, 0
+		return endlessRequest{}
 	}
 	defer func() { _ = n.Close() }()
 	began := time.Now()
@@ -101,13 +122,13 @@
 		written, err = n.Write(data)
 		total.Add(int64(written))
 	}
+	e := endlessRequest{sent: unanswered.Load(), took: time.Since(began)}
+	e.lingered = e.took
 	select {
-	case began = <-answered:
+	case at := <-answered:
+		e.lingered = time.Since(at)
 	default:
+		e.sent = total.Load()
 	}
-	took = time.Since(began)
-	if sent = unanswered.Load(); sent < 0 {
-		sent = total.Load()
-	}
-	return sent, took
+	return e
 }
--- a/io/replica/slow_test.go
+++ b/io/replica/slow_test.go
@@ -39,14 +39,28 @@
 	}
 }
 
-// Guards against a group that elects nobody, or one leader after another, because campaigns and heartbeats wait for slow syncs.
-func TestSlowSyncs(t *testing.T) {
+// addedTo is a sync that takes the given time and that of the machine's disk.
+func addedTo(took time.Duration) func(*os.File) error {
+	return func(f *os.File) error {
+		time.Sleep(took)
+		return f.Sync()
+	}
+}
+
+// Guards against a group that elects nobody, or one leader after another, because campaigns and heartbeats wait for slow syncs, which here
+// come on top of the machine's own.
+func TestSlowSyncs(t *testing.T) { playSlowSyncs(t, addedTo) }
+
+// Guards against the same with syncs that take exactly the given time on any machine.
+func TestSlowSyncsOfGivenTime(t *testing.T) { playSlowSyncs(t, syncIn) }
+
+func playSlowSyncs(t *testing.T, delayed func(time.Duration) func(*os.File) error) {
 	const election, proposals = 200 * time.Millisecond, 5
 	for name, sync := range map[string]time.Duration{"half an election timeout": election / 2, "an election timeout": election} {
 		for _, names := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				g := newGroup(t, names, WithDisk(disk.WithSync(syncIn(sync))))
+				g := newGroup(t, names, WithDisk(disk.WithSync(delayed(sync))))
 				leader := g.leading()
 				term := leader.Status().Term
 				for range proposals {
@@ -100,7 +114,7 @@
 // that the node takes itself for out of touch, and a log that grows without a snapshot.
 func TestSteadyChanges(t *testing.T) {
 	const sync, length, limit, entries = 50 * time.Millisecond, 3 * time.Second, time.Second, 100
-	g := newGroup(t, threeNames, WithCompaction(entries, 1<<20), WithDisk(disk.WithSync(syncIn(sync))))
+	g := newGroup(t, threeNames, WithCompaction(entries, 1<<20), WithDisk(disk.WithSync(addedTo(sync))))
 	leader := g.leading()
 	g.propose(leader, 1)
 	ctx, stop := context.WithTimeout(t.Context(), length)
