--- a/io/demo/ports_test.go
+++ b/io/demo/ports_test.go
@@ -45,3 +45,23 @@
 	wait.Wait()
 	t.Logf("%d restarts", restarts)
 }
+
+// Guards against a node that is closed and still holds a listener or its data folder, which the repeated tries of Start would hide.
+func TestClosedNodeHoldsNothing(t *testing.T) {
+	const restarts = 30
+	m, err := New(t.TempDir(), []HostSpec{{Name: "a", Region: "r", Domain: "d", Replica: true}}, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = m.Close() }()
+	for i := range restarts {
+		if err := m.Stop(0); err != nil {
+			t.Error(err)
+		}
+		h, err := m.newHost(0)
+		if err != nil {
+			t.Fatalf("restart %d: got error %v, want none", i, err)
+		}
+		m.swapHost(0, h)
+	}
+}
